Add the design page, the workspace and the interfaces between its crates

The design page lists requirements, state and its owners, messages, failure handling and house style. Core holds the message and configuration types; platform holds one trait for each outside protocol; the daemon starts its listeners but has no routes yet.

--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/core/src/dispatch/call_order.rs
@@ -0,0 +1,37 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ident::AccountName;
+use crate::ident::RequestIdent;
+use crate::ident::ServiceName;
+
+use super::RowKey;
+
+/// The order to call a plain service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CallOrder {
+    /// The request.
+    pub request: RequestIdent,
+    /// The client account that pays for the call.
+    pub account: AccountName,
+    /// The weight of the client account.
+    pub weight: u32,
+    /// The priority class: 0 is interactive, higher is served later.
+    pub priority: u8,
+    /// The service.
+    pub service: ServiceName,
+    /// The HTTP method.
+    pub method: String,
+    /// The path and query behind `/services/{service}`, starting with `/`.
+    pub path: String,
+    /// The content type of the body.
+    pub content_type: String,
+    /// The body as text.
+    pub body: String,
+    /// The row of a call that is not idempotent, or `None` for one that is.
+    pub row: Option<RowKey>,
+    /// The fingerprint of method, path and body.
+    pub fingerprint: String,
+    /// The time left until the deadline, in milliseconds, when the message was sent.
+    pub deadline_in_ms: u64,
+}
--- /dev/null
+++ b/crates/core/src/dispatch/call_row.rs
@@ -0,0 +1,44 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The content of a row `call/<account>/<service>/<key>/<attempt>`; absent means free to dispatch.
+///
+/// The transitions are: absent to `Dispatched`, absent to `Void`, `Dispatched` to `Done`, and
+/// `Dispatched` to `Void` by the inserter alone when no byte reached the service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum CallRow {
+    /// The attempt never runs. A later attempt may be dispatched.
+    Void {
+        /// The token of the writer, to settle an answer that was lost.
+        token: String,
+    },
+    /// The inserter has the only right to hand the call to the service, once.
+    Dispatched {
+        /// The token of the writer, to settle an answer that was lost.
+        token: String,
+        /// The endpoint that runs the call.
+        runner: String,
+        /// The internal address of the endpoint's process.
+        address: String,
+        /// The incarnation of the endpoint's process.
+        incarnation: u64,
+        /// The fingerprint of method, path and body.
+        fingerprint: String,
+    },
+    /// The service answered.
+    Done {
+        /// The token of the writer of the dispatched row.
+        token: String,
+        /// The fingerprint of method, path and body.
+        fingerprint: String,
+        /// The HTTP status that the service answered with.
+        status: u16,
+        /// The content type of the answer.
+        content_type: String,
+        /// The body of the answer, or the key of the object that holds it.
+        body: String,
+        /// Whether `body` is the key of an object in the object store.
+        in_object: bool,
+    },
+}
--- /dev/null
+++ b/crates/core/src/ident/service_name.rs
@@ -0,0 +1,9 @@
+use super::name_macro::define_name;
+
+define_name!(
+    /// The name of a plain service.
+    ServiceName,
+    "service name",
+    "a-z, 0-9 and -",
+    |symbol| symbol.is_ascii_lowercase() || symbol.is_ascii_digit() || symbol == '-'
+);
--- /dev/null
+++ b/crates/core/src/ident/zone_name.rs
@@ -0,0 +1,9 @@
+use super::name_macro::define_name;
+
+define_name!(
+    /// The name of an availability zone.
+    ZoneName,
+    "availability zone name",
+    "a-z, 0-9 and -",
+    |symbol| symbol.is_ascii_lowercase() || symbol.is_ascii_digit() || symbol == '-'
+);
--- /dev/null
+++ b/crates/core/src/member/member_record.rs
@@ -0,0 +1,34 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ident::HostName;
+use crate::ident::ZoneName;
+
+use super::MemberRole;
+use super::MemberState;
+
+/// What is known about one process of the system.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MemberRecord {
+    /// The name of the process: the endpoint's name, or the name of the entry.
+    pub name: String,
+    /// The role of the process.
+    pub role: MemberRole,
+    /// The host that it runs on.
+    pub host: HostName,
+    /// The availability zone of the host.
+    pub zone: ZoneName,
+    /// The internal address, as `ip:port`.
+    pub address: String,
+    /// The incarnation: the start time in milliseconds, raised to refute a suspicion.
+    pub incarnation: u64,
+    /// The state.
+    pub state: MemberState,
+}
+
+impl MemberRecord {
+    /// Returns whether this record replaces `other` of the same name.
+    pub fn supersedes(&self, other: &MemberRecord) -> bool {
+        (self.incarnation, self.state) > (other.incarnation, other.state)
+    }
+}
--- /dev/null
+++ b/crates/core/src/time/milli_time.rs
@@ -0,0 +1,47 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A point in time in milliseconds.
+///
+/// The origin is chosen by the caller: a daemon uses a monotonic clock, a test starts at zero.
+/// Values of different origins must not be mixed.
+///
+/// # Example
+///
+/// ```
+/// use dandelionroad_core::time::MilliTime;
+///
+/// let time = MilliTime::from_millis(40);
+/// assert_eq!(time.plus(2).as_millis(), 42);
+/// // Differences saturate at zero instead of wrapping.
+/// assert_eq!(time.since(MilliTime::from_millis(50)), 0);
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct MilliTime(u64);
+
+impl MilliTime {
+    /// The latest representable time, used for "no deadline".
+    pub const MAX: MilliTime = MilliTime(u64::MAX);
+
+    /// Creates a time from milliseconds since the origin.
+    pub const fn from_millis(millis: u64) -> MilliTime {
+        MilliTime(millis)
+    }
+
+    /// Returns the milliseconds since the origin.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns this time moved `millis` milliseconds into the future, saturating at [`MilliTime::MAX`].
+    pub const fn plus(self, millis: u64) -> MilliTime {
+        MilliTime(self.0.saturating_add(millis))
+    }
+
+    /// Returns the milliseconds from `earlier` to this time, or zero if `earlier` is later.
+    pub const fn since(self, earlier: MilliTime) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/control_server.rs
@@ -0,0 +1,34 @@
+use std::sync::Arc;
+
+use dandelionroad_messages::ProbeReply;
+use dandelionroad_messages::control_api::ControlApiServer;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+
+use crate::node::NodeContext;
+
+/// The server of the control interface.
+pub(super) struct ControlServer {
+    context: Arc<NodeContext>,
+}
+
+impl ControlServer {
+    /// Creates the server.
+    pub(super) fn new(context: Arc<NodeContext>) -> ControlServer {
+        ControlServer { context }
+    }
+}
+
+#[async_trait]
+impl ControlApiServer for ControlServer {
+    async fn probe(&self, _from: String) -> RpcResult<ProbeReply> {
+        let own = self.context.own.borrow().clone();
+        let revision = self.context.config.borrow().revision;
+        Ok(ProbeReply {
+            name: own.name,
+            incarnation: own.incarnation,
+            state: own.state,
+            revision,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/model/mod.rs
@@ -0,0 +1,14 @@
+/*!
+The completions and chat routes.
+*/
+
+use std::sync::Arc;
+
+use axum::Router;
+
+use crate::node::NodeContext;
+
+/// Returns the routes of this part.
+pub(super) fn routes(_context: &Arc<NodeContext>) -> Router {
+    Router::new()
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of dandelionroad.
+
+fn main() {}
--- /dev/null
+++ b/crates/daemon/src/node/mod.rs
@@ -0,0 +1,17 @@
+/*!
+What every process has: its settings, clock, view of configuration and members, and connections.
+*/
+
+mod node_clients;
+mod node_clock;
+mod node_context;
+mod node_handle;
+mod peer_pool;
+mod start_error;
+
+pub use self::node_clients::NodeClients;
+pub use self::node_clock::NodeClock;
+pub use self::node_context::NodeContext;
+pub use self::node_handle::NodeHandle;
+pub use self::peer_pool::PeerPool;
+pub use self::start_error::StartError;
--- /dev/null
+++ b/crates/daemon/src/node/node_context.rs
@@ -0,0 +1,32 @@
+use std::sync::Arc;
+
+use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::member::MemberRecord;
+use dandelionroad_core::member::MemberTable;
+use dandelionroad_settings::NodeSettings;
+use tokio::sync::watch;
+
+use super::NodeClients;
+use super::NodeClock;
+use super::PeerPool;
+
+/// What the parts of one process share.
+///
+/// Only the control part writes `config` and `members`; the other parts read the newest value or
+/// wait for a change.
+pub struct NodeContext {
+    /// The settings.
+    pub settings: NodeSettings,
+    /// The clock.
+    pub clock: NodeClock,
+    /// The clients of the outside systems.
+    pub clients: NodeClients,
+    /// The connections to other processes.
+    pub peers: PeerPool,
+    /// The own member record; its address is the bound internal address.
+    pub own: watch::Sender<MemberRecord>,
+    /// The configuration in force here.
+    pub config: watch::Sender<Arc<ConfigState>>,
+    /// The members known here.
+    pub members: watch::Sender<Arc<MemberTable>>,
+}
--- /dev/null
+++ b/crates/daemon/src/node/node_handle.rs
@@ -0,0 +1,165 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::ident::HostName;
+use dandelionroad_core::ident::ZoneName;
+use dandelionroad_core::member::MemberRecord;
+use dandelionroad_core::member::MemberRole;
+use dandelionroad_core::member::MemberState;
+use dandelionroad_core::member::MemberTable;
+use dandelionroad_messages::MAX_MESSAGE_BYTES;
+use dandelionroad_settings::NodeRole;
+use dandelionroad_settings::NodeSettings;
+use jsonrpsee::RpcModule;
+use jsonrpsee::server::ServerBuilder;
+use jsonrpsee::server::ServerConfig;
+use jsonrpsee::server::ServerHandle;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::control;
+use crate::endpoint;
+use crate::entry;
+
+use super::NodeClients;
+use super::NodeClock;
+use super::NodeContext;
+use super::PeerPool;
+use super::StartError;
+use super::start_error::BindSnafu;
+use super::start_error::NameSnafu;
+
+/// The greatest number of connections to the internal listener.
+const MAX_INTERNAL_CONNECTIONS: u32 = 10_000;
+
+/// A running process' worth of tasks.
+pub struct NodeHandle {
+    /// What the parts share.
+    pub context: Arc<NodeContext>,
+    /// The bound address of the internal listener.
+    pub internal: SocketAddr,
+    /// The bound address of the callers' listener (role entry).
+    pub public: Option<SocketAddr>,
+    /// The bound address of the administration listener (role entry).
+    pub admin: Option<SocketAddr>,
+    server: ServerHandle,
+}
+
+impl NodeHandle {
+    /// Binds the listeners and starts the tasks of the role.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`StartError`] if a listener can't be bound or a name is invalid.
+    pub async fn start(
+        settings: NodeSettings,
+        clients: NodeClients,
+    ) -> Result<NodeHandle, StartError> {
+        let listener = bind(settings.internal_listen).await?;
+        let internal = listener.local_addr().context(BindSnafu {
+            address: "internal",
+        })?;
+        let context = Arc::new(new_context(settings, clients, internal)?);
+        let methods = new_methods(&context)?;
+        let server = serve_internal(listener, methods)?;
+        control::start(&context);
+        let (public, admin) = match context.settings.role {
+            NodeRole::Entry => {
+                let public = bind(context.settings.public_listen).await?;
+                let admin = bind(context.settings.admin_listen).await?;
+                let addresses = (public.local_addr().ok(), admin.local_addr().ok());
+                entry::start(&context, public, admin);
+                addresses
+            }
+            NodeRole::Endpoint => {
+                endpoint::start(&context);
+                (None, None)
+            }
+        };
+        Ok(NodeHandle {
+            context,
+            internal,
+            public,
+            admin,
+            server,
+        })
+    }
+
+    /// Closes the internal listener and its connections at once.
+    pub fn abort(&self) {
+        // The server may have stopped already, which is what is asked for.
+        let _ = self.server.stop();
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).await.context(BindSnafu {
+        address: address.to_string(),
+    })
+}
+
+fn new_context(
+    settings: NodeSettings,
+    clients: NodeClients,
+    internal: SocketAddr,
+) -> Result<NodeContext, StartError> {
+    let clock = NodeClock::start();
+    let record = MemberRecord {
+        name: settings.name.clone(),
+        role: match settings.role {
+            NodeRole::Entry => MemberRole::Entry,
+            NodeRole::Endpoint => MemberRole::Endpoint,
+        },
+        host: HostName::parse(&settings.host).context(NameSnafu)?,
+        zone: ZoneName::parse(&settings.zone).context(NameSnafu)?,
+        address: internal.to_string(),
+        incarnation: clock.now().as_millis(),
+        state: MemberState::Live,
+    };
+    let mut table = MemberTable::new();
+    table.merge(&record);
+    Ok(NodeContext {
+        settings,
+        clock,
+        clients,
+        peers: PeerPool::new(),
+        own: watch::Sender::new(record),
+        config: watch::Sender::new(Arc::new(ConfigState::new())),
+        members: watch::Sender::new(Arc::new(table)),
+    })
+}
+
+fn new_methods(context: &Arc<NodeContext>) -> Result<RpcModule<()>, StartError> {
+    let mut methods = RpcModule::new(());
+    let mut merge = |part: RpcModule<()>| {
+        methods.merge(part).map_err(|error| StartError::Method {
+            detail: error.to_string(),
+        })
+    };
+    merge(control::methods(context))?;
+    if context.settings.role == NodeRole::Endpoint {
+        merge(endpoint::methods(context))?;
+    }
+    Ok(methods)
+}
+
+fn serve_internal(
+    listener: TcpListener,
+    methods: RpcModule<()>,
+) -> Result<ServerHandle, StartError> {
+    let config = ServerConfig::builder()
+        .max_request_body_size(MAX_MESSAGE_BYTES)
+        .max_response_body_size(MAX_MESSAGE_BYTES)
+        .max_connections(MAX_INTERNAL_CONNECTIONS)
+        .build();
+    let listener = listener.into_std().context(BindSnafu {
+        address: "internal",
+    })?;
+    let builder = ServerBuilder::with_config(config);
+    let server = builder.build_from_tcp(listener).context(BindSnafu {
+        address: "internal",
+    })?;
+    Ok(server.start(methods))
+}
--- /dev/null
+++ b/crates/daemon/src/node/peer_pool.rs
@@ -0,0 +1,102 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use dandelionroad_messages::MAX_MESSAGE_BYTES;
+use jsonrpsee::core::client::Error;
+use jsonrpsee::ws_client::PingConfig;
+use jsonrpsee::ws_client::WsClient;
+use jsonrpsee::ws_client::WsClientBuilder;
+
+/// The time after which an unanswered connection attempt is given up.
+const CONNECT_TIMEOUT_MS: u64 = 500;
+
+/// The time after which an unanswered request is given up.
+const REQUEST_TIMEOUT_MS: u64 = 30_000;
+
+/// The time between keepalive pings.
+const PING_INTERVAL_MS: u64 = 1_000;
+
+/// The time without any frame after which a connection counts as silent.
+const PING_LIMIT_MS: u64 = 2_000;
+
+/// The connections of a process to other processes, one for each address, opened on demand.
+#[derive(Default)]
+pub struct PeerPool {
+    /// Sorted by address.
+    clients: Mutex<Vec<(String, Arc<WsClient>)>>,
+}
+
+impl PeerPool {
+    /// Creates an empty pool.
+    pub fn new() -> PeerPool {
+        PeerPool::default()
+    }
+
+    /// Returns the connection to `address`, opening it if there is none or if it is closed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the transport's error if the process can't be reached within 500 ms.
+    pub async fn client(&self, address: &str) -> Result<Arc<WsClient>, Error> {
+        if let Some(client) = self.open_client(address) {
+            return Ok(client);
+        }
+        let client = Arc::new(connect(address).await?);
+        self.put(address, client.clone());
+        Ok(client)
+    }
+
+    /// Drops the connection to `address`, so that the next use opens a new one.
+    pub fn drop_client(&self, address: &str) {
+        let mut clients = self
+            .clients
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        if let Ok(index) = clients.binary_search_by(|(known, _)| known.as_str().cmp(address)) {
+            clients.remove(index);
+        }
+    }
+
+    fn open_client(&self, address: &str) -> Option<Arc<WsClient>> {
+        let clients = self
+            .clients
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        let index = clients
+            .binary_search_by(|(known, _)| known.as_str().cmp(address))
+            .ok()?;
+        let client = &clients[index].1;
+        client.is_connected().then(|| client.clone())
+    }
+
+    fn put(&self, address: &str, client: Arc<WsClient>) {
+        let mut clients = self
+            .clients
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        match clients.binary_search_by(|(known, _)| known.as_str().cmp(address)) {
+            Ok(index) => clients[index].1 = client,
+            Err(index) => clients.insert(index, (address.to_owned(), client)),
+        }
+    }
+}
+
+/// Opens a connection with keepalive pings.
+async fn connect(address: &str) -> Result<WsClient, Error> {
+    let ping = PingConfig::new()
+        .ping_interval(Duration::from_millis(PING_INTERVAL_MS))
+        .inactive_limit(Duration::from_millis(PING_LIMIT_MS))
+        .max_failures(1);
+    let builder = WsClientBuilder::default()
+        .connection_timeout(Duration::from_millis(CONNECT_TIMEOUT_MS))
+        .request_timeout(Duration::from_millis(REQUEST_TIMEOUT_MS))
+        .max_request_size(MAX_MESSAGE_BYTES)
+        .max_response_size(MAX_MESSAGE_BYTES)
+        .enable_ws_ping(ping);
+    let connecting = builder.build(format!("ws://{address}"));
+    match tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await {
+        Ok(result) => result,
+        Err(_) => Err(Error::RequestTimeout),
+    }
+}
--- /dev/null
+++ b/crates/messages/src/call_api.rs
@@ -0,0 +1,21 @@
+//! Calls to plain services.
+
+use dandelionroad_core::dispatch::CallOrder;
+use dandelionroad_core::dispatch::CallState;
+use dandelionroad_core::dispatch::RowKey;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+
+use crate::CallAnswer;
+
+/// The interface of an endpoint's process for calls to a plain service.
+#[rpc(client, server)]
+pub trait CallApi {
+    /// Runs a call, or tells why it was not run.
+    #[method(name = "call_run")]
+    async fn call_run(&self, order: CallOrder) -> RpcResult<CallAnswer>;
+
+    /// Tells whether the attempt runs in the incarnation that dispatched it.
+    #[method(name = "call_state")]
+    async fn call_state(&self, row: RowKey, incarnation: u64) -> RpcResult<CallState>;
+}
--- /dev/null
+++ b/crates/messages/src/control_api.rs
@@ -0,0 +1,14 @@
+//! Gossip and probes.
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+
+use crate::ProbeReply;
+
+/// The interface of every process for membership and configuration.
+#[rpc(client, server)]
+pub trait ControlApi {
+    /// Tells that the process is alive, and its state.
+    #[method(name = "probe")]
+    async fn probe(&self, from: String) -> RpcResult<ProbeReply>;
+}
--- /dev/null
+++ b/crates/messages/src/stream_api.rs
@@ -0,0 +1,44 @@
+//! Model requests.
+
+use dandelionroad_core::ident::RequestIdent;
+use dandelionroad_core::stream::FaultKind;
+use dandelionroad_core::stream::StepMessage;
+use dandelionroad_core::stream::StepReply;
+use dandelionroad_core::stream::StreamOrder;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::SubscriptionResult;
+use jsonrpsee::proc_macros::rpc;
+
+use crate::Ack;
+use crate::StreamItem;
+use crate::TokenMessage;
+
+/// The interface of an endpoint's process for model requests.
+#[rpc(client, server)]
+pub trait StreamApi {
+    /// Opens the stream of a request at the head of its route, or opens it again.
+    #[subscription(name = "stream_open" => "stream_event", unsubscribe = "stream_close", item = StreamItem)]
+    async fn stream_open(&self, order: StreamOrder) -> SubscriptionResult;
+
+    /// Cancels a request at the head and, through it, at every stage.
+    #[method(name = "stream_cancel")]
+    async fn stream_cancel(&self, request: RequestIdent) -> RpcResult<Ack>;
+
+    /// Hands inputs to the next stage.
+    #[method(name = "step_push")]
+    async fn step_push(&self, message: StepMessage) -> RpcResult<StepReply>;
+
+    /// Returns a token from the last stage to the head.
+    #[method(name = "token_return")]
+    async fn token_return(&self, token: TokenMessage) -> RpcResult<Ack>;
+
+    /// Tells the head that a stage failed.
+    #[method(name = "fault_report")]
+    async fn fault_report(
+        &self,
+        request: RequestIdent,
+        attempt: u32,
+        stage: usize,
+        kind: FaultKind,
+    ) -> RpcResult<Ack>;
+}
--- /dev/null
+++ b/crates/platform/src/engine/engine_order.rs
@@ -0,0 +1,28 @@
+use serde::Deserialize;
+use serde::Serialize;
+
+/// An order that changes what an engine holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "kind")]
+pub enum EngineOrder {
+    /// Load a range of layers of a model version.
+    Load {
+        /// The model.
+        model: String,
+        /// The version.
+        version: u32,
+        /// The key of the weights in the weight store.
+        weights: String,
+        /// The first layer.
+        first_layer: u16,
+        /// The layer after the last one.
+        end_layer: u16,
+    },
+    /// Unload a model version.
+    Unload {
+        /// The model.
+        model: String,
+        /// The version.
+        version: u32,
+    },
+}
--- /dev/null
+++ b/crates/platform/src/engine/mod.rs
@@ -0,0 +1,19 @@
+/*!
+Model engines.
+*/
+
+mod engine_client;
+mod engine_order;
+mod engine_state;
+mod engine_step;
+mod generate_order;
+mod generated_token;
+mod step_output;
+
+pub use self::engine_client::EngineClient;
+pub use self::engine_order::EngineOrder;
+pub use self::engine_state::EngineState;
+pub use self::engine_step::EngineStep;
+pub use self::generate_order::GenerateOrder;
+pub use self::generated_token::GeneratedToken;
+pub use self::step_output::StepOutput;
--- /dev/null
+++ b/crates/platform/src/host/host_entry.rs
@@ -0,0 +1,20 @@
+use dandelionroad_core::member::MemberRole;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// One process of the system on the platform's host list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostEntry {
+    /// The name of the process in the slot of the host.
+    pub name: String,
+    /// The role of the process.
+    pub role: MemberRole,
+    /// The host.
+    pub host: String,
+    /// The availability zone.
+    pub zone: String,
+    /// The internal address of the process, as `ip:port`.
+    pub address: String,
+    /// Whether the host is leaving.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/crates/platform/src/host/mod.rs
@@ -0,0 +1,9 @@
+/*!
+The platform's list of live and leaving hosts, which lags.
+*/
+
+mod host_client;
+mod host_entry;
+
+pub use self::host_client::HostClient;
+pub use self::host_entry::HostEntry;
--- /dev/null
+++ b/crates/platform/src/service/service_call.rs
@@ -0,0 +1,16 @@
+/// A call to a plain service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceCall {
+    /// The HTTP method.
+    pub method: String,
+    /// The path and query, starting with `/`.
+    pub path: String,
+    /// The content type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: String,
+    /// The idempotency key, which is passed on to the service.
+    pub key: Option<String>,
+    /// The fencing number of the caller, which some services check and others ignore.
+    pub fence: u64,
+}
--- /dev/null
+++ b/crates/platform/src/service/service_client.rs
@@ -0,0 +1,10 @@
+use crate::ClientFuture;
+
+use super::ServiceAnswer;
+use super::ServiceCall;
+
+/// A client of one plain service.
+pub trait ServiceClient: Send + Sync {
+    /// Calls the service once. `Unreachable` proves that no byte was sent.
+    fn call<'a>(&'a self, call: &'a ServiceCall) -> ClientFuture<'a, ServiceAnswer>;
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
