--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,6 +1,6 @@
 /*!
 Membership, configuration and their gossip: the only part that writes the configuration and the
-members of a [`NodeContext`](crate::node::NodeContext).
+members of a [`NodeContext`].
 */
 
 mod control_server;
