--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -3,6 +3,8 @@
 */
 
 mod admin;
+mod caller_auth;
+mod caller_error;
 mod model;
 mod service;
 
