--- a/crates/core/src/member/member_record.rs
+++ b/crates/core/src/member/member_record.rs
@@ -4,6 +4,7 @@
 use crate::ident::HostName;
 use crate::ident::ZoneName;
 
+use super::HeldModel;
 use super::MemberRole;
 use super::MemberState;
 
@@ -24,11 +25,18 @@
     pub incarnation: u64,
     /// The state.
     pub state: MemberState,
+    /// Raised by the process itself whenever `held` changes within one incarnation and state.
+    #[serde(default)]
+    pub sequence: u64,
+    /// What the engine holds and can serve; `None` while it loads, and for entries and services.
+    #[serde(default)]
+    pub held: Option<HeldModel>,
 }
 
 impl MemberRecord {
     /// Returns whether this record replaces `other` of the same name.
     pub fn supersedes(&self, other: &MemberRecord) -> bool {
-        (self.incarnation, self.state) > (other.incarnation, other.state)
+        let own = (self.incarnation, self.state, self.sequence);
+        own > (other.incarnation, other.state, other.sequence)
     }
 }
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -117,6 +117,8 @@
         address: internal.to_string(),
         incarnation: clock.now().as_millis(),
         state: MemberState::Live,
+        sequence: 0,
+        held: None,
     };
     let mut table = MemberTable::new();
     table.merge(&record);
