Add engine orders: load targets, fencing numbers, weight-store turns and rollouts

The process beside an engine brings it to what the configuration names and reads its state back after each order. A pool's ready endpoints stand in one row that is changed by compare-and-set, so that two endpoints cannot unload while each counts the other.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod dispatch;
 pub mod ident;
 pub mod member;
+pub mod order;
 pub mod outcome;
 pub mod route;
 pub mod stream;
--- /dev/null
+++ b/crates/core/src/order/order_machine.rs
@@ -0,0 +1,255 @@
+use crate::time::MilliTime;
+
+use super::EngineView;
+use super::LeaveVerdict;
+use super::LoadTarget;
+use super::OrderAction;
+use super::OrderConfig;
+use super::OrderEvent;
+use super::OrderPhase;
+
+/// Brings one engine to what the configuration wants it to hold, and keeps it there.
+///
+/// The engine's own word decides: after each order, and at intervals when nothing is ordered, its
+/// state is read back. This holds for engines that ignore fencing numbers as well: an order of a
+/// process that was paused and resumed is found by the next read and undone.
+///
+/// An engine that serves is unloaded only after the row of ready endpoints granted it and the
+/// requests on it ended.
+#[derive(Clone, Debug)]
+pub struct OrderMachine {
+    config: OrderConfig,
+    phase: OrderPhase,
+    target: Option<LoadTarget>,
+    /// The time at which the present phase is tried again.
+    retry_at: MilliTime,
+    /// The time at which the present phase began.
+    entered_at: MilliTime,
+    has_turn: bool,
+    is_joined: bool,
+    is_serving: bool,
+}
+
+impl OrderMachine {
+    /// Creates a machine without a target.
+    pub fn new(config: OrderConfig) -> OrderMachine {
+        OrderMachine {
+            config,
+            phase: OrderPhase::Idle,
+            target: None,
+            retry_at: MilliTime::MAX,
+            entered_at: MilliTime::default(),
+            has_turn: false,
+            is_joined: false,
+            is_serving: false,
+        }
+    }
+
+    /// Returns the phase.
+    pub fn phase(&self) -> OrderPhase {
+        self.phase
+    }
+
+    /// Returns whether the endpoint serves its target.
+    pub fn is_serving(&self) -> bool {
+        self.is_serving
+    }
+
+    /// Takes an event and returns what to do.
+    pub fn on_event(&mut self, event: OrderEvent, now: MilliTime) -> Vec<OrderAction> {
+        match (event, self.phase) {
+            (OrderEvent::TargetSet(target), _) => self.set_target(target, now),
+            (OrderEvent::EngineRead(view), OrderPhase::Reading) => self.on_read(view, now),
+            (OrderEvent::EngineRead(view), OrderPhase::Loading) => self.on_load_read(view, now),
+            (OrderEvent::LeaveDecided(verdict), OrderPhase::LeavingReady) => {
+                self.on_leave(verdict, now)
+            }
+            (OrderEvent::Drained, OrderPhase::Draining) => {
+                self.enter(OrderPhase::TakingTurn, now);
+                vec![OrderAction::TakeTurn]
+            }
+            (OrderEvent::TurnDecided(taken), OrderPhase::TakingTurn) => self.on_turn(taken, now),
+            (OrderEvent::OrderAnswered(taken), OrderPhase::Ordering) => self.on_order(taken, now),
+            (OrderEvent::JoinAnswered(joined), OrderPhase::Ready) => {
+                self.is_joined = joined;
+                Vec::new()
+            }
+            (OrderEvent::Tick, _) => self.on_tick(now),
+            // An answer to an action of an earlier phase, which a new target has overtaken.
+            _ => Vec::new(),
+        }
+    }
+
+    fn set_target(&mut self, target: Option<LoadTarget>, now: MilliTime) -> Vec<OrderAction> {
+        if target == self.target {
+            return Vec::new();
+        }
+        self.target = target;
+        self.is_joined = false;
+        let mut actions = self.release_turn();
+        if self.target.is_none() {
+            // What the engine holds stays loaded: no configuration names the endpoint any more.
+            self.enter(OrderPhase::Idle, now);
+            return actions;
+        }
+        self.enter(OrderPhase::Reading, now);
+        actions.push(OrderAction::ReadEngine);
+        actions
+    }
+
+    fn on_read(&mut self, view: Option<EngineView>, now: MilliTime) -> Vec<OrderAction> {
+        let Some(view) = view else {
+            self.retry_later(now);
+            return Vec::new();
+        };
+        let Some(target) = self.target.clone() else {
+            return Vec::new();
+        };
+        if view.holds(&target) {
+            return if view.ready {
+                self.become_ready(target, now)
+            } else {
+                self.watch_load(now)
+            };
+        }
+        self.enter(OrderPhase::LeavingReady, now);
+        let forced = !view.serves();
+        vec![OrderAction::LeaveReady { target, forced }]
+    }
+
+    fn on_leave(&mut self, verdict: Option<LeaveVerdict>, now: MilliTime) -> Vec<OrderAction> {
+        match verdict {
+            Some(LeaveVerdict::Granted) => {
+                self.is_serving = false;
+                self.is_joined = false;
+                self.enter(OrderPhase::Draining, now);
+                vec![OrderAction::StopServing]
+            }
+            Some(LeaveVerdict::Denied) | None => {
+                self.retry_later(now);
+                Vec::new()
+            }
+        }
+    }
+
+    fn on_turn(&mut self, taken: Option<bool>, now: MilliTime) -> Vec<OrderAction> {
+        let is_overdue = now.since(self.entered_at) >= self.config.turn_timeout_ms;
+        match taken {
+            Some(true) => {
+                self.has_turn = true;
+                self.order_load(now)
+            }
+            None if is_overdue => self.order_load(now),
+            Some(false) | None => {
+                self.retry_later(now);
+                Vec::new()
+            }
+        }
+    }
+
+    fn order_load(&mut self, now: MilliTime) -> Vec<OrderAction> {
+        self.enter(OrderPhase::Ordering, now);
+        self.target
+            .iter()
+            .cloned()
+            .map(OrderAction::OrderLoad)
+            .collect()
+    }
+
+    fn on_order(&mut self, taken: bool, now: MilliTime) -> Vec<OrderAction> {
+        if taken {
+            return self.watch_load(now);
+        }
+        // An order without an answer may have had its effect, so the state decides.
+        let mut actions = self.release_turn();
+        self.enter(OrderPhase::Reading, now);
+        self.retry_later(now);
+        actions.retain(|action| *action == OrderAction::ReleaseTurn);
+        actions
+    }
+
+    fn watch_load(&mut self, now: MilliTime) -> Vec<OrderAction> {
+        self.enter(OrderPhase::Loading, now);
+        self.retry_later(now);
+        Vec::new()
+    }
+
+    fn on_load_read(&mut self, view: Option<EngineView>, now: MilliTime) -> Vec<OrderAction> {
+        let Some(target) = self.target.clone() else {
+            return Vec::new();
+        };
+        let is_overdue = now.since(self.entered_at) >= self.config.load_timeout_ms;
+        match view {
+            Some(view) if view.holds(&target) && view.ready => self.become_ready(target, now),
+            Some(view) if view.holds(&target) && !is_overdue => {
+                self.retry_later(now);
+                Vec::new()
+            }
+            None if !is_overdue => {
+                self.retry_later(now);
+                Vec::new()
+            }
+            // The engine lost the load or takes too long: start over from what it holds now.
+            _ => {
+                let mut actions = self.release_turn();
+                self.enter(OrderPhase::Reading, now);
+                actions.push(OrderAction::ReadEngine);
+                actions
+            }
+        }
+    }
+
+    fn become_ready(&mut self, target: LoadTarget, now: MilliTime) -> Vec<OrderAction> {
+        let mut actions = self.release_turn();
+        self.enter(OrderPhase::Ready, now);
+        self.retry_at = now.plus(self.config.read_interval_ms);
+        if !self.is_serving {
+            self.is_serving = true;
+            actions.push(OrderAction::StartServing(target.clone()));
+        }
+        if !self.is_joined {
+            actions.push(OrderAction::JoinReady(target));
+        }
+        actions
+    }
+
+    fn on_tick(&mut self, now: MilliTime) -> Vec<OrderAction> {
+        if now < self.retry_at {
+            return Vec::new();
+        }
+        // Set again by the answer; the deadline covers an answer that never comes.
+        self.retry_at = now.plus(self.config.read_interval_ms);
+        match self.phase {
+            OrderPhase::Reading | OrderPhase::Loading => vec![OrderAction::ReadEngine],
+            OrderPhase::Ready => {
+                self.phase = OrderPhase::Reading;
+                vec![OrderAction::ReadEngine]
+            }
+            // A denied leave starts from a new read: the engine may have crashed meanwhile.
+            OrderPhase::LeavingReady => {
+                self.enter(OrderPhase::Reading, now);
+                vec![OrderAction::ReadEngine]
+            }
+            OrderPhase::TakingTurn => vec![OrderAction::TakeTurn],
+            OrderPhase::Idle | OrderPhase::Draining | OrderPhase::Ordering => Vec::new(),
+        }
+    }
+
+    fn release_turn(&mut self) -> Vec<OrderAction> {
+        if !self.has_turn {
+            return Vec::new();
+        }
+        self.has_turn = false;
+        vec![OrderAction::ReleaseTurn]
+    }
+
+    fn enter(&mut self, phase: OrderPhase, now: MilliTime) {
+        self.phase = phase;
+        self.entered_at = now;
+        self.retry_at = now.plus(self.config.read_interval_ms);
+    }
+
+    fn retry_later(&mut self, now: MilliTime) {
+        self.retry_at = now.plus(self.config.retry_interval_ms);
+    }
+}
