Add route choice and admission to the core

route: FlowGraph (maximum flow between classes of endpoints with equal zone and range), RoutePlan, RouteChooser, EndpointPicker, PrefixIndex and EndpointSubset. admit: WorkUnits, AdmitQueue, AccountLimiter, RetryBudget and CrashLedger.

CrashLedger names each crash by its run instead of keeping a number: merging the same crash from the row and from several peers counts it once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 ```
 */
 
+pub mod admit;
 pub mod config;
 pub mod dispatch;
 pub mod ident;
--- /dev/null
+++ b/crates/core/src/route/endpoint_picker.rs
@@ -0,0 +1,117 @@
+use crate::ident::EndpointName;
+use crate::time::MilliTime;
+
+use super::EndpointLoad;
+use super::LoadReport;
+
+/// The choice between endpoints by the load that one entry knows of.
+///
+/// # Example
+///
+/// ```
+/// use dandelionroad_core::ident::EndpointName;
+/// use dandelionroad_core::route::EndpointPicker;
+/// use dandelionroad_core::time::MilliTime;
+///
+/// let [fast, slow] = ["fast", "slow"].map(|name| EndpointName::parse(name).unwrap());
+/// let mut picker = EndpointPicker::new();
+/// picker.set_endpoints([(fast.clone(), 800), (slow.clone(), 100)]);
+/// picker.begin(&fast, 400);
+/// let now = MilliTime::from_millis(0);
+/// assert_eq!(picker.better(&fast, &slow, 80, now), &fast);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct EndpointPicker {
+    /// Sorted by endpoint.
+    loads: Vec<EndpointLoad>,
+}
+
+impl EndpointPicker {
+    /// Creates a picker without endpoints.
+    pub fn new() -> EndpointPicker {
+        EndpointPicker::default()
+    }
+
+    /// Replaces the endpoints and their rates in work units per second; known loads are kept.
+    pub fn set_endpoints(&mut self, endpoints: impl IntoIterator<Item = (EndpointName, u64)>) {
+        let mut loads: Vec<EndpointLoad> = endpoints
+            .into_iter()
+            .map(|(endpoint, rate)| match self.get(&endpoint) {
+                Some(known) => known.clone().with_rate(rate),
+                None => EndpointLoad::new(endpoint, rate),
+            })
+            .collect();
+        loads.sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
+        loads.dedup_by(|left, right| left.endpoint == right.endpoint);
+        self.loads = loads;
+    }
+
+    /// Returns the load of `endpoint`.
+    pub fn get(&self, endpoint: &EndpointName) -> Option<&EndpointLoad> {
+        let index = self.index(endpoint)?;
+        Some(&self.loads[index])
+    }
+
+    /// Counts work that this entry sends to `endpoint`.
+    pub fn begin(&mut self, endpoint: &EndpointName, units: u64) {
+        if let Some(load) = self.get_mut(endpoint) {
+            load.begin(units);
+        }
+    }
+
+    /// Counts that work at `endpoint` has ended.
+    pub fn end(&mut self, endpoint: &EndpointName, units: u64) {
+        if let Some(load) = self.get_mut(endpoint) {
+            load.end(units);
+        }
+    }
+
+    /// Takes the load that `endpoint` reported.
+    pub fn report(&mut self, endpoint: &EndpointName, report: &LoadReport, now: MilliTime) {
+        if let Some(load) = self.get_mut(endpoint) {
+            load.report(report, now);
+        }
+    }
+
+    /// Avoids `endpoint` until `until` where there is another choice.
+    pub fn avoid(&mut self, endpoint: &EndpointName, until: MilliTime) {
+        if let Some(load) = self.get_mut(endpoint) {
+            load.avoid(until);
+        }
+    }
+
+    /// Returns the rank of `endpoint` for `units` of work: avoided ones last, then by the time to
+    /// complete in milliseconds. An unknown endpoint ranks last.
+    pub fn rank(&self, endpoint: &EndpointName, units: u64, now: MilliTime) -> (bool, f64) {
+        match self.get(endpoint) {
+            Some(load) => (load.is_avoided(now), load.wait_ms(units, now)),
+            None => (true, f64::INFINITY),
+        }
+    }
+
+    /// Returns the one of two candidates that is expected to complete `units` of work earlier.
+    pub fn better<'a>(
+        &self,
+        left: &'a EndpointName,
+        right: &'a EndpointName,
+        units: u64,
+        now: MilliTime,
+    ) -> &'a EndpointName {
+        if self.rank(right, units, now) < self.rank(left, units, now) {
+            right
+        } else {
+            left
+        }
+    }
+
+    fn index(&self, endpoint: &EndpointName) -> Option<usize> {
+        self.loads
+            .binary_search_by(|load| load.endpoint.cmp(endpoint))
+            .ok()
+    }
+
+    fn get_mut(&mut self, endpoint: &EndpointName) -> Option<&mut EndpointLoad> {
+        let index = self.index(endpoint)?;
+        Some(&mut self.loads[index])
+    }
+}
--- /dev/null
+++ b/crates/core/tests/admit_limits.rs
@@ -0,0 +1,161 @@
+//! Guards against account limits that entries exceed together, retries that multiply the load, and
+//! requests that crash more than two endpoints or lock out others of their account.
+
+use bolero::check;
+use dandelionroad_core::admit::AccountLimiter;
+use dandelionroad_core::admit::CrashLedger;
+use dandelionroad_core::admit::CrashVerdict;
+use dandelionroad_core::admit::RetryBudget;
+use dandelionroad_core::ident::AccountName;
+use dandelionroad_core::time::MilliTime;
+
+#[test]
+fn account_limiter_bounds_sum_of_entries() {
+    check!()
+        .with_iterations(100)
+        .with_type::<Vec<(u8, u8, u8)>>()
+        .for_each(|steps| {
+            let account = AccountName::parse("rope-works").unwrap();
+            let mut limiters = vec![AccountLimiter::new(); 3];
+            let mut now = MilliTime::from_millis(0);
+            for limiter in &mut limiters {
+                limiter.set_entries(3);
+                limiter.set_account(&account, 100, 300, now);
+            }
+            let mut taken = 0;
+            for (entry, units, gap) in steps {
+                now = now.plus(u64::from(*gap));
+                let limiter = &mut limiters[usize::from(entry % 3)];
+                if limiter.take(&account, u64::from(*units % 100), now).is_ok() {
+                    taken += u64::from(*units % 100);
+                }
+            }
+            let limit = 300 + now.as_millis() * 100 / 1_000;
+            assert!(taken <= limit, "{taken} over {limit}");
+        });
+}
+
+#[test]
+fn account_limiter_refills_after_stated_time() {
+    let account = AccountName::parse("rope-works").unwrap();
+    let mut limiter = AccountLimiter::new();
+    let start = MilliTime::from_millis(0);
+    limiter.set_account(&account, 7, 100, start);
+    assert_eq!(limiter.take(&account, 250, start), Ok(()));
+    let wait_ms = limiter.take(&account, 50, start).unwrap_err();
+    // Guards against work above the burst that is not paid for: 150 units of debt and 50 more.
+    assert!(wait_ms >= 200_000 / 7, "{wait_ms} ms");
+    assert!(limiter.take(&account, 50, start.plus(wait_ms - 2)).is_err());
+    assert_eq!(limiter.take(&account, 50, start.plus(wait_ms)), Ok(()));
+}
+
+#[test]
+fn retry_budget_bounds_retries() {
+    check!()
+        .with_iterations(200)
+        .with_type::<(u8, u8, Vec<bool>)>()
+        .for_each(|(percent, burst, steps)| {
+            let mut budget = RetryBudget::new(u32::from(*percent), u32::from(*burst));
+            let mut requests = 0;
+            let mut retries = 0;
+            for is_request in steps {
+                if *is_request {
+                    budget.request();
+                    requests += 1;
+                } else {
+                    retries += usize::from(budget.try_retry());
+                }
+            }
+            let limit = usize::from(*burst) + requests * usize::from(*percent) / 100;
+            assert!(retries <= limit, "{retries} retries over {limit}");
+        });
+}
+
+/// Returns whether a request may run, after its crashes were written if the store answers.
+fn may_run(ledger: &mut CrashLedger, fingerprint: &str, is_store_up: bool) -> bool {
+    if ledger.verdict(fingerprint) == CrashVerdict::RaiseFirst && is_store_up {
+        let runs = ledger.runs(fingerprint).to_vec();
+        let runs: Vec<&str> = runs.iter().map(|(run, _)| run.as_str()).collect();
+        ledger.merge(fingerprint, &runs, true);
+    }
+    matches!(
+        ledger.verdict(fingerprint),
+        CrashVerdict::Clear | CrashVerdict::Suspect
+    )
+}
+
+/// Sends one crashing request over and over while others run, and returns the crashes.
+///
+/// A crash is known to all entries before the caller sends the request again.
+fn crashes_of_repeats(steps: &[(u8, u8, bool)]) -> usize {
+    let mut ledgers = vec![CrashLedger::new(); 3];
+    let mut crashes = 0;
+    for (number, (entry, neighbours, is_store_up)) in steps.iter().enumerate() {
+        let ledger = &mut ledgers[usize::from(entry % 3)];
+        if !may_run(ledger, "crasher", *is_store_up) {
+            continue;
+        }
+        crashes += 1;
+        let run = format!("r{number}/0");
+        let mut others: Vec<String> = (0..neighbours % 5)
+            .map(|index| format!("n{index}"))
+            .collect();
+        // An endpoint runs one suspect at a time.
+        let is_suspect = ledger.verdict("crasher") == CrashVerdict::Suspect;
+        others.retain(|other| !is_suspect || ledger.verdict(other) == CrashVerdict::Clear);
+        let mut running = vec![("crasher", run.as_str())];
+        running.extend(others.iter().map(|other| (other.as_str(), run.as_str())));
+        ledger.crash(&running);
+        for other in &others {
+            let is_clear = ledger.verdict(other) == CrashVerdict::Clear;
+            assert!(
+                is_clear || !is_suspect,
+                "{other} is blamed for a known suspect"
+            );
+            assert!(may_run(ledger, other, true), "{other} is locked out");
+            ledger.complete(other);
+            assert_eq!(ledger.verdict(other), CrashVerdict::Clear);
+        }
+        for ledger in &mut ledgers {
+            ledger.merge("crasher", &[&run], false);
+        }
+    }
+    crashes
+}
+
+#[test]
+fn crash_ledger_limits_crasher_to_two_endpoints() {
+    check!()
+        .with_iterations(300)
+        .with_type::<Vec<(u8, u8, bool)>>()
+        .for_each(|steps| {
+            assert!(crashes_of_repeats(steps) <= 2);
+        });
+}
+
+#[test]
+fn crash_ledger_holds_suspect_until_row_is_raised() {
+    // Guards against retries of a suspect while the store is down.
+    let mut ledger = CrashLedger::new();
+    ledger.begin("aa");
+    ledger.crash(&[("aa", "r1/0")]);
+    ledger.end("aa");
+    assert_eq!(ledger.verdict("aa"), CrashVerdict::RaiseFirst);
+    assert!(!may_run(&mut ledger, "aa", false));
+    assert!(may_run(&mut ledger, "aa", true));
+    ledger.begin("aa");
+    // Concurrent repeats of a suspect wait for each other.
+    assert_eq!(ledger.verdict("aa"), CrashVerdict::Wait);
+    assert!(ledger.complete("aa"));
+    assert!(ledger.is_empty());
+}
+
+#[test]
+fn crash_ledger_counts_one_crash_once() {
+    // Guards against a request that is refused after one crash because several peers report it.
+    let mut ledger = CrashLedger::new();
+    ledger.crash(&[("aa", "r1/0")]);
+    ledger.merge("aa", &["r1/0"], false);
+    ledger.merge("aa", &["r1/0"], true);
+    assert_eq!(ledger.verdict("aa"), CrashVerdict::Suspect);
+}
--- /dev/null
+++ b/crates/core/tests/admit_queue.rs
@@ -0,0 +1,193 @@
+//! Guards against unfair shares, starvation of lower priorities, late work that is started, and
+//! refusals of items that were started.
+
+use bolero::check;
+use dandelionroad_core::admit::AdmitConfig;
+use dandelionroad_core::admit::AdmitItem;
+use dandelionroad_core::admit::AdmitQueue;
+use dandelionroad_core::ident::AccountName;
+use dandelionroad_core::ident::RequestIdent;
+use dandelionroad_core::outcome::RefusalReason;
+use dandelionroad_core::time::MilliTime;
+
+fn item(number: usize, account: &str, units: u64) -> AdmitItem {
+    AdmitItem {
+        request: RequestIdent::parse(&format!("r{number}")).unwrap(),
+        account: AccountName::parse(account).unwrap(),
+        weight: 1,
+        priority: 0,
+        units,
+        deadline: MilliTime::MAX,
+        is_suspect: false,
+    }
+}
+
+fn at(millis: u64) -> MilliTime {
+    MilliTime::from_millis(millis)
+}
+
+/// Serves a full queue one item at a time and returns the started items.
+fn serve(queue: &mut AdmitQueue, rounds: usize) -> Vec<AdmitItem> {
+    let mut started = Vec::new();
+    for round in 0..rounds {
+        let now = at(round as u64);
+        let batch = queue.poll(now);
+        assert!(batch.refused.is_empty());
+        for item in &batch.started {
+            queue.finish(&item.request, now);
+        }
+        started.extend(batch.started);
+    }
+    started
+}
+
+#[test]
+fn admit_queue_shares_by_weight() {
+    check!()
+        .with_iterations(100)
+        .with_type::<(u8, u8, Vec<u8>)>()
+        .for_each(|(left, right, sizes)| {
+            let weights = [u32::from(left % 4) + 1, u32::from(right % 4) + 1];
+            let mut queue = AdmitQueue::new(AdmitConfig::new(1_000_000, 1, 1_000));
+            for number in 0..400 {
+                let side = number % 2;
+                let size = sizes.get(number % sizes.len().max(1)).copied().unwrap_or(9);
+                let mut item = item(number, ["large", "small"][side], u64::from(size) + 1);
+                item.weight = weights[side];
+                assert!(queue.offer(item, at(0)).is_empty());
+            }
+            let started = serve(&mut queue, 80);
+            let share = |account: &str, weight: u32| {
+                let own = started
+                    .iter()
+                    .filter(|item| item.account.as_str() == account);
+                own.map(|item| item.units).sum::<u64>() as f64 / f64::from(weight)
+            };
+            let difference = share("large", weights[0]) - share("small", weights[1]);
+            // Start-time fair queuing: within one greatest item of each account.
+            assert!(difference.abs() <= 512.0, "{difference} with {weights:?}");
+        });
+}
+
+#[test]
+fn admit_queue_never_refuses_started_item() {
+    check!()
+        .with_iterations(200)
+        .with_type::<Vec<(u8, u8, u8)>>()
+        .for_each(|steps| {
+            let mut queue = AdmitQueue::new(AdmitConfig::new(300, 3, 1_000));
+            let mut started: Vec<RequestIdent> = Vec::new();
+            let mut refused: Vec<RequestIdent> = Vec::new();
+            let mut cancelled = 0;
+            for (number, (kind, size, slack)) in steps.iter().enumerate() {
+                let now = at(number as u64 * 20);
+                match kind % 4 {
+                    0 | 1 => {
+                        let account = ["a", "b", "c"][usize::from(size % 3)];
+                        let mut item = item(number, account, u64::from(*size) + 1);
+                        item.priority = slack % 2;
+                        item.is_suspect = size % 7 == 0;
+                        item.deadline = now.plus(u64::from(*slack) * 20);
+                        let refusals = queue.offer(item, now);
+                        refused.extend(refusals.into_iter().map(|refusal| refusal.request));
+                    }
+                    2 => {
+                        let first = queue.running().next().cloned();
+                        first.iter().for_each(|request| queue.finish(request, now));
+                    }
+                    _ => {
+                        let request = RequestIdent::parse(&format!("r{size}")).unwrap();
+                        let is_known = queue.load().queued_units;
+                        queue.cancel(&request);
+                        cancelled += usize::from(queue.load().queued_units < is_known);
+                    }
+                }
+                let batch = queue.poll(now);
+                refused.extend(batch.refused.into_iter().map(|refusal| refusal.request));
+                started.extend(batch.started.into_iter().map(|item| item.request));
+            }
+            assert!(started.iter().all(|request| !refused.contains(request)));
+            let offered = steps.iter().filter(|(kind, _, _)| kind % 4 < 2).count();
+            assert!(started.len() + refused.len() + cancelled <= offered);
+        });
+}
+
+#[test]
+fn admit_queue_refuses_late_work_early() {
+    let mut queue = AdmitQueue::new(AdmitConfig::new(100_000, 1, 1_000));
+    queue.offer(item(0, "a", 1_000), at(0));
+    queue.poll(at(0));
+    let mut late = item(1, "a", 1_000);
+    late.deadline = at(1_500);
+    let refusals = queue.offer(late, at(0));
+    assert_eq!(refusals[0].reason, RefusalReason::Deadline);
+}
+
+#[test]
+fn admit_queue_refuses_late_work_at_its_turn() {
+    let mut queue = AdmitQueue::new(AdmitConfig::new(100_000, 1, 1_000));
+    queue.offer(item(0, "a", 100), at(0));
+    let first = queue.poll(at(0)).started[0].request.clone();
+    let mut late = item(1, "a", 100);
+    late.deadline = at(400);
+    assert!(queue.offer(late, at(0)).is_empty());
+    queue.cancel(&first);
+    let batch = queue.poll(at(350));
+    assert_eq!(batch.refused[0].reason, RefusalReason::Deadline);
+    assert!(batch.started.is_empty());
+}
+
+#[test]
+fn admit_queue_sheds_largest_backlog_first() {
+    // Guards against a flood of one account that takes the whole queue from the others.
+    let mut queue = AdmitQueue::new(AdmitConfig::new(1_000, 1, 1_000));
+    for number in 0..20 {
+        queue.offer(item(number, "large", 50), at(0));
+    }
+    let refusals = queue.offer(item(20, "small", 50), at(0));
+    assert_eq!(refusals.len(), 1);
+    assert_eq!(refusals[0].request.as_str(), "r19");
+    assert_eq!(refusals[0].reason, RefusalReason::Overloaded);
+}
+
+#[test]
+fn admit_queue_serves_lower_class_its_share() {
+    let mut queue = AdmitQueue::new(AdmitConfig::new(1_000_000, 1, 1_000));
+    for number in 0..400 {
+        let mut item = item(number, ["a", "b"][number % 2], 10);
+        item.priority = u8::from(number % 2 == 1);
+        queue.offer(item, at(0));
+    }
+    let started = serve(&mut queue, 200);
+    let lower = started.iter().filter(|item| item.priority == 1).count();
+    assert!((15..=25).contains(&lower), "{lower} of 200 were batch");
+}
+
+#[test]
+fn admit_queue_runs_one_suspect_at_a_time() {
+    let mut queue = AdmitQueue::new(AdmitConfig::new(1_000, 4, 1_000));
+    for number in 0..3 {
+        let mut item = item(number, "a", 1);
+        item.is_suspect = number < 2;
+        queue.offer(item, at(0));
+    }
+    let started = queue.poll(at(0)).started;
+    assert_eq!(started.iter().filter(|item| item.is_suspect).count(), 1);
+    assert_eq!(started.len(), 2);
+    let suspect = started.iter().find(|item| item.is_suspect).unwrap();
+    queue.finish(&suspect.request, at(1));
+    assert!(queue.poll(at(1)).started[0].is_suspect);
+}
+
+#[test]
+fn admit_queue_reserves_slots_for_idle_accounts() {
+    // Guards against a large account that holds every slot when a small one arrives.
+    let mut queue = AdmitQueue::new(AdmitConfig::new(10_000, 8, 1_000));
+    for number in 0..20 {
+        queue.offer(item(number, "large", 10), at(0));
+    }
+    assert_eq!(queue.poll(at(0)).started.len(), 7);
+    queue.offer(item(20, "small", 10), at(1));
+    let started = queue.poll(at(1)).started;
+    assert_eq!(started[0].account.as_str(), "small");
+}
