Add the simulation of the decisions under load

dandelion-bench load drives the route choice and the admission queue of the core with fakes of engines in simulated time, at 30 engines in three zones, with three entries and 10 accounts, next to four simple policies.

--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,8 @@
+/*!
+Measurements of the decisions of dandelionroad under load, in simulated milliseconds.
+
+Small fakes of engines stand behind the same route choice and admission that the daemon uses. A
+link is only a delay and a rate. Equal seeds give equal results.
+*/
+
+pub mod sim;
--- /dev/null
+++ b/crates/bench/src/sim/mod.rs
@@ -0,0 +1,37 @@
+/*!
+The simulation: a fleet of engines, a workload, a routing policy and a fault.
+*/
+
+mod account_tally;
+mod fleet;
+mod load_workload;
+mod request_spec;
+mod route_policy;
+mod run_report;
+mod run_setup;
+mod sim_clock;
+mod sim_engine;
+mod sim_entry;
+mod sim_event;
+mod sim_fault;
+mod sim_link;
+mod sim_request;
+mod sim_tally;
+mod sim_work;
+mod sim_world;
+mod timed_event;
+mod world_fault;
+
+pub use self::account_tally::AccountTally;
+pub use self::fleet::Fleet;
+pub use self::load_workload::LoadWorkload;
+pub use self::request_spec::RequestSpec;
+pub use self::route_policy::RoutePolicy;
+pub use self::run_report::RunReport;
+pub use self::run_setup::RunSetup;
+pub use self::sim_fault::SimFault;
+
+/// Simulates one run and returns its figures.
+pub fn run(setup: &RunSetup) -> RunReport {
+    sim_world::SimWorld::new(setup).run()
+}
--- /dev/null
+++ b/crates/bench/src/sim/sim_entry.rs
@@ -0,0 +1,178 @@
+use dandelionroad_core::admit::RetryBudget;
+use dandelionroad_core::admit::WorkUnits;
+use dandelionroad_core::ident::EndpointName;
+use dandelionroad_core::route::EndpointPicker;
+use dandelionroad_core::route::FlowGraph;
+use dandelionroad_core::route::FlowLink;
+use dandelionroad_core::route::FlowNode;
+use dandelionroad_core::route::RouteChooser;
+use dandelionroad_core::route::RoutePlan;
+use dandelionroad_core::route::mix_seed;
+use dandelionroad_core::stream::LayerRange;
+
+use super::Fleet;
+use super::RoutePolicy;
+use super::sim_clock::milli_time;
+
+/// The choices of one entry.
+pub(super) struct SimEntry {
+    pub(super) picker: EndpointPicker,
+    pub(super) budget: RetryBudget,
+    policy: RoutePolicy,
+    layers: u16,
+    nodes: Vec<FlowNode>,
+    plan: RoutePlan,
+    /// The outstanding requests of this entry, by engine.
+    outstanding: Vec<u32>,
+    /// The requests that were routed.
+    turn: u64,
+    /// The turns of round robin, by the first layer of the stage.
+    turns: Vec<usize>,
+    seed: u64,
+}
+
+impl SimEntry {
+    pub(super) fn new(policy: RoutePolicy, fleet: &Fleet, seed: u64) -> SimEntry {
+        let mut entry = SimEntry {
+            picker: EndpointPicker::new(),
+            budget: RetryBudget::default(),
+            policy,
+            layers: fleet.layers,
+            nodes: Vec::new(),
+            plan: RoutePlan::default(),
+            outstanding: vec![0; fleet.nodes.len()],
+            turn: 0,
+            turns: vec![0; usize::from(fleet.layers)],
+            seed,
+        };
+        entry.set_plan(&fleet.nodes, &fleet.links);
+        entry
+    }
+
+    /// Takes a change of the members or links.
+    pub(super) fn set_plan(&mut self, nodes: &[FlowNode], links: &[FlowLink]) {
+        let units = WorkUnits::default();
+        let rates = nodes.iter().map(|node| {
+            (
+                node.endpoint.clone(),
+                units.per_second(node.tokens_per_second),
+            )
+        });
+        self.picker.set_endpoints(rates);
+        self.plan = FlowGraph::new(self.layers, nodes, links).plan();
+        self.nodes = nodes.to_vec();
+    }
+
+    /// Chooses a route that avoids the engines in `excluded`.
+    pub(super) fn choose(
+        &mut self,
+        units: u64,
+        excluded: &[EndpointName],
+        now_us: u64,
+    ) -> Option<Vec<(usize, LayerRange)>> {
+        self.turn += 1;
+        let seed = mix_seed(self.seed.wrapping_add(self.turn));
+        match self.policy {
+            RoutePolicy::Flow => {
+                let route = self.chooser(excluded, now_us).choose(units, seed)?;
+                Some(indexed(route))
+            }
+            RoutePolicy::FastestChain => self.chain(excluded, |node, _| node.tokens_per_second),
+            RoutePolicy::Random => self.chain(excluded, |_, index| mix_seed(seed ^ index as u64)),
+            RoutePolicy::RoundRobin => self.round_robin(excluded),
+            RoutePolicy::LeastOutstanding => {
+                let outstanding = &self.outstanding;
+                self.chain(excluded, |_, index| {
+                    u64::from(u32::MAX - outstanding[index])
+                })
+            }
+        }
+    }
+
+    /// Chooses engines that replace a stage.
+    pub(super) fn replace(
+        &self,
+        range: LayerRange,
+        units: u64,
+        excluded: &[EndpointName],
+        now_us: u64,
+    ) -> Option<Vec<(usize, LayerRange)>> {
+        let stages = self.chooser(excluded, now_us).replace(range, units)?;
+        Some(indexed(stages))
+    }
+
+    /// Counts the work of a route that is sent, or that has ended.
+    pub(super) fn count(&mut self, route: &[(usize, LayerRange)], units: u64, is_sent: bool) {
+        for (engine, _) in route {
+            let name = super::fleet::endpoint_name(*engine);
+            if is_sent {
+                self.picker.begin(&name, units);
+                self.outstanding[*engine] += 1;
+            } else {
+                self.picker.end(&name, units);
+                self.outstanding[*engine] = self.outstanding[*engine].saturating_sub(1);
+            }
+        }
+    }
+
+    fn chooser<'a>(&'a self, excluded: &'a [EndpointName], now_us: u64) -> RouteChooser<'a> {
+        RouteChooser {
+            plan: &self.plan,
+            picker: &self.picker,
+            excluded,
+            now: milli_time(now_us),
+        }
+    }
+
+    /// Builds a chain from the next candidate of each stage.
+    fn round_robin(&mut self, excluded: &[EndpointName]) -> Option<Vec<(usize, LayerRange)>> {
+        let mut route = Vec::new();
+        let mut first = 0;
+        while first < self.layers {
+            let candidates: Vec<&FlowNode> = self
+                .nodes
+                .iter()
+                .filter(|node| node.range.first <= first && first < node.range.end)
+                .filter(|node| !excluded.contains(&node.endpoint))
+                .collect();
+            let turn = &mut self.turns[usize::from(first)];
+            *turn += 1;
+            let node = *candidates.get(*turn % candidates.len().max(1))?;
+            let range = LayerRange::new(first, node.range.end);
+            route.push((Fleet::index(&node.endpoint), range));
+            first = range.end;
+        }
+        Some(route)
+    }
+
+    /// Builds a chain stage by stage from the engine that `score` ranks highest.
+    fn chain(
+        &self,
+        excluded: &[EndpointName],
+        score: impl Fn(&FlowNode, usize) -> u64,
+    ) -> Option<Vec<(usize, LayerRange)>> {
+        let mut route = Vec::new();
+        let mut first = 0;
+        while first < self.layers {
+            let best = self
+                .nodes
+                .iter()
+                .filter(|node| node.range.first <= first && first < node.range.end)
+                .filter(|node| !excluded.contains(&node.endpoint))
+                .max_by_key(|node| score(node, Fleet::index(&node.endpoint)))?;
+            route.push((
+                Fleet::index(&best.endpoint),
+                LayerRange::new(first, best.range.end),
+            ));
+            first = best.range.end;
+        }
+        Some(route)
+    }
+}
+
+fn indexed(stages: Vec<(EndpointName, LayerRange)>) -> Vec<(usize, LayerRange)> {
+    stages
+        .into_iter()
+        .map(|(endpoint, range)| (Fleet::index(&endpoint), range))
+        .collect()
+}
--- /dev/null
+++ b/crates/bench/src/sim/sim_fault.rs
@@ -0,0 +1,46 @@
+use std::str::FromStr;
+
+/// A fault that starts at half of the simulated time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SimFault {
+    /// No fault.
+    None,
+    /// A tenth of the endpoints die.
+    Loss,
+    /// Load reports arrive five seconds late, from the start.
+    Lag,
+    /// The link between two zones slows a hundredfold, in one direction.
+    Link,
+}
+
+impl SimFault {
+    /// Every fault.
+    pub const ALL: [SimFault; 4] = [
+        SimFault::None,
+        SimFault::Loss,
+        SimFault::Lag,
+        SimFault::Link,
+    ];
+
+    /// Returns the name on the command line.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            SimFault::None => "none",
+            SimFault::Loss => "loss",
+            SimFault::Lag => "lag",
+            SimFault::Link => "link",
+        }
+    }
+}
+
+impl FromStr for SimFault {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<SimFault, String> {
+        let known = SimFault::ALL.map(SimFault::as_str);
+        match known.iter().position(|name| *name == text) {
+            Some(index) => Ok(SimFault::ALL[index]),
+            None => Err(format!("unknown fault; use one of {}", known.join(", "))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/sim/sim_link.rs
@@ -0,0 +1,61 @@
+use dandelionroad_core::admit::WorkUnits;
+use dandelionroad_core::route::FlowLink;
+
+use super::Fleet;
+use super::sim_clock::MILLI_US;
+use super::sim_clock::SECOND_US;
+
+/// The one-way delay between zones and within one.
+const ZONE_DELAY_US: u64 = MILLI_US / 2;
+const LOCAL_DELAY_US: u64 = MILLI_US / 10;
+
+/// A link between two zones: a delay and a rate.
+#[derive(Clone, Copy, Debug)]
+struct SimLink {
+    units_per_second: u64,
+    free_at_us: u64,
+}
+
+/// The links of all pairs of zones.
+pub(super) struct SimLinks {
+    links: Vec<Option<SimLink>>,
+    zones: usize,
+}
+
+impl SimLinks {
+    pub(super) fn new(zones: usize, rates: &[FlowLink]) -> SimLinks {
+        let mut links = SimLinks {
+            links: vec![None; zones * zones],
+            zones,
+        };
+        links.set_rates(rates);
+        links
+    }
+
+    /// Sets the rates; transfers that have begun keep their times.
+    pub(super) fn set_rates(&mut self, rates: &[FlowLink]) {
+        for rate in rates {
+            let index = Fleet::zone_index(&rate.from) * self.zones + Fleet::zone_index(&rate.to);
+            let free_at_us = self.links[index].map_or(0, |link| link.free_at_us);
+            self.links[index] = Some(SimLink {
+                units_per_second: WorkUnits::default().per_second(rate.tokens_per_second),
+                free_at_us,
+            });
+        }
+    }
+
+    /// Returns when `units` sent now arrive.
+    pub(super) fn arrival(&mut self, now_us: u64, from: usize, to: usize, units: u64) -> u64 {
+        if from == to {
+            return now_us + LOCAL_DELAY_US;
+        }
+        match &mut self.links[from * self.zones + to] {
+            Some(link) => {
+                let start_us = now_us.max(link.free_at_us);
+                link.free_at_us = start_us + units * SECOND_US / link.units_per_second.max(1);
+                link.free_at_us + ZONE_DELAY_US
+            }
+            None => now_us + ZONE_DELAY_US,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/sim/world_fault.rs
@@ -0,0 +1,128 @@
+//! How the simulation carries out a fault and how the entries react to it.
+
+use dandelionroad_core::ident::EndpointName;
+use dandelionroad_core::outcome::RefusalReason;
+use dandelionroad_core::route::FlowGraph;
+use dandelionroad_core::route::FlowLink;
+use dandelionroad_core::route::FlowNode;
+
+use super::SimFault;
+use super::fleet::endpoint_name;
+use super::sim_clock::MILLI_US;
+use super::sim_clock::SECOND_US;
+use super::sim_clock::milli_time;
+use super::sim_event::SimEvent;
+use super::sim_work::SimWork;
+use super::sim_world::ENTRY_DELAY_US;
+use super::sim_world::SimWorld;
+
+/// The time until a stage without progress is noticed by its requests.
+const DETECT_US: u64 = 500 * MILLI_US;
+
+/// The time until a lost member is `gone`: three missed probes and the time to refute.
+const GONE_US: u64 = 6 * SECOND_US;
+
+/// The time until the link estimate follows a change of the rate.
+const LINK_ESTIMATE_US: u64 = SECOND_US;
+
+/// The time for which an entry avoids an endpoint that failed.
+const AVOID_MS: u64 = 10_000;
+
+impl SimWorld {
+    /// Tells the entries the present members and link rates.
+    pub(super) fn replan(&mut self) {
+        let (nodes, links) = (self.live_nodes(), self.fleet.links.clone());
+        for entry in &mut self.entries {
+            entry.set_plan(&nodes, &links);
+        }
+    }
+
+    fn live_nodes(&self) -> Vec<FlowNode> {
+        let alive =
+            |(index, node): (usize, &FlowNode)| self.engines[index].is_alive.then(|| node.clone());
+        self.fleet
+            .nodes
+            .iter()
+            .enumerate()
+            .filter_map(alive)
+            .collect()
+    }
+
+    pub(super) fn fault(&mut self) {
+        if self.setup.fault == SimFault::Loss {
+            for engine in (3..self.engines.len()).step_by(10) {
+                self.engines[engine].kill();
+            }
+            self.schedule(self.now_us + GONE_US, SimEvent::Replan);
+        } else {
+            let slow: &mut FlowLink = &mut self.fleet.links[0];
+            slow.tokens_per_second /= 100;
+            self.links.set_rates(&self.fleet.links);
+            self.schedule(self.now_us + LINK_ESTIMATE_US, SimEvent::Replan);
+        }
+        self.schedule(self.now_us + DETECT_US, SimEvent::Detect);
+        self.bound_after = FlowGraph::new(self.fleet.layers, &self.live_nodes(), &self.fleet.links)
+            .plan()
+            .bound();
+    }
+
+    /// Replaces the lost stages of the requests in flight.
+    pub(super) fn detect(&mut self) {
+        let until = milli_time(self.now_us).plus(AVOID_MS);
+        let lost: Vec<EndpointName> = (0..self.engines.len())
+            .filter(|engine| !self.engines[*engine].is_alive)
+            .map(endpoint_name)
+            .collect();
+        for entry in &mut self.entries {
+            lost.iter().for_each(|name| entry.picker.avoid(name, until));
+        }
+        for index in 0..self.requests.len() {
+            let request = &self.requests[index];
+            let is_lost = |stage: &(usize, _)| !self.engines[stage.0].is_alive;
+            if let Some(stage) = request.route.iter().position(is_lost) {
+                self.replace_stage(index, stage, &lost);
+            }
+        }
+    }
+
+    fn replace_stage(&mut self, index: usize, stage: usize, lost: &[EndpointName]) {
+        let request = &mut self.requests[index];
+        let units = request.units();
+        let entry = &mut self.entries[request.entry];
+        entry.count(&request.route, units, false);
+        request.attempt += 1;
+        let (lost_head, range) = (stage == 0, request.route[stage].1);
+        let Some(stages) = entry.replace(range, units, lost, self.now_us) else {
+            request.is_ended = true;
+            let account = request.spec.account;
+            self.tally.refuse(account, RefusalReason::NoEndpoint);
+            return;
+        };
+        request.route.splice(stage..=stage, stages);
+        entry.count(&request.route, units, true);
+        let attempt = request.attempt;
+        if lost_head {
+            let event = SimEvent::Offer {
+                request: index,
+                attempt,
+            };
+            self.schedule(self.now_us + ENTRY_DELAY_US, event);
+            return;
+        }
+        if !request.is_started {
+            // Still waiting at its head, which keeps its place.
+            return;
+        }
+        let engine = request.route[stage].0;
+        let work = SimWork {
+            request: index,
+            attempt,
+            stage,
+            units: request.replay_units(),
+        };
+        self.schedule(
+            self.now_us + ENTRY_DELAY_US,
+            SimEvent::Work { engine, work },
+        );
+    }
+}
