--- /dev/null
+++ b/crates/core/src/stream/stage_steps.rs
@@ -0,0 +1,388 @@
+//! What the events of a [`StageMachine`] have in common.
+
+use crate::time::MilliTime;
+
+use super::FaultKind;
+use super::StageAction;
+use super::StageMachine;
+use super::StageOutput;
+use super::StepInput;
+use super::StepMessage;
+use super::StepPayload;
+use super::StepReply;
+use super::StopReason;
+use super::StreamEvent;
+use super::StreamOrder;
+
+/// The greatest size of the payloads of one push in bytes, half of the greatest message.
+const MAX_PUSH_BYTES: usize = 4 * 1024 * 1024;
+
+/// The assumed length of a prompt token in bytes, for deadlines only.
+const PROMPT_TOKEN_BYTES: usize = 4;
+
+impl StageMachine {
+    /// Adopts a newer attempt.
+    pub(super) fn adopt(
+        &mut self,
+        order: StreamOrder,
+        stage: usize,
+        now: MilliTime,
+        actions: &mut Vec<StageAction>,
+    ) {
+        if !self.keeps_cache(&order, stage) {
+            self.start_over(&order, actions);
+        }
+        if self.tokens.len() < order.sent.len() {
+            self.tokens = order.sent.clone();
+        }
+        self.order = order;
+        self.stage = stage;
+        self.start_attempt(now, actions);
+    }
+
+    /// Returns whether cache and outputs stay valid under a newer attempt.
+    fn keeps_cache(&self, order: &StreamOrder, stage: usize) -> bool {
+        let range = |order: &StreamOrder, stage: usize| {
+            let entry = order.route.stages.get(stage)?;
+            Some((entry.range, stage == order.route.last_stage()))
+        };
+        let mut pairs = self.tokens.iter().zip(&order.sent);
+        // Tokens beyond the ones of the order may have been generated again, with another result,
+        // in an attempt that this stage has missed.
+        let is_ahead = self.tokens.len() > order.sent.len();
+        let has_missed = order.attempt != self.order.attempt + 1;
+        range(&self.order, self.stage) == range(order, stage)
+            && order.version == self.order.version
+            && pairs.all(|(known, sent)| known == sent)
+            && !(is_ahead && has_missed)
+    }
+
+    fn start_over(&mut self, order: &StreamOrder, actions: &mut Vec<StageAction>) {
+        let session = self.session.restart(order.request.as_str(), order.attempt);
+        actions.push(StageAction::CancelSession { session });
+        self.tokens.clear();
+        self.inputs.clear();
+        self.outputs.clear();
+        self.end = None;
+        self.is_finished = false;
+    }
+
+    pub(super) fn start_attempt(&mut self, now: MilliTime, actions: &mut Vec<StageAction>) {
+        self.in_flight = None;
+        self.retry_at = None;
+        self.is_route_sent = false;
+        self.progress_at = now;
+        self.probe_at = now;
+        let sent = self.order.sent.len();
+        // The last stage returns what the head lacks; the others show their last output, to which
+        // the next stage replies with the position that it needs.
+        self.cursor = if self.is_last() {
+            sent as u32
+        } else {
+            self.outputs.len().saturating_sub(1) as u32
+        };
+        if self.is_head() {
+            self.is_finished = false;
+            if self.end.is_none() && sent as u32 >= self.order.max_tokens {
+                self.end = Some((sent as u32, StopReason::Length));
+            }
+            self.emit_from(sent, actions);
+        }
+        self.hand_on(actions);
+        self.run_next(now, actions);
+    }
+
+    pub(super) fn take_inputs(&mut self, inputs: Vec<StepInput>) -> StepReply {
+        let mut reply = StepReply::Gap {
+            expected: self.inputs.len() as u32,
+        };
+        for input in inputs {
+            let expected = self.inputs.len() as u32;
+            if input.position > expected {
+                return StepReply::Gap { expected };
+            }
+            reply = StepReply::Accepted;
+            if input.position < expected {
+                continue;
+            }
+            let before = input.position as usize;
+            if before > self.tokens.len() {
+                self.tokens.push(input.token);
+            }
+            self.inputs.push(input.payload);
+        }
+        reply
+    }
+
+    /// Starts the next step if its input is there.
+    pub(super) fn run_next(&mut self, now: MilliTime, actions: &mut Vec<StageAction>) {
+        if self.is_finished || self.session.running.is_some() || self.session.is_generating {
+            return;
+        }
+        if self.limits.is_whole_model {
+            self.start_generating(now, actions);
+            return;
+        }
+        let position = self.session.computed;
+        let Some(payload) = self.input(position) else {
+            return;
+        };
+        let Some(entry) = self.order.route.stages.get(self.stage) else {
+            return;
+        };
+        self.session.running = Some((position, now));
+        actions.push(StageAction::RunStep {
+            session: self.session.name.clone(),
+            position,
+            range: entry.range,
+            is_last: self.is_last(),
+            payload,
+        });
+    }
+
+    fn start_generating(&mut self, now: MilliTime, actions: &mut Vec<StageAction>) {
+        let mut order = self.order.clone();
+        order.sent = self.tokens.clone();
+        self.session.is_generating = true;
+        self.session.running = Some((self.tokens.len() as u32, now));
+        actions.push(StageAction::Generate {
+            session: self.session.name.clone(),
+            order: Box::new(order),
+        });
+    }
+
+    fn input(&self, position: u32) -> Option<StepPayload> {
+        let index = position as usize;
+        if !self.is_head() {
+            return self.inputs.get(index).cloned();
+        }
+        match index.checked_sub(1) {
+            _ if position >= self.answer_length() => None,
+            None => Some(StepPayload::Text(self.order.prompt.clone())),
+            Some(before) => self.tokens.get(before).cloned().map(StepPayload::Text),
+        }
+    }
+
+    /// Returns the number of tokens of the whole answer, or its limit while it is not known.
+    fn answer_length(&self) -> u32 {
+        self.end.map_or(self.order.max_tokens, |(length, _)| length)
+    }
+
+    pub(super) fn save_output(
+        &mut self,
+        position: u32,
+        output: StageOutput,
+        now: MilliTime,
+        actions: &mut Vec<StageAction>,
+    ) {
+        if !self.is_last() {
+            self.outputs.push(output.payload);
+            return;
+        }
+        let sampled = match output.payload {
+            StepPayload::Text(text) | StepPayload::Activation(text) => text,
+        };
+        if self.is_head() {
+            self.outputs.push(StepPayload::Text(sampled.clone()));
+            self.take_token(position, sampled, output.end, now, actions);
+            return;
+        }
+        // The token that the later inputs were computed with takes the place of the own one.
+        match self.tokens.get(position as usize) {
+            Some(known) => self.outputs.push(StepPayload::Text(known.clone())),
+            None => {
+                self.outputs.push(StepPayload::Text(sampled));
+                self.end = output.end.map(|reason| (position + 1, reason));
+            }
+        }
+    }
+
+    /// Takes a token at the head and sends it to the entry.
+    pub(super) fn take_token(
+        &mut self,
+        position: u32,
+        text: String,
+        end: Option<StopReason>,
+        now: MilliTime,
+        actions: &mut Vec<StageAction>,
+    ) {
+        if position as usize != self.tokens.len() || self.is_finished {
+            return;
+        }
+        self.tokens.push(text);
+        self.progress_at = now;
+        if let Some(reason) = end {
+            self.end = Some((position + 1, reason));
+        } else if position + 1 >= self.order.max_tokens {
+            self.end = Some((position + 1, StopReason::Length));
+        }
+        self.emit_from(position as usize, actions);
+    }
+
+    /// Sends the tokens from `first` on to the entry.
+    ///
+    /// The end goes before the last token, so that an entry that has the last token knows that it
+    /// was the last, even when the head dies right after it.
+    fn emit_from(&mut self, first: usize, actions: &mut Vec<StageAction>) {
+        let attempt = self.order.attempt;
+        if let Some((position, reason)) = self.end {
+            actions.push(StageAction::Emit(StreamEvent::End {
+                attempt,
+                position,
+                reason,
+            }));
+        }
+        for (position, text) in self.tokens.iter().enumerate().skip(first) {
+            actions.push(StageAction::Emit(StreamEvent::Token {
+                attempt,
+                position: position as u32,
+                text: text.clone(),
+            }));
+        }
+        if self.end.is_some() {
+            self.finish(actions);
+        }
+    }
+
+    /// Frees the caches; the tokens stay in case the entry opens the stream again.
+    fn finish(&mut self, actions: &mut Vec<StageAction>) {
+        self.is_finished = true;
+        self.session.is_generating = false;
+        self.session.running = None;
+        self.outputs.clear();
+        let session = self.session.name.clone();
+        actions.push(StageAction::CancelSession { session });
+        self.cancel_others(actions);
+    }
+
+    /// Hands the next outputs on, one message at a time.
+    pub(super) fn hand_on(&mut self, actions: &mut Vec<StageAction>) {
+        if self.in_flight.is_some() || self.retry_at.is_some() || self.is_finished {
+            return;
+        }
+        if !self.is_last() {
+            self.push_outputs(actions);
+        } else if !self.is_head() {
+            self.return_token(actions);
+        }
+    }
+
+    fn push_outputs(&mut self, actions: &mut Vec<StageAction>) {
+        let first = self.cursor as usize;
+        let must_announce = self.order.attempt > 0 && !self.is_route_sent;
+        if first >= self.outputs.len() && !must_announce {
+            return;
+        }
+        let mut inputs = Vec::new();
+        let mut size = 0;
+        for (position, payload) in self.outputs.iter().enumerate().skip(first) {
+            let (StepPayload::Text(text) | StepPayload::Activation(text)) = payload;
+            size += text.len();
+            if size > MAX_PUSH_BYTES && !inputs.is_empty() {
+                break;
+            }
+            let before = position.checked_sub(1);
+            let token = before.and_then(|index| self.tokens.get(index));
+            inputs.push(StepInput {
+                position: position as u32,
+                token: token.cloned().unwrap_or_default(),
+                payload: payload.clone(),
+            });
+        }
+        let next = self.stage + 1;
+        let order = (!self.is_route_sent).then(|| self.forwarded_order());
+        self.is_route_sent = true;
+        self.in_flight = Some(self.cursor + inputs.len() as u32);
+        actions.push(StageAction::Push {
+            address: self.order.route.stages[next].address.clone(),
+            message: StepMessage {
+                request: self.order.request.clone(),
+                attempt: self.order.attempt,
+                stage: next,
+                order,
+                inputs,
+            },
+        });
+    }
+
+    /// Returns the order for the next stage; the head's holds every token that it knows.
+    fn forwarded_order(&self) -> StreamOrder {
+        let mut order = self.order.clone();
+        if self.is_head() {
+            order.sent = self.tokens.clone();
+        }
+        order
+    }
+
+    fn return_token(&mut self, actions: &mut Vec<StageAction>) {
+        let position = self.cursor;
+        let Some(StepPayload::Text(text)) = self.outputs.get(position as usize) else {
+            return;
+        };
+        self.in_flight = Some(position + 1);
+        let end = self.end.filter(|(length, _)| *length == position + 1);
+        actions.push(StageAction::ReturnToken {
+            address: self.order.route.stages[0].address.clone(),
+            request: self.order.request.clone(),
+            attempt: self.order.attempt,
+            position,
+            text: text.clone(),
+            end: end.map(|(_, reason)| reason),
+        });
+    }
+
+    pub(super) fn report(&self, stage: usize, kind: FaultKind, actions: &mut Vec<StageAction>) {
+        let attempt = self.order.attempt;
+        actions.push(if self.is_head() {
+            StageAction::Emit(StreamEvent::StageFault {
+                attempt,
+                stage,
+                kind,
+            })
+        } else {
+            StageAction::ReportFault {
+                address: self.order.route.stages[0].address.clone(),
+                attempt,
+                stage,
+                kind,
+            }
+        });
+    }
+
+    pub(super) fn forget(&mut self, actions: &mut Vec<StageAction>) {
+        let session = self.session.name.clone();
+        self.is_finished = true;
+        actions.push(StageAction::CancelSession { session });
+        actions.push(StageAction::Forget);
+    }
+
+    pub(super) fn cancel_others(&self, actions: &mut Vec<StageAction>) {
+        let others = self.others();
+        if !others.is_empty() {
+            let addresses = others.into_iter().map(|(_, address)| address).collect();
+            actions.push(StageAction::CancelStages { addresses });
+        }
+    }
+
+    /// Returns the other stages with their positions in the route.
+    pub(super) fn others(&self) -> Vec<(usize, String)> {
+        let stages = self.order.route.stages.iter().enumerate();
+        stages
+            .filter(|(index, _)| *index != self.stage)
+            .map(|(index, entry)| (index, entry.address.clone()))
+            .collect()
+    }
+
+    pub(super) fn step_deadline_ms(&self, position: u32) -> u64 {
+        let prompt = match position {
+            0 => self.order.prompt.len() / PROMPT_TOKEN_BYTES,
+            _ if self.limits.is_whole_model => self.order.prompt.len() / PROMPT_TOKEN_BYTES,
+            _ => 0,
+        };
+        self.limits.step_deadline_ms + prompt as u64
+    }
+
+    fn is_last(&self) -> bool {
+        self.stage == self.order.route.last_stage()
+    }
+}
--- /dev/null
+++ b/crates/core/src/stream/stream_machine.rs
@@ -0,0 +1,380 @@
+use crate::ident::EndpointName;
+use crate::outcome::RefusalReason;
+use crate::outcome::RequestOutcome;
+use crate::time::MilliTime;
+
+use super::ChainRoute;
+use super::FaultKind;
+use super::StopReason;
+use super::StreamAction;
+use super::StreamEvent;
+use super::StreamFailure;
+use super::StreamLimits;
+use super::StreamOrder;
+
+/// The number of crashes at which a request is refused for good.
+const MAX_CRASHES: u32 = 2;
+
+/// What the machine waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StreamPhase {
+    /// A route; the next search starts at the given time if none is under way.
+    Routing { retry_at: Option<MilliTime> },
+    /// The report of a counted crash, before the stage is replaced.
+    Counting { stage: usize },
+    /// Events of the head.
+    Streaming,
+    /// Nothing: the caller has been told the end.
+    Done,
+}
+
+/// One request at the entry that holds its caller.
+///
+/// The machine passes each position on exactly once and in order, opens the stream again when the
+/// head goes silent, has failed stages replaced one at a time, and ends with a whole answer or an
+/// explicit outcome.
+#[derive(Clone, Debug)]
+pub struct StreamMachine {
+    limits: StreamLimits,
+    /// The order of the newest attempt; `sent` holds what was passed on to the caller.
+    order: StreamOrder,
+    deadline: MilliTime,
+    phase: StreamPhase,
+    attempts: u32,
+    /// Sorted.
+    excluded: Vec<EndpointName>,
+    end: Option<(u32, StopReason)>,
+    heard_at: MilliTime,
+    /// Whether the stream was opened again without any event of the head since.
+    is_second_try: bool,
+    /// Whether an earlier attempt may have run.
+    has_run: bool,
+    engine_crashes: u32,
+    /// The processes lost since the last token.
+    lost_processes: u32,
+    refusal: Option<(RefusalReason, u64)>,
+}
+
+impl StreamMachine {
+    /// Creates the machine of a request; the route of `order` is replaced by the first choice.
+    pub fn start(
+        limits: StreamLimits,
+        order: StreamOrder,
+        deadline: MilliTime,
+        now: MilliTime,
+    ) -> (StreamMachine, Vec<StreamAction>) {
+        let machine = StreamMachine {
+            limits,
+            order,
+            deadline,
+            phase: StreamPhase::Routing { retry_at: None },
+            attempts: 0,
+            excluded: Vec::new(),
+            end: None,
+            heard_at: now,
+            is_second_try: false,
+            has_run: false,
+            engine_crashes: 0,
+            lost_processes: 0,
+            refusal: None,
+        };
+        let choose = StreamAction::ChooseRoute {
+            current: None,
+            replace: None,
+        };
+        (machine, vec![choose])
+    }
+
+    /// Returns the endpoints that routes of this request must not use, sorted.
+    pub fn excluded(&self) -> &[EndpointName] {
+        &self.excluded
+    }
+
+    /// Returns the order of the newest attempt.
+    pub fn order(&self) -> &StreamOrder {
+        &self.order
+    }
+
+    /// Returns whether the caller has been told the end.
+    pub fn is_done(&self) -> bool {
+        self.phase == StreamPhase::Done
+    }
+
+    /// Takes the route that was chosen, or `None` if there is none.
+    pub fn route_chosen(&mut self, route: Option<ChainRoute>, now: MilliTime) -> Vec<StreamAction> {
+        let mut actions = Vec::new();
+        if !matches!(self.phase, StreamPhase::Routing { .. }) {
+            return actions;
+        }
+        let Some(route) = route else {
+            self.wait_for_route(now, &mut actions);
+            return actions;
+        };
+        self.order.route = route;
+        self.is_second_try = false;
+        self.open(false, now, &mut actions);
+        actions
+    }
+
+    /// Takes an event of the head.
+    pub fn event(&mut self, event: StreamEvent, now: MilliTime) -> Vec<StreamAction> {
+        let mut actions = Vec::new();
+        if self.phase != StreamPhase::Streaming || attempt_of(&event) != self.order.attempt {
+            return actions;
+        }
+        self.heard_at = now;
+        self.is_second_try = false;
+        match event {
+            StreamEvent::Token { position, text, .. } => {
+                self.take_token(position, text, &mut actions);
+            }
+            StreamEvent::End {
+                position, reason, ..
+            } => {
+                self.end = Some((position, reason));
+                self.finish_if_whole(&mut actions);
+            }
+            StreamEvent::Refused {
+                reason,
+                retry_after_ms,
+                ..
+            } => {
+                self.refusal = Some((reason, retry_after_ms));
+                self.replace(0, FaultKind::Refused, now, &mut actions);
+            }
+            StreamEvent::StageFault { stage, kind, .. } => {
+                self.has_run = true;
+                self.replace(stage, kind, now, &mut actions);
+            }
+            StreamEvent::Progress { .. } => {}
+        }
+        actions
+    }
+
+    /// Takes the loss of the connection after the stream of `attempt` was opened.
+    pub fn stream_lost(&mut self, attempt: u32, now: MilliTime) -> Vec<StreamAction> {
+        let mut actions = Vec::new();
+        if self.is_current(attempt) {
+            self.has_run = true;
+            self.open_again(FaultKind::Unreachable, now, &mut actions);
+        }
+        actions
+    }
+
+    /// Takes the failure to open the stream of `attempt`; `was_sent` tells whether the order may
+    /// have reached the head.
+    pub fn open_failed(
+        &mut self,
+        attempt: u32,
+        was_sent: bool,
+        now: MilliTime,
+    ) -> Vec<StreamAction> {
+        let mut actions = Vec::new();
+        if self.is_current(attempt) {
+            self.has_run |= was_sent;
+            if was_sent {
+                self.open_again(FaultKind::Unreachable, now, &mut actions);
+            } else {
+                self.replace(0, FaultKind::Unreachable, now, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Takes the report of a counted crash.
+    pub fn crash_counted(&mut self, may_retry: bool, now: MilliTime) -> Vec<StreamAction> {
+        let mut actions = Vec::new();
+        let StreamPhase::Counting { stage } = self.phase else {
+            return actions;
+        };
+        if may_retry {
+            self.choose(Some(stage), now, &mut actions);
+        } else {
+            self.fail(RequestOutcome::Failed, RefusalReason::Crasher, &mut actions);
+        }
+        actions
+    }
+
+    /// Checks the deadlines; called several times within the silence limit.
+    pub fn tick(&mut self, now: MilliTime) -> Vec<StreamAction> {
+        let mut actions = Vec::new();
+        if self.phase == StreamPhase::Done {
+            return actions;
+        }
+        if now >= self.deadline {
+            self.give_up(RefusalReason::Deadline, &mut actions);
+            return actions;
+        }
+        match self.phase {
+            StreamPhase::Streaming if now.since(self.heard_at) >= self.limits.silence_ms => {
+                self.has_run = true;
+                self.open_again(FaultKind::Silent, now, &mut actions);
+            }
+            StreamPhase::Routing { retry_at: Some(at) } if now >= at => {
+                // An endpoint that failed before may be back, and there is no other one.
+                self.excluded.clear();
+                self.choose(None, now, &mut actions);
+            }
+            _ => {}
+        }
+        actions
+    }
+
+    fn is_current(&self, attempt: u32) -> bool {
+        self.phase == StreamPhase::Streaming && attempt == self.order.attempt
+    }
+
+    fn take_token(&mut self, position: u32, text: String, actions: &mut Vec<StreamAction>) {
+        let is_beyond = self.end.is_some_and(|(length, _)| position >= length);
+        if position as usize != self.order.sent.len() || is_beyond {
+            return;
+        }
+        self.has_run = true;
+        self.lost_processes = 0;
+        self.order.sent.push(text.clone());
+        actions.push(StreamAction::Deliver { text });
+        self.finish_if_whole(actions);
+    }
+
+    fn finish_if_whole(&mut self, actions: &mut Vec<StreamAction>) {
+        let Some((tokens, reason)) = self.end else {
+            return;
+        };
+        if tokens as usize == self.order.sent.len() {
+            self.phase = StreamPhase::Done;
+            actions.push(StreamAction::Finish { reason, tokens });
+        }
+    }
+
+    /// Opens the stream at the same head over a new connection, or replaces the head if that was
+    /// tried before without any event since.
+    fn open_again(&mut self, kind: FaultKind, now: MilliTime, actions: &mut Vec<StreamAction>) {
+        if self.is_second_try {
+            self.replace(0, kind, now, actions);
+        } else {
+            self.is_second_try = true;
+            self.open(true, now, actions);
+        }
+    }
+
+    fn open(&mut self, is_new_connection: bool, now: MilliTime, actions: &mut Vec<StreamAction>) {
+        if self.attempts >= self.limits.max_attempts {
+            self.give_up(RefusalReason::EndpointLost, actions);
+            return;
+        }
+        if self.attempts > 0 {
+            self.order.attempt += 1;
+        }
+        self.attempts += 1;
+        self.order.deadline_in_ms = self.deadline.since(now);
+        self.order.suspect |= self.engine_crashes + self.lost_processes > 0;
+        self.end = None;
+        self.heard_at = now;
+        self.phase = StreamPhase::Streaming;
+        actions.push(StreamAction::Open {
+            order: Box::new(self.order.clone()),
+            is_new_connection,
+        });
+    }
+
+    fn replace(
+        &mut self,
+        stage: usize,
+        kind: FaultKind,
+        now: MilliTime,
+        actions: &mut Vec<StreamAction>,
+    ) {
+        let Some(lost) = self.order.route.stages.get(stage) else {
+            return;
+        };
+        self.phase = StreamPhase::Routing { retry_at: None };
+        if let Err(index) = self.excluded.binary_search(&lost.endpoint) {
+            self.excluded.insert(index, lost.endpoint.clone());
+        }
+        match kind {
+            FaultKind::EngineCrash => self.engine_crashes += 1,
+            FaultKind::Unreachable if self.has_run => self.lost_processes += 1,
+            _ => {
+                self.choose(Some(stage), now, actions);
+                return;
+            }
+        }
+        // Losses of whole processes count until the next token only: a request that outlives two
+        // host failures in a row makes progress between them, a crashing request does not.
+        if self.engine_crashes + self.lost_processes >= MAX_CRASHES {
+            actions.push(StreamAction::CountCrash { must_wait: false });
+            self.fail(RequestOutcome::Failed, RefusalReason::Crasher, actions);
+            return;
+        }
+        let must_wait = kind == FaultKind::EngineCrash;
+        actions.push(StreamAction::CountCrash { must_wait });
+        if must_wait {
+            self.phase = StreamPhase::Counting { stage };
+        } else {
+            self.choose(Some(stage), now, actions);
+        }
+    }
+
+    fn choose(&mut self, replace: Option<usize>, now: MilliTime, actions: &mut Vec<StreamAction>) {
+        if self.attempts >= self.limits.max_attempts {
+            self.give_up(RefusalReason::EndpointLost, actions);
+            return;
+        }
+        self.heard_at = now;
+        self.phase = StreamPhase::Routing { retry_at: None };
+        actions.push(StreamAction::ChooseRoute {
+            current: replace.map(|_| self.order.route.clone()),
+            replace,
+        });
+    }
+
+    fn wait_for_route(&mut self, now: MilliTime, actions: &mut Vec<StreamAction>) {
+        let is_first = self.attempts == 0;
+        if is_first || (!self.has_run && self.refusal.is_some()) {
+            self.give_up(RefusalReason::NoEndpoint, actions);
+            return;
+        }
+        let retry_at = Some(now.plus(self.limits.route_retry_ms));
+        self.phase = StreamPhase::Routing { retry_at };
+    }
+
+    /// Ends the request with the outcome that is known about it.
+    fn give_up(&mut self, reason: RefusalReason, actions: &mut Vec<StreamAction>) {
+        let may_run_now = self.phase == StreamPhase::Streaming;
+        if self.has_run || may_run_now {
+            self.fail(RequestOutcome::Unknown, reason, actions);
+            return;
+        }
+        let reason = match reason {
+            RefusalReason::EndpointLost => RefusalReason::NoEndpoint,
+            _ => reason,
+        };
+        let reason = self.refusal.map_or(reason, |(refusal, _)| refusal);
+        self.fail(RequestOutcome::NotRun, reason, actions);
+    }
+
+    fn fail(
+        &mut self,
+        outcome: RequestOutcome,
+        reason: RefusalReason,
+        actions: &mut Vec<StreamAction>,
+    ) {
+        self.phase = StreamPhase::Done;
+        let retry_after_ms = self.refusal.map_or(0, |(_, millis)| millis);
+        actions.push(StreamAction::Fail(StreamFailure {
+            outcome,
+            reason,
+            retry_after_ms,
+        }));
+    }
+}
+
+fn attempt_of(event: &StreamEvent) -> u32 {
+    match event {
+        StreamEvent::Token { attempt, .. }
+        | StreamEvent::End { attempt, .. }
+        | StreamEvent::Refused { attempt, .. }
+        | StreamEvent::StageFault { attempt, .. }
+        | StreamEvent::Progress { attempt } => *attempt,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/stream/engine_runner.rs
@@ -0,0 +1,98 @@
+//! Runs steps and generations on the engine and reports to the machine of the request.
+
+use std::sync::Arc;
+
+use dandelionroad_core::stream::FaultKind;
+use dandelionroad_core::stream::StageOutput;
+use dandelionroad_core::stream::StopReason;
+use dandelionroad_core::stream::StreamOrder;
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::engine::EngineStep;
+use dandelionroad_platform::engine::GenerateOrder;
+use futures_util::StreamExt;
+
+use super::stream_host::StreamHost;
+use super::stream_slot::StreamSlot;
+
+/// Runs one step.
+pub(super) async fn run_step(host: Arc<StreamHost>, slot: Arc<StreamSlot>, step: EngineStep) {
+    let Some(engine) = host.context.clients.engine.clone() else {
+        host.drive(&slot, |machine, _| {
+            machine.engine_failed(&step.session, FaultKind::Refused)
+        });
+        return;
+    };
+    match engine.step(&step).await {
+        Ok(output) => {
+            let output = StageOutput {
+                payload: output.payload,
+                end: output.is_end.then_some(StopReason::Stop),
+            };
+            host.drive(&slot, |machine, now| {
+                machine.step_done(&step.session, step.position, output, now)
+            });
+        }
+        Err(error) => {
+            spdlog::warn!("endpoint: a step failed: {error}");
+            let kind = fault_of(&error);
+            host.drive(&slot, |machine, _| {
+                machine.engine_failed(&step.session, kind)
+            });
+        }
+    }
+}
+
+/// Generates with a whole-model engine.
+pub(super) async fn run_generate(
+    host: Arc<StreamHost>,
+    slot: Arc<StreamSlot>,
+    session: String,
+    order: StreamOrder,
+) {
+    let result = generate(&host, &slot, &session, order).await;
+    if let Err(kind) = result {
+        host.drive(&slot, |machine, _| machine.engine_failed(&session, kind));
+    }
+}
+
+async fn generate(
+    host: &Arc<StreamHost>,
+    slot: &Arc<StreamSlot>,
+    session: &str,
+    order: StreamOrder,
+) -> Result<(), FaultKind> {
+    let engine = host.context.clients.engine.clone();
+    let engine = engine.ok_or(FaultKind::Refused)?;
+    let order = GenerateOrder {
+        session: session.to_owned(),
+        prompt: order.prompt,
+        resume: order.sent,
+        max_tokens: order.max_tokens,
+        priority: order.priority,
+    };
+    let mut tokens = engine
+        .generate(&order)
+        .await
+        .map_err(|error| fault_of(&error))?;
+    while let Some(token) = tokens.next().await {
+        let token = token.map_err(|error| fault_of(&error))?;
+        let end = token.is_end.then_some(StopReason::Stop);
+        host.drive(slot, |machine, now| {
+            machine.generated(session, token.position, token.text, end, now)
+        });
+        if end.is_some() {
+            return Ok(());
+        }
+    }
+    // A stream that ends before its end token was cut off; after the whole answer this is ignored.
+    Err(FaultKind::EngineCrash)
+}
+
+fn fault_of(error: &PlatformError) -> FaultKind {
+    match error {
+        PlatformError::Rejected { .. } | PlatformError::Invalid { .. } => FaultKind::Refused,
+        PlatformError::Unreachable { .. } | PlatformError::Indeterminate { .. } => {
+            FaultKind::EngineCrash
+        }
+    }
+}
--- a/crates/daemon/src/endpoint/stream/mod.rs
+++ b/crates/daemon/src/endpoint/stream/mod.rs
@@ -2,15 +2,31 @@
 Model requests on the engine beside this process.
 */
 
+mod engine_runner;
+mod peer_calls;
+mod slot_state;
+mod stage_tasks;
+mod stream_admission;
+mod stream_host;
+mod stream_permit;
+mod stream_server;
+mod stream_slot;
+
 use std::sync::Arc;
 
+use dandelionroad_messages::stream_api::StreamApiServer;
 use jsonrpsee::RpcModule;
 
 use crate::node::NodeContext;
 
-/// Returns the internal methods of this part.
-pub(super) fn methods(_context: &Arc<NodeContext>) -> RpcModule<()> {
-    RpcModule::new(())
+use self::stream_host::StreamHost;
+use self::stream_server::StreamServer;
+
+/// Returns the internal methods of this part and starts the check of its deadlines.
+pub(super) fn methods(context: &Arc<NodeContext>) -> RpcModule<()> {
+    let host = Arc::new(StreamHost::new(context.clone()));
+    tokio::spawn(stream_host::check_deadlines(Arc::downgrade(&host)));
+    StreamServer::new(host).into_rpc().remove_context()
 }
 
 /// Starts the tasks of this part.
--- /dev/null
+++ b/crates/daemon/src/endpoint/stream/peer_calls.rs
@@ -0,0 +1,68 @@
+//! Calls to other processes, repeated once over a new connection.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandelionroad_core::stream::FaultKind;
+use jsonrpsee::core::client::Error;
+use jsonrpsee::ws_client::WsClient;
+
+use crate::node::PeerPool;
+
+/// Calls the process at `address`, and once more over a new connection if the pooled one fails or
+/// stays silent for `timeout`.
+///
+/// Both tries together take at most twice `timeout`.
+pub(super) async fn call_peer<T, F>(
+    peers: &PeerPool,
+    address: &str,
+    timeout: Duration,
+    mut call: impl FnMut(Arc<WsClient>) -> F,
+) -> Result<T, FaultKind>
+where
+    F: Future<Output = Result<T, Error>>,
+{
+    let first = try_once(peers, address, timeout, &mut call).await;
+    match first {
+        Ok(value) => Ok(value),
+        Err(FaultKind::Refused) => Err(FaultKind::Refused),
+        Err(_) => try_once(peers, address, timeout, &mut call).await,
+    }
+}
+
+async fn try_once<T, F>(
+    peers: &PeerPool,
+    address: &str,
+    timeout: Duration,
+    call: &mut impl FnMut(Arc<WsClient>) -> F,
+) -> Result<T, FaultKind>
+where
+    F: Future<Output = Result<T, Error>>,
+{
+    let mut used = None;
+    let attempt = async {
+        let client = peers.client(address).await?;
+        used = Some(client.clone());
+        call(client).await
+    };
+    let result = tokio::time::timeout(timeout, attempt).await;
+    let kind = match result {
+        Ok(Ok(value)) => return Ok(value),
+        Ok(Err(error)) => fault_of(&error),
+        Err(_) => FaultKind::Silent,
+    };
+    if let Some(client) = used
+        && kind != FaultKind::Refused
+    {
+        peers.drop_same(address, &client);
+    }
+    Err(kind)
+}
+
+fn fault_of(error: &Error) -> FaultKind {
+    match error {
+        Error::Call(_) | Error::ParseError(_) => FaultKind::Refused,
+        Error::RequestTimeout => FaultKind::Silent,
+        _ => FaultKind::Unreachable,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/stream/slot_state.rs
@@ -0,0 +1,18 @@
+use dandelionroad_core::stream::StageMachine;
+use dandelionroad_core::stream::StreamEvent;
+use dandelionroad_core::time::MilliTime;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::stream_permit::StreamPermit;
+
+/// What the tasks of one request share.
+pub(super) struct SlotState {
+    /// The decisions.
+    pub(super) machine: StageMachine,
+    /// The subscription of the entry and its attempt (head only).
+    pub(super) sink: Option<(u32, UnboundedSender<StreamEvent>)>,
+    /// The admission (head only); given back when the answer is whole.
+    pub(super) permit: Option<StreamPermit>,
+    /// When the request was last heard of.
+    pub(super) heard_at: MilliTime,
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/stream/stage_tasks.rs
@@ -0,0 +1,182 @@
+//! Carries out the actions of a stage that need I/O and reports the results to its machine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandelionroad_core::ident::RequestIdent;
+use dandelionroad_core::stream::FaultKind;
+use dandelionroad_core::stream::StageAction;
+use dandelionroad_core::stream::StepMessage;
+use dandelionroad_messages::TokenMessage;
+use dandelionroad_messages::control_api::ControlApiClient;
+use dandelionroad_messages::stream_api::StreamApiClient;
+use dandelionroad_platform::engine::EngineStep;
+use futures_util::future::join_all;
+
+use super::engine_runner;
+use super::peer_calls::call_peer;
+use super::stream_host::StreamHost;
+use super::stream_slot::StreamSlot;
+
+/// Starts the task of an action.
+pub(super) fn spawn(host: Arc<StreamHost>, slot: Arc<StreamSlot>, action: StageAction) {
+    tokio::spawn(run(host, slot, action));
+}
+
+async fn run(host: Arc<StreamHost>, slot: Arc<StreamSlot>, action: StageAction) {
+    match action {
+        StageAction::RunStep {
+            session,
+            position,
+            range,
+            is_last,
+            payload,
+        } => {
+            let step = EngineStep {
+                session,
+                position,
+                range,
+                is_last,
+                payload,
+            };
+            engine_runner::run_step(host, slot, step).await;
+        }
+        StageAction::Generate { session, order } => {
+            engine_runner::run_generate(host, slot, session, *order).await;
+        }
+        StageAction::Push { address, message } => push(host, slot, &address, message).await,
+        StageAction::ReturnToken {
+            address,
+            request,
+            attempt,
+            position,
+            text,
+            end,
+        } => {
+            let token = TokenMessage {
+                request,
+                attempt,
+                position,
+                text,
+                end,
+            };
+            return_token(host, slot, &address, token).await;
+        }
+        StageAction::ReportFault {
+            address,
+            attempt,
+            stage,
+            kind,
+        } => {
+            let request = slot.lock().machine.order().request.clone();
+            report_fault(&host, &address, request, attempt, stage, kind).await;
+        }
+        StageAction::ProbeStages { attempt, stages } => probe(host, slot, attempt, stages).await,
+        StageAction::CancelSession { session } => {
+            if let Some(engine) = &host.context.clients.engine {
+                // An engine that is gone holds no session.
+                let _ = engine.cancel(&session).await;
+            }
+        }
+        StageAction::CancelStages { addresses } => {
+            let request = slot.lock().machine.order().request.clone();
+            let calls = addresses
+                .iter()
+                .map(|address| cancel(&host, address, &request));
+            join_all(calls).await;
+        }
+        // These need no I/O of their own; the host carries them out.
+        StageAction::Emit(_) | StageAction::Forget => {}
+    }
+}
+
+async fn push(host: Arc<StreamHost>, slot: Arc<StreamSlot>, address: &str, message: StepMessage) {
+    let attempt = message.attempt;
+    let timeout = half_deadline(&host);
+    let result = call_peer(&host.context.peers, address, timeout, |client| {
+        let message = message.clone();
+        async move { client.step_push(message).await }
+    })
+    .await;
+    host.drive(&slot, |machine, now| match result {
+        Ok(reply) => machine.push_replied(attempt, reply, now),
+        Err(kind) => machine.push_failed(attempt, kind, now),
+    });
+}
+
+async fn return_token(
+    host: Arc<StreamHost>,
+    slot: Arc<StreamSlot>,
+    address: &str,
+    token: TokenMessage,
+) {
+    let attempt = token.attempt;
+    let timeout = half_deadline(&host);
+    let result = call_peer(&host.context.peers, address, timeout, |client| {
+        let token = token.clone();
+        async move { client.token_return(token).await }
+    })
+    .await;
+    host.drive(&slot, |machine, now| {
+        machine.return_done(attempt, result.is_ok(), now)
+    });
+}
+
+async fn report_fault(
+    host: &StreamHost,
+    address: &str,
+    request: RequestIdent,
+    attempt: u32,
+    stage: usize,
+    kind: FaultKind,
+) {
+    let timeout = half_deadline(host);
+    // A head that can't be reached is replaced by the entry, so that the report is not needed.
+    let _ = call_peer(&host.context.peers, address, timeout, |client| {
+        let request = request.clone();
+        async move { client.fault_report(request, attempt, stage, kind).await }
+    })
+    .await;
+}
+
+async fn cancel(host: &StreamHost, address: &str, request: &RequestIdent) {
+    let timeout = half_deadline(host);
+    // A stage that can't be reached forgets the request when it hears nothing of it for long.
+    let _ = call_peer(&host.context.peers, address, timeout, |client| {
+        let request = request.clone();
+        async move { client.stream_cancel(request).await }
+    })
+    .await;
+}
+
+/// Asks the stages whether they are alive and reports the first that is not.
+async fn probe(
+    host: Arc<StreamHost>,
+    slot: Arc<StreamSlot>,
+    attempt: u32,
+    stages: Vec<(usize, String)>,
+) {
+    // The head waits for a fifth of the deadline before it asks, and each stage has two tries.
+    let timeout = half_deadline(&host) * 4 / 5;
+    let own = &host.context.settings.name;
+    let probes = stages.iter().map(async |(stage, address)| {
+        let result = call_peer(&host.context.peers, address, timeout, |client| {
+            let own = own.clone();
+            async move { client.probe(own).await }
+        });
+        (*stage, result.await.err())
+    });
+    let faults = join_all(probes).await;
+    let fault = faults
+        .into_iter()
+        .find_map(|(stage, fault)| Some((stage, fault?)));
+    if let Some((stage, kind)) = fault {
+        host.drive(&slot, |machine, _| {
+            machine.fault_reported(attempt, stage, kind)
+        });
+    }
+}
+
+fn half_deadline(host: &StreamHost) -> Duration {
+    Duration::from_millis(host.context.settings.step_deadline_ms / 2)
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/stream/stream_server.rs
@@ -0,0 +1,131 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandelionroad_core::ident::RequestIdent;
+use dandelionroad_core::stream::FaultKind;
+use dandelionroad_core::stream::StepMessage;
+use dandelionroad_core::stream::StepReply;
+use dandelionroad_core::stream::StreamEvent;
+use dandelionroad_core::stream::StreamOrder;
+use dandelionroad_messages::Ack;
+use dandelionroad_messages::StreamItem;
+use dandelionroad_messages::TokenMessage;
+use dandelionroad_messages::stream_api::StreamApiServer;
+use jsonrpsee::PendingSubscriptionSink;
+use jsonrpsee::SubscriptionSink;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::SubscriptionResult;
+use jsonrpsee::core::async_trait;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::stream_host::StreamHost;
+
+/// The time between two signs of life on a subscription, in milliseconds.
+const PROGRESS_INTERVAL_MS: u64 = 100;
+
+/// The server of the interface for model requests.
+pub(super) struct StreamServer {
+    host: Arc<StreamHost>,
+}
+
+impl StreamServer {
+    /// Creates the server.
+    pub(super) fn new(host: Arc<StreamHost>) -> StreamServer {
+        StreamServer { host }
+    }
+
+    fn ack(&self) -> Ack {
+        let revision = self.host.context.config.borrow().revision;
+        Ack { revision }
+    }
+
+    fn item(&self, event: StreamEvent) -> StreamItem {
+        let is_token = matches!(event, StreamEvent::Token { .. });
+        StreamItem {
+            event,
+            load: (!is_token).then(|| self.host.admission.load()),
+            revision: (!is_token).then(|| self.ack().revision),
+        }
+    }
+
+    /// Sends the events until the subscription or the stream ends, with signs of life.
+    async fn forward(
+        &self,
+        sink: &SubscriptionSink,
+        mut events: UnboundedReceiver<StreamEvent>,
+        attempt: u32,
+    ) {
+        let mut interval = tokio::time::interval(Duration::from_millis(PROGRESS_INTERVAL_MS));
+        loop {
+            let event = tokio::select! {
+                event = events.recv() => event,
+                () = sink.closed() => None,
+                _ = interval.tick() => Some(StreamEvent::Progress { attempt }),
+            };
+            let Some(event) = event else {
+                return;
+            };
+            let Ok(message) = serde_json::value::to_raw_value(&self.item(event)) else {
+                return;
+            };
+            if sink.send(message).await.is_err() {
+                return;
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl StreamApiServer for StreamServer {
+    async fn stream_open(
+        &self,
+        pending: PendingSubscriptionSink,
+        order: StreamOrder,
+    ) -> SubscriptionResult {
+        let sink = pending.accept().await?;
+        let (sender, events) = mpsc::unbounded_channel();
+        let request = order.request.clone();
+        let attempt = order.attempt;
+        let opening = tokio::spawn(self.host.clone().open(order, sender));
+        self.forward(&sink, events, attempt).await;
+        opening.abort();
+        self.host.subscription_ended(&request, attempt);
+        Ok(())
+    }
+
+    async fn stream_cancel(&self, request: RequestIdent) -> RpcResult<Ack> {
+        if let Some(slot) = self.host.slot(&request) {
+            self.host.drive(&slot, |machine, _| machine.cancel());
+        }
+        Ok(self.ack())
+    }
+
+    async fn step_push(&self, message: StepMessage) -> RpcResult<StepReply> {
+        Ok(self.host.push(message))
+    }
+
+    async fn token_return(&self, token: TokenMessage) -> RpcResult<Ack> {
+        if let Some(slot) = self.host.slot(&token.request) {
+            self.host.drive(&slot, |machine, now| {
+                machine.token_returned(token.attempt, token.position, token.text, token.end, now)
+            });
+        }
+        Ok(self.ack())
+    }
+
+    async fn fault_report(
+        &self,
+        request: RequestIdent,
+        attempt: u32,
+        stage: usize,
+        kind: FaultKind,
+    ) -> RpcResult<Ack> {
+        if let Some(slot) = self.host.slot(&request) {
+            self.host.drive(&slot, |machine, _| {
+                machine.fault_reported(attempt, stage, kind)
+            });
+        }
+        Ok(self.ack())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -0,0 +1,197 @@
+//! Carries out the actions of the machine of one request.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandelionroad_core::stream::StreamAction;
+use dandelionroad_core::stream::StreamLimits;
+use dandelionroad_core::stream::StreamMachine;
+use dandelionroad_core::stream::StreamOrder;
+use dandelionroad_core::time::MilliTime;
+use dandelionroad_messages::stream_api::StreamApiClient;
+use jsonrpsee::ws_client::WsClient;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinHandle;
+
+use crate::node::NodeContext;
+
+use super::answer_event::AnswerEvent;
+use super::crash_count::count_crash;
+use super::head_stream::HeadReport;
+use super::head_stream::follow_head;
+use super::route_choice::choose_route;
+
+/// The time between two checks of the deadlines, in milliseconds.
+const CHECK_INTERVAL_MS: u64 = 25;
+
+/// The greatest number of attempts of one request.
+const MAX_ATTEMPTS: u32 = 16;
+
+/// The time between two searches for a route while there is none, in milliseconds.
+const ROUTE_RETRY_MS: u64 = 200;
+
+/// The time after which an unanswered cancellation is given up, in milliseconds.
+const CANCEL_TIMEOUT_MS: u64 = 1_000;
+
+/// Starts a request and returns what its caller is to be told.
+///
+/// When the receiver is dropped, the request is cancelled.
+pub(super) fn start_stream(
+    context: Arc<NodeContext>,
+    order: StreamOrder,
+) -> UnboundedReceiver<AnswerEvent> {
+    let (answers, receiver) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        let (reports_in, reports) = mpsc::unbounded_channel();
+        let now = context.clock.now();
+        let limits = StreamLimits {
+            silence_ms: context.settings.step_deadline_ms,
+            max_attempts: MAX_ATTEMPTS,
+            route_retry_ms: ROUTE_RETRY_MS,
+        };
+        let deadline = now.plus(order.deadline_in_ms);
+        let (machine, actions) = StreamMachine::start(limits, order, deadline, now);
+        let driver = StreamDriver {
+            context,
+            machine,
+            answers,
+            reports: reports_in,
+            head: None,
+            connection: None,
+        };
+        driver.run(actions, reports).await;
+    });
+    receiver
+}
+
+struct StreamDriver {
+    context: Arc<NodeContext>,
+    machine: StreamMachine,
+    answers: UnboundedSender<AnswerEvent>,
+    reports: UnboundedSender<HeadReport>,
+    head: Option<JoinHandle<()>>,
+    connection: Option<Arc<WsClient>>,
+}
+
+impl StreamDriver {
+    async fn run(mut self, actions: Vec<StreamAction>, mut reports: UnboundedReceiver<HeadReport>) {
+        self.carry_out(actions).await;
+        let mut interval = tokio::time::interval(Duration::from_millis(CHECK_INTERVAL_MS));
+        while !self.machine.is_done() {
+            let report = tokio::select! {
+                report = reports.recv() => report,
+                () = self.answers.closed() => {
+                    self.cancel();
+                    break;
+                }
+                _ = interval.tick() => None,
+            };
+            let now = self.now();
+            let actions = match report {
+                Some(HeadReport::Connected(client)) => {
+                    self.connection = Some(client);
+                    continue;
+                }
+                Some(HeadReport::Event(event)) => self.machine.event(event, now),
+                Some(HeadReport::Lost(attempt)) => self.machine.stream_lost(attempt, now),
+                Some(HeadReport::OpenFailed(attempt, was_sent)) => {
+                    self.machine.open_failed(attempt, was_sent, now)
+                }
+                None => self.machine.tick(now),
+            };
+            self.carry_out(actions).await;
+        }
+        self.close_head();
+    }
+
+    async fn carry_out(&mut self, actions: Vec<StreamAction>) {
+        let mut queue = actions;
+        while !queue.is_empty() {
+            let mut follow_up = Vec::new();
+            for action in queue {
+                follow_up.extend(self.carry_out_one(action).await);
+            }
+            queue = follow_up;
+        }
+    }
+
+    async fn carry_out_one(&mut self, action: StreamAction) -> Vec<StreamAction> {
+        match action {
+            StreamAction::ChooseRoute { current, replace } => {
+                let config = self.context.config.borrow().clone();
+                let members = self.context.members.borrow().clone();
+                let model = config.model(&self.machine.order().model);
+                let kept = current.as_ref().zip(replace);
+                let route = model.and_then(|model| {
+                    choose_route(&config, &members, model, self.machine.excluded(), kept)
+                });
+                return self.machine.route_chosen(route, self.now());
+            }
+            StreamAction::CountCrash { must_wait } => {
+                let order = self.machine.order().clone();
+                if must_wait {
+                    let may_retry = count_crash(&order).await;
+                    return self.machine.crash_counted(may_retry, self.now());
+                }
+                tokio::spawn(async move { count_crash(&order).await });
+            }
+            StreamAction::Open {
+                order,
+                is_new_connection,
+            } => {
+                self.close_head();
+                let reports = self.reports.clone();
+                let context = self.context.clone();
+                let silent = self.connection.take().filter(|_| is_new_connection);
+                let reading = follow_head(context, *order, silent, reports);
+                self.head = Some(tokio::spawn(reading));
+            }
+            StreamAction::Deliver { text } => self.answer(AnswerEvent::Token(text)),
+            StreamAction::Finish { reason, tokens } => {
+                self.answer(AnswerEvent::Finish { reason, tokens });
+            }
+            StreamAction::Fail(failure) => {
+                self.answer(AnswerEvent::Fail(failure));
+                self.cancel();
+            }
+        }
+        Vec::new()
+    }
+
+    fn answer(&self, event: AnswerEvent) {
+        // A caller that has gone away is noticed by the loop.
+        let _ = self.answers.send(event);
+    }
+
+    fn close_head(&mut self) {
+        if let Some(head) = self.head.take() {
+            head.abort();
+        }
+    }
+
+    /// Cancels the request at its head, which cancels the other stages, or at each stage if the
+    /// head can't be reached.
+    fn cancel(&self) {
+        let context = self.context.clone();
+        let order = self.machine.order().clone();
+        tokio::spawn(async move {
+            for (index, stage) in order.route.stages.iter().enumerate() {
+                let cancelling = async {
+                    let client = context.peers.client(&stage.address).await?;
+                    client.stream_cancel(order.request.clone()).await
+                };
+                let timeout = Duration::from_millis(CANCEL_TIMEOUT_MS);
+                let result = tokio::time::timeout(timeout, cancelling).await;
+                if index == 0 && matches!(result, Ok(Ok(_))) {
+                    return;
+                }
+            }
+        });
+    }
+
+    fn now(&self) -> MilliTime {
+        self.context.clock.now()
+    }
+}
--- a/crates/daemon/src/node/peer_pool.rs
+++ b/crates/daemon/src/node/peer_pool.rs
@@ -58,6 +58,22 @@
         }
     }
 
+    /// Drops `client` if it is still the connection to `address`.
+    ///
+    /// Requests that share a silent connection find out one after the other; the later ones must
+    /// not drop the connection that the first one opened in its place.
+    pub fn drop_same(&self, address: &str, client: &Arc<WsClient>) {
+        let mut clients = self
+            .clients
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        if let Ok(index) = clients.binary_search_by(|(known, _)| known.as_str().cmp(address))
+            && Arc::ptr_eq(&clients[index].1, client)
+        {
+            clients.remove(index);
+        }
+    }
+
     fn open_client(&self, address: &str) -> Option<Arc<WsClient>> {
         let clients = self
             .clients
