Add the HTTP adapters of table, objects, hosts and services, and their stand-ins

The adapters tell a request of which no byte was sent (Unreachable) from one whose answer was lost (Indeterminate). Calls with a key use a new connection each, so that failing to connect is the only failure before the first byte.

The stand-ins serve on a port of their own and carry fault switches. While one is down its port stays bound without listening, so that connections are refused.

Using kept connections for calls with a key was not noticed by these tests; the stand-in's restart closes idle connections before the next call.

--- /dev/null
+++ b/crates/platform/src/host/http_host.rs
@@ -0,0 +1,38 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::ClientFuture;
+use crate::PlatformError;
+use crate::http_link::HttpLink;
+
+use super::HostClient;
+use super::HostEntry;
+
+/// The host list over HTTP with a JSON body.
+pub struct HttpHost {
+    link: HttpLink,
+}
+
+impl HttpHost {
+    /// Creates a client of the list at `base_url` whose calls fail after `deadline`.
+    pub fn new(base_url: &str, deadline: Duration) -> HttpHost {
+        HttpHost {
+            link: HttpLink::new("the host list", base_url, deadline),
+        }
+    }
+
+    async fn send_list(&self) -> Result<Vec<HostEntry>, PlatformError> {
+        let answer = self.link.send("GET", "/hosts", &[], Bytes::new()).await?;
+        if answer.status != 200 {
+            return Err(self.link.rejected(&answer));
+        }
+        serde_json::from_slice(&answer.body).map_err(|error| self.link.invalid(&error.to_string()))
+    }
+}
+
+impl HostClient for HttpHost {
+    fn list(&self) -> ClientFuture<'_, Vec<HostEntry>> {
+        Box::pin(self.send_list())
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod service;
 pub mod table;
 
+mod http_answer;
+mod http_link;
 mod platform_error;
 
 pub use self::platform_error::PlatformError;
--- a/crates/platform/src/table/mod.rs
+++ b/crates/platform/src/table/mod.rs
@@ -3,7 +3,7 @@
 */
 
 mod commit_reply;
-
+mod http_table;
 mod row_check;
 mod row_write;
 mod table_client;
@@ -11,7 +11,7 @@
 mod table_row;
 
 pub use self::commit_reply::CommitReply;
-
+pub use self::http_table::HttpTable;
 pub use self::row_check::RowCheck;
 pub use self::row_write::RowWrite;
 pub use self::table_client::TableClient;
--- /dev/null
+++ b/crates/standins/src/object/mod.rs
@@ -0,0 +1,7 @@
+/*!
+The object store.
+*/
+
+mod object_standin;
+
+pub use self::object_standin::ObjectStandin;
--- /dev/null
+++ b/crates/standins/src/table/mod.rs
@@ -0,0 +1,11 @@
+/*!
+The table service: versioned rows with transactions that check versions.
+*/
+
+mod row_store;
+mod table_counts;
+mod table_standin;
+
+pub use self::row_store::RowStore;
+pub use self::table_counts::TableCounts;
+pub use self::table_standin::TableStandin;
--- /dev/null
+++ b/crates/standins/tests/adapters.rs
@@ -0,0 +1,203 @@
+//! The HTTP adapters against the stand-ins, and what their errors prove.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dandelionroad_core::member::MemberRole;
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::host::HostClient;
+use dandelionroad_platform::host::HostEntry;
+use dandelionroad_platform::host::HttpHost;
+use dandelionroad_platform::object::HttpObject;
+use dandelionroad_platform::object::ObjectClient;
+use dandelionroad_platform::service::HttpService;
+use dandelionroad_platform::service::ServiceCall;
+use dandelionroad_platform::service::ServiceClient;
+use dandelionroad_platform::table::CommitReply;
+use dandelionroad_platform::table::HttpTable;
+use dandelionroad_platform::table::RowCheck;
+use dandelionroad_platform::table::RowWrite;
+use dandelionroad_platform::table::TableClient;
+use dandelionroad_platform::table::TableCommit;
+use dandelionroad_standins::booking::BookingStandin;
+use dandelionroad_standins::host::HostStandin;
+use dandelionroad_standins::object::ObjectStandin;
+use dandelionroad_standins::server::ServerMode;
+use dandelionroad_standins::table::TableStandin;
+
+const LONG: Duration = Duration::from_secs(20);
+
+fn any_port() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
+
+fn insert(key: &str, value: &str) -> TableCommit {
+    let check = RowCheck {
+        key: key.to_owned(),
+        version: None,
+    };
+    let write = RowWrite {
+        key: key.to_owned(),
+        value: Some(value.to_owned()),
+    };
+    TableCommit {
+        checks: vec![check],
+        writes: vec![write],
+    }
+}
+
+fn booking(key: &str) -> ServiceCall {
+    ServiceCall {
+        method: "POST".to_owned(),
+        path: "/book".to_owned(),
+        content_type: "application/json".to_owned(),
+        body: r#"{"item":"hawser","quantity":2}"#.to_owned(),
+        key: Some(key.to_owned()),
+        fence: 1,
+    }
+}
+
+/// Guards against a second insert of the same row and against reads of the wrong row.
+#[tokio::test]
+async fn table_insert_conflicts_and_reads_back() {
+    let standin = TableStandin::start(any_port()).await.unwrap();
+    let table = HttpTable::new(&standin.url(), LONG);
+    let key = "call/a b/%/0";
+    assert_eq!(
+        table.commit(&insert(key, "one")).await.unwrap(),
+        CommitReply::Committed
+    );
+    let conflict = CommitReply::Conflict {
+        key: key.to_owned(),
+    };
+    assert_eq!(table.commit(&insert(key, "two")).await.unwrap(), conflict);
+    assert_eq!(table.read(key).await.unwrap().unwrap().value, "one");
+    assert_eq!(table.read("call/absent").await.unwrap(), None);
+    table.commit(&insert("call/b", "three")).await.unwrap();
+    let rows = table.scan("call/", key, 10).await.unwrap();
+    assert_eq!(
+        rows.iter().map(|row| row.key.as_str()).collect::<Vec<_>>(),
+        ["call/b"]
+    );
+}
+
+/// Guards against taking a lost answer for a request that was never sent, and the reverse.
+#[tokio::test]
+async fn table_errors_tell_sent_from_unsent() {
+    let standin = TableStandin::start(any_port()).await.unwrap();
+    let table = HttpTable::new(&standin.url(), LONG);
+    standin.faults().change(|plan| plan.cut_after = 1);
+    let lost = table.commit(&insert("a", "one")).await;
+    assert!(
+        matches!(lost, Err(PlatformError::Indeterminate { .. })),
+        "{lost:?}"
+    );
+    assert_eq!(table.read("a").await.unwrap().unwrap().value, "one");
+    standin.faults().change(|plan| plan.cut_before = 1);
+    let lost = table.commit(&insert("b", "one")).await;
+    assert!(
+        matches!(lost, Err(PlatformError::Indeterminate { .. })),
+        "{lost:?}"
+    );
+    assert_eq!(table.read("b").await.unwrap(), None);
+    standin.faults().set_mode(ServerMode::Down);
+    while table.read("a").await.is_ok() {}
+    let refused = table.commit(&insert("c", "one")).await;
+    assert!(
+        matches!(refused, Err(PlatformError::Unreachable { .. })),
+        "{refused:?}"
+    );
+    standin.faults().set_mode(ServerMode::Up);
+    while table.read("c").await.is_err() {}
+    assert_eq!(table.read("c").await.unwrap(), None);
+}
+
+/// Guards against a frozen service that holds a caller for ever, and against taking its silence
+/// for a proof that nothing was sent.
+#[tokio::test]
+async fn table_frozen_is_indeterminate_after_deadline() {
+    let standin = TableStandin::start(any_port()).await.unwrap();
+    let table = HttpTable::new(&standin.url(), Duration::from_millis(50));
+    standin.faults().set_mode(ServerMode::Frozen);
+    let lost = table.commit(&insert("a", "one")).await;
+    assert!(
+        matches!(lost, Err(PlatformError::Indeterminate { .. })),
+        "{lost:?}"
+    );
+}
+
+/// Guards against a booking that is sent twice by the client's own retries.
+#[tokio::test]
+async fn service_call_is_sent_once() {
+    let standin = BookingStandin::start(any_port()).await.unwrap();
+    let service = HttpService::new(&standin.url(), LONG);
+    let answer = service.call(&booking("k1")).await.unwrap();
+    assert_eq!((answer.status, standin.runs("k1")), (201, 1));
+    standin.faults().change(|plan| plan.cut_after = 1);
+    let lost = service.call(&booking("k2")).await;
+    assert!(
+        matches!(lost, Err(PlatformError::Indeterminate { .. })),
+        "{lost:?}"
+    );
+    assert_eq!(standin.runs("k2"), 1);
+    standin.faults().change(|plan| plan.crash_before = 1);
+    let lost = service.call(&booking("k3")).await;
+    assert!(
+        matches!(lost, Err(PlatformError::Indeterminate { .. })),
+        "{lost:?}"
+    );
+    loop {
+        match service.call(&booking("k4")).await {
+            Err(PlatformError::Unreachable { .. }) => break,
+            Err(PlatformError::Indeterminate { .. }) => {}
+            other => panic!("the stand-in is down, but: {other:?}"),
+        }
+    }
+    assert_eq!((standin.runs("k3"), standin.runs("k4")), (0, 0));
+}
+
+/// Guards against a stale holder of an endpoint that the service would have rejected.
+#[tokio::test]
+async fn service_with_fence_rejects_lower_number() {
+    let standin = BookingStandin::start(any_port()).await.unwrap();
+    let service = HttpService::new(&standin.url(), LONG);
+    standin.faults().change(|plan| plan.checks_fence = true);
+    let newer = ServiceCall {
+        fence: 2,
+        ..booking("k1")
+    };
+    assert_eq!(service.call(&newer).await.unwrap().status, 201);
+    assert_eq!(service.call(&booking("k2")).await.unwrap().status, 412);
+    assert_eq!(standin.runs("k2"), 0);
+}
+
+/// Guards against objects that come back changed and against a list that doesn't lag when told.
+#[tokio::test]
+async fn object_and_host_round_trips() {
+    let standin = ObjectStandin::start(any_port()).await.unwrap();
+    let objects = HttpObject::new(&standin.url(), LONG);
+    assert_eq!(objects.get("a/b").await.unwrap(), None);
+    objects
+        .put("a/b", Bytes::from_static(b"body"))
+        .await
+        .unwrap();
+    assert_eq!(objects.get("a/b").await.unwrap().unwrap(), "body");
+
+    let standin = HostStandin::start(any_port()).await.unwrap();
+    let hosts = HttpHost::new(&standin.url(), LONG);
+    let entry = HostEntry {
+        name: "e1".to_owned(),
+        role: MemberRole::Endpoint,
+        host: "h1".to_owned(),
+        zone: "talca".to_owned(),
+        address: "127.0.0.1:1".to_owned(),
+        leaving: false,
+    };
+    standin.set(vec![entry.clone()]);
+    standin.faults().change(|plan| plan.lags = true);
+    standin.change(|entries| entries[0].leaving = true);
+    assert_eq!(hosts.list().await.unwrap(), [entry]);
+    standin.faults().change(|plan| plan.lags = false);
+    assert!(hosts.list().await.unwrap()[0].leaving);
+}
