--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod booking;
 pub mod host;
 pub mod object;
+pub mod serve;
 pub mod server;
 pub mod table;
--- /dev/null
+++ b/crates/standins/tests/serve.rs
@@ -0,0 +1,44 @@
+//! The control listener of the binary.
+
+use std::time::Duration;
+
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::service::HttpService;
+use dandelionroad_platform::service::ServiceCall;
+use dandelionroad_platform::service::ServiceClient;
+use dandelionroad_platform::table::HttpTable;
+use dandelionroad_platform::table::TableClient;
+use dandelionroad_standins::serve::ServeOptions;
+use dandelionroad_standins::serve::ServedSet;
+
+/// Guards against fault switches that the control listener accepts but that have no effect.
+#[tokio::test]
+async fn control_listener_takes_table_down() {
+    let any_port = "127.0.0.1:0".parse().ok();
+    let options = ServeOptions {
+        table: any_port,
+        control: any_port,
+        ..ServeOptions::default()
+    };
+    let served = ServedSet::start(&options).await.unwrap();
+    let [(_, table), (_, control)] = served.urls() else {
+        panic!("two stand-ins were asked for: {:?}", served.urls());
+    };
+    let deadline = Duration::from_secs(20);
+    let control = HttpService::new(control, deadline);
+    let call = |name: &str| ServiceCall {
+        method: "PUT".to_owned(),
+        path: format!("/control/{name}"),
+        content_type: "application/json".to_owned(),
+        body: r#"{"mode":"down"}"#.to_owned(),
+        key: None,
+        fence: 0,
+    };
+    assert_eq!(control.call(&call("object")).await.unwrap().status, 404);
+    assert_eq!(control.call(&call("table")).await.unwrap().status, 204);
+    let table = HttpTable::new(table, deadline);
+    while !matches!(
+        table.read("a").await,
+        Err(PlatformError::Unreachable { .. })
+    ) {}
+}
