--- /dev/null
+++ b/crates/platform/src/engine/http_engine.rs
@@ -0,0 +1,224 @@
+use std::future::Future;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::FutureExt;
+use futures_util::StreamExt;
+use futures_util::stream::BoxStream;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use crate::ClientFuture;
+use crate::PlatformError;
+
+use super::EngineClient;
+use super::EngineOrder;
+use super::EngineState;
+use super::EngineStep;
+use super::GenerateOrder;
+use super::GeneratedToken;
+use super::StepOutput;
+use super::token_lines::TokenLines;
+
+/// The name of the system in errors.
+const SYSTEM: &str = "the engine";
+
+/// A client of an engine that speaks the HTTP protocol of the design page.
+///
+/// Steps and answers take as long as the engine needs, so that their deadline is the caller's
+/// matter; every other call has the deadline given here.
+#[derive(Clone, Debug)]
+pub struct HttpEngine {
+    base_url: String,
+    deadline: Duration,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpEngine {
+    /// Creates a client for a base URL such as `http://127.0.0.1:8100`, with the deadline of
+    /// connection attempts and of calls other than steps and answers, in milliseconds.
+    pub fn new(base_url: &str, deadline_ms: u64) -> HttpEngine {
+        let deadline = Duration::from_millis(deadline_ms);
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(deadline));
+        HttpEngine {
+            base_url: base_url.trim_end_matches('/').to_owned(),
+            deadline,
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    /// Sends a request and returns the answer if its status is a success.
+    async fn send<T: Serialize>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&T>,
+    ) -> Result<Response<Incoming>, PlatformError> {
+        let bytes = match body {
+            Some(body) => serde_json::to_vec(body).map_err(invalid)?,
+            None => Vec::new(),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("{}{path}", self.base_url))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(bytes)))
+            .map_err(|error| PlatformError::Unreachable {
+                system: SYSTEM,
+                detail: error.to_string(),
+            })?;
+        let response = self.client.request(request).await.map_err(|error| {
+            let detail = error.to_string();
+            if error.is_connect() {
+                PlatformError::Unreachable {
+                    system: SYSTEM,
+                    detail,
+                }
+            } else {
+                lost(detail)
+            }
+        })?;
+        if response.status().is_success() {
+            return Ok(response);
+        }
+        let status = response.status().as_u16();
+        let body = read_body(response).await?;
+        Err(PlatformError::Rejected {
+            system: SYSTEM,
+            status,
+            detail: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+
+    async fn send_for<T: Serialize, R: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&T>,
+    ) -> Result<R, PlatformError> {
+        let response = self.send(method, path, body).await?;
+        let body = read_body(response).await?;
+        serde_json::from_slice(&body).map_err(invalid)
+    }
+
+    async fn send_only<T: Serialize>(&self, path: &str, body: &T) -> Result<(), PlatformError> {
+        let response = self.send(Method::POST, path, Some(body)).await?;
+        read_body(response).await.map(|_| ())
+    }
+
+    async fn within_deadline<R>(
+        &self,
+        call: impl Future<Output = Result<R, PlatformError>>,
+    ) -> Result<R, PlatformError> {
+        match tokio::time::timeout(self.deadline, call).await {
+            Ok(result) => result,
+            Err(_) => Err(lost("no answer within the deadline".to_owned())),
+        }
+    }
+}
+
+impl EngineClient for HttpEngine {
+    fn step<'a>(&'a self, step: &'a EngineStep) -> ClientFuture<'a, StepOutput> {
+        self.send_for(Method::POST, "/engine/step", Some(step))
+            .boxed()
+    }
+
+    fn generate<'a>(
+        &'a self,
+        order: &'a GenerateOrder,
+    ) -> ClientFuture<'a, BoxStream<'static, Result<GeneratedToken, PlatformError>>> {
+        async move {
+            let response = self
+                .send(Method::POST, "/engine/generate", Some(order))
+                .await?;
+            Ok(read_tokens(response.into_body()))
+        }
+        .boxed()
+    }
+
+    fn cancel<'a>(&'a self, session: &'a str) -> ClientFuture<'a, ()> {
+        async move {
+            let body = json!({"session": session});
+            self.within_deadline(self.send_only("/engine/cancel", &body))
+                .await
+        }
+        .boxed()
+    }
+
+    fn state(&self) -> ClientFuture<'_, EngineState> {
+        let call = self.send_for(Method::GET, "/engine/state", None::<&()>);
+        self.within_deadline(call).boxed()
+    }
+
+    fn order<'a>(&'a self, order: &'a EngineOrder, fence: u64) -> ClientFuture<'a, ()> {
+        async move {
+            let body = json!({"order": order, "fence": fence});
+            self.within_deadline(self.send_only("/engine/order", &body))
+                .await
+        }
+        .boxed()
+    }
+}
+
+/// Reads tokens until the one that ends the answer; a broken connection yields an error.
+fn read_tokens(body: Incoming) -> BoxStream<'static, Result<GeneratedToken, PlatformError>> {
+    let start = (body, TokenLines::default(), false);
+    futures_util::stream::unfold(start, async |(mut body, mut lines, is_done)| {
+        if is_done {
+            return None;
+        }
+        loop {
+            if let Some(data) = lines.next_data() {
+                let token = serde_json::from_str::<GeneratedToken>(&data).map_err(invalid);
+                let is_done = token.as_ref().map_or(true, |token| token.is_end);
+                return Some((token, (body, lines, is_done)));
+            }
+            match body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        lines.push(data);
+                    }
+                }
+                Some(Err(error)) => {
+                    let error = lost(error.to_string());
+                    return Some((Err(error), (body, lines, true)));
+                }
+                None => return None,
+            }
+        }
+    })
+    .boxed()
+}
+
+async fn read_body(response: Response<Incoming>) -> Result<Bytes, PlatformError> {
+    let body = response.into_body().collect().await;
+    body.map(|body| body.to_bytes())
+        .map_err(|error| lost(error.to_string()))
+}
+
+fn lost(detail: String) -> PlatformError {
+    PlatformError::Indeterminate {
+        system: SYSTEM,
+        detail,
+    }
+}
+
+fn invalid(error: serde_json::Error) -> PlatformError {
+    PlatformError::Invalid {
+        system: SYSTEM,
+        detail: error.to_string(),
+    }
+}
--- a/crates/platform/src/engine/mod.rs
+++ b/crates/platform/src/engine/mod.rs
@@ -8,7 +8,9 @@
 mod engine_step;
 mod generate_order;
 mod generated_token;
+mod http_engine;
 mod step_output;
+mod token_lines;
 
 pub use self::engine_client::EngineClient;
 pub use self::engine_order::EngineOrder;
@@ -16,4 +18,5 @@
 pub use self::engine_step::EngineStep;
 pub use self::generate_order::GenerateOrder;
 pub use self::generated_token::GeneratedToken;
+pub use self::http_engine::HttpEngine;
 pub use self::step_output::StepOutput;
--- /dev/null
+++ b/crates/standins/src/engine/engine_options.rs
@@ -0,0 +1,72 @@
+use std::net::SocketAddr;
+
+use dandelionroad_core::stream::LayerRange;
+
+use super::EngineFaults;
+use super::EngineMode;
+
+/// The properties of an engine stand-in.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// The address to bind; port 0 picks a free port.
+    pub listen: SocketAddr,
+    /// How the engine is driven.
+    pub mode: EngineMode,
+    /// The model that is loaded at start; an empty text if none is.
+    pub model: String,
+    /// The version that is loaded at start.
+    pub version: u32,
+    /// The layers that are loaded at start.
+    pub range: LayerRange,
+    /// The time of one batch, in microseconds.
+    pub step_us: u64,
+    /// The time for each prompt token that is not cached, in microseconds.
+    pub prompt_token_us: u64,
+    /// The greatest number of sessions in a batch.
+    pub max_batch: usize,
+    /// The capacity of the prefix cache in blocks of 16 prompt tokens.
+    pub cache_blocks: usize,
+    /// The delay of cache events, in milliseconds.
+    pub event_lag_ms: u64,
+    /// Every n-th cache event is lost; 0 loses none.
+    pub event_gap: u64,
+    /// The time that loading a model takes, in milliseconds.
+    pub load_ms: u64,
+    /// The time between a crash and the restart, in milliseconds.
+    pub restart_ms: u64,
+    /// A prompt with this text crashes the engine.
+    pub crash_marker: String,
+    /// The faults at start.
+    pub faults: EngineFaults,
+}
+
+impl EngineOptions {
+    /// Returns an engine that holds `range` of `model` at version 1 and answers without delay.
+    pub fn layer_range(model: &str, range: LayerRange) -> EngineOptions {
+        EngineOptions {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            mode: EngineMode::LayerRange,
+            model: model.to_owned(),
+            version: 1,
+            range,
+            step_us: 0,
+            prompt_token_us: 0,
+            max_batch: 16,
+            cache_blocks: 1_024,
+            event_lag_ms: 0,
+            event_gap: 0,
+            load_ms: 0,
+            restart_ms: 100,
+            crash_marker: "[crash]".to_owned(),
+            faults: EngineFaults::default(),
+        }
+    }
+
+    /// Returns an engine that holds all `layers` of `model` at version 1.
+    pub fn whole_model(model: &str, layers: u16) -> EngineOptions {
+        EngineOptions {
+            mode: EngineMode::WholeModel,
+            ..EngineOptions::layer_range(model, LayerRange::new(0, layers))
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/mod.rs
@@ -0,0 +1,42 @@
+/*!
+Stand-ins of model engines: one that holds a range of layers and one that holds the whole model.
+
+The tokens are a pure function of prompt, model version and position, so that a test can compute
+the answer that it must receive.
+
+```
+use dandelionroad_standins::engine::TokenModel;
+
+let model = TokenModel::new(1, 12);
+let answer = model.answer("how do I splice a hawser [length=3]", 8);
+assert_eq!(answer.len(), 3);
+```
+*/
+
+mod batch_job;
+mod batch_loop;
+mod batch_work;
+mod cache_event;
+mod engine_faults;
+mod engine_memory;
+mod engine_mode;
+mod engine_options;
+mod engine_routes;
+mod engine_shared;
+mod engine_standin;
+mod engine_stats;
+mod generate_session;
+mod layer_session;
+mod layer_state;
+mod prefix_cache;
+mod run_record;
+mod token_model;
+
+pub use self::cache_event::CacheEvent;
+pub use self::engine_faults::EngineFaults;
+pub use self::engine_mode::EngineMode;
+pub use self::engine_options::EngineOptions;
+pub use self::engine_standin::EngineStandin;
+pub use self::engine_stats::EngineStats;
+pub use self::run_record::RunRecord;
+pub use self::token_model::TokenModel;
