--- /dev/null
+++ b/crates/settings/src/endpoint_flags.rs
@@ -0,0 +1,178 @@
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+
+use super::EngineKind;
+use super::LogFormat;
+use super::LogLevel;
+use super::NodeSettings;
+use super::SettingsError;
+use super::TelemetryExporter;
+use super::settings_reader::SettingsReader;
+
+/// The default port for other processes of the system.
+const INTERNAL_PORT: u16 = 7_401;
+
+/// run beside one model engine or plain service: admit, order and fence its work
+#[derive(Clone, Debug, Default, FromArgs)]
+#[argh(
+    subcommand,
+    name = "endpoint",
+    note = "Each flag has an environment variable: --table-url is DANDELIONROAD_TABLE_URL. A flag takes precedence over its variable.",
+    error_code(2, "The settings have a fault; all faults are printed.")
+)]
+pub struct EndpointFlags {
+    /// the unique name of this process, 1 to 64 characters of a-z, 0-9 and -
+    #[argh(option)]
+    pub name: Option<String>,
+    /// the name of the host; default: the name of this process
+    #[argh(option)]
+    pub host: Option<String>,
+    /// the availability zone of the host
+    #[argh(option)]
+    pub zone: Option<String>,
+    /// the address for other processes of the system, as ip:port; default: 127.0.0.1:7401
+    #[argh(option)]
+    pub internal_listen: Option<String>,
+    /// the base URL of the engine or plain service beside this process
+    #[argh(option)]
+    pub engine_url: Option<String>,
+    /// what stands there: layer-range, whole-model or plain-service
+    #[argh(option)]
+    pub engine_kind: Option<String>,
+    /// the base URL of the table service
+    #[argh(option)]
+    pub table_url: Option<String>,
+    /// the base URL of the object store
+    #[argh(option)]
+    pub object_url: Option<String>,
+    /// the base URL of the host list
+    #[argh(option)]
+    pub hosts_url: Option<String>,
+    /// internal addresses of other processes to contact besides those of the host list, as
+    /// ip:port, separated by commas; default: none
+    #[argh(option)]
+    pub seeds: Option<String>,
+    /// the greatest work in the queue, in work units; default: 100000
+    #[argh(option)]
+    pub queue_units: Option<String>,
+    /// the greatest number of requests that run at once; default: 16
+    #[argh(option)]
+    pub concurrency: Option<String>,
+    /// the time without progress after which a stage is suspected, in milliseconds; default:
+    /// 500
+    #[argh(option)]
+    pub step_deadline_ms: Option<String>,
+    /// the deadline of a call to the table service, object store or host list, in milliseconds;
+    /// default: 1000
+    #[argh(option)]
+    pub platform_deadline_ms: Option<String>,
+    /// the least severe level that is logged: debug, info, warn or error; default: info
+    #[argh(option)]
+    pub log_level: Option<String>,
+    /// the form of log lines: text or json; default: text
+    #[argh(option)]
+    pub log_format: Option<String>,
+    /// where traces and metrics go: off or stdout; default: off
+    #[argh(option)]
+    pub telemetry: Option<String>,
+    /// the time between two exports of the metrics, in milliseconds; default: 10000
+    #[argh(option)]
+    pub metrics_interval_ms: Option<String>,
+}
+
+impl EndpointFlags {
+    /// Reads the settings from the flags, from variables looked up with `environment` and from the
+    /// defaults.
+    ///
+    /// # Errors
+    ///
+    /// Returns every setting that is missing or invalid.
+    pub fn read(
+        &self,
+        environment: &dyn Fn(&str) -> Option<String>,
+    ) -> Result<NodeSettings, SettingsError> {
+        let mut reader = SettingsReader::new(environment);
+        let mut settings = NodeSettings {
+            internal_listen: SocketAddr::from(([127, 0, 0, 1], INTERNAL_PORT)),
+            ..NodeSettings::endpoint("", EngineKind::LayerRange, "")
+        };
+        reader.name("name", &self.name, &mut settings.name);
+        settings.host.clone_from(&settings.name);
+        reader.optional_name("host", &self.host, &mut settings.host);
+        reader.name("zone", &self.zone, &mut settings.zone);
+        reader.reachable_listen(
+            "internal-listen",
+            &self.internal_listen,
+            &mut settings.internal_listen,
+        );
+        reader.url("engine-url", &self.engine_url, &mut settings.engine_url);
+        reader.required(
+            "engine-kind",
+            &self.engine_kind,
+            "layer-range, whole-model or plain-service",
+            &mut settings.engine_kind,
+            |text| {
+                let found = EngineKind::CHOICES.iter().find(|(word, _)| *word == text);
+                found.map(|(_, kind)| *kind)
+            },
+        );
+        reader.url("table-url", &self.table_url, &mut settings.table_url);
+        reader.url("object-url", &self.object_url, &mut settings.object_url);
+        reader.url("hosts-url", &self.hosts_url, &mut settings.hosts_url);
+        reader.addresses("seeds", &self.seeds, &mut settings.seeds);
+        reader.number(
+            "queue-units",
+            &self.queue_units,
+            "a number of work units, at least 1",
+            &mut settings.queue_units,
+        );
+        reader.number(
+            "concurrency",
+            &self.concurrency,
+            "a number of requests, at least 1",
+            &mut settings.concurrency,
+        );
+        reader.number(
+            "step-deadline-ms",
+            &self.step_deadline_ms,
+            "a number of milliseconds, at least 1",
+            &mut settings.step_deadline_ms,
+        );
+        reader.number(
+            "platform-deadline-ms",
+            &self.platform_deadline_ms,
+            "a number of milliseconds, at least 1",
+            &mut settings.platform_deadline_ms,
+        );
+        reader.choice(
+            "log-level",
+            &self.log_level,
+            "debug, info, warn or error",
+            LogLevel::CHOICES,
+            &mut settings.log_level,
+        );
+        reader.choice(
+            "log-format",
+            &self.log_format,
+            "text or json",
+            LogFormat::CHOICES,
+            &mut settings.log_format,
+        );
+        reader.choice(
+            "telemetry",
+            &self.telemetry,
+            "off or stdout",
+            TelemetryExporter::CHOICES,
+            &mut settings.telemetry,
+        );
+        reader.number(
+            "metrics-interval-ms",
+            &self.metrics_interval_ms,
+            "a number of milliseconds, at least 1",
+            &mut settings.metrics_interval_ms,
+        );
+        reader.finish()?;
+        Ok(settings)
+    }
+}
--- a/crates/settings/src/engine_kind.rs
+++ b/crates/settings/src/engine_kind.rs
@@ -8,3 +8,11 @@
     /// A model engine that holds the whole model.
     WholeModel,
 }
+
+impl EngineKind {
+    pub(crate) const CHOICES: &[(&str, EngineKind)] = &[
+        ("layer-range", EngineKind::LayerRange),
+        ("whole-model", EngineKind::WholeModel),
+        ("plain-service", EngineKind::PlainService),
+    ];
+}
--- /dev/null
+++ b/crates/settings/src/entry_flags.rs
@@ -0,0 +1,199 @@
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+
+use super::LogFormat;
+use super::LogLevel;
+use super::NodeSettings;
+use super::SettingsError;
+use super::TelemetryExporter;
+use super::settings_reader::SettingsReader;
+
+/// The default port for other processes of the system.
+const INTERNAL_PORT: u16 = 7_400;
+
+/// The default port for callers.
+const PUBLIC_PORT: u16 = 8_080;
+
+/// The default port of the administration API.
+const ADMIN_PORT: u16 = 8_081;
+
+/// run an entry: it takes callers' requests and serves the administration API
+#[derive(Clone, Debug, Default, FromArgs)]
+#[argh(
+    subcommand,
+    name = "entry",
+    note = "Each flag has an environment variable: --table-url is DANDELIONROAD_TABLE_URL. A flag takes precedence over its variable. The secret of the administration API comes from DANDELIONROAD_ADMIN_TOKEN only.",
+    error_code(2, "The settings have a fault; all faults are printed.")
+)]
+pub struct EntryFlags {
+    /// the unique name of this process, 1 to 64 characters of a-z, 0-9 and -
+    #[argh(option)]
+    pub name: Option<String>,
+    /// the name of the host; default: the name of this process
+    #[argh(option)]
+    pub host: Option<String>,
+    /// the availability zone of the host
+    #[argh(option)]
+    pub zone: Option<String>,
+    /// the address for other processes of the system, as ip:port; default: 127.0.0.1:7400
+    #[argh(option)]
+    pub internal_listen: Option<String>,
+    /// the address for callers, as ip:port; default: 127.0.0.1:8080
+    #[argh(option)]
+    pub public_listen: Option<String>,
+    /// the address of the administration API, as ip:port; default: 127.0.0.1:8081
+    #[argh(option)]
+    pub admin_listen: Option<String>,
+    /// the base URL of the table service
+    #[argh(option)]
+    pub table_url: Option<String>,
+    /// the base URL of the object store
+    #[argh(option)]
+    pub object_url: Option<String>,
+    /// the base URL of the host list
+    #[argh(option)]
+    pub hosts_url: Option<String>,
+    /// internal addresses of other processes to contact besides those of the host list, as
+    /// ip:port, separated by commas; default: none
+    #[argh(option)]
+    pub seeds: Option<String>,
+    /// the deadline of a request that names none, in milliseconds; default: 60000
+    #[argh(option)]
+    pub request_deadline_ms: Option<String>,
+    /// the time from the failed readiness check to the earliest exit, in milliseconds; default:
+    /// 3000
+    #[argh(option)]
+    pub drain_notice_ms: Option<String>,
+    /// the time for which outcomes of calls are kept, in hours; default: 72
+    #[argh(option)]
+    pub record_retention_hours: Option<String>,
+    /// the time without progress after which a stage is suspected, in milliseconds; default:
+    /// 500
+    #[argh(option)]
+    pub step_deadline_ms: Option<String>,
+    /// the deadline of a call to the table service, object store or host list, in milliseconds;
+    /// default: 1000
+    #[argh(option)]
+    pub platform_deadline_ms: Option<String>,
+    /// the least severe level that is logged: debug, info, warn or error; default: info
+    #[argh(option)]
+    pub log_level: Option<String>,
+    /// the form of log lines: text or json; default: text
+    #[argh(option)]
+    pub log_format: Option<String>,
+    /// where traces and metrics go: off or stdout; default: off
+    #[argh(option)]
+    pub telemetry: Option<String>,
+    /// the time between two exports of the metrics, in milliseconds; default: 10000
+    #[argh(option)]
+    pub metrics_interval_ms: Option<String>,
+}
+
+impl EntryFlags {
+    /// Reads the settings from the flags, from variables looked up with `environment` and from the
+    /// defaults.
+    ///
+    /// # Errors
+    ///
+    /// Returns every setting that is missing or invalid.
+    pub fn read(
+        &self,
+        environment: &dyn Fn(&str) -> Option<String>,
+    ) -> Result<NodeSettings, SettingsError> {
+        let mut reader = SettingsReader::new(environment);
+        let mut settings = NodeSettings {
+            internal_listen: SocketAddr::from(([127, 0, 0, 1], INTERNAL_PORT)),
+            public_listen: SocketAddr::from(([127, 0, 0, 1], PUBLIC_PORT)),
+            admin_listen: SocketAddr::from(([127, 0, 0, 1], ADMIN_PORT)),
+            ..NodeSettings::entry("")
+        };
+        reader.name("name", &self.name, &mut settings.name);
+        settings.host.clone_from(&settings.name);
+        reader.optional_name("host", &self.host, &mut settings.host);
+        reader.name("zone", &self.zone, &mut settings.zone);
+        reader.reachable_listen(
+            "internal-listen",
+            &self.internal_listen,
+            &mut settings.internal_listen,
+        );
+        reader.listen(
+            "public-listen",
+            &self.public_listen,
+            &mut settings.public_listen,
+        );
+        reader.listen(
+            "admin-listen",
+            &self.admin_listen,
+            &mut settings.admin_listen,
+        );
+        reader.url("table-url", &self.table_url, &mut settings.table_url);
+        reader.url("object-url", &self.object_url, &mut settings.object_url);
+        reader.url("hosts-url", &self.hosts_url, &mut settings.hosts_url);
+        reader.addresses("seeds", &self.seeds, &mut settings.seeds);
+        reader.number(
+            "request-deadline-ms",
+            &self.request_deadline_ms,
+            "a number of milliseconds, at least 1",
+            &mut settings.request_deadline_ms,
+        );
+        reader.number(
+            "drain-notice-ms",
+            &self.drain_notice_ms,
+            "a number of milliseconds, at least 1",
+            &mut settings.drain_notice_ms,
+        );
+        reader.number(
+            "record-retention-hours",
+            &self.record_retention_hours,
+            "a number of hours, at least 1",
+            &mut settings.record_retention_hours,
+        );
+        reader.number(
+            "step-deadline-ms",
+            &self.step_deadline_ms,
+            "a number of milliseconds, at least 1",
+            &mut settings.step_deadline_ms,
+        );
+        reader.number(
+            "platform-deadline-ms",
+            &self.platform_deadline_ms,
+            "a number of milliseconds, at least 1",
+            &mut settings.platform_deadline_ms,
+        );
+        reader.choice(
+            "log-level",
+            &self.log_level,
+            "debug, info, warn or error",
+            LogLevel::CHOICES,
+            &mut settings.log_level,
+        );
+        reader.choice(
+            "log-format",
+            &self.log_format,
+            "text or json",
+            LogFormat::CHOICES,
+            &mut settings.log_format,
+        );
+        reader.choice(
+            "telemetry",
+            &self.telemetry,
+            "off or stdout",
+            TelemetryExporter::CHOICES,
+            &mut settings.telemetry,
+        );
+        reader.number(
+            "metrics-interval-ms",
+            &self.metrics_interval_ms,
+            "a number of milliseconds, at least 1",
+            &mut settings.metrics_interval_ms,
+        );
+        reader.secret(
+            "admin-token",
+            "the secret of the administration API",
+            &mut settings.admin_token,
+        );
+        reader.finish()?;
+        Ok(settings)
+    }
+}
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -1,7 +1,10 @@
 use std::net::SocketAddr;
 
 use super::EngineKind;
+use super::LogFormat;
+use super::LogLevel;
 use super::NodeRole;
+use super::TelemetryExporter;
 
 /// The checked settings of one process.
 #[derive(Clone, Debug)]
@@ -46,4 +49,59 @@
     pub request_deadline_ms: u64,
     /// The deadline of one call to the platform, in milliseconds.
     pub platform_deadline_ms: u64,
+    /// The time for which outcomes of calls are kept, in hours.
+    pub record_retention_hours: u64,
+    /// The least severe level that is logged.
+    pub log_level: LogLevel,
+    /// The form of log lines.
+    pub log_format: LogFormat,
+    /// Where traces and metrics go.
+    pub telemetry: TelemetryExporter,
+    /// The time between two exports of the metrics, in milliseconds.
+    pub metrics_interval_ms: u64,
+}
+
+impl NodeSettings {
+    /// Returns the defaults of an entry on loopback with free ports, without any platform address.
+    pub fn entry(name: &str) -> NodeSettings {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        NodeSettings {
+            role: NodeRole::Entry,
+            name: name.to_owned(),
+            host: name.to_owned(),
+            zone: "local".to_owned(),
+            internal_listen: any_port,
+            public_listen: any_port,
+            admin_listen: any_port,
+            table_url: String::new(),
+            object_url: String::new(),
+            hosts_url: String::new(),
+            engine_url: String::new(),
+            engine_kind: EngineKind::LayerRange,
+            seeds: Vec::new(),
+            admin_token: String::new(),
+            queue_units: 100_000,
+            concurrency: 16,
+            step_deadline_ms: 500,
+            drain_notice_ms: 3_000,
+            request_deadline_ms: 60_000,
+            platform_deadline_ms: 1_000,
+            record_retention_hours: 72,
+            log_level: LogLevel::Info,
+            log_format: LogFormat::Text,
+            telemetry: TelemetryExporter::Off,
+            metrics_interval_ms: 10_000,
+        }
+    }
+
+    /// Returns the defaults of an endpoint on loopback with a free port, without any platform
+    /// address.
+    pub fn endpoint(name: &str, engine_kind: EngineKind, engine_url: &str) -> NodeSettings {
+        NodeSettings {
+            role: NodeRole::Endpoint,
+            engine_kind,
+            engine_url: engine_url.to_owned(),
+            ..NodeSettings::entry(name)
+        }
+    }
 }
