--- a/crates/bench/src/sim/sim_engine.rs
+++ b/crates/bench/src/sim/sim_engine.rs
@@ -1,8 +1,8 @@
-use std::collections::VecDeque;
-
 use dandelionroad_core::admit::AdmitConfig;
 use dandelionroad_core::admit::AdmitQueue;
+use dandelionroad_core::admit::StepQueue;
 use dandelionroad_core::admit::WorkUnits;
+use dandelionroad_core::ident::AccountName;
 use dandelionroad_core::route::FlowNode;
 
 use super::Fleet;
@@ -27,15 +27,14 @@
 
 /// A fake of an engine that batches continuously, with the admission queue beside it.
 ///
-/// A step takes the time of its work at the engine's rate, but never less than 5 ms. Prompts are
-/// computed in chunks, in turn, in at most a quarter of a batch while tokens wait.
+/// A step takes the time of its work at the engine's rate, but never less than 5 ms. The process
+/// beside it orders the work; prompts are computed in chunks of a quarter of a batch.
 pub(super) struct SimEngine {
     pub(super) queue: AdmitQueue,
     pub(super) zone: usize,
     pub(super) units_per_second: u64,
     pub(super) is_alive: bool,
-    tokens: VecDeque<SimWork>,
-    prompts: VecDeque<SimWork>,
+    steps: StepQueue<(AccountName, SimWork)>,
     finishing: Vec<SimWork>,
     is_busy: bool,
 }
@@ -54,20 +53,15 @@
             zone: Fleet::zone_index(&node.zone),
             units_per_second,
             is_alive: true,
-            tokens: VecDeque::new(),
-            prompts: VecDeque::new(),
+            steps: StepQueue::new(),
             finishing: Vec::new(),
             is_busy: false,
         }
     }
 
     /// Adds work and returns the duration of the step that it starts, if the engine was idle.
-    pub(super) fn push(&mut self, work: SimWork) -> Option<u64> {
-        if work.units > WorkUnits::default().generated_token {
-            self.prompts.push_back(work);
-        } else {
-            self.tokens.push_back(work);
-        }
+    pub(super) fn push(&mut self, account: &AccountName, work: SimWork) -> Option<u64> {
+        self.add(account.clone(), work);
         if self.is_busy {
             return None;
         }
@@ -84,44 +78,41 @@
     /// Drops everything; the engine is dead.
     pub(super) fn kill(&mut self) {
         self.is_alive = false;
-        self.tokens.clear();
-        self.prompts.clear();
+        self.steps = StepQueue::new();
         self.finishing.clear();
     }
 
+    fn batch_units(&self) -> u64 {
+        (self.units_per_second * FULL_STEP_US / SECOND_US).max(8)
+    }
+
+    fn chunk_units(&self) -> u64 {
+        (self.batch_units() / 4).max(WorkUnits::default().generated_token)
+    }
+
+    fn add(&mut self, account: AccountName, work: SimWork) {
+        let units = work.units.min(self.chunk_units());
+        self.steps.push(&account.clone(), 1, units, (account, work));
+    }
+
     fn start_step(&mut self) -> Option<u64> {
-        if self.tokens.is_empty() && self.prompts.is_empty() {
-            return None;
-        }
-        let budget = (self.units_per_second * FULL_STEP_US / SECOND_US).max(8);
-        let for_prompts = if self.prompts.is_empty() {
-            0
-        } else {
-            budget / 4
-        };
         let mut used = 0;
-        while used < budget - for_prompts {
-            let Some(work) = self.tokens.pop_front() else {
-                break;
-            };
-            used += work.units;
-            self.finishing.push(work);
-        }
-        let chunk = (budget / 4).max(1);
-        while used < budget {
-            let Some(mut work) = self.prompts.pop_front() else {
+        let chunk = self.chunk_units();
+        while used < self.batch_units() {
+            let Some((account, mut work)) = self.steps.pop() else {
                 break;
             };
-            let part = work.units.min(chunk).min(budget - used);
+            let part = work.units.min(chunk);
             used += part;
             work.units -= part;
             if work.units == 0 {
                 self.finishing.push(work);
             } else {
-                self.prompts.push_back(work);
+                self.add(account, work);
             }
         }
-        self.is_busy = true;
-        Some((used * SECOND_US / self.units_per_second).max(LEAST_STEP_US))
+        self.is_busy = used > 0;
+        let duration_us = used * SECOND_US / self.units_per_second;
+        self.is_busy.then_some(duration_us.max(LEAST_STEP_US))
     }
 }
--- a/crates/bench/src/sim/sim_request.rs
+++ b/crates/bench/src/sim/sim_request.rs
@@ -11,6 +11,7 @@
 /// A request on its way.
 pub(super) struct SimRequest {
     pub(super) spec: RequestSpec,
+    pub(super) account: AccountName,
     pub(super) entry: usize,
     pub(super) attempt: u32,
     pub(super) retries: u32,
@@ -24,8 +25,10 @@
 
 impl SimRequest {
     pub(super) fn new(spec: RequestSpec, entry: usize) -> SimRequest {
+        let account = format!("account-{}", spec.account);
         SimRequest {
             spec,
+            account: AccountName::parse(&account).expect("the name is valid"),
             entry,
             attempt: 0,
             retries: 0,
@@ -56,10 +59,9 @@
 
     /// Returns the item for the admission queue of the head.
     pub(super) fn admit_item(&self, index: usize) -> AdmitItem {
-        let account = format!("account-{}", self.spec.account);
         AdmitItem {
             request: RequestIdent::parse(&index.to_string()).expect("digits are valid"),
-            account: AccountName::parse(&account).expect("the name is valid"),
+            account: self.account.clone(),
             weight: 1,
             priority: 0,
             units: self.units(),
--- a/crates/bench/src/sim/sim_world.rs
+++ b/crates/bench/src/sim/sim_world.rs
@@ -242,11 +242,13 @@
     }
 
     fn work(&mut self, engine: usize, work: SimWork) {
-        let is_current = self.requests[work.request].attempt == work.attempt;
+        let request = &self.requests[work.request];
+        let is_current = request.attempt == work.attempt;
         if !is_current || !self.engines[engine].is_alive {
             return;
         }
-        if let Some(duration_us) = self.engines[engine].push(work) {
+        let account = request.account.clone();
+        if let Some(duration_us) = self.engines[engine].push(&account, work) {
             self.schedule(self.now_us + duration_us, SimEvent::StepEnd { engine });
         }
     }
--- a/crates/core/src/admit/admit_queue.rs
+++ b/crates/core/src/admit/admit_queue.rs
@@ -12,7 +12,7 @@
 use super::priority_credit::PriorityCredit;
 
 /// The virtual time of one work unit at weight 1; keeps the quotient by the weight exact enough.
-const TAG_SCALE: u64 = 1 << 10;
+pub(super) const TAG_SCALE: u64 = 1 << 10;
 
 /// The greatest `retry-after` of a refusal, in milliseconds.
 const MAX_RETRY_AFTER_MS: u64 = 10_000;
--- a/crates/core/src/admit/mod.rs
+++ b/crates/core/src/admit/mod.rs
@@ -16,6 +16,7 @@
 mod pace_estimate;
 mod priority_credit;
 mod retry_budget;
+mod step_queue;
 mod work_units;
 
 pub use self::account_limiter::AccountLimiter;
@@ -27,4 +28,5 @@
 pub use self::crash_ledger::CrashLedger;
 pub use self::crash_verdict::CrashVerdict;
 pub use self::retry_budget::RetryBudget;
+pub use self::step_queue::StepQueue;
 pub use self::work_units::WorkUnits;
