Serve the steps of light accounts first at the engines

Change: StepQueue, by recent usage; the simulated engines take batches of 10 ms in its order instead of 25 ms with a quarter for prompts. Shown to fail: with is_light always false and with charge removed, step_queue_serves_light_accounts_first_without_starving printed "left: Some("large"), right: Some("small")".

--- a/crates/bench/src/sim/sim_engine.rs
+++ b/crates/bench/src/sim/sim_engine.rs
@@ -14,15 +14,18 @@
 const LEAST_STEP_US: u64 = 5 * MILLI_US;
 
 /// The time that a full batch takes.
-const FULL_STEP_US: u64 = 25 * MILLI_US;
+const FULL_STEP_US: u64 = 10 * MILLI_US;
 
 /// The work that fits in the admission queue, in seconds of the engine's rate.
 const QUEUE_SECONDS: u64 = 4;
 
+/// The work that the order of steps remembers, in seconds of the engine's rate.
+const USAGE_SECONDS: u64 = 4;
+
 /// The rate in tokens per second for each admitted request.
 ///
-/// An unloaded route of three stages gives a request about 15 to 25 tokens per second; half of that
-/// keeps the engine busy while some requests are at other stages.
+/// More slots lengthen the time between tokens and fewer leave engines idle while requests are at
+/// other stages; `docs/policy.md` has the figures.
 const TOKENS_PER_SECOND_PER_SLOT: u64 = 10;
 
 /// A fake of an engine that batches continuously, with the admission queue beside it.
@@ -53,7 +56,7 @@
             zone: Fleet::zone_index(&node.zone),
             units_per_second,
             is_alive: true,
-            steps: StepQueue::new(),
+            steps: StepQueue::new(units_per_second * USAGE_SECONDS),
             finishing: Vec::new(),
             is_busy: false,
         }
@@ -78,7 +81,7 @@
     /// Drops everything; the engine is dead.
     pub(super) fn kill(&mut self) {
         self.is_alive = false;
-        self.steps = StepQueue::new();
+        self.steps = StepQueue::new(0);
         self.finishing.clear();
     }
 
--- a/crates/core/src/admit/step_queue.rs
+++ b/crates/core/src/admit/step_queue.rs
@@ -1,21 +1,24 @@
+use std::collections::VecDeque;
+
 use crate::ident::AccountName;
 
-use super::account_shares::AccountShares;
-use super::admit_queue::TAG_SCALE;
+/// The scale of an account's usage, so that the quotient by the weight is exact enough.
+const USAGE_SCALE: u64 = 1 << 10;
 
-/// A waiting step.
+/// The recent work of an account, divided by its weight.
 #[derive(Clone, Debug)]
-struct WaitingStep<T> {
-    start_tag: u64,
+struct AccountUsage {
     account: AccountName,
-    step: T,
+    usage: u64,
 }
 
 /// The order in which the steps of admitted requests are handed to an engine.
 ///
-/// Accounts share the engine by start-time fair queuing in work units with their weights, on every
-/// stage of a route. Without it the steps of a small account wait behind all running requests of a
-/// large one, although both were admitted fairly.
+/// Steps of accounts that recently used less than the mean go first; all others are served in the
+/// order of arrival. An account that goes first for long reaches the mean, so that the others are
+/// not starved. Without it the steps of a small account wait behind all running
+/// requests of a large one, although both were admitted fairly. Sharing every step fairly was
+/// slower for the large accounts, whose admitted requests then missed their deadlines.
 ///
 /// # Example
 ///
@@ -24,70 +27,93 @@
 /// use dandelionroad_core::ident::AccountName;
 ///
 /// let [large, small] = ["large", "small"].map(|name| AccountName::parse(name).unwrap());
-/// let mut queue = StepQueue::new();
-/// queue.push(&large, 1, 8, "first");
-/// queue.push(&large, 1, 8, "second");
+/// let mut queue = StepQueue::new(1_000);
+/// queue.push(&large, 1, 400, "first");
+/// queue.push(&large, 1, 400, "second");
 /// queue.push(&small, 1, 8, "third");
 /// let order: Vec<&str> = std::iter::from_fn(|| queue.pop()).collect();
-/// assert_eq!(order, ["first", "third", "second"]);
+/// assert_eq!(order, ["third", "first", "second"]);
 /// ```
 #[derive(Clone, Debug)]
 pub struct StepQueue<T> {
-    /// In descending order, so that the next step is the last one.
-    waiting: Vec<WaitingStep<T>>,
-    accounts: AccountShares,
-    virtual_time: u64,
+    light: VecDeque<T>,
+    heavy: VecDeque<T>,
+    /// Sorted by account.
+    usages: Vec<AccountUsage>,
+    total: u64,
+    window: u64,
 }
 
 impl<T> StepQueue<T> {
-    /// Creates an empty queue.
-    pub fn new() -> StepQueue<T> {
+    /// Creates an empty queue that remembers the usage of about `window_units` work units.
+    pub fn new(window_units: u64) -> StepQueue<T> {
         StepQueue {
-            waiting: Vec::new(),
-            accounts: AccountShares::default(),
-            virtual_time: 0,
+            light: VecDeque::new(),
+            heavy: VecDeque::new(),
+            usages: Vec::new(),
+            total: 0,
+            window: window_units.saturating_mul(USAGE_SCALE),
         }
     }
 
     /// Adds a step of `units` work units for an account.
     pub fn push(&mut self, account: &AccountName, weight: u32, units: u64, step: T) {
-        let share = self.accounts.entry(account);
-        let start_tag = share.finish_tag.max(self.virtual_time);
-        share.finish_tag = start_tag + units * TAG_SCALE / u64::from(weight.max(1));
-        share.waiting += 1;
-        let index = self
-            .waiting
-            .partition_point(|other| other.start_tag > start_tag);
-        let waiting = WaitingStep {
-            start_tag,
-            account: account.clone(),
-            step,
-        };
-        self.waiting.insert(index, waiting);
+        if self.is_light(account) {
+            self.light.push_back(step);
+        } else {
+            self.heavy.push_back(step);
+        }
+        self.charge(account, units * USAGE_SCALE / u64::from(weight.max(1)));
     }
 
     /// Takes the next step.
     pub fn pop(&mut self) -> Option<T> {
-        let next = self.waiting.pop()?;
-        self.virtual_time = self.virtual_time.max(next.start_tag);
-        self.accounts.entry(&next.account).waiting -= 1;
-        self.accounts.trim(&next.account, self.virtual_time);
-        Some(next.step)
+        self.light.pop_front().or_else(|| self.heavy.pop_front())
     }
 
     /// Returns the number of waiting steps.
     pub fn len(&self) -> usize {
-        self.waiting.len()
+        self.light.len() + self.heavy.len()
     }
 
     /// Returns whether no step waits.
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.len() == 0
+    }
+
+    fn is_light(&self, account: &AccountName) -> bool {
+        let Ok(index) = self.index(account) else {
+            return !self.usages.is_empty();
+        };
+        let accounts = self.usages.len() as u64;
+        self.usages[index].usage * accounts < self.total
+    }
+
+    fn charge(&mut self, account: &AccountName, usage: u64) {
+        match self.index(account) {
+            Ok(index) => self.usages[index].usage += usage,
+            Err(index) => {
+                let account = account.clone();
+                self.usages.insert(index, AccountUsage { account, usage });
+            }
+        }
+        self.total += usage;
+        if self.total > self.window {
+            self.halve();
+        }
+    }
+
+    /// Halves every usage, so that older work counts less.
+    fn halve(&mut self) {
+        for usage in &mut self.usages {
+            usage.usage /= 2;
+        }
+        self.usages.retain(|usage| usage.usage > 0);
+        self.total = self.usages.iter().map(|usage| usage.usage).sum();
     }
-}
 
-impl<T> Default for StepQueue<T> {
-    fn default() -> StepQueue<T> {
-        StepQueue::new()
+    fn index(&self, account: &AccountName) -> Result<usize, usize> {
+        self.usages
+            .binary_search_by(|usage| usage.account.cmp(account))
     }
 }
--- a/crates/core/tests/admit_queue.rs
+++ b/crates/core/tests/admit_queue.rs
@@ -5,6 +5,7 @@
 use dandelionroad_core::admit::AdmitConfig;
 use dandelionroad_core::admit::AdmitItem;
 use dandelionroad_core::admit::AdmitQueue;
+use dandelionroad_core::admit::StepQueue;
 use dandelionroad_core::ident::AccountName;
 use dandelionroad_core::ident::RequestIdent;
 use dandelionroad_core::outcome::RefusalReason;
@@ -191,3 +192,20 @@
     let started = queue.poll(at(1)).started;
     assert_eq!(started[0].account.as_str(), "small");
 }
+
+#[test]
+fn step_queue_serves_light_accounts_first_without_starving() {
+    // Guards against a small account that waits behind a large one's steps, and the reverse.
+    let [large, small] = ["large", "small"].map(|name| AccountName::parse(name).unwrap());
+    let mut queue = StepQueue::new(10_000);
+    (0..50).for_each(|_| queue.push(&large, 1, 8, "large"));
+    queue.push(&small, 1, 8, "small");
+    assert_eq!(queue.pop(), Some("small"));
+    let mut order = Vec::new();
+    for _ in 0..200 {
+        queue.push(&small, 1, 8, "small");
+        order.extend(queue.pop());
+    }
+    let smalls = order.iter().filter(|name| **name == "small").count();
+    assert!((40..=160).contains(&smalls), "{smalls} of 200 were small");
+}
