Choose the less loaded of two drawn paths

Cause: drawing a single path leaves the bottleneck engines idle at times. Change: two paths are drawn in proportion to the flow; the one whose slowest stage has the shorter wait is taken.

--- a/crates/core/src/route/route_chooser.rs
+++ b/crates/core/src/route/route_chooser.rs
@@ -8,8 +8,8 @@
 use super::RoutePlan;
 use super::seeded_hash::mix_seed;
 
-/// The number of paths drawn before the plan is searched for one without excluded endpoints.
-const MAX_DRAWS: u64 = 4;
+/// The number of paths drawn, of which the one with the least loaded slowest stage is taken.
+const PATH_DRAWS: u64 = 2;
 
 /// The choice of a route: a path in proportion to the flow, and on it the less loaded of two
 /// endpoints for each stage.
@@ -30,12 +30,17 @@
     ///
     /// Returns `None` when no path is free of excluded endpoints.
     pub fn choose(&self, units: u64, seed: u64) -> Option<Vec<(EndpointName, LayerRange)>> {
-        for draw in 0..MAX_DRAWS {
+        let drawn = (0..PATH_DRAWS).filter_map(|draw| {
             let hash = mix_seed(seed.wrapping_add(draw));
-            let path = self.plan.draw(hash)?;
-            if let Some(route) = self.fill(path, units, hash) {
-                return Some(route);
-            }
+            self.fill(self.plan.draw(hash)?, units, hash)
+        });
+        let slowest_ms = |route: &Vec<(EndpointName, LayerRange)>| {
+            let waits = route.iter().map(|(endpoint, _)| self.rank(endpoint, units));
+            waits.fold(0.0, f64::max)
+        };
+        let best = drawn.min_by(|left, right| slowest_ms(left).total_cmp(&slowest_ms(right)));
+        if best.is_some() {
+            return best;
         }
         self.plan
             .paths()
