--- a/crates/core/src/admit/account_shares.rs
+++ b/crates/core/src/admit/account_shares.rs
@@ -39,6 +39,12 @@
         self.get(account)?.pace
     }
 
+    /// Returns the number of accounts with running or waiting items.
+    pub(super) fn active(&self) -> u32 {
+        let is_active = |share: &&AccountShare| share.running + share.waiting > 0;
+        self.shares.iter().filter(is_active).count() as u32
+    }
+
     /// Forgets `account` if it has no work and no tag ahead of the virtual time.
     pub(super) fn trim(&mut self, account: &AccountName, virtual_time: u64) {
         if let Ok(index) = self.index(account) {
--- a/crates/core/src/admit/admit_queue.rs
+++ b/crates/core/src/admit/admit_queue.rs
@@ -239,10 +239,12 @@
     fn next_index(&self) -> Option<usize> {
         let free = (self.config.concurrency as usize).checked_sub(self.running.len() + 1)?;
         let has_suspect = self.running.iter().any(|running| running.item.is_suspect);
+        // One more account, so that an only account leaves the reserve to the next one.
+        let fair_slots = (self.config.concurrency / (self.accounts.active() + 1)).max(1);
         let is_startable = |waiting: &WaitingItem| {
             let item = &waiting.item;
             let is_reserved = free < self.config.reserved_slots as usize;
-            let may_take = !is_reserved || self.accounts.running(&item.account) == 0;
+            let may_take = !is_reserved || self.accounts.running(&item.account) < fair_slots;
             // Two suspects on one endpoint could not be told apart after a crash.
             may_take && !(item.is_suspect && has_suspect)
         };
