--- /dev/null
+++ b/crates/daemon/tests/stream_support/cluster.rs
@@ -0,0 +1,322 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dandelionroad_core::config::AccountSpec;
+use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::config::ModelSpec;
+use dandelionroad_core::config::PoolMember;
+use dandelionroad_core::config::PoolSpec;
+use dandelionroad_core::ident::AccountName;
+use dandelionroad_core::ident::EndpointName;
+use dandelionroad_core::ident::ModelName;
+use dandelionroad_core::ident::PoolName;
+use dandelionroad_core::member::MemberTable;
+use dandelionroad_daemon::node::NodeClients;
+use dandelionroad_daemon::node::NodeHandle;
+use dandelionroad_platform::ClientFuture;
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::engine::EngineClient;
+use dandelionroad_platform::host::HostClient;
+use dandelionroad_platform::host::HostEntry;
+use dandelionroad_platform::object::ObjectClient;
+use dandelionroad_platform::table::CommitReply;
+use dandelionroad_platform::table::TableClient;
+use dandelionroad_platform::table::TableCommit;
+use dandelionroad_platform::table::TableRow;
+use dandelionroad_settings::EngineKind;
+use dandelionroad_settings::NodeRole;
+use dandelionroad_settings::NodeSettings;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+
+use super::EngineMode;
+use super::FakeEngine;
+use super::LAYERS;
+use super::LinkProxy;
+
+pub(crate) const SECRET: &str = "rope";
+
+/// One endpoint: its process, engine and the link that leads to it.
+pub(crate) struct TestStage {
+    pub(crate) name: String,
+    pub(crate) range: (u16, u16),
+    pub(crate) engine: Arc<FakeEngine>,
+    pub(crate) link: Arc<LinkProxy>,
+    pub(crate) node: NodeHandle,
+}
+
+impl TestStage {
+    /// Stops the process at once: nothing reaches it and nothing comes from it.
+    pub(crate) fn kill(&self) {
+        self.link.kill();
+        self.freeze_engine();
+        self.node.abort();
+    }
+
+    pub(crate) fn freeze(&self) {
+        self.link.set_frozen(true);
+        self.freeze_engine();
+    }
+
+    pub(crate) fn wake(&self) {
+        self.engine.mode.send_replace(EngineMode::Running);
+        self.link.set_frozen(false);
+    }
+
+    fn freeze_engine(&self) {
+        self.engine.mode.send_replace(EngineMode::Frozen);
+    }
+}
+
+/// An entry and its endpoints in one process.
+pub(crate) struct TestCluster {
+    pub(crate) entry: NodeHandle,
+    pub(crate) stages: Vec<TestStage>,
+}
+
+impl TestCluster {
+    /// Starts an endpoint for each range and an entry that knows them.
+    pub(crate) async fn start(
+        ranges: &[(u16, u16)],
+        step_time: Duration,
+        delay: Duration,
+        end_at: u32,
+    ) -> TestCluster {
+        let mut stages = Vec::new();
+        for (index, range) in ranges.iter().enumerate() {
+            let name = format!("stage-{index}");
+            let engine = FakeEngine::new(step_time, end_at);
+            let kind = if *range == (0, LAYERS) {
+                EngineKind::WholeModel
+            } else {
+                EngineKind::LayerRange
+            };
+            let settings = settings(&name, NodeRole::Endpoint, kind);
+            let clients = clients(Some(engine.clone()));
+            let node = NodeHandle::start(settings, clients).await.unwrap();
+            let link = LinkProxy::start(node.internal, delay).await;
+            stages.push(TestStage {
+                name,
+                range: *range,
+                engine,
+                link,
+                node,
+            });
+        }
+        let settings = settings("entry-0", NodeRole::Entry, EngineKind::LayerRange);
+        let entry = NodeHandle::start(settings, clients(None)).await.unwrap();
+        let cluster = TestCluster { entry, stages };
+        cluster.announce();
+        cluster
+    }
+
+    /// Gives the entry the configuration and the members behind their links.
+    fn announce(&self) {
+        let mut table = MemberTable::new();
+        table.merge(&self.entry.context.own.borrow());
+        for stage in &self.stages {
+            let mut record = stage.node.context.own.borrow().clone();
+            record.address = stage.link.address.to_string();
+            table.merge(&record);
+        }
+        let endpoints = self.stages.iter().map(|stage| PoolMember {
+            name: EndpointName::parse(&stage.name).unwrap(),
+            first_layer: stage.range.0,
+            end_layer: stage.range.1,
+            tokens_per_second: 100,
+        });
+        let mut config = ConfigState::new();
+        config.revision = 1;
+        config.models = vec![ModelSpec {
+            name: model_name(),
+            version: 1,
+            layers: LAYERS,
+            weights: "palm-1".to_owned(),
+        }];
+        config.pools = vec![PoolSpec {
+            name: PoolName::parse("pool").unwrap(),
+            model: model_name(),
+            version: 1,
+            min_ready: 1,
+            endpoints: endpoints.collect(),
+        }];
+        let digest = Sha256::digest(SECRET);
+        config.accounts = vec![AccountSpec {
+            name: AccountName::parse("cordeleria").unwrap(),
+            secret_sha256: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+            units_per_second: 1_000_000,
+            burst_units: 1_000_000,
+            weight: 1,
+            priority: 0,
+            services: Vec::new(),
+            models: vec![model_name()],
+        }];
+        let nodes = self.stages.iter().map(|stage| &stage.node);
+        for node in nodes.chain([&self.entry]) {
+            node.context.members.send_replace(Arc::new(table.clone()));
+            node.context.config.send_replace(Arc::new(config.clone()));
+        }
+    }
+
+    /// Sends a request over `/v1/completions`.
+    pub(crate) async fn complete(
+        &self,
+        prompt: &str,
+        max_tokens: u32,
+        stream: bool,
+    ) -> Response<Incoming> {
+        let body = json!({
+            "model": "palm", "prompt": prompt, "max_tokens": max_tokens, "stream": stream,
+        });
+        self.post("/v1/completions", body.to_string()).await
+    }
+
+    pub(crate) async fn post(&self, path: &str, body: String) -> Response<Incoming> {
+        let address = self.entry.public.unwrap();
+        let request = Request::post(format!("http://{address}{path}"))
+            .header("authorization", format!("Bearer {SECRET}"))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .unwrap();
+        // A client without a pool, so that dropping the response closes the connection.
+        let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .build_http();
+        client.request(request).await.unwrap()
+    }
+}
+
+/// Reads one server-sent event of an answer; `None` at the end of the body.
+pub(crate) struct EventReader {
+    body: Incoming,
+    text: String,
+}
+
+impl EventReader {
+    pub(crate) fn new(response: Response<Incoming>) -> EventReader {
+        assert_eq!(response.status(), 200);
+        EventReader {
+            body: response.into_body(),
+            text: String::new(),
+        }
+    }
+
+    pub(crate) async fn next(&mut self) -> Option<String> {
+        loop {
+            if let Some((event, rest)) = self.text.split_once("\n\n") {
+                let event = event.to_owned();
+                self.text = rest.to_owned();
+                return Some(event);
+            }
+            let frame = self.body.frame().await?.ok()?;
+            let data = frame.into_data().unwrap_or_default();
+            self.text.push_str(std::str::from_utf8(&data).unwrap());
+        }
+    }
+
+    /// Returns the text of the next token, or `None` after the last one.
+    pub(crate) async fn token(&mut self) -> Option<String> {
+        let event = self.next().await?;
+        let data = event.strip_prefix("data: ")?;
+        let chunk: serde_json::Value = serde_json::from_str(data).ok()?;
+        let choice = &chunk["choices"][0];
+        let text = choice["text"].as_str()?;
+        choice["finish_reason"].is_null().then(|| text.to_owned())
+    }
+}
+
+fn model_name() -> ModelName {
+    ModelName::parse("palm").unwrap()
+}
+
+fn settings(name: &str, role: NodeRole, kind: EngineKind) -> NodeSettings {
+    let any = "127.0.0.1:0".parse().unwrap();
+    NodeSettings {
+        role,
+        name: name.to_owned(),
+        host: format!("host-{name}"),
+        zone: "talca".to_owned(),
+        internal_listen: any,
+        public_listen: any,
+        admin_listen: any,
+        table_url: String::new(),
+        object_url: String::new(),
+        hosts_url: String::new(),
+        engine_url: String::new(),
+        engine_kind: kind,
+        seeds: Vec::new(),
+        admin_token: "admin".to_owned(),
+        queue_units: 1_000_000,
+        concurrency: 64,
+        step_deadline_ms: 500,
+        drain_notice_ms: 0,
+        request_deadline_ms: 20_000,
+        platform_deadline_ms: 1_000,
+    }
+}
+
+fn clients(engine: Option<Arc<FakeEngine>>) -> NodeClients {
+    NodeClients {
+        table: Arc::new(DownPlatform),
+        object: Arc::new(DownPlatform),
+        host: Arc::new(DownPlatform),
+        engine: engine.map(|engine| engine as Arc<dyn EngineClient>),
+        service: None,
+    }
+}
+
+/// A platform that can't be reached.
+struct DownPlatform;
+
+fn down<'a, T: Send + 'a>() -> ClientFuture<'a, T> {
+    Box::pin(async {
+        Err(PlatformError::Unreachable {
+            system: "platform",
+            detail: "down".to_owned(),
+        })
+    })
+}
+
+impl TableClient for DownPlatform {
+    fn commit<'a>(&'a self, _commit: &'a TableCommit) -> ClientFuture<'a, CommitReply> {
+        down()
+    }
+
+    fn read<'a>(&'a self, _key: &'a str) -> ClientFuture<'a, Option<TableRow>> {
+        down()
+    }
+
+    fn scan<'a>(
+        &'a self,
+        _prefix: &'a str,
+        _after: &'a str,
+        _limit: u32,
+    ) -> ClientFuture<'a, Vec<TableRow>> {
+        down()
+    }
+}
+
+impl ObjectClient for DownPlatform {
+    fn put<'a>(&'a self, _key: &'a str, _content: Bytes) -> ClientFuture<'a, ()> {
+        down()
+    }
+
+    fn get<'a>(&'a self, _key: &'a str) -> ClientFuture<'a, Option<Bytes>> {
+        down()
+    }
+}
+
+impl HostClient for DownPlatform {
+    fn list(&self) -> ClientFuture<'_, Vec<HostEntry>> {
+        down()
+    }
+}
--- /dev/null
+++ b/crates/daemon/tests/stream_support/link_proxy.rs
@@ -0,0 +1,130 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub(crate) struct LinkState {
+    /// The delay of each chunk, one way.
+    pub(crate) delay: Duration,
+    /// Connections with a lower number than this one are silent for good.
+    pub(crate) silent_below: u64,
+    /// Whether no connection forwards anything.
+    pub(crate) is_frozen: bool,
+    /// Whether connections are closed and refused.
+    pub(crate) is_killed: bool,
+}
+
+/// A link to a listener, with faults.
+pub(crate) struct LinkProxy {
+    pub(crate) address: SocketAddr,
+    state: watch::Sender<LinkState>,
+    opened: watch::Sender<u64>,
+}
+
+impl LinkProxy {
+    pub(crate) async fn start(target: SocketAddr, delay: Duration) -> Arc<LinkProxy> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let proxy = Arc::new(LinkProxy {
+            address: listener.local_addr().unwrap(),
+            state: watch::Sender::new(LinkState {
+                delay,
+                silent_below: 0,
+                is_frozen: false,
+                is_killed: false,
+            }),
+            opened: watch::Sender::new(0),
+        });
+        tokio::spawn(accept(listener, target, proxy.clone()));
+        proxy
+    }
+
+    pub(crate) fn set_delay(&self, delay: Duration) {
+        self.state.send_modify(|state| state.delay = delay);
+    }
+
+    pub(crate) fn set_frozen(&self, is_frozen: bool) {
+        self.state.send_modify(|state| state.is_frozen = is_frozen);
+    }
+
+    /// Closes every connection and refuses new ones.
+    pub(crate) fn kill(&self) {
+        self.state.send_modify(|state| state.is_killed = true);
+    }
+
+    /// Makes the open connections silent for good; new ones work.
+    pub(crate) fn silence_open(&self) {
+        let opened = *self.opened.borrow();
+        self.state.send_modify(|state| state.silent_below = opened);
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, proxy: Arc<LinkProxy>) {
+    let mut state = proxy.state.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // Dropping the listener refuses later connections.
+            _ = state.wait_for(|state| state.is_killed) => return,
+        };
+        let Ok((near, _)) = accepted else {
+            return;
+        };
+        let number = *proxy.opened.borrow();
+        proxy.opened.send_modify(|count| *count += 1);
+        let proxy = proxy.clone();
+        tokio::spawn(async move {
+            let Ok(far) = TcpStream::connect(target).await else {
+                return;
+            };
+            near.set_nodelay(true).unwrap();
+            far.set_nodelay(true).unwrap();
+            let (near_in, near_out) = near.into_split();
+            let (far_in, far_out) = far.into_split();
+            let mut killed = proxy.state.subscribe();
+            tokio::select! {
+                () = forward(near_in, far_out, proxy.state.subscribe(), number) => {}
+                () = forward(far_in, near_out, proxy.state.subscribe(), number) => {}
+                _ = killed.wait_for(|state| state.is_killed) => {}
+            }
+        });
+    }
+}
+
+async fn forward(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut state: watch::Receiver<LinkState>,
+    number: u64,
+) {
+    let (sender, mut chunks) = mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
+    let delays = state.clone();
+    let reading = async move {
+        let mut buffer = vec![0; 64 * 1024];
+        while let Ok(size) = from.read(&mut buffer).await {
+            let due = Instant::now() + delays.borrow().delay;
+            if size == 0 || sender.send((due, buffer[..size].to_vec())).is_err() {
+                return;
+            }
+        }
+    };
+    let writing = async move {
+        while let Some((due, chunk)) = chunks.recv().await {
+            tokio::time::sleep_until(due).await;
+            let passes = |state: &LinkState| !state.is_frozen && number >= state.silent_below;
+            if state.wait_for(passes).await.is_err() || to.write_all(&chunk).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::join!(reading, writing);
+}
--- /dev/null
+++ b/crates/daemon/tests/stream_support/mod.rs
@@ -0,0 +1,18 @@
+//! Whole nodes in one process, with fake engines and links that fail on demand.
+
+#![allow(
+    dead_code,
+    reason = "each program that includes this module uses a part of it"
+)]
+
+mod cluster;
+mod fake_engine;
+mod link_proxy;
+
+pub(crate) use self::cluster::EventReader;
+pub(crate) use self::cluster::TestCluster;
+pub(crate) use self::fake_engine::EngineMode;
+pub(crate) use self::fake_engine::FakeEngine;
+pub(crate) use self::fake_engine::LAYERS;
+pub(crate) use self::fake_engine::expected_tokens;
+pub(crate) use self::link_proxy::LinkProxy;
