Check the next stage after idle time and test the machines over random faults

The property test runs one request over stages that die, freeze, wake and come back, with lost, repeated, late and crossed messages. It found three faults of the first version: - A stage that was restarted at once forgot the request and nobody noticed; the stages now ask the next one for the position that it needs when there is no progress (this replaces the head's probes). - A restarted stage that got inputs without the order asked for a replay for ever; replays now carry the order. - An endpoint that was gone before it took the request counted as a crash of the request.

--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -3,6 +3,7 @@
 the decisions of a stage and of the entry that follows the request.
 */
 
+mod cache_export;
 mod chain_route;
 mod fault_kind;
 mod layer_range;
@@ -11,6 +12,7 @@
 mod stage_limits;
 mod stage_machine;
 mod stage_output;
+mod stage_outputs;
 mod stage_session;
 mod stage_steps;
 mod step_input;
@@ -25,6 +27,7 @@
 mod stream_machine;
 mod stream_order;
 
+pub use self::cache_export::CacheExport;
 pub use self::chain_route::ChainRoute;
 pub use self::fault_kind::FaultKind;
 pub use self::layer_range::LayerRange;
--- a/crates/core/src/stream/stage_action.rs
+++ b/crates/core/src/stream/stage_action.rs
@@ -66,13 +66,6 @@
         /// How it failed.
         kind: FaultKind,
     },
-    /// Ask the other stages whether they are alive and report those that don't answer (head only).
-    ProbeStages {
-        /// The attempt.
-        attempt: u32,
-        /// The positions of the stages in the route and their internal addresses.
-        stages: Vec<(usize, String)>,
-    },
     /// Free a session of the engine.
     CancelSession {
         /// The session.
--- a/crates/core/src/stream/stage_machine.rs
+++ b/crates/core/src/stream/stage_machine.rs
@@ -2,6 +2,7 @@
 use crate::outcome::RefusalReason;
 use crate::time::MilliTime;
 
+use super::CacheExport;
 use super::FaultKind;
 use super::StageAction;
 use super::StageLimits;
@@ -13,9 +14,6 @@
 use super::StreamOrder;
 use super::stage_session::StageSession;
 
-/// The part of the step deadline after which the head asks the stages whether they are alive.
-const PROBE_FRACTION: u64 = 5;
-
 /// One request at one stage of a chain.
 ///
 /// The stage runs the next expected position of the newest attempt only, saves its outputs and
@@ -45,9 +43,13 @@
     /// The time to try again after a failed push or return.
     pub(super) retry_at: Option<MilliTime>,
     pub(super) is_route_sent: bool,
+    /// The newest next stage that has taken the request.
+    pub(super) taken_by: Option<EndpointName>,
     pub(super) is_finished: bool,
+    /// Whether the cache was computed again in this attempt.
+    pub(super) has_recomputed: bool,
     pub(super) progress_at: MilliTime,
-    pub(super) probe_at: MilliTime,
+    pub(super) check_at: MilliTime,
 }
 
 impl StageMachine {
@@ -78,9 +80,11 @@
             in_flight: None,
             retry_at: None,
             is_route_sent: false,
+            taken_by: None,
             is_finished: false,
+            has_recomputed: false,
             progress_at: now,
-            probe_at: now,
+            check_at: now,
             order,
         };
         let mut actions = Vec::new();
@@ -98,6 +102,11 @@
         &self.order
     }
 
+    /// Returns the engine session of the stage.
+    pub fn session(&self) -> &str {
+        &self.session.name
+    }
+
     /// Returns whether this stage is the head.
     pub fn is_head(&self) -> bool {
         self.stage == 0
@@ -150,10 +159,17 @@
         let Some(after) = self.in_flight.take() else {
             return actions;
         };
+        if matches!(reply, StepReply::Accepted | StepReply::Gap { .. }) {
+            self.taken_by = self.next_endpoint().cloned();
+        }
         match reply {
-            StepReply::Accepted => self.cursor = after,
+            StepReply::Accepted => {
+                self.cursor = after;
+                self.progress_at = now;
+            }
             StepReply::Gap { expected } => {
-                self.is_route_sent = self.is_route_sent && after == self.cursor;
+                // Replays carry the order, for the next stage may have been restarted.
+                self.is_route_sent &= after == self.cursor && expected >= self.cursor;
                 self.cursor = expected;
             }
             StepReply::Stale { .. } => {
@@ -179,6 +195,12 @@
     ) -> Vec<StageAction> {
         let mut actions = Vec::new();
         if attempt == self.order.attempt && self.in_flight.take().is_some() {
+            // A stage that was gone before it took anything has not run the request.
+            let has_run = self.taken_by.as_ref() == self.next_endpoint();
+            let kind = match kind {
+                FaultKind::Unreachable if !has_run => FaultKind::Refused,
+                kind => kind,
+            };
             self.report(self.stage + 1, kind, &mut actions);
             self.retry_at = Some(now.plus(self.limits.step_deadline_ms));
         }
@@ -249,12 +271,28 @@
     }
 
     /// Takes the failure of the engine.
-    pub fn engine_failed(&mut self, session: &str, kind: FaultKind) -> Vec<StageAction> {
+    ///
+    /// An engine that refuses a step, for it was restarted or has evicted the cache, computes the
+    /// positions again in a new session, once in each attempt.
+    pub fn engine_failed(
+        &mut self,
+        session: &str,
+        kind: FaultKind,
+        now: MilliTime,
+    ) -> Vec<StageAction> {
         let mut actions = Vec::new();
         let is_busy = self.session.running.is_some() || self.session.is_generating;
-        if session == self.session.name && is_busy && !self.is_finished {
-            self.session.running = None;
-            self.session.is_generating = false;
+        if session != self.session.name || !is_busy || self.is_finished {
+            return actions;
+        }
+        let has_cache = self.session.computed > 0 && !self.limits.is_whole_model;
+        self.session.running = None;
+        self.session.is_generating = false;
+        if kind == FaultKind::Refused && has_cache && !self.has_recomputed {
+            self.has_recomputed = true;
+            self.restart_session(self.order.attempt, &mut actions);
+            self.run_next(now, &mut actions);
+        } else {
             self.report(self.stage, kind, &mut actions);
         }
         actions
@@ -301,6 +339,33 @@
         actions
     }
 
+    /// Takes a cache that the engine has imported into the present session, and returns whether it
+    /// was used.
+    ///
+    /// A cache only raises the expected position. One of other layers, another version, other
+    /// tokens, or of positions that the preceding stage need not have, is ignored.
+    pub fn take_cache(&mut self, export: CacheExport) -> bool {
+        let entry = self.order.route.stages.get(self.stage);
+        let count = export.inputs.len();
+        let is_fresh = self.inputs.is_empty()
+            && self.outputs.is_empty()
+            && self.session.computed == 0
+            && self.session.running.is_none();
+        let is_same = entry.is_some_and(|entry| entry.range == export.range)
+            && self.order.model == export.model
+            && self.order.version == export.version;
+        let is_known = count == export.outputs.len()
+            && count == export.tokens.len() + 1
+            && self.order.sent.starts_with(&export.tokens);
+        if self.is_head() || !is_fresh || !is_same || !is_known {
+            return false;
+        }
+        self.session.computed = count as u32;
+        self.inputs = export.inputs;
+        self.outputs = export.outputs;
+        true
+    }
+
     /// Frees the cache of a request that nobody asks for any more; other stages may still run it.
     pub fn abandon(&mut self) -> Vec<StageAction> {
         let mut actions = Vec::new();
@@ -321,16 +386,7 @@
             self.session.running = Some((position, now));
             self.report(self.stage, FaultKind::Silent, &mut actions);
         }
-        let probe_ms = self.limits.step_deadline_ms / PROBE_FRACTION;
-        let is_due = now.since(self.progress_at) >= probe_ms
-            && now.since(self.probe_at) >= self.limits.step_deadline_ms;
-        if self.is_head() && !self.is_finished && self.order.route.stages.len() > 1 && is_due {
-            self.probe_at = now;
-            actions.push(StageAction::ProbeStages {
-                attempt: self.order.attempt,
-                stages: self.others(),
-            });
-        }
+        self.check_next(now, &mut actions);
         actions
     }
 }
--- a/crates/core/src/stream/stage_steps.rs
+++ b/crates/core/src/stream/stage_steps.rs
@@ -1,5 +1,6 @@
 //! What the events of a [`StageMachine`] have in common.
 
+use crate::ident::EndpointName;
 use crate::time::MilliTime;
 
 use super::FaultKind;
@@ -7,16 +8,12 @@
 use super::StageMachine;
 use super::StageOutput;
 use super::StepInput;
-use super::StepMessage;
 use super::StepPayload;
 use super::StepReply;
 use super::StopReason;
 use super::StreamEvent;
 use super::StreamOrder;
 
-/// The greatest size of the payloads of one push in bytes, half of the greatest message.
-const MAX_PUSH_BYTES: usize = 4 * 1024 * 1024;
-
 /// The assumed length of a prompt token in bytes, for deadlines only.
 const PROMPT_TOKEN_BYTES: usize = 4;
 
@@ -57,9 +54,14 @@
             && !(is_ahead && has_missed)
     }
 
-    fn start_over(&mut self, order: &StreamOrder, actions: &mut Vec<StageAction>) {
-        let session = self.session.restart(order.request.as_str(), order.attempt);
+    pub(super) fn restart_session(&mut self, attempt: u32, actions: &mut Vec<StageAction>) {
+        let request = self.order.request.as_str();
+        let session = self.session.restart(request, attempt);
         actions.push(StageAction::CancelSession { session });
+    }
+
+    fn start_over(&mut self, order: &StreamOrder, actions: &mut Vec<StageAction>) {
+        self.restart_session(order.attempt, actions);
         self.tokens.clear();
         self.inputs.clear();
         self.outputs.clear();
@@ -71,8 +73,10 @@
         self.in_flight = None;
         self.retry_at = None;
         self.is_route_sent = false;
+        self.has_recomputed = false;
         self.progress_at = now;
-        self.probe_at = now;
+        // The first check is due as soon as there is no progress.
+        self.check_at = MilliTime::from_millis(0);
         let sent = self.order.sent.len();
         // The last stage returns what the head lacks; the others show their last output, to which
         // the next stage replies with the position that it needs.
@@ -255,82 +259,6 @@
         self.cancel_others(actions);
     }
 
-    /// Hands the next outputs on, one message at a time.
-    pub(super) fn hand_on(&mut self, actions: &mut Vec<StageAction>) {
-        if self.in_flight.is_some() || self.retry_at.is_some() || self.is_finished {
-            return;
-        }
-        if !self.is_last() {
-            self.push_outputs(actions);
-        } else if !self.is_head() {
-            self.return_token(actions);
-        }
-    }
-
-    fn push_outputs(&mut self, actions: &mut Vec<StageAction>) {
-        let first = self.cursor as usize;
-        let must_announce = self.order.attempt > 0 && !self.is_route_sent;
-        if first >= self.outputs.len() && !must_announce {
-            return;
-        }
-        let mut inputs = Vec::new();
-        let mut size = 0;
-        for (position, payload) in self.outputs.iter().enumerate().skip(first) {
-            let (StepPayload::Text(text) | StepPayload::Activation(text)) = payload;
-            size += text.len();
-            if size > MAX_PUSH_BYTES && !inputs.is_empty() {
-                break;
-            }
-            let before = position.checked_sub(1);
-            let token = before.and_then(|index| self.tokens.get(index));
-            inputs.push(StepInput {
-                position: position as u32,
-                token: token.cloned().unwrap_or_default(),
-                payload: payload.clone(),
-            });
-        }
-        let next = self.stage + 1;
-        let order = (!self.is_route_sent).then(|| self.forwarded_order());
-        self.is_route_sent = true;
-        self.in_flight = Some(self.cursor + inputs.len() as u32);
-        actions.push(StageAction::Push {
-            address: self.order.route.stages[next].address.clone(),
-            message: StepMessage {
-                request: self.order.request.clone(),
-                attempt: self.order.attempt,
-                stage: next,
-                order,
-                inputs,
-            },
-        });
-    }
-
-    /// Returns the order for the next stage; the head's holds every token that it knows.
-    fn forwarded_order(&self) -> StreamOrder {
-        let mut order = self.order.clone();
-        if self.is_head() {
-            order.sent = self.tokens.clone();
-        }
-        order
-    }
-
-    fn return_token(&mut self, actions: &mut Vec<StageAction>) {
-        let position = self.cursor;
-        let Some(StepPayload::Text(text)) = self.outputs.get(position as usize) else {
-            return;
-        };
-        self.in_flight = Some(position + 1);
-        let end = self.end.filter(|(length, _)| *length == position + 1);
-        actions.push(StageAction::ReturnToken {
-            address: self.order.route.stages[0].address.clone(),
-            request: self.order.request.clone(),
-            attempt: self.order.attempt,
-            position,
-            text: text.clone(),
-            end: end.map(|(_, reason)| reason),
-        });
-    }
-
     pub(super) fn report(&self, stage: usize, kind: FaultKind, actions: &mut Vec<StageAction>) {
         let attempt = self.order.attempt;
         actions.push(if self.is_head() {
@@ -382,7 +310,12 @@
         self.limits.step_deadline_ms + prompt as u64
     }
 
-    fn is_last(&self) -> bool {
+    pub(super) fn next_endpoint(&self) -> Option<&EndpointName> {
+        let next = self.order.route.stages.get(self.stage + 1)?;
+        Some(&next.endpoint)
+    }
+
+    pub(super) fn is_last(&self) -> bool {
         self.stage == self.order.route.last_stage()
     }
 }
--- a/crates/core/src/stream/stream_machine.rs
+++ b/crates/core/src/stream/stream_machine.rs
@@ -47,6 +47,8 @@
     heard_at: MilliTime,
     /// Whether the stream was opened again without any event of the head since.
     is_second_try: bool,
+    /// Whether the head of the present route has sent any event.
+    is_head_heard: bool,
     /// Whether an earlier attempt may have run.
     has_run: bool,
     engine_crashes: u32,
@@ -73,6 +75,7 @@
             end: None,
             heard_at: now,
             is_second_try: false,
+            is_head_heard: false,
             has_run: false,
             engine_crashes: 0,
             lost_processes: 0,
@@ -110,6 +113,8 @@
             self.wait_for_route(now, &mut actions);
             return actions;
         };
+        let head = |route: &ChainRoute| route.stages.first().map(|head| head.endpoint.clone());
+        self.is_head_heard &= head(&self.order.route) == head(&route);
         self.order.route = route;
         self.is_second_try = false;
         self.open(false, now, &mut actions);
@@ -124,6 +129,7 @@
         }
         self.heard_at = now;
         self.is_second_try = false;
+        self.is_head_heard = true;
         match event {
             StreamEvent::Token { position, text, .. } => {
                 self.take_token(position, text, &mut actions);
@@ -293,7 +299,8 @@
         }
         match kind {
             FaultKind::EngineCrash => self.engine_crashes += 1,
-            FaultKind::Unreachable if self.has_run => self.lost_processes += 1,
+            // A head that was gone before it took anything has not run the request.
+            FaultKind::Unreachable if stage > 0 || self.is_head_heard => self.lost_processes += 1,
             _ => {
                 self.choose(Some(stage), now, actions);
                 return;
--- /dev/null
+++ b/crates/core/tests/stream_world/sim_engine.rs
@@ -0,0 +1,76 @@
+use std::collections::BTreeMap;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::stream::StageOutput;
+use dandelionroad_core::stream::StepPayload;
+use dandelionroad_core::stream::StopReason;
+
+pub(crate) const LAYERS: u16 = 12;
+
+/// The cache of one session: each layer holds the hash of all that it has run.
+#[derive(Clone, Default)]
+pub(crate) struct SimSession {
+    layers: BTreeMap<u16, u64>,
+    pub(crate) inputs: Vec<StepPayload>,
+    pub(crate) outputs: Vec<StepPayload>,
+}
+
+impl SimSession {
+    pub(crate) fn run(&mut self, range: LayerRange, payload: &StepPayload) -> String {
+        let (StepPayload::Text(input) | StepPayload::Activation(input)) = payload;
+        let mut value = input.clone();
+        for layer in range.first..range.end {
+            let state = self.layers.entry(layer).or_default();
+            let mut hasher = DefaultHasher::new();
+            (layer, *state, &value).hash(&mut hasher);
+            *state = hasher.finish();
+            value = format!("{:016x}", *state);
+        }
+        self.inputs.push(payload.clone());
+        value
+    }
+
+    /// Runs one step; the token of the last layer carries a salt, as if it was sampled at random.
+    pub(crate) fn step(
+        &mut self,
+        range: LayerRange,
+        payload: &StepPayload,
+        salt: u64,
+        end_at: u32,
+    ) -> StageOutput {
+        let position = self.inputs.len() as u32;
+        let value = self.run(range, payload);
+        let is_last = range.end == LAYERS;
+        let payload = if is_last {
+            StepPayload::Text(format!("{value}/{salt}"))
+        } else {
+            StepPayload::Activation(value)
+        };
+        self.outputs.push(payload.clone());
+        StageOutput {
+            payload,
+            end: (is_last && position + 1 == end_at).then_some(StopReason::Stop),
+        }
+    }
+}
+
+/// Checks that each token comes from one run of every layer over the tokens before it.
+pub(crate) fn check_answer(prompt: &str, tokens: &[String]) {
+    let mut whole = SimSession::default();
+    for (position, token) in tokens.iter().enumerate() {
+        let input = position
+            .checked_sub(1)
+            .map_or(prompt, |before| &tokens[before]);
+        let input = StepPayload::Text(input.to_owned());
+        let value = whole.run(LayerRange::new(0, LAYERS), &input);
+        let sampled = token.split('/').next();
+        assert_eq!(
+            sampled,
+            Some(value.as_str()),
+            "token {position} of {tokens:?}"
+        );
+    }
+}
--- a/crates/daemon/src/endpoint/stream/engine_runner.rs
+++ b/crates/daemon/src/endpoint/stream/engine_runner.rs
@@ -17,8 +17,8 @@
 /// Runs one step.
 pub(super) async fn run_step(host: Arc<StreamHost>, slot: Arc<StreamSlot>, step: EngineStep) {
     let Some(engine) = host.context.clients.engine.clone() else {
-        host.drive(&slot, |machine, _| {
-            machine.engine_failed(&step.session, FaultKind::Refused)
+        host.drive(&slot, |machine, now| {
+            machine.engine_failed(&step.session, FaultKind::Refused, now)
         });
         return;
     };
@@ -35,8 +35,8 @@
         Err(error) => {
             spdlog::warn!("endpoint: a step failed: {error}");
             let kind = fault_of(&error);
-            host.drive(&slot, |machine, _| {
-                machine.engine_failed(&step.session, kind)
+            host.drive(&slot, |machine, now| {
+                machine.engine_failed(&step.session, kind, now)
             });
         }
     }
@@ -51,7 +51,9 @@
 ) {
     let result = generate(&host, &slot, &session, order).await;
     if let Err(kind) = result {
-        host.drive(&slot, |machine, _| machine.engine_failed(&session, kind));
+        host.drive(&slot, |machine, now| {
+            machine.engine_failed(&session, kind, now)
+        });
     }
 }
 
--- a/crates/daemon/src/endpoint/stream/stage_tasks.rs
+++ b/crates/daemon/src/endpoint/stream/stage_tasks.rs
@@ -8,7 +8,6 @@
 use dandelionroad_core::stream::StageAction;
 use dandelionroad_core::stream::StepMessage;
 use dandelionroad_messages::TokenMessage;
-use dandelionroad_messages::control_api::ControlApiClient;
 use dandelionroad_messages::stream_api::StreamApiClient;
 use dandelionroad_platform::engine::EngineStep;
 use futures_util::future::join_all;
@@ -71,7 +70,6 @@
             let request = slot.lock().machine.order().request.clone();
             report_fault(&host, &address, request, attempt, stage, kind).await;
         }
-        StageAction::ProbeStages { attempt, stages } => probe(host, slot, attempt, stages).await,
         StageAction::CancelSession { session } => {
             if let Some(engine) = &host.context.clients.engine {
                 // An engine that is gone holds no session.
@@ -149,34 +147,6 @@
     .await;
 }
 
-/// Asks the stages whether they are alive and reports the first that is not.
-async fn probe(
-    host: Arc<StreamHost>,
-    slot: Arc<StreamSlot>,
-    attempt: u32,
-    stages: Vec<(usize, String)>,
-) {
-    // The head waits for a fifth of the deadline before it asks, and each stage has two tries.
-    let timeout = half_deadline(&host) * 4 / 5;
-    let own = &host.context.settings.name;
-    let probes = stages.iter().map(async |(stage, address)| {
-        let result = call_peer(&host.context.peers, address, timeout, |client| {
-            let own = own.clone();
-            async move { client.probe(own).await }
-        });
-        (*stage, result.await.err())
-    });
-    let faults = join_all(probes).await;
-    let fault = faults
-        .into_iter()
-        .find_map(|(stage, fault)| Some((stage, fault?)));
-    if let Some((stage, kind)) = fault {
-        host.drive(&slot, |machine, _| {
-            machine.fault_reported(attempt, stage, kind)
-        });
-    }
-}
-
 fn half_deadline(host: &StreamHost) -> Duration {
     Duration::from_millis(host.context.settings.step_deadline_ms / 2)
 }
