--- a/crates/daemon/src/entry/caller_error.rs
+++ b/crates/daemon/src/entry/caller_error.rs
@@ -80,6 +80,7 @@
 impl IntoResponse for CallerError {
     fn into_response(self) -> Response {
         let mut response = (self.status(), Json(self.body())).into_response();
+        response.extensions_mut().insert(self.reason);
         let headers = response.headers_mut();
         headers.insert(
             OUTCOME_HEADER,
--- /dev/null
+++ b/crates/daemon/src/entry/follow_request.rs
@@ -0,0 +1,73 @@
+use std::sync::Arc;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use axum::body::Body;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::HeaderValue;
+use axum::http::header::CONNECTION;
+use axum::http::header::CONTENT_TYPE;
+use axum::middleware::Next;
+use axum::response::Response;
+use dandelionroad_core::ident::RequestIdent;
+use dandelionroad_core::member::MemberState;
+use dandelionroad_core::outcome::RefusalReason;
+
+use crate::node::NodeContext;
+
+use super::caller_error::OUTCOME_HEADER;
+use super::caller_error::REQUEST_ID_HEADER;
+use super::followed_body::FollowedBody;
+use super::request_record::RequestRecord;
+
+/// Counts a caller's request as running until its answer was sent, and records how it ended.
+pub(super) async fn follow_request(
+    State(context): State<Arc<NodeContext>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let running = context.requests.start();
+    let arrival = (SystemTime::now(), Instant::now());
+    let kind = match request.uri().path().starts_with("/services/") {
+        true => "service",
+        false => "model",
+    };
+    let mut response = next.run(request).await;
+    if context.own.borrow().state != MemberState::Live {
+        // A caller that reuses the connection could send a request while the listener closes.
+        let headers = response.headers_mut();
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    let record = RequestRecord {
+        node: context.settings.name.clone(),
+        kind,
+        request: request_ident(&response),
+        arrival: arrival.0,
+        start: arrival.1,
+        outcome: outcome_text(&response),
+        reason: response.extensions().get::<RefusalReason>().copied(),
+    };
+    let is_stream = header_text(&response, CONTENT_TYPE.as_str()) == Some("text/event-stream");
+    let (parts, body) = response.into_parts();
+    let body = FollowedBody::new(body, record, running, is_stream);
+    Response::from_parts(parts, Body::new(body))
+}
+
+fn request_ident(response: &Response) -> Option<RequestIdent> {
+    let text = header_text(response, REQUEST_ID_HEADER)?;
+    RequestIdent::parse(text).ok()
+}
+
+fn outcome_text(response: &Response) -> &'static str {
+    match header_text(response, OUTCOME_HEADER) {
+        None => "answered",
+        Some("not-run") => "not-run",
+        Some("failed") => "failed",
+        Some(_) => "unknown",
+    }
+}
+
+fn header_text<'a>(response: &'a Response, name: &str) -> Option<&'a str> {
+    response.headers().get(name)?.to_str().ok()
+}
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -5,27 +5,50 @@
 mod admin;
 mod caller_auth;
 mod caller_error;
+mod entry_servers;
+mod follow_request;
+mod followed_body;
 mod model;
+mod request_record;
 mod service;
 
 use std::sync::Arc;
 
 use axum::Router;
+use axum::extract::State;
+use axum::http::StatusCode;
 use axum::routing::get;
+use dandelionroad_core::member::MemberState;
 use tokio::net::TcpListener;
 
 use crate::node::NodeContext;
 
-/// Serves both listeners until the process stops.
-pub fn start(context: &Arc<NodeContext>, public: TcpListener, admin: TcpListener) {
+pub use self::entry_servers::EntryServers;
+
+/// Serves both listeners until they are closed.
+pub fn start(context: &Arc<NodeContext>, public: TcpListener, admin: TcpListener) -> EntryServers {
+    let follow =
+        axum::middleware::from_fn_with_state(context.clone(), follow_request::follow_request);
     let callers = Router::new()
-        .route("/healthz", get(async || "ok\n"))
         .merge(model::routes(context))
-        .merge(service::routes(context));
-    spawn_server(public, callers);
-    spawn_server(admin, admin::routes(context));
+        .merge(service::routes(context))
+        .layer(follow)
+        .route("/healthz", get(async || "ok\n"))
+        .merge(
+            Router::new()
+                .route("/readyz", get(readiness))
+                .with_state(context.clone()),
+        );
+    EntryServers::start((public, callers), (admin, admin::routes(context)))
 }
 
-fn spawn_server(listener: TcpListener, router: Router) {
-    tokio::spawn(async move { axum::serve(listener, router).await });
+/// Answers 200 while this entry may be given new requests by the balancer.
+async fn readiness(State(context): State<Arc<NodeContext>>) -> (StatusCode, &'static str) {
+    if context.own.borrow().state != MemberState::Live {
+        return (StatusCode::SERVICE_UNAVAILABLE, "leaving\n");
+    }
+    if context.config.borrow().revision == 0 {
+        return (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet\n");
+    }
+    (StatusCode::OK, "ready\n")
 }
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -7,6 +7,8 @@
 mod node_context;
 mod node_handle;
 mod peer_pool;
+mod request_counter;
+mod running_request;
 mod start_error;
 
 pub use self::node_clients::NodeClients;
@@ -14,4 +16,6 @@
 pub use self::node_context::NodeContext;
 pub use self::node_handle::NodeHandle;
 pub use self::peer_pool::PeerPool;
+pub use self::request_counter::RequestCounter;
+pub use self::running_request::RunningRequest;
 pub use self::start_error::StartError;
--- a/crates/daemon/src/node/node_context.rs
+++ b/crates/daemon/src/node/node_context.rs
@@ -2,6 +2,7 @@
 
 use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::member::MemberRecord;
+use dandelionroad_core::member::MemberState;
 use dandelionroad_core::member::MemberTable;
 use dandelionroad_settings::NodeSettings;
 use tokio::sync::watch;
@@ -9,6 +10,7 @@
 use super::NodeClients;
 use super::NodeClock;
 use super::PeerPool;
+use super::RequestCounter;
 
 /// What the parts of one process share.
 ///
@@ -23,6 +25,8 @@
     pub clients: NodeClients,
     /// The connections to other processes.
     pub peers: PeerPool,
+    /// The requests that run here; a process that stops waits for the last one.
+    pub requests: RequestCounter,
     /// The own member record; its address is the bound internal address.
     pub own: watch::Sender<MemberRecord>,
     /// The configuration in force here.
@@ -30,3 +34,16 @@
     /// The members known here.
     pub members: watch::Sender<Arc<MemberTable>>,
 }
+
+impl NodeContext {
+    /// Moves the own member record to a later state; an earlier state changes nothing.
+    pub fn advance_state(&self, state: MemberState) {
+        self.own.send_if_modified(|own| {
+            let is_later = own.state < state;
+            if is_later {
+                own.state = state;
+            }
+            is_later
+        });
+    }
+}
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::ident::HostName;
@@ -22,11 +23,13 @@
 use crate::control;
 use crate::endpoint;
 use crate::entry;
+use crate::entry::EntryServers;
 
 use super::NodeClients;
 use super::NodeClock;
 use super::NodeContext;
 use super::PeerPool;
+use super::RequestCounter;
 use super::StartError;
 use super::start_error::BindSnafu;
 use super::start_error::NameSnafu;
@@ -34,6 +37,9 @@
 /// The greatest number of connections to the internal listener.
 const MAX_INTERNAL_CONNECTIONS: u32 = 10_000;
 
+/// The least time between the start of an endpoint's shutdown and its exit, in milliseconds.
+const LEAVE_NOTICE_MS: u64 = 500;
+
 /// A running process' worth of tasks.
 pub struct NodeHandle {
     /// What the parts share.
@@ -45,6 +51,7 @@
     /// The bound address of the administration listener (role entry).
     pub admin: Option<SocketAddr>,
     server: ServerHandle,
+    entry: Option<EntryServers>,
 }
 
 impl NodeHandle {
@@ -61,34 +68,63 @@
         let internal = listener.local_addr().context(BindSnafu {
             address: "internal",
         })?;
+        let callers = match settings.role {
+            NodeRole::Entry => Some((
+                bind(settings.public_listen).await?,
+                bind(settings.admin_listen).await?,
+            )),
+            NodeRole::Endpoint => None,
+        };
         let context = Arc::new(new_context(settings, clients, internal)?);
         let methods = new_methods(&context)?;
         let server = serve_internal(listener, methods)?;
         control::start(&context);
-        let (public, admin) = match context.settings.role {
-            NodeRole::Entry => {
-                let public = bind(context.settings.public_listen).await?;
-                let admin = bind(context.settings.admin_listen).await?;
-                let addresses = (public.local_addr().ok(), admin.local_addr().ok());
-                entry::start(&context, public, admin);
-                addresses
-            }
-            NodeRole::Endpoint => {
-                endpoint::start(&context);
-                (None, None)
-            }
-        };
-        Ok(NodeHandle {
+        let mut handle = NodeHandle {
             context,
             internal,
-            public,
-            admin,
+            public: None,
+            admin: None,
             server,
-        })
+            entry: None,
+        };
+        match callers {
+            Some((public, admin)) => {
+                handle.public = public.local_addr().ok();
+                handle.admin = admin.local_addr().ok();
+                handle.entry = Some(entry::start(&handle.context, public, admin));
+            }
+            None => endpoint::start(&handle.context),
+        }
+        Ok(handle)
+    }
+
+    /// Leaves without cutting off any request, and returns when the process may exit.
+    ///
+    /// An entry fails its readiness check, goes on serving for `drain_notice_ms` and then until the
+    /// last request has ended. An endpoint refuses new work, finishes what it has, and answers
+    /// refusals for at least 500 ms so that the entries learn of it.
+    pub async fn shutdown(&self) {
+        self.context.advance_state(MemberState::Leaving);
+        let settings = &self.context.settings;
+        let notice_ms = match settings.role {
+            NodeRole::Entry => settings.drain_notice_ms,
+            NodeRole::Endpoint => LEAVE_NOTICE_MS,
+        };
+        tokio::time::sleep(Duration::from_millis(notice_ms)).await;
+        if let Some(entry) = &self.entry {
+            entry.close().await;
+        }
+        self.context.requests.wait_idle().await;
+        self.context.advance_state(MemberState::Gone);
+        self.abort();
+        self.server.clone().stopped().await;
     }
 
-    /// Closes the internal listener and its connections at once.
+    /// Closes the listeners and their connections at once.
     pub fn abort(&self) {
+        if let Some(entry) = &self.entry {
+            entry.abort();
+        }
         // The server may have stopped already, which is what is asked for.
         let _ = self.server.stop();
     }
@@ -127,6 +163,7 @@
         clock,
         clients,
         peers: PeerPool::new(),
+        requests: RequestCounter::new(),
         own: watch::Sender::new(record),
         config: watch::Sender::new(Arc::new(ConfigState::new())),
         members: watch::Sender::new(Arc::new(table)),
