--- /dev/null
+++ b/crates/daemon/src/command/mod.rs
@@ -0,0 +1,40 @@
+/*!
+The command line of the daemon.
+*/
+
+mod check_command;
+mod daemon_action;
+mod daemon_command;
+mod node_run;
+mod role_flags;
+mod start_check;
+mod version_command;
+
+pub use self::check_command::CheckCommand;
+pub use self::daemon_action::DaemonAction;
+pub use self::daemon_command::DaemonCommand;
+pub use self::role_flags::RoleFlags;
+pub use self::start_check::StartCheck;
+pub use self::version_command::VersionCommand;
+
+use std::process::ExitCode;
+
+/// The exit code for settings that have a fault.
+const EXIT_BAD_SETTINGS: u8 = 2;
+
+/// Runs the command until it is done; a node runs until a signal stops it.
+pub fn run(command: &DaemonCommand) -> ExitCode {
+    match &command.action {
+        DaemonAction::Version(_) => {
+            println!("dandelionroad {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        DaemonAction::Check(check) => start_check::run(&check.role),
+        DaemonAction::Entry(flags) => node_run::run(flags.read(&environment)),
+        DaemonAction::Endpoint(flags) => node_run::run(flags.read(&environment)),
+    }
+}
+
+fn environment(variable: &str) -> Option<String> {
+    std::env::var(variable).ok()
+}
--- /dev/null
+++ b/crates/daemon/src/command/role_flags.rs
@@ -0,0 +1,13 @@
+use argh::FromArgs;
+use dandelionroad_settings::EndpointFlags;
+use dandelionroad_settings::EntryFlags;
+
+/// The flags of one role.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum RoleFlags {
+    /// The role endpoint.
+    Endpoint(EndpointFlags),
+    /// The role entry.
+    Entry(EntryFlags),
+}
--- /dev/null
+++ b/crates/daemon/src/command/version_command.rs
@@ -0,0 +1,6 @@
+use argh::FromArgs;
+
+/// print the version
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "version")]
+pub struct VersionCommand {}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 loopback demonstration start several in one process.
 */
 
+pub mod command;
 pub mod control;
 pub mod endpoint;
 pub mod entry;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,11 @@
-//! The daemon of dandelionroad.
+//! The daemon of dandelionroad; `dandelionroad --help` explains its command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+use dandelionroad_daemon::command;
+use dandelionroad_daemon::command::DaemonCommand;
+
+fn main() -> ExitCode {
+    let command: DaemonCommand = argh::from_env();
+    command::run(&command)
+}
--- a/crates/daemon/src/node/node_clients.rs
+++ b/crates/daemon/src/node/node_clients.rs
@@ -1,10 +1,19 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use dandelionroad_platform::engine::EngineClient;
+use dandelionroad_platform::engine::HttpEngine;
 use dandelionroad_platform::host::HostClient;
+use dandelionroad_platform::host::HttpHost;
+use dandelionroad_platform::object::HttpObject;
 use dandelionroad_platform::object::ObjectClient;
+use dandelionroad_platform::service::HttpService;
 use dandelionroad_platform::service::ServiceClient;
+use dandelionroad_platform::table::HttpTable;
 use dandelionroad_platform::table::TableClient;
+use dandelionroad_settings::EngineKind;
+use dandelionroad_settings::NodeRole;
+use dandelionroad_settings::NodeSettings;
 
 /// The clients of the outside systems.
 #[derive(Clone)]
@@ -20,3 +29,30 @@
     /// The plain service beside an endpoint's process.
     pub service: Option<Arc<dyn ServiceClient>>,
 }
+
+impl NodeClients {
+    /// Creates the HTTP clients that the settings name; nothing is connected yet.
+    pub fn from_settings(settings: &NodeSettings) -> NodeClients {
+        let deadline = Duration::from_millis(settings.platform_deadline_ms);
+        let mut clients = NodeClients {
+            table: Arc::new(HttpTable::new(&settings.table_url, deadline)),
+            object: Arc::new(HttpObject::new(&settings.object_url, deadline)),
+            host: Arc::new(HttpHost::new(&settings.hosts_url, deadline)),
+            engine: None,
+            service: None,
+        };
+        let url = &settings.engine_url;
+        match (settings.role, settings.engine_kind) {
+            (NodeRole::Entry, _) => {}
+            (NodeRole::Endpoint, EngineKind::LayerRange | EngineKind::WholeModel) => {
+                let engine = HttpEngine::new(url, settings.platform_deadline_ms);
+                clients.engine = Some(Arc::new(engine));
+            }
+            (NodeRole::Endpoint, EngineKind::PlainService) => {
+                let deadline = Duration::from_millis(settings.request_deadline_ms);
+                clients.service = Some(Arc::new(HttpService::new(url, deadline)));
+            }
+        }
+        clients
+    }
+}
