--- a/crates/standins/src/serve/serve_options.rs
+++ b/crates/standins/src/serve/serve_options.rs
@@ -2,6 +2,8 @@
 
 use argh::FromArgs;
 
+use crate::engine::EngineSpec;
+
 /// Serve stand-ins of the outside systems; port 0 picks a free port. The first lines on standard
 /// output name each stand-in and its URL.
 #[derive(Clone, Debug, Default, FromArgs)]
@@ -18,6 +20,10 @@
     /// address of a booking service; give the option again for more services
     #[argh(option)]
     pub booking: Vec<SocketAddr>,
+    /// a model engine as ADDRESS,MODEL,LAYERS[,STEP_US[,PROMPT_TOKEN_US]] with LAYERS such as 0-8
+    /// or 12; give the option again for more; PUT /engine/faults and POST /engine/crash at its URL
+    #[argh(option)]
+    pub engine: Vec<EngineSpec>,
     /// address of the control listener: GET, PUT /control/NAME reads, sets the fault plan of NAME
     #[argh(option)]
     pub control: Option<SocketAddr>,
--- a/crates/standins/src/serve/served_set.rs
+++ b/crates/standins/src/serve/served_set.rs
@@ -9,6 +9,7 @@
 use axum::routing::get;
 
 use crate::booking::BookingStandin;
+use crate::engine::EngineStandin;
 use crate::host::HostStandin;
 use crate::object::ObjectStandin;
 use crate::server::FaultPlan;
@@ -59,6 +60,13 @@
             let name = format!("booking-{index}");
             builder.add(&name, standin.url(), standin.faults().clone(), standin);
         }
+        for (index, spec) in options.engine.iter().enumerate() {
+            let standin = EngineStandin::start(spec.options.clone()).await?;
+            builder
+                .urls
+                .push((format!("engine-{index}"), standin.url()));
+            builder.standins.push(Box::new(standin));
+        }
         if let Some(address) = options.control {
             let router = Router::new()
                 .route("/control/{name}", get(read_plan).put(write_plan))
