--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod booking;
 pub mod engine;
 pub mod host;
+pub mod load;
 pub mod object;
 pub mod serve;
 pub mod server;
--- /dev/null
+++ b/crates/standins/src/load/caller_client.rs
@@ -0,0 +1,216 @@
+use std::time::Instant;
+
+use axum::body::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use serde_json::json;
+
+use super::CallOutcome;
+use super::CallResult;
+use super::LoadKind;
+use super::event_reader::EventReader;
+
+/// A caller of the entries.
+#[derive(Clone, Debug)]
+pub struct CallerClient {
+    secret: String,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+struct Progress {
+    start: Instant,
+    last: Option<Instant>,
+    first_ms: Option<f64>,
+    gaps_ms: Vec<f64>,
+}
+
+impl CallerClient {
+    /// Creates a caller with the secret of its client account.
+    pub fn new(secret: &str) -> CallerClient {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        CallerClient {
+            secret: secret.to_owned(),
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    /// Streams an answer and compares it with `expected` unless that is empty.
+    pub async fn stream(
+        &self,
+        entry: &str,
+        kind: LoadKind,
+        (model, prompt, max_tokens): (&str, &str, u32),
+        expected: &str,
+    ) -> CallResult {
+        let mut body = json!({"model": model, "max_tokens": max_tokens, "stream": true});
+        let path = match kind {
+            LoadKind::Chat => {
+                body["messages"] = json!([{"role": "user", "content": prompt}]);
+                "/v1/chat/completions"
+            }
+            LoadKind::Booking | LoadKind::Completion | LoadKind::Stock => {
+                body["prompt"] = json!(prompt);
+                "/v1/completions"
+            }
+        };
+        let mut progress = Progress::start();
+        let request = self.request("POST", &format!("{entry}{path}"), None, body.to_string());
+        let outcome = match self.send(request).await {
+            Ok(response) => read_stream(response, expected, &mut progress).await,
+            Err(outcome) => outcome,
+        };
+        progress.finish(kind, outcome)
+    }
+
+    /// Books once under `key`.
+    pub async fn book(&self, entry: &str, service: &str, key: &str) -> CallResult {
+        let url = format!("{entry}/services/{service}/book");
+        let body = json!({"item": "hawser", "quantity": 1}).to_string();
+        let request = self.request("POST", &url, Some(key), body);
+        self.call(request, LoadKind::Booking).await
+    }
+
+    /// Looks up the stock.
+    pub async fn stock(&self, entry: &str, service: &str) -> CallResult {
+        let url = format!("{entry}/services/{service}/stock/hawser");
+        let request = self.request("GET", &url, None, String::new());
+        self.call(request, LoadKind::Stock).await
+    }
+
+    async fn call(&self, request: Request<Full<Bytes>>, kind: LoadKind) -> CallResult {
+        let mut progress = Progress::start();
+        let outcome = match self.send(request).await {
+            Ok(response) => match response.into_body().collect().await {
+                Ok(_) => CallOutcome::Answered,
+                Err(error) => CallOutcome::CutOff(error.to_string()),
+            },
+            Err(outcome) => outcome,
+        };
+        progress.note_part();
+        progress.finish(kind, outcome)
+    }
+
+    fn request(
+        &self,
+        method: &str,
+        url: &str,
+        key: Option<&str>,
+        body: String,
+    ) -> Request<Full<Bytes>> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(url)
+            .header("authorization", format!("Bearer {}", self.secret))
+            .header("content-type", "application/json");
+        if let Some(key) = key {
+            builder = builder.header("idempotency-key", key);
+        }
+        let body = Full::new(Bytes::from(body));
+        builder
+            .body(body)
+            .expect("URLs and keys of a load are valid")
+    }
+
+    /// Sends a request; anything but a success is an outcome already.
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, CallOutcome> {
+        let response = self
+            .client
+            .request(request)
+            .await
+            .map_err(|error| CallOutcome::CutOff(error.to_string()))?;
+        let status = response.status();
+        if status.is_success() {
+            return Ok(response);
+        }
+        let body = match response.into_body().collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => return Err(CallOutcome::CutOff(error.to_string())),
+        };
+        let body = serde_json::from_slice(&body).unwrap_or_default();
+        Err(refusal(&body, status.as_str()))
+    }
+}
+
+impl Progress {
+    fn start() -> Progress {
+        Progress {
+            start: Instant::now(),
+            last: None,
+            first_ms: None,
+            gaps_ms: Vec::new(),
+        }
+    }
+
+    fn note_part(&mut self) {
+        let now = Instant::now();
+        match self.last.replace(now) {
+            None => self.first_ms = Some(millis(now - self.start)),
+            Some(last) => self.gaps_ms.push(millis(now - last)),
+        }
+    }
+
+    fn finish(self, kind: LoadKind, outcome: CallOutcome) -> CallResult {
+        CallResult {
+            kind,
+            outcome,
+            first_ms: self.first_ms,
+            gaps_ms: self.gaps_ms,
+            total_ms: millis(self.start.elapsed()),
+        }
+    }
+}
+
+fn millis(duration: std::time::Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
+
+async fn read_stream(
+    response: Response<Incoming>,
+    expected: &str,
+    progress: &mut Progress,
+) -> CallOutcome {
+    let mut reader = EventReader::new(response.into_body());
+    let mut answer = String::new();
+    loop {
+        let event = match reader.next().await {
+            Ok(Some(event)) => event,
+            Ok(None) => return CallOutcome::CutOff("no closing event".to_owned()),
+            Err(detail) => return CallOutcome::CutOff(detail),
+        };
+        if event.data == "[DONE]" {
+            break;
+        }
+        let data: Value = serde_json::from_str(&event.data).unwrap_or_default();
+        if event.name == "error" {
+            return refusal(&data, "error event");
+        }
+        let choice = &data["choices"][0];
+        let text = choice["text"]
+            .as_str()
+            .or(choice["delta"]["content"].as_str());
+        if let Some(text) = text.filter(|text| !text.is_empty()) {
+            progress.note_part();
+            answer.push_str(text);
+        }
+    }
+    if expected.is_empty() || answer == expected {
+        return CallOutcome::Answered;
+    }
+    CallOutcome::Wrong(format!("{answer:?} in place of {expected:?}"))
+}
+
+fn refusal(body: &Value, status: &str) -> CallOutcome {
+    let text = |name: &str| body["error"][name].as_str().unwrap_or(status).to_owned();
+    CallOutcome::Refused {
+        outcome: text("outcome"),
+        reason: text("reason"),
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/load_command.rs
@@ -0,0 +1,95 @@
+use argh::FromArgs;
+
+use super::LoadKind;
+use super::LoadPlan;
+use super::run_load;
+
+/// The greatest number of requests of one load.
+const MAX_REQUESTS: usize = 100_000;
+
+/// The greatest number of requests that run at once.
+const MAX_CONCURRENCY: usize = 256;
+
+/// The environment variable with the secret of the client account.
+pub(super) const SECRET_VARIABLE: &str = "DANDELIONROAD_ACCOUNT_SECRET";
+
+/// send a bounded load to entries and print outcomes and latency percentiles
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "load",
+    note = "The secret of the client account comes from DANDELIONROAD_ACCOUNT_SECRET."
+)]
+pub struct LoadCommand {
+    /// base URL of an entry; give the option again for more entries
+    #[argh(option)]
+    pub entry: Vec<String>,
+    /// kind of requests: chat, completion, stock or booking; give it again to mix; default: chat
+    #[argh(option)]
+    pub kind: Vec<LoadKind>,
+    /// number of requests, at most 100000; default: 200
+    #[argh(option, default = "200")]
+    pub requests: usize,
+    /// requests that run at once, at most 256; default: 8
+    #[argh(option, default = "8")]
+    pub concurrency: usize,
+    /// model; default: knots
+    #[argh(option, default = "String::from(\"knots\")")]
+    pub model: String,
+    /// number of layers of the stand-ins' model, to check the answers; default: 0, no check
+    #[argh(option, default = "0")]
+    pub layers: u16,
+    /// version of the model, to check the answers; default: 1
+    #[argh(option, default = "1")]
+    pub version: u32,
+    /// plain service; default: booking
+    #[argh(option, default = "String::from(\"booking\")")]
+    pub service: String,
+    /// words of a prompt; default: 32
+    #[argh(option, default = "32")]
+    pub prompt_words: usize,
+    /// tokens of an answer; default: 32
+    #[argh(option, default = "32")]
+    pub tokens: u32,
+    /// word that makes prompts and keys distinct from those of another load; default: the process
+    /// id
+    #[argh(option, default = "std::process::id().to_string()")]
+    pub label: String,
+}
+
+impl LoadCommand {
+    /// Runs the load and prints its report; returns whether every request was answered.
+    pub async fn run(self) -> bool {
+        let Ok(secret) = std::env::var(SECRET_VARIABLE) else {
+            eprintln!("load: {SECRET_VARIABLE} is missing; set it to the client account's secret");
+            return false;
+        };
+        if self.entry.is_empty() {
+            eprintln!(
+                "load: --entry is missing; set it to a base URL such as http://127.0.0.1:8080"
+            );
+            return false;
+        }
+        let kinds = match self.kind.is_empty() {
+            true => vec![LoadKind::Chat],
+            false => self.kind,
+        };
+        let report = run_load(LoadPlan {
+            entries: self.entry,
+            secret,
+            kinds,
+            requests: self.requests.min(MAX_REQUESTS),
+            concurrency: self.concurrency.min(MAX_CONCURRENCY),
+            model: self.model,
+            layers: self.layers,
+            version: self.version,
+            service: self.service,
+            prompt_words: self.prompt_words,
+            tokens: self.tokens,
+            label: self.label,
+        })
+        .await;
+        print!("{report}");
+        report.failures().is_empty()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/load_report.rs
@@ -0,0 +1,82 @@
+use std::fmt;
+
+use super::CallOutcome;
+use super::CallResult;
+use super::LoadKind;
+use super::TimeSample;
+
+/// The results of a load.
+#[derive(Clone, Debug)]
+pub struct LoadReport {
+    /// Every request.
+    pub results: Vec<CallResult>,
+}
+
+impl LoadReport {
+    /// Creates a report.
+    pub fn new(results: Vec<CallResult>) -> LoadReport {
+        LoadReport { results }
+    }
+
+    /// Returns the results that are not whole answers.
+    pub fn failures(&self) -> Vec<&CallResult> {
+        let results = self.results.iter();
+        results
+            .filter(|result| result.outcome != CallOutcome::Answered)
+            .collect()
+    }
+
+    /// Returns the times to the first token or to the answer, of answered requests of a kind.
+    pub fn first_times(&self, kind: LoadKind) -> TimeSample {
+        TimeSample::new(
+            self.answered(kind)
+                .filter_map(|result| result.first_ms)
+                .collect(),
+        )
+    }
+
+    /// Returns the times between two tokens, of answered requests of a kind.
+    pub fn gap_times(&self, kind: LoadKind) -> TimeSample {
+        let gaps = self.answered(kind).flat_map(|result| &result.gaps_ms);
+        TimeSample::new(gaps.copied().collect())
+    }
+
+    /// Returns each outcome of a kind with its number, in order.
+    fn outcomes(&self, kind: LoadKind) -> Vec<(&CallOutcome, usize)> {
+        let mut counts: Vec<(&CallOutcome, usize)> = Vec::new();
+        for result in self.results.iter().filter(|result| result.kind == kind) {
+            match counts.binary_search_by_key(&&result.outcome, |(outcome, _)| outcome) {
+                Ok(index) => counts[index].1 += 1,
+                Err(index) => counts.insert(index, (&result.outcome, 1)),
+            }
+        }
+        counts
+    }
+
+    fn answered(&self, kind: LoadKind) -> impl Iterator<Item = &CallResult> {
+        self.results
+            .iter()
+            .filter(move |result| result.kind == kind && result.outcome == CallOutcome::Answered)
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut kinds: Vec<LoadKind> = self.results.iter().map(|result| result.kind).collect();
+        kinds.sort_unstable();
+        kinds.dedup();
+        for kind in kinds {
+            writeln!(formatter, "{}", kind.as_str())?;
+            for (outcome, count) in self.outcomes(kind) {
+                writeln!(formatter, "  {count} {outcome}")?;
+            }
+            let totals = self.answered(kind).map(|result| result.total_ms).collect();
+            writeln!(formatter, "  whole answer: {}", TimeSample::new(totals))?;
+            if matches!(kind, LoadKind::Chat | LoadKind::Completion) {
+                writeln!(formatter, "  first token: {}", self.first_times(kind))?;
+                writeln!(formatter, "  between tokens: {}", self.gap_times(kind))?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,14 +1,26 @@
-//! Serves stand-ins of the outside systems until the process is ended.
+//! Serves stand-ins of the outside systems until the process is ended, or sends a load.
 
 use std::process::ExitCode;
 
 use dandelionroad_standins::serve::ServeOptions;
 use dandelionroad_standins::serve::ServedSet;
+use dandelionroad_standins::serve::StandinsAction;
+use dandelionroad_standins::serve::StandinsCommand;
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let options: ServeOptions = argh::from_env();
-    match ServedSet::start(&options).await {
+    let command: StandinsCommand = argh::from_env();
+    match command.action {
+        StandinsAction::Serve(options) => serve(&options).await,
+        StandinsAction::Load(load) => match load.run().await {
+            true => ExitCode::SUCCESS,
+            false => ExitCode::FAILURE,
+        },
+    }
+}
+
+async fn serve(options: &ServeOptions) -> ExitCode {
+    match ServedSet::start(options).await {
         Ok(served) => {
             for (name, url) in served.urls() {
                 println!("{name} {url}");
--- a/crates/standins/src/serve/mod.rs
+++ b/crates/standins/src/serve/mod.rs
@@ -1,9 +1,13 @@
 /*!
-The stand-ins that the binary serves, and its control listener.
+The command line of the binary: the stand-ins it serves, their control listener, and the load tool.
 */
 
 mod serve_options;
 mod served_set;
+mod standins_action;
+mod standins_command;
 
 pub use self::serve_options::ServeOptions;
 pub use self::served_set::ServedSet;
+pub use self::standins_action::StandinsAction;
+pub use self::standins_command::StandinsCommand;
--- a/crates/standins/src/serve/serve_options.rs
+++ b/crates/standins/src/serve/serve_options.rs
@@ -4,9 +4,10 @@
 
 use crate::engine::EngineSpec;
 
-/// Serve stand-ins of the outside systems; port 0 picks a free port. The first lines on standard
-/// output name each stand-in and its URL.
+/// serve stand-ins of the outside systems; port 0 picks a free port. The first lines on standard
+/// output name each stand-in and its URL
 #[derive(Clone, Debug, Default, FromArgs)]
+#[argh(subcommand, name = "serve")]
 pub struct ServeOptions {
     /// address of the table service
     #[argh(option)]
--- /dev/null
+++ b/crates/standins/tests/load.rs
@@ -0,0 +1,66 @@
+//! Guards against a load report that counts a broken or wrong answer as a good one.
+
+use axum::Router;
+use axum::routing::post;
+use dandelionroad_standins::engine::TokenModel;
+use dandelionroad_standins::load::CallOutcome;
+use dandelionroad_standins::load::LoadKind;
+use dandelionroad_standins::load::LoadPlan;
+use dandelionroad_standins::load::TimeSample;
+use dandelionroad_standins::load::run_load;
+use tokio::net::TcpListener;
+
+#[tokio::test]
+async fn run_load_tells_answers_from_broken_and_wrong_ones() {
+    let answer = TokenModel::new(1, 4).answer("t-0  [length=2]", 2);
+    let chunk = |text: &str| format!("data: {{\"choices\":[{{\"text\":\"{text}\"}}]}}\n\n");
+    let whole = format!("{}{}data: [DONE]\n\n", chunk(&answer[0]), chunk(&answer[1]));
+    let wrong = format!("{}data: [DONE]\n\n", chunk(&answer[0]));
+    let broken = chunk(&answer[0]);
+    let error = concat!(
+        "event: error\ndata: {\"error\":",
+        "{\"outcome\":\"unknown\",\"reason\":\"endpoint-lost\"}}\n\n"
+    );
+    for (body, expected) in [
+        (whole, "answered"),
+        (wrong, "wrong answer"),
+        (broken, "cut off"),
+        (error.to_owned(), "unknown: endpoint-lost"),
+    ] {
+        let router = Router::new().route("/v1/completions", post(async move || body));
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        let report = run_load(LoadPlan {
+            entries: vec![format!("http://{address}")],
+            secret: "secret".to_owned(),
+            kinds: vec![LoadKind::Completion],
+            requests: 1,
+            concurrency: 4,
+            model: "knots".to_owned(),
+            layers: 4,
+            version: 1,
+            service: String::new(),
+            prompt_words: 0,
+            tokens: 2,
+            label: "t".to_owned(),
+        })
+        .await;
+        let outcome = report.results[0].outcome.to_string();
+        assert!(
+            outcome.starts_with(expected),
+            "{outcome} in place of {expected}"
+        );
+        let is_answered = report.results[0].outcome == CallOutcome::Answered;
+        assert_eq!(report.failures().is_empty(), is_answered);
+    }
+}
+
+#[test]
+fn percentile_ranks_are_of_the_sample() {
+    let sample = TimeSample::new((1..=100).rev().map(f64::from).collect());
+    assert_eq!(sample.percentile(50), 50.0);
+    assert_eq!(sample.percentile(99), 99.0);
+    assert_eq!(sample.percentile(100), 100.0);
+    assert_eq!(TimeSample::default().percentile(50), 0.0);
+}
