--- a/crates/standins/src/load/caller_client.rs
+++ b/crates/standins/src/load/caller_client.rs
@@ -85,6 +85,21 @@
         self.call(request, LoadKind::Stock).await
     }
 
+    /// Posts a JSON body to any URL and returns the status and the body of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns what broke the connection.
+    pub async fn post(&self, url: &str, body: &str) -> Result<(u16, String), String> {
+        let request = self.request("POST", url, None, body.to_owned());
+        let response = self.client.request(request).await;
+        let response = response.map_err(|error| error.to_string())?;
+        let status = response.status().as_u16();
+        let body = response.into_body().collect().await;
+        let body = body.map_err(|error| error.to_string())?.to_bytes();
+        Ok((status, String::from_utf8_lossy(&body).into_owned()))
+    }
+
     async fn call(&self, request: Request<Full<Bytes>>, kind: LoadKind) -> CallResult {
         let mut progress = Progress::start();
         let outcome = match self.send(request).await {
