--- a/crates/daemon/src/endpoint/stream/engine_runner.rs
+++ b/crates/daemon/src/endpoint/stream/engine_runner.rs
@@ -11,6 +11,9 @@
 use dandelionroad_platform::engine::GenerateOrder;
 use futures_util::StreamExt;
 
+use crate::telemetry::HopKind;
+use crate::telemetry::HopSpan;
+
 use super::stream_host::StreamHost;
 use super::stream_slot::StreamSlot;
 
@@ -22,7 +25,11 @@
         });
         return;
     };
-    match engine.step(&step).await {
+    let mut span = engine_span(&host, &slot);
+    span.set_number("position", u64::from(step.position));
+    let result = engine.step(&step).await;
+    drop(span);
+    match result {
         Ok(output) => {
             let output = StageOutput {
                 payload: output.payload,
@@ -70,6 +77,7 @@
         max_tokens: order.max_tokens,
         priority: order.priority,
     };
+    let _span = engine_span(host, slot);
     let mut tokens = engine
         .generate(&order)
         .await
@@ -88,6 +96,11 @@
     Err(FaultKind::EngineCrash)
 }
 
+fn engine_span(host: &StreamHost, slot: &StreamSlot) -> HopSpan {
+    let request = || slot.lock().machine.order().request.clone();
+    HopSpan::start_lazy(HopKind::EngineCall, &host.context.settings.name, request)
+}
+
 fn fault_of(error: &PlatformError) -> FaultKind {
     match error {
         PlatformError::Rejected { .. } | PlatformError::Invalid { .. } => FaultKind::Refused,
--- a/crates/daemon/src/endpoint/stream/stream_host.rs
+++ b/crates/daemon/src/endpoint/stream/stream_host.rs
@@ -162,6 +162,8 @@
             self.reopen(&slot, order, sink);
             return;
         }
+        // A process that is leaving waits for the requests in its queue too.
+        let _running = self.context.requests.start();
         let permit = match self.admission.admit(&order).await {
             Ok(permit) => permit,
             Err((reason, retry_after_ms)) => {
@@ -193,7 +195,7 @@
         let request = order.request.clone();
         match self.new_machine(order, 0) {
             Ok((machine, actions)) => {
-                let slot = Arc::new(StreamSlot::new(machine, self.context.clock.now()));
+                let slot = Arc::new(StreamSlot::new(machine, &self.context));
                 {
                     let mut state = slot.lock();
                     state.sink = Some((attempt, sink));
@@ -270,7 +272,7 @@
         }
         match self.new_machine(order, message.stage) {
             Ok((machine, actions)) => {
-                let slot = Arc::new(StreamSlot::new(machine, self.context.clock.now()));
+                let slot = Arc::new(StreamSlot::new(machine, &self.context));
                 table.insert(message.request.clone(), slot.clone());
                 drop(table);
                 self.drive(&slot, |_, _| actions);
--- a/crates/daemon/src/endpoint/stream/stream_slot.rs
+++ b/crates/daemon/src/endpoint/stream/stream_slot.rs
@@ -2,25 +2,36 @@
 use std::sync::MutexGuard;
 
 use dandelionroad_core::stream::StageMachine;
-use dandelionroad_core::time::MilliTime;
+
+use crate::node::NodeContext;
+use crate::node::RunningRequest;
+use crate::telemetry::HopKind;
+use crate::telemetry::HopSpan;
 
 use super::slot_state::SlotState;
 
 /// One request at this process.
 pub(super) struct StreamSlot {
     state: Mutex<SlotState>,
+    _running: RunningRequest,
+    _span: HopSpan,
 }
 
 impl StreamSlot {
-    /// Creates the slot of a machine without a subscription.
-    pub(super) fn new(machine: StageMachine, now: MilliTime) -> StreamSlot {
+    /// Creates the slot of a machine without a subscription; it counts as running until dropped.
+    pub(super) fn new(machine: StageMachine, context: &NodeContext) -> StreamSlot {
+        let request = &machine.order().request;
+        let mut span = HopSpan::start(HopKind::Stage, request, &context.settings.name);
+        span.set_number("attempt", u64::from(machine.attempt()));
         StreamSlot {
             state: Mutex::new(SlotState {
                 machine,
                 sink: None,
                 permit: None,
-                heard_at: now,
+                heard_at: context.clock.now(),
             }),
+            _running: context.requests.start(),
+            _span: span,
         }
     }
 
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod node_clients;
 mod node_clock;
 mod node_context;
+mod node_gauges;
 mod node_handle;
 mod peer_pool;
 mod request_counter;
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -31,6 +31,7 @@
 use super::PeerPool;
 use super::RequestCounter;
 use super::StartError;
+use super::node_gauges::record_changes;
 use super::start_error::BindSnafu;
 use super::start_error::NameSnafu;
 
@@ -40,6 +41,9 @@
 /// The least time between the start of an endpoint's shutdown and its exit, in milliseconds.
 const LEAVE_NOTICE_MS: u64 = 500;
 
+/// The time for which a stopped process tells its peers that it is gone, in milliseconds.
+const GONE_NOTICE_MS: u64 = 100;
+
 /// A running process' worth of tasks.
 pub struct NodeHandle {
     /// What the parts share.
@@ -79,6 +83,7 @@
         let methods = new_methods(&context)?;
         let server = serve_internal(listener, methods)?;
         control::start(&context);
+        tokio::spawn(record_changes(context.clone()));
         let mut handle = NodeHandle {
             context,
             internal,
@@ -116,6 +121,7 @@
         }
         self.context.requests.wait_idle().await;
         self.context.advance_state(MemberState::Gone);
+        tokio::time::sleep(Duration::from_millis(GONE_NOTICE_MS)).await;
         self.abort();
         self.server.clone().stopped().await;
     }
--- a/crates/daemon/src/telemetry/hop_span.rs
+++ b/crates/daemon/src/telemetry/hop_span.rs
@@ -27,6 +27,19 @@
         HopSpan::start_at(kind, request, node, None)
     }
 
+    /// Starts the span of a hop whose request takes work to look up, which is done only while the
+    /// exporter is on.
+    pub fn start_lazy(
+        kind: HopKind,
+        node: &str,
+        request: impl FnOnce() -> RequestIdent,
+    ) -> HopSpan {
+        match TelemetryHub::installed() {
+            Some(_) => HopSpan::start(kind, &request(), node),
+            None => HopSpan { span: None },
+        }
+    }
+
     /// Starts the span at an earlier time; `None` is the present time.
     pub fn start_at(
         kind: HopKind,
--- /dev/null
+++ b/crates/demo/src/latency_run.rs
@@ -0,0 +1,176 @@
+use std::fmt;
+use std::time::Instant;
+
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::stream::StepPayload;
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::engine::EngineClient;
+use dandelionroad_platform::engine::EngineStep;
+use dandelionroad_platform::engine::HttpEngine;
+use dandelionroad_standins::load::CallOutcome;
+use dandelionroad_standins::load::CallerClient;
+use dandelionroad_standins::load::LoadKind;
+use dandelionroad_standins::load::TimeSample;
+
+use super::ACCOUNT_SECRET;
+use super::DemoCluster;
+use super::DemoError;
+use super::DemoLayout;
+use super::DemoOptions;
+use super::LAYERS;
+use super::LatencyCommand;
+use super::MODEL;
+
+/// The deadline of the direct client for calls other than steps, in milliseconds.
+const DIRECT_DEADLINE_MS: u64 = 1_000;
+
+/// The measured times of one number of stages.
+#[derive(Debug, Default)]
+pub struct LatencyRun {
+    stages: usize,
+    direct_first: Vec<f64>,
+    direct_gaps: Vec<f64>,
+    routed_first: Vec<f64>,
+    routed_gaps: Vec<f64>,
+    failures: Vec<String>,
+}
+
+impl LatencyRun {
+    /// Measures a chain of `ranges`: each request is sent to the engines directly, stage by stage,
+    /// and then through an entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns what can't be started.
+    pub async fn measure(
+        command: &LatencyCommand,
+        ranges: &[LayerRange],
+    ) -> Result<LatencyRun, DemoError> {
+        let stages = ranges.len() as u64;
+        let options = DemoOptions {
+            layout: DemoLayout::chain(ranges),
+            step_us: command.step_us / stages,
+            prompt_token_us: command.prompt_token_us / stages,
+            ..DemoOptions::three_stages()
+        };
+        let cluster = DemoCluster::start(options).await?;
+        cluster.apply_ticket().await?;
+        cluster.wait_ready().await;
+        let engines: Vec<HttpEngine> = cluster
+            .engines
+            .iter()
+            .map(|engine| HttpEngine::new(&engine.url(), DIRECT_DEADLINE_MS))
+            .collect();
+        let caller = CallerClient::new(ACCOUNT_SECRET);
+        let mut run = LatencyRun {
+            stages: ranges.len(),
+            ..LatencyRun::default()
+        };
+        for index in 0..command.requests {
+            run.direct(command, &engines, ranges, index).await;
+            run.routed(command, &caller, &cluster.entry_urls()[0], index)
+                .await;
+        }
+        Ok(run)
+    }
+
+    /// Returns the requests that were not answered.
+    pub fn failures(&self) -> &[String] {
+        &self.failures
+    }
+
+    async fn direct(
+        &mut self,
+        command: &LatencyCommand,
+        engines: &[HttpEngine],
+        ranges: &[LayerRange],
+        index: usize,
+    ) {
+        let session = format!("direct-{index}");
+        let mut text = prompt(command, &session);
+        let mut last = Instant::now();
+        for position in 0..command.tokens {
+            match run_position(engines, ranges, &session, position, text).await {
+                Ok(token) => text = token,
+                Err(error) => return self.failures.push(format!("direct: {error}")),
+            }
+            let elapsed_ms = last.elapsed().as_secs_f64() * 1_000.0;
+            last = Instant::now();
+            match position {
+                0 => self.direct_first.push(elapsed_ms),
+                _ => self.direct_gaps.push(elapsed_ms),
+            }
+        }
+        for engine in engines {
+            // A session that stays does not change the times of the next one.
+            let _ = engine.cancel(&session).await;
+        }
+    }
+
+    async fn routed(
+        &mut self,
+        command: &LatencyCommand,
+        caller: &CallerClient,
+        entry: &str,
+        index: usize,
+    ) {
+        let prompt = prompt(command, &format!("routed-{index}"));
+        let call = (MODEL, prompt.as_str(), command.tokens);
+        let result = caller.stream(entry, LoadKind::Completion, call, "").await;
+        if result.outcome != CallOutcome::Answered {
+            return self.failures.push(format!("routed: {}", result.outcome));
+        }
+        self.routed_first.extend(result.first_ms);
+        self.routed_gaps.extend(result.gaps_ms);
+    }
+}
+
+impl fmt::Display for LatencyRun {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "{} stage(s)", self.stages)?;
+        for (name, direct, routed) in [
+            ("first token", &self.direct_first, &self.routed_first),
+            ("between tokens", &self.direct_gaps, &self.routed_gaps),
+        ] {
+            let direct = TimeSample::new(direct.clone());
+            let routed = TimeSample::new(routed.clone());
+            let added = routed.percentile(50) - direct.percentile(50);
+            let ratio = routed.percentile(50) / direct.percentile(50);
+            writeln!(
+                formatter,
+                "  {name}: added {added:.2} ms, ratio {ratio:.3} (medians)"
+            )?;
+            writeln!(formatter, "    direct: {direct}")?;
+            writeln!(formatter, "    routed: {routed}")?;
+        }
+        write!(formatter, "  failures: {}", self.failures.len())
+    }
+}
+
+fn prompt(command: &LatencyCommand, label: &str) -> String {
+    let words = vec!["rope"; command.prompt_words.saturating_sub(2)].join(" ");
+    format!("{label} {words} [length={}]", command.tokens)
+}
+
+async fn run_position(
+    engines: &[HttpEngine],
+    ranges: &[LayerRange],
+    session: &str,
+    position: u32,
+    text: String,
+) -> Result<String, PlatformError> {
+    let mut payload = StepPayload::Text(text);
+    for (engine, range) in engines.iter().zip(ranges) {
+        let step = EngineStep {
+            session: session.to_owned(),
+            position,
+            range: *range,
+            is_last: range.end == LAYERS,
+            payload,
+        };
+        payload = engine.step(&step).await?.payload;
+    }
+    match payload {
+        StepPayload::Text(text) | StepPayload::Activation(text) => Ok(text),
+    }
+}
--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -5,17 +5,31 @@
 The binary starts it on fixed ports for the README; tests and measurements start it on free ports.
 */
 
+mod calls_command;
+mod demo_action;
 mod demo_cluster;
+mod demo_command;
 mod demo_error;
 mod demo_layout;
 mod demo_options;
 mod demo_ticket;
+mod latency_command;
+mod latency_run;
+mod sample_calls;
+mod ticket_command;
 
+pub use self::calls_command::CallsCommand;
+pub use self::demo_action::DemoAction;
 pub use self::demo_cluster::DemoCluster;
+pub use self::demo_command::DemoCommand;
 pub use self::demo_error::DemoError;
 pub use self::demo_layout::DemoLayout;
 pub use self::demo_options::DemoOptions;
 pub use self::demo_ticket::demo_ticket;
+pub use self::latency_command::LatencyCommand;
+pub use self::latency_run::LatencyRun;
+pub use self::sample_calls::sample_calls;
+pub use self::ticket_command::TicketCommand;
 
 /// The secret of the client account of the first ticket.
 pub const ACCOUNT_SECRET: &str = "demo-secret";
--- a/crates/demo/src/main.rs
+++ b/crates/demo/src/main.rs
@@ -2,13 +2,19 @@
 
 use std::process::ExitCode;
 
+use dandelionroad_core::stream::LayerRange;
 use dandelionroad_daemon::telemetry;
-use dandelionroad_demo::ACCOUNT_SECRET;
-use dandelionroad_demo::ADMIN_TOKEN;
+use dandelionroad_demo::DemoAction;
 use dandelionroad_demo::DemoCluster;
+use dandelionroad_demo::DemoCommand;
 use dandelionroad_demo::DemoError;
+use dandelionroad_demo::DemoLayout;
 use dandelionroad_demo::DemoOptions;
-use dandelionroad_demo::MODEL;
+use dandelionroad_demo::LAYERS;
+use dandelionroad_demo::LatencyCommand;
+use dandelionroad_demo::LatencyRun;
+use dandelionroad_demo::demo_ticket;
+use dandelionroad_demo::sample_calls;
 use dandelionroad_settings::LogFormat;
 use dandelionroad_settings::LogLevel;
 
@@ -17,11 +23,24 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    if let Err(error) = telemetry::install_logs(LogLevel::Info, LogFormat::Text) {
+    let command: DemoCommand = argh::from_env();
+    if let Err(error) = telemetry::install_logs(LogLevel::Warn, LogFormat::Text) {
         eprintln!("demo: can't set up logs: {error}; check the standard error stream");
         return ExitCode::FAILURE;
     }
-    match run().await {
+    let result = match command.action {
+        None => run().await,
+        Some(DemoAction::Latency(latency)) => measure(&latency).await,
+        Some(DemoAction::Calls(_)) => {
+            println!("{}", sample_calls());
+            Ok(())
+        }
+        Some(DemoAction::Ticket(_)) => {
+            println!("{:#}", demo_ticket(&DemoLayout::three_stages()));
+            Ok(())
+        }
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("demo: {error}");
@@ -39,43 +58,25 @@
     .await?;
     cluster.apply_ticket().await?;
     cluster.wait_ready().await;
-    print_calls(&cluster);
+    println!("{}", sample_calls());
     // Without a handler the signal ends the process at once.
     let _ = tokio::signal::ctrl_c().await;
     Ok(())
 }
 
-fn print_calls(cluster: &DemoCluster) {
-    let urls = cluster.entry_urls();
-    let entry = &urls[0];
-    let other = urls.last().unwrap_or(entry);
-    let admin = cluster.admin_url(0);
-    let booking = cluster.booking.url();
-    let bearer = format!("-H 'authorization: Bearer {ACCOUNT_SECRET}'");
-    let json = "-H 'content-type: application/json'";
-    println!(
-        "Ready. Two entries, a three-stage pipeline and a booking service run on loopback.
-
-Stream an answer through the three stages:
-  curl -N {entry}/v1/completions {bearer} {json} \\
-    -d '{{\"model\":\"{MODEL}\",\"prompt\":\"how do I splice a hawser\",\"max_tokens\":24,\"stream\":true}}'
-
-Ask in the form of a chat, in one piece, at the other entry:
-  curl {other}/v1/chat/completions {bearer} {json} \\
-    -d '{{\"model\":\"{MODEL}\",\"messages\":[{{\"role\":\"user\",\"content\":\"which knot\"}}]}}'
-
-Book; give the line twice, and the second answer comes from the record of the first:
-  curl -i {other}/services/booking/book {bearer} {json} -H 'idempotency-key: order-1' \\
-    -d '{{\"item\":\"hawser\",\"quantity\":1}}'
-  curl {booking}/count
-
-Look up the stock:
-  curl {entry}/services/booking/stock/hawser {bearer}
-
-See the configuration and the members:
-  curl {admin}/admin/v1/config -H 'authorization: Bearer {ADMIN_TOKEN}'
-  curl {admin}/admin/v1/members -H 'authorization: Bearer {ADMIN_TOKEN}'
-
-Ctrl-C ends the demonstration."
-    );
+async fn measure(command: &LatencyCommand) -> Result<(), DemoError> {
+    let whole = [LayerRange::new(0, LAYERS)];
+    let thirds = [
+        LayerRange::new(0, 4),
+        LayerRange::new(4, 8),
+        LayerRange::new(8, LAYERS),
+    ];
+    for ranges in [&whole[..], &thirds[..]] {
+        let run = LatencyRun::measure(command, ranges).await?;
+        println!("{run}");
+        for failure in run.failures() {
+            println!("    {failure}");
+        }
+    }
+    Ok(())
 }
--- /dev/null
+++ b/crates/demo/src/ticket_command.rs
@@ -0,0 +1,6 @@
+use argh::FromArgs;
+
+/// print the first ticket
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "ticket")]
+pub struct TicketCommand {}
