--- /dev/null
+++ b/crates/demo/src/lib.rs
@@ -0,0 +1,47 @@
+/*!
+The whole system on loopback in one process: stand-ins, two entries, a three-stage pipeline with
+overlapping layer ranges and two endpoints of a booking service.
+
+The binary starts it on fixed ports for the README; tests and measurements start it on free ports.
+*/
+
+mod calls_command;
+mod demo_action;
+mod demo_cluster;
+mod demo_command;
+mod demo_error;
+mod demo_layout;
+mod demo_options;
+mod demo_ticket;
+mod latency_command;
+mod latency_run;
+mod sample_calls;
+mod ticket_command;
+
+pub use self::calls_command::CallsCommand;
+pub use self::demo_action::DemoAction;
+pub use self::demo_cluster::DemoCluster;
+pub use self::demo_command::DemoCommand;
+pub use self::demo_error::DemoError;
+pub use self::demo_layout::DemoLayout;
+pub use self::demo_options::DemoOptions;
+pub use self::demo_ticket::demo_ticket;
+pub use self::latency_command::LatencyCommand;
+pub use self::latency_run::LatencyRun;
+pub use self::sample_calls::sample_calls;
+pub use self::ticket_command::TicketCommand;
+
+/// The secret of the client account of the first ticket.
+pub const ACCOUNT_SECRET: &str = "demo-secret";
+
+/// The secret of the administration API.
+pub const ADMIN_TOKEN: &str = "demo-admin";
+
+/// The model of the first ticket.
+pub const MODEL: &str = "knots";
+
+/// The number of layers of the model.
+pub const LAYERS: u16 = 12;
+
+/// The plain service of the first ticket.
+pub const SERVICE: &str = "booking";
