Spread tickets and members by gossip, and serve the administration API

A ticket posted to one entry is committed to the table service in one transaction and reaches the configuration of every process; the host list and the processes' own records fill the members.

- core::config: marks with ticket and revision for every object, deleted ones included; deltas and their adoption; the commit plan; the ticket machine; a parser that names every fault of the form.
- core::member: the gossip machine (four rings as overlay, push of news, digests, repair by a hash tree, probes, suspicions, host list), crash counts.
- daemon::control: the task that owns the machine, host list and store polling.
- daemon::entry::admin: tickets, configuration, revision, members, wait.

The store rows gain config-log/<revision>, which holds the ticket of each revision: a poller reads the rows after its revision and applies them in order, which is consistent without a transaction over all objects.

--- /dev/null
+++ b/crates/core/src/config/commit_check.rs
@@ -0,0 +1,8 @@
+/// A condition of a commit.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CommitCheck {
+    /// The key of the row.
+    pub key: String,
+    /// The version that the row must have, or `None` if it must be absent.
+    pub version: Option<u64>,
+}
--- a/crates/core/src/config/config_state.rs
+++ b/crates/core/src/config/config_state.rs
@@ -9,7 +9,13 @@
 use crate::ident::ServiceName;
 
 use super::AccountSpec;
+use super::ChangeTicket;
+use super::ConfigDelta;
+use super::ConfigObject;
 use super::ModelSpec;
+use super::ObjectChange;
+use super::ObjectKind;
+use super::ObjectMark;
 use super::PoolSpec;
 use super::ServiceSpec;
 
@@ -26,6 +32,9 @@
     pub pools: Vec<PoolSpec>,
     /// The services.
     pub services: Vec<ServiceSpec>,
+    /// The ticket and revision of every object, deleted ones included, sorted by kind and name.
+    #[serde(default)]
+    pub marks: Vec<ObjectMark>,
 }
 
 impl ConfigState {
@@ -65,6 +74,112 @@
     pub fn pools_of<'a>(&'a self, model: &'a ModelName) -> impl Iterator<Item = &'a PoolSpec> {
         self.pools.iter().filter(move |pool| pool.model == *model)
     }
+
+    /// Returns the mark of an object, which outlives the deletion of the object.
+    pub fn mark(&self, kind: ObjectKind, name: &str) -> Option<&ObjectMark> {
+        find(&self.marks, |mark| mark.cmp_key(kind, name))
+    }
+
+    /// Returns a copy of the object `name` of the given kind.
+    pub fn object(&self, kind: ObjectKind, name: &str) -> Option<ConfigObject> {
+        match kind {
+            ObjectKind::Account => find(&self.accounts, |item| item.name.as_str().cmp(name))
+                .cloned()
+                .map(ConfigObject::Account),
+            ObjectKind::Model => find(&self.models, |item| item.name.as_str().cmp(name))
+                .cloned()
+                .map(ConfigObject::Model),
+            ObjectKind::Pool => find(&self.pools, |item| item.name.as_str().cmp(name))
+                .cloned()
+                .map(ConfigObject::Pool),
+            ObjectKind::Service => find(&self.services, |item| item.name.as_str().cmp(name))
+                .cloned()
+                .map(ConfigObject::Service),
+        }
+    }
+
+    /// Returns everything that changed after the revision `base`.
+    pub fn delta_since(&self, base: u64) -> ConfigDelta {
+        let newer = self.marks.iter().filter(|mark| mark.revision > base);
+        let changes = newer.map(|mark| ObjectChange {
+            mark: mark.clone(),
+            object: self.object(mark.kind, &mark.name),
+        });
+        ConfigDelta {
+            base,
+            revision: self.revision,
+            changes: changes.collect(),
+        }
+    }
+
+    /// Adopts a delta and returns whether the configuration changed.
+    ///
+    /// A delta that leads to a revision already held, or that starts after the held revision, has
+    /// no effect, so that the configuration never goes back and never misses a change.
+    pub fn adopt(&mut self, delta: &ConfigDelta) -> bool {
+        if delta.revision <= self.revision || delta.base > self.revision {
+            return false;
+        }
+        for change in &delta.changes {
+            let held = self.mark(change.mark.kind, &change.mark.name);
+            if held.is_none_or(|held| held.revision < change.mark.revision) {
+                self.put(change);
+            }
+        }
+        self.revision = delta.revision;
+        true
+    }
+
+    /// Applies an accepted ticket as the next revision.
+    pub fn apply(&mut self, ticket: &ChangeTicket) {
+        self.revision += 1;
+        for change in ticket.changes(self.revision) {
+            self.put(&change);
+        }
+    }
+
+    /// Stores the state of one object and its mark.
+    pub fn put(&mut self, change: &ObjectChange) {
+        let mark = &change.mark;
+        let name = mark.name.as_str();
+        match mark.kind {
+            ObjectKind::Account => {
+                let state = match &change.object {
+                    Some(ConfigObject::Account(state)) => Some(state),
+                    _ => None,
+                };
+                set(&mut self.accounts, state, |item| {
+                    item.name.as_str().cmp(name)
+                });
+            }
+            ObjectKind::Model => {
+                let state = match &change.object {
+                    Some(ConfigObject::Model(state)) => Some(state),
+                    _ => None,
+                };
+                set(&mut self.models, state, |item| item.name.as_str().cmp(name));
+            }
+            ObjectKind::Pool => {
+                let state = match &change.object {
+                    Some(ConfigObject::Pool(state)) => Some(state),
+                    _ => None,
+                };
+                set(&mut self.pools, state, |item| item.name.as_str().cmp(name));
+            }
+            ObjectKind::Service => {
+                let state = match &change.object {
+                    Some(ConfigObject::Service(state)) => Some(state),
+                    _ => None,
+                };
+                set(&mut self.services, state, |item| {
+                    item.name.as_str().cmp(name)
+                });
+            }
+        }
+        set(&mut self.marks, Some(mark), |held| {
+            held.cmp_key(mark.kind, name)
+        });
+    }
 }
 
 /// Finds an item of a vector that is sorted by the order that `compare` returns.
@@ -72,3 +187,13 @@
     let index = items.binary_search_by(compare).ok()?;
     Some(&items[index])
 }
+
+/// Sets or removes an item of a vector that is sorted by the order that `compare` returns.
+fn set<T: Clone>(items: &mut Vec<T>, state: Option<&T>, compare: impl FnMut(&T) -> Ordering) {
+    match (items.binary_search_by(compare), state) {
+        (Ok(index), Some(state)) => items[index] = state.clone(),
+        (Ok(index), None) => drop(items.remove(index)),
+        (Err(index), Some(state)) => items.insert(index, state.clone()),
+        (Err(_), None) => {}
+    }
+}
--- a/crates/core/src/config/object_kind.rs
+++ b/crates/core/src/config/object_kind.rs
@@ -16,6 +16,14 @@
 }
 
 impl ObjectKind {
+    /// Every kind.
+    pub const ALL: [ObjectKind; 4] = [
+        ObjectKind::Account,
+        ObjectKind::Model,
+        ObjectKind::Pool,
+        ObjectKind::Service,
+    ];
+
     /// Returns the kind as it appears in row keys and administration paths.
     pub const fn as_str(self) -> &'static str {
         match self {
--- /dev/null
+++ b/crates/core/src/config/ticket_fault.rs
@@ -0,0 +1,23 @@
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+
+/// A fault of a ticket with its place.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize, Snafu)]
+#[snafu(display("{place}: {problem}"))]
+pub struct TicketFault {
+    /// The path of the faulty field in the ticket, such as `pools[0].endpoints[2].end_layer`.
+    pub place: String,
+    /// What is wrong and what to do about it.
+    pub problem: String,
+}
+
+impl TicketFault {
+    /// Creates a fault.
+    pub fn new(place: impl Into<String>, problem: impl Into<String>) -> TicketFault {
+        TicketFault {
+            place: place.into(),
+            problem: problem.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/member/gossip_machine/absorb.rs
@@ -0,0 +1,137 @@
+//! What a process takes over from messages and events.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::config::ConfigDelta;
+use crate::ident::EndpointName;
+use crate::time::MilliTime;
+
+use super::super::GossipMessage;
+use super::super::MemberRecord;
+use super::super::MemberState;
+use super::super::Suspicion;
+use super::super::gossip_news::GossipNews;
+use super::GossipMachine;
+
+/// The greatest number of forwarded suspicions that are remembered.
+const MAX_SUSPICIONS: usize = 256;
+
+impl GossipMachine {
+    /// Takes over what is new in a message, and returns the held records that are newer than those
+    /// of the message.
+    pub(super) fn absorb(
+        &mut self,
+        now: MilliTime,
+        message: &GossipMessage,
+        news: &mut GossipNews,
+    ) -> Vec<MemberRecord> {
+        self.last_contact = now;
+        if let Some(delta) = &message.delta {
+            self.adopt(delta, news);
+        }
+        for record in &message.crashes {
+            if self.crashes.merge(record) {
+                news.crashes.push(record.clone());
+            }
+        }
+        for suspicion in &message.suspicions {
+            self.take_suspicion(suspicion, news);
+        }
+        let mut outdated = Vec::new();
+        for record in &message.members {
+            if record.name == self.own.name {
+                self.meet_own(record, news);
+            } else if !self.merge_record(now, record, news)
+                && let Some(known) = self.table.get(&record.name)
+                && known.supersedes(record)
+            {
+                outdated.push(known.clone());
+            }
+        }
+        outdated
+    }
+
+    pub(super) fn adopt(&mut self, delta: &ConfigDelta, news: &mut GossipNews) {
+        let base = self.config.revision;
+        if delta.revision <= base || delta.base > base {
+            return;
+        }
+        if Arc::make_mut(&mut self.config).adopt(delta) {
+            news.config_base.get_or_insert(base);
+        }
+    }
+
+    /// Merges the record of another member and returns whether it was news.
+    pub(super) fn merge_record(
+        &mut self,
+        now: MilliTime,
+        record: &MemberRecord,
+        news: &mut GossipNews,
+    ) -> bool {
+        let was_present = self.is_present(&record.name);
+        if !is_valid(record) || !self.table.merge(record) {
+            return false;
+        }
+        news.members.push(record.name.clone());
+        news.has_members = true;
+        news.has_overlay |= was_present != self.is_present(&record.name);
+        if record.state == MemberState::Gone {
+            self.gone.push((record.name.clone(), now));
+        }
+        true
+    }
+
+    pub(super) fn is_present(&self, name: &str) -> bool {
+        let record = self.table.get(name);
+        record.is_some_and(|record| record.state != MemberState::Gone)
+    }
+
+    /// Refutes what others say about this process, or takes over that it is leaving.
+    pub(super) fn meet_own(&mut self, record: &MemberRecord, news: &mut GossipNews) {
+        if !record.supersedes(&self.own) {
+            return;
+        }
+        let is_same_run = record.incarnation == self.own.incarnation;
+        if is_same_run && record.state == MemberState::Leaving {
+            self.own.state = MemberState::Leaving;
+        } else {
+            self.own.incarnation = record.incarnation + 1;
+        }
+        self.store_own(news);
+    }
+
+    pub(super) fn take_suspicion(&mut self, suspicion: &Suspicion, news: &mut GossipNews) {
+        if suspicion.name == self.own.name {
+            if suspicion.incarnation >= self.own.incarnation {
+                self.own.incarnation = suspicion.incarnation + 1;
+                self.store_own(news);
+            }
+            return;
+        }
+        let known = self.table.get(&suspicion.name);
+        let is_current = known.is_some_and(|known| known.incarnation == suspicion.incarnation);
+        if is_current && !self.suspicions.contains(suspicion) {
+            if self.suspicions.len() == MAX_SUSPICIONS {
+                self.suspicions.remove(0);
+            }
+            self.suspicions.push(suspicion.clone());
+            news.suspicions.push(suspicion.clone());
+        }
+    }
+
+    pub(super) fn store_own(&mut self, news: &mut GossipNews) {
+        self.table.merge(&self.own);
+        if !news.members.contains(&self.own.name) {
+            news.members.push(self.own.name.clone());
+        }
+        news.has_members = true;
+        news.has_own = true;
+    }
+}
+
+/// Returns whether the name and the address of a record can be used.
+fn is_valid(record: &MemberRecord) -> bool {
+    let has_name = EndpointName::parse(&record.name).is_ok();
+    has_name && record.address.parse::<SocketAddr>().is_ok()
+}
--- a/crates/core/src/member/member_table.rs
+++ b/crates/core/src/member/member_table.rs
@@ -1,57 +1,180 @@
+use std::sync::Arc;
+
 use super::MemberRecord;
 use super::MemberRole;
 use super::MemberState;
+use super::RangeHash;
+use super::hash::fold;
+use super::hash::hash_text;
+use super::hash::mix;
+
+/// The number of hash bits that select a leaf of the hash tree.
+const LEAF_BITS: u32 = 4 * RangeHash::LEAF_DEPTH as u32;
+
+/// The number of processes that poll the platform, whatever the size of the system.
+const POLLER_COUNT: usize = 3;
 
 /// The members that a process knows, sorted by name.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+///
+/// A hash tree over the members that are not gone lets two tables find their differences with a few
+/// small messages. Members that are gone are left out, so that each process may forget them at a
+/// time of its own without a difference between the tables.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct MemberTable {
-    records: Vec<MemberRecord>,
+    entries: Vec<Arc<MemberEntry>>,
+    leaves: Vec<u64>,
+    root: u64,
+}
+
+#[derive(Debug, Eq, PartialEq)]
+struct MemberEntry {
+    record: MemberRecord,
+    name_hash: u64,
+}
+
+impl MemberEntry {
+    fn leaf(&self) -> usize {
+        (self.name_hash >> (64 - LEAF_BITS)) as usize
+    }
+
+    /// Returns the contribution of the record to the hash tree.
+    fn state_hash(&self) -> u64 {
+        let record = &self.record;
+        if record.state == MemberState::Gone {
+            return 0;
+        }
+        let version = mix(record.incarnation) ^ mix(record.sequence.wrapping_add(1) << 2);
+        mix(self.name_hash ^ version ^ record.state as u64)
+    }
+}
+
+impl Default for MemberTable {
+    fn default() -> MemberTable {
+        MemberTable::new()
+    }
 }
 
 impl MemberTable {
     /// Creates an empty table.
     pub fn new() -> MemberTable {
-        MemberTable::default()
+        MemberTable {
+            entries: Vec::new(),
+            leaves: vec![0; 1 << LEAF_BITS],
+            root: 0,
+        }
     }
 
     /// Merges a record and returns whether it was news.
+    ///
+    /// An unknown member that is gone is no news, so that a forgotten member stays forgotten.
     pub fn merge(&mut self, record: &MemberRecord) -> bool {
-        match self
-            .records
-            .binary_search_by(|known| known.name.as_str().cmp(&record.name))
-        {
+        let found = self.find(&record.name);
+        match found {
+            Ok(index) if !record.supersedes(&self.entries[index].record) => return false,
+            Err(_) if record.state == MemberState::Gone => return false,
+            _ => {}
+        }
+        let entry = Arc::new(MemberEntry {
+            name_hash: hash_text(&record.name),
+            record: record.clone(),
+        });
+        self.toggle(&entry);
+        match found {
             Ok(index) => {
-                let is_news = record.supersedes(&self.records[index]);
-                if is_news {
-                    self.records[index] = record.clone();
-                }
-                is_news
-            }
-            Err(index) => {
-                self.records.insert(index, record.clone());
-                true
+                let replaced = std::mem::replace(&mut self.entries[index], entry);
+                self.toggle(&replaced);
             }
+            Err(index) => self.entries.insert(index, entry),
+        }
+        true
+    }
+
+    /// Removes the record of `name` if the member is gone.
+    pub fn forget(&mut self, name: &str) {
+        if let Ok(index) = self.find(name)
+            && self.entries[index].record.state == MemberState::Gone
+        {
+            self.entries.remove(index);
         }
     }
 
     /// Returns the record of `name`.
     pub fn get(&self, name: &str) -> Option<&MemberRecord> {
-        let index = self
-            .records
-            .binary_search_by(|known| known.name.as_str().cmp(name))
-            .ok()?;
-        Some(&self.records[index])
+        let index = self.find(name).ok()?;
+        Some(&self.entries[index].record)
     }
 
     /// Returns every record in the order of names.
-    pub fn records(&self) -> &[MemberRecord] {
-        &self.records
+    pub fn records(&self) -> impl ExactSizeIterator<Item = &MemberRecord> {
+        self.entries.iter().map(|entry| &entry.record)
     }
 
     /// Returns the live members of `role` in the order of names.
     pub fn live(&self, role: MemberRole) -> impl Iterator<Item = &MemberRecord> {
-        self.records
-            .iter()
+        self.records()
             .filter(move |record| record.role == role && record.state == MemberState::Live)
     }
+
+    /// Returns whether the member `name` polls the table service and the host list, as the three
+    /// live entries with the lowest names do.
+    pub fn is_poller(&self, name: &str) -> bool {
+        let mut pollers = self.live(MemberRole::Entry).take(POLLER_COUNT);
+        pollers.any(|entry| entry.name == name)
+    }
+
+    /// Returns the members that are not gone, each with the hash of its name.
+    pub(super) fn present(&self) -> impl Iterator<Item = (&MemberRecord, u64)> {
+        let present = self
+            .entries
+            .iter()
+            .filter(|entry| entry.record.state != MemberState::Gone);
+        present.map(|entry| (&entry.record, entry.name_hash))
+    }
+
+    /// Returns the hash over all members that are not gone.
+    pub fn root_hash(&self) -> u32 {
+        fold(self.root)
+    }
+
+    /// Returns the hashes of the ranges into which the range `prefix` of `depth` digits divides.
+    pub fn child_hashes(&self, prefix: u16, depth: u8) -> Vec<RangeHash> {
+        let children = (0..16).map(|digit| (prefix << 4) | digit);
+        let hashes = children.map(|child| RangeHash {
+            prefix: child,
+            depth: depth + 1,
+            hash: self.range_hash(child, depth + 1),
+        });
+        hashes.collect()
+    }
+
+    /// Returns the hash over the range `prefix` of `depth` digits.
+    pub fn range_hash(&self, prefix: u16, depth: u8) -> u32 {
+        let width = 4 * u32::from(RangeHash::LEAF_DEPTH.saturating_sub(depth));
+        let start = (usize::from(prefix) << width).min(self.leaves.len());
+        let end = (start + (1 << width)).min(self.leaves.len());
+        let hash = self.leaves[start..end]
+            .iter()
+            .fold(0, |hash, leaf| hash ^ leaf);
+        fold(hash)
+    }
+
+    /// Returns the records of one leaf of the hash tree, gone members included.
+    pub fn leaf_records(&self, leaf: u16) -> impl Iterator<Item = &MemberRecord> {
+        self.entries
+            .iter()
+            .filter(move |entry| entry.leaf() == usize::from(leaf))
+            .map(|entry| &entry.record)
+    }
+
+    fn find(&self, name: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|known| known.record.name.as_str().cmp(name))
+    }
+
+    /// Adds the entry to the hash tree, or removes it if it was added before.
+    fn toggle(&mut self, entry: &MemberEntry) {
+        let hash = entry.state_hash();
+        self.leaves[entry.leaf()] ^= hash;
+        self.root ^= hash;
+    }
 }
--- /dev/null
+++ b/crates/core/src/member/ring_overlay.rs
@@ -0,0 +1,76 @@
+use super::MemberTable;
+use super::hash::hash_text;
+use super::hash::mix;
+
+/// The number of rings; each gives one successor and one predecessor.
+const RING_COUNT: usize = 4;
+
+/// The number of successors on the first ring that a process probes.
+const PROBE_COUNT: usize = 3;
+
+/// The neighbours of a process in the overlay over which news spreads.
+///
+/// The members are ordered on [`RING_COUNT`] rings, each by another hash of the name. The neighbours
+/// are the successors and predecessors on the rings. The union of the rings is a random regular
+/// graph of degree 8, and every ring alone connects all members. All processes with equal tables
+/// agree on the neighbours without a message, and a member that comes or goes changes the neighbours
+/// of 8 others only.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RingOverlay {
+    successors: Vec<String>,
+    neighbours: Vec<String>,
+    probed: Vec<String>,
+}
+
+impl RingOverlay {
+    /// Computes the neighbours of the member `own` among the members that are not gone.
+    pub fn new(table: &MemberTable, own: &str) -> RingOverlay {
+        let own_hash = hash_text(own);
+        let mut overlay = RingOverlay::default();
+        for ring in 0..RING_COUNT {
+            let key = mix(ring as u64 + 1);
+            let own_place = mix(own_hash ^ key);
+            let distances = table
+                .present()
+                .filter(|(record, _)| record.name != own)
+                .map(|(record, hash)| (mix(hash ^ key).wrapping_sub(own_place), &record.name));
+            let mut distances: Vec<(u64, &String)> = distances.collect();
+            let Some(first) = distances.iter().min() else {
+                break;
+            };
+            push_new(&mut overlay.successors, first.1);
+            push_new(&mut overlay.neighbours, first.1);
+            if let Some(last) = distances.iter().max() {
+                push_new(&mut overlay.neighbours, last.1);
+            }
+            if ring == 0 {
+                let count = PROBE_COUNT.min(distances.len());
+                distances.select_nth_unstable(count - 1);
+                distances.truncate(count);
+                overlay.probed = distances.iter().map(|(_, name)| (*name).clone()).collect();
+            }
+        }
+        overlay
+    }
+
+    /// Returns the names of the up to 4 successors, which the process itself contacts.
+    pub fn successors(&self) -> &[String] {
+        &self.successors
+    }
+
+    /// Returns the names of the up to 8 neighbours.
+    pub fn neighbours(&self) -> &[String] {
+        &self.neighbours
+    }
+
+    /// Returns the names of the up to 3 members that the process probes.
+    pub fn probed(&self) -> &[String] {
+        &self.probed
+    }
+}
+
+fn push_new(names: &mut Vec<String>, name: &str) {
+    if !names.iter().any(|known| known == name) {
+        names.push(name.to_owned());
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/config_store.rs
@@ -0,0 +1,92 @@
+//! The configuration in the table service.
+
+use std::sync::Arc;
+
+use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::config::LogRecord;
+use dandelionroad_core::config::ObjectChange;
+use dandelionroad_core::config::row_keys::LOG_PREFIX;
+use dandelionroad_core::config::row_keys::OBJECT_PREFIX;
+use dandelionroad_core::config::row_keys::REVISION_KEY;
+use dandelionroad_core::config::row_keys::log_key;
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::table::TableClient;
+use serde::de::DeserializeOwned;
+
+/// The number of rows of one scan.
+const SCAN_ROWS: u32 = 256;
+
+/// The number of revisions beyond which the objects are read instead of the log.
+const MAX_LOG_STEPS: u64 = 1_024;
+
+/// Returns the configuration of the table service, starting from the one held.
+///
+/// The revisions that follow the held one are read from the log. A process that is far behind reads
+/// all objects first and then the log from the revision before that reading, so that the result is
+/// consistent although tickets are committed meanwhile.
+pub(crate) async fn catch_up(
+    table: &dyn TableClient,
+    held: &Arc<ConfigState>,
+) -> Result<Arc<ConfigState>, PlatformError> {
+    let mut config = held.clone();
+    if held.revision == 0 {
+        let newest = read_revision(table).await?;
+        if newest > MAX_LOG_STEPS {
+            config = Arc::new(read_objects(table, newest).await?);
+        }
+    }
+    loop {
+        let rows = table
+            .scan(LOG_PREFIX, &log_key(config.revision), SCAN_ROWS)
+            .await?;
+        for row in &rows {
+            let record: LogRecord = parse(&row.key, &row.value)?;
+            if record.revision != config.revision + 1 {
+                return Err(PlatformError::Invalid {
+                    system: "table service",
+                    detail: format!("{} does not follow {}", row.key, config.revision),
+                });
+            }
+            Arc::make_mut(&mut config).apply(&record.ticket);
+        }
+        if rows.len() < SCAN_ROWS as usize {
+            return Ok(config);
+        }
+    }
+}
+
+async fn read_revision(table: &dyn TableClient) -> Result<u64, PlatformError> {
+    match table.read(REVISION_KEY).await? {
+        Some(row) => parse(&row.key, &row.value),
+        None => Ok(0),
+    }
+}
+
+/// Reads all objects as of `revision` or later.
+async fn read_objects(
+    table: &dyn TableClient,
+    revision: u64,
+) -> Result<ConfigState, PlatformError> {
+    let mut config = ConfigState::new();
+    let mut after = String::new();
+    loop {
+        let rows = table.scan(OBJECT_PREFIX, &after, SCAN_ROWS).await?;
+        for row in &rows {
+            let change: ObjectChange = parse(&row.key, &row.value)?;
+            config.put(&change);
+        }
+        match rows.last() {
+            Some(last) if rows.len() == SCAN_ROWS as usize => after = last.key.clone(),
+            _ => break,
+        }
+    }
+    config.revision = revision;
+    Ok(config)
+}
+
+fn parse<T: DeserializeOwned>(key: &str, value: &str) -> Result<T, PlatformError> {
+    serde_json::from_str(value).map_err(|error| PlatformError::Invalid {
+        system: "table service",
+        detail: format!("row {key}: {error}"),
+    })
+}
--- a/crates/daemon/src/control/control_server.rs
+++ b/crates/daemon/src/control/control_server.rs
@@ -1,9 +1,12 @@
 use std::sync::Arc;
 
+use dandelionroad_core::member::GossipMessage;
 use dandelionroad_messages::ProbeReply;
 use dandelionroad_messages::control_api::ControlApiServer;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::core::async_trait;
+use jsonrpsee::types::ErrorCode;
+use jsonrpsee::types::ErrorObjectOwned;
 
 use crate::node::NodeContext;
 
@@ -31,4 +34,9 @@
             revision,
         })
     }
+
+    async fn gossip_exchange(&self, message: GossipMessage) -> RpcResult<GossipMessage> {
+        let reply = self.context.control.answer(message).await;
+        reply.ok_or_else(|| ErrorObjectOwned::from(ErrorCode::InternalError))
+    }
 }
--- /dev/null
+++ b/crates/daemon/src/control/control_task.rs
@@ -0,0 +1,83 @@
+//! The task that owns the gossip machine and is the only writer of configuration and members.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandelionroad_core::member::GossipAction;
+use dandelionroad_core::member::GossipEvent;
+use dandelionroad_core::member::GossipMachine;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+
+use crate::node::NodeContext;
+
+use super::control_event::ControlEvent;
+use super::peer_calls;
+
+/// The time between two ticks of the gossip machine, in milliseconds.
+const TICK_MS: u64 = 1_000;
+
+/// Runs the gossip machine until the process stops.
+pub(super) async fn run(context: Arc<NodeContext>, mut events: mpsc::Receiver<ControlEvent>) {
+    let own = context.own.borrow().clone();
+    let mut machine = GossipMachine::new(own);
+    machine.set_seeds(context.settings.seeds.clone());
+    let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut own_changes = context.own.subscribe();
+    loop {
+        let event = tokio::select! {
+            _ = ticks.tick() => GossipEvent::Tick,
+            Ok(()) = own_changes.changed() => {
+                let own = own_changes.borrow_and_update().clone();
+                GossipEvent::OwnChanged(Box::new(own))
+            }
+            event = events.recv() => match event {
+                Some(ControlEvent::Gossip(event)) => event,
+                Some(ControlEvent::Request { message, reply }) => {
+                    let (answer, actions) = machine.answer(context.clock.now(), &message);
+                    // Fails only when the sender has given up the request.
+                    let _ = reply.send(answer);
+                    carry_out(&context, &machine, actions);
+                    continue;
+                }
+                None => return,
+            },
+        };
+        let actions = machine.handle(context.clock.now(), event);
+        carry_out(&context, &machine, actions);
+    }
+}
+
+fn carry_out(context: &Arc<NodeContext>, machine: &GossipMachine, actions: Vec<GossipAction>) {
+    for action in actions {
+        match action {
+            GossipAction::Send { address, message } => {
+                let context = context.clone();
+                tokio::spawn(
+                    async move { peer_calls::exchange(&context, address, *message).await },
+                );
+            }
+            GossipAction::Probe { name, address } => {
+                let context = context.clone();
+                tokio::spawn(async move { peer_calls::probe(&context, name, address).await });
+            }
+            GossipAction::ConfigChanged => {
+                context.config.send_replace(machine.config().clone());
+            }
+            GossipAction::MembersChanged => {
+                context
+                    .members
+                    .send_replace(Arc::new(machine.members().clone()));
+            }
+            GossipAction::CrashesChanged => {
+                context
+                    .crashes
+                    .send_replace(Arc::new(machine.crashes().clone()));
+            }
+            GossipAction::OwnChanged => {
+                context.own.send_replace(machine.own().clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/admin/member_routes.rs
@@ -0,0 +1,156 @@
+//! The routes that show the members and wait until a revision is in force everywhere.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::Json;
+use axum::Router;
+use axum::extract::Query;
+use axum::extract::State;
+use axum::routing::get;
+use dandelionroad_core::member::MemberRecord;
+use dandelionroad_core::member::MemberState;
+use futures_util::StreamExt;
+use futures_util::stream;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::control::peer_calls;
+use crate::node::NodeContext;
+
+use super::admin_error::AdminError;
+
+/// The time in which a member must tell its revision, in milliseconds.
+const ASK_TIMEOUT_MS: u64 = 800;
+
+/// The greatest number of members that are asked at the same time.
+const MAX_ASKED_AT_ONCE: usize = 64;
+
+/// The time between two rounds of asking the members that lag, in milliseconds.
+const WAIT_ROUND_MS: u64 = 100;
+
+/// The longest wait for a revision, in milliseconds.
+const MAX_WAIT_MS: u64 = 60_000;
+
+/// The wait for a revision if the request names none, in milliseconds.
+const DEFAULT_WAIT_MS: u64 = 10_000;
+
+/// A member with the revision that it says is in force there.
+#[derive(Serialize)]
+struct MemberView {
+    #[serde(flatten)]
+    record: MemberRecord,
+    /// Absent if the member is gone or has not answered in time.
+    revision: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct MembersAnswer {
+    revision: u64,
+    members: Vec<MemberView>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct WaitQuery {
+    revision: u64,
+    #[serde(default = "default_wait")]
+    timeout_ms: u64,
+}
+
+/// Whether a revision is in force at every member that is not gone.
+#[derive(Serialize)]
+struct WaitAnswer {
+    revision: u64,
+    in_force: bool,
+    members: usize,
+    lagging: Vec<MemberView>,
+}
+
+fn default_wait() -> u64 {
+    DEFAULT_WAIT_MS
+}
+
+/// Returns the routes.
+pub(super) fn routes() -> Router<Arc<NodeContext>> {
+    Router::new()
+        .route("/admin/v1/members", get(list_members))
+        .route("/admin/v1/wait", get(wait_for_revision))
+}
+
+async fn list_members(State(context): State<Arc<NodeContext>>) -> Json<MembersAnswer> {
+    let members = context.members.borrow().clone();
+    let records = members.records().cloned().collect();
+    let revision = context.config.borrow().revision;
+    let members = ask_all(&context, records).await;
+    Json(MembersAnswer { revision, members })
+}
+
+async fn wait_for_revision(
+    State(context): State<Arc<NodeContext>>,
+    Query(query): Query<WaitQuery>,
+) -> Result<Json<WaitAnswer>, AdminError> {
+    if query.timeout_ms > MAX_WAIT_MS {
+        return Err(AdminError::bad_request(format!(
+            "timeout_ms is {}; use at most {MAX_WAIT_MS}",
+            query.timeout_ms
+        )));
+    }
+    let deadline = context.clock.now().plus(query.timeout_ms);
+    let mut reached: Vec<String> = Vec::new();
+    loop {
+        // Members that join during the wait must hold the revision as well.
+        let present = present_members(&context);
+        let members = present.len();
+        let is_open = |record: &MemberRecord| reached.binary_search(&record.name).is_err();
+        let open = present.into_iter().filter(is_open).collect();
+        let views = ask_all(&context, open).await;
+        let mut lagging = Vec::new();
+        for view in views {
+            if view.revision >= Some(query.revision) {
+                reached.push(view.record.name);
+            } else {
+                lagging.push(view);
+            }
+        }
+        reached.sort();
+        if lagging.is_empty() || context.clock.now() >= deadline {
+            return Ok(Json(WaitAnswer {
+                revision: query.revision,
+                in_force: lagging.is_empty(),
+                members,
+                lagging,
+            }));
+        }
+        tokio::time::sleep(Duration::from_millis(WAIT_ROUND_MS)).await;
+    }
+}
+
+fn present_members(context: &NodeContext) -> Vec<MemberRecord> {
+    let members = context.members.borrow().clone();
+    let present = members
+        .records()
+        .filter(|record| record.state != MemberState::Gone);
+    present.cloned().collect()
+}
+
+/// Asks every member that is not gone for its revision, in the order of the records.
+async fn ask_all(context: &NodeContext, records: Vec<MemberRecord>) -> Vec<MemberView> {
+    let views = stream::iter(records).map(|record| ask(context, record));
+    views.buffered(MAX_ASKED_AT_ONCE).collect().await
+}
+
+async fn ask(context: &NodeContext, record: MemberRecord) -> MemberView {
+    if record.name == context.settings.name {
+        let revision = Some(context.config.borrow().revision);
+        return MemberView { record, revision };
+    }
+    if record.state == MemberState::Gone {
+        let revision = None;
+        return MemberView { record, revision };
+    }
+    let reply = peer_calls::ask(context, &record.address, ASK_TIMEOUT_MS).await;
+    let reply = reply.filter(|reply| reply.name == record.name);
+    let revision = reply.map(|reply| reply.revision);
+    MemberView { record, revision }
+}
--- a/crates/daemon/src/node/node_context.rs
+++ b/crates/daemon/src/node/node_context.rs
@@ -1,18 +1,21 @@
 use std::sync::Arc;
 
 use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::member::CrashTable;
 use dandelionroad_core::member::MemberRecord;
 use dandelionroad_core::member::MemberTable;
 use dandelionroad_settings::NodeSettings;
 use tokio::sync::watch;
 
+use crate::control::ControlHandle;
+
 use super::NodeClients;
 use super::NodeClock;
 use super::PeerPool;
 
 /// What the parts of one process share.
 ///
-/// Only the control part writes `config` and `members`; the other parts read the newest value or
+/// Only the control part writes `config`, `members` and `crashes`; the other parts read the newest value or
 /// wait for a change.
 pub struct NodeContext {
     /// The settings.
@@ -29,4 +32,8 @@
     pub config: watch::Sender<Arc<ConfigState>>,
     /// The members known here.
     pub members: watch::Sender<Arc<MemberTable>>,
+    /// The crash counts known here.
+    pub crashes: watch::Sender<Arc<CrashTable>>,
+    /// The way to the control part.
+    pub control: ControlHandle,
 }
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -20,6 +20,7 @@
 use tokio::sync::watch;
 
 use crate::control;
+use crate::control::ControlHandle;
 use crate::endpoint;
 use crate::entry;
 
@@ -130,6 +131,8 @@
         own: watch::Sender::new(record),
         config: watch::Sender::new(Arc::new(ConfigState::new())),
         members: watch::Sender::new(Arc::new(table)),
+        crashes: watch::Sender::default(),
+        control: ControlHandle::new(),
     })
 }
 
--- /dev/null
+++ b/crates/daemon/tests/control_support/mod.rs
@@ -0,0 +1,153 @@
+//! A system on loopback with a table service and a host list, for the tests of the control part.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::member::MemberRole;
+use dandelionroad_core::member::MemberTable;
+use dandelionroad_daemon::node::NodeClients;
+use dandelionroad_daemon::node::NodeHandle;
+use dandelionroad_platform::host::HostEntry;
+use dandelionroad_platform::host::HttpHost;
+use dandelionroad_platform::object::HttpObject;
+use dandelionroad_platform::table::HttpTable;
+use dandelionroad_settings::EngineKind;
+use dandelionroad_settings::NodeSettings;
+use dandelionroad_standins::host::HostStandin;
+use dandelionroad_standins::table::TableStandin;
+use serde_json::Value;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// The longest wait for a condition; only a failing test waits that long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The token of the administration API.
+pub(crate) const TOKEN: &str = "admin-token";
+
+/// The stand-ins and the started processes.
+pub(crate) struct ControlSystem {
+    pub(crate) table: TableStandin,
+    pub(crate) hosts: HostStandin,
+    pub(crate) nodes: Vec<NodeHandle>,
+}
+
+impl ControlSystem {
+    /// Starts the stand-ins without any process.
+    pub(crate) async fn start() -> ControlSystem {
+        ControlSystem {
+            table: TableStandin::start(any_port()).await.unwrap(),
+            hosts: HostStandin::start(any_port()).await.unwrap(),
+            nodes: Vec::new(),
+        }
+    }
+
+    /// Starts a process, and puts it on the host list.
+    pub(crate) async fn add(&mut self, settings: NodeSettings) {
+        let deadline = Duration::from_secs(1);
+        let clients = NodeClients {
+            table: Arc::new(HttpTable::new(&self.table.url(), deadline)),
+            object: Arc::new(HttpObject::new(&self.table.url(), deadline)),
+            host: Arc::new(HttpHost::new(&self.hosts.url(), deadline)),
+            engine: None,
+            service: None,
+        };
+        let handle = NodeHandle::start(settings, clients).await.unwrap();
+        let own = handle.context.own.borrow().clone();
+        self.hosts.change(|list| {
+            list.retain(|entry| entry.name != own.name);
+            list.push(HostEntry {
+                name: own.name,
+                role: own.role,
+                host: own.host.to_string(),
+                zone: own.zone.to_string(),
+                address: own.address,
+                leaving: false,
+            });
+        });
+        self.nodes.push(handle);
+    }
+
+    /// Sends a request to the administration API of a process; returns status and body.
+    pub(crate) async fn admin(&self, node: usize, head: &str, body: &str) -> (u16, Value) {
+        let address = self.nodes[node].admin.unwrap();
+        request(address, head, TOKEN, body).await
+    }
+
+    /// Waits until a process holds a configuration.
+    pub(crate) async fn wait_config(&self, node: usize, check: impl Fn(&ConfigState) -> bool) {
+        let context = &self.nodes[node].context;
+        let mut config = context.config.subscribe();
+        let waiting = config.wait_for(|config| check(config));
+        let result = timeout(PATIENCE, waiting).await.map(|_| ());
+        let revision = context.config.borrow().revision;
+        let name = &context.settings.name;
+        assert!(result.is_ok(), "{name} stays at revision {revision}");
+    }
+
+    /// Waits until a process knows members.
+    pub(crate) async fn wait_members(&self, node: usize, check: impl Fn(&MemberTable) -> bool) {
+        let context = &self.nodes[node].context;
+        let mut members = context.members.subscribe();
+        let waiting = members.wait_for(|members| check(members));
+        let result = timeout(PATIENCE, waiting).await.map(|_| ());
+        let known = context.members.borrow().clone();
+        let name = &context.settings.name;
+        assert!(result.is_ok(), "{name} stays with {known:?}");
+    }
+}
+
+/// Returns the settings of an entry with the token.
+pub(crate) fn entry(name: &str) -> NodeSettings {
+    NodeSettings {
+        admin_token: TOKEN.to_owned(),
+        ..NodeSettings::entry(name)
+    }
+}
+
+/// Returns the settings of an endpoint.
+pub(crate) fn endpoint(name: &str) -> NodeSettings {
+    NodeSettings::endpoint(name, EngineKind::PlainService, "")
+}
+
+/// Returns whether so many members are live.
+pub(crate) fn has_live(members: &MemberTable, entries: usize, endpoints: usize) -> bool {
+    let live = |role| members.live(role).filter(|record| record.incarnation > 0);
+    live(MemberRole::Entry).count() == entries && live(MemberRole::Endpoint).count() == endpoints
+}
+
+/// Returns a ticket that sets the service `booking` with one endpoint.
+pub(crate) fn service_ticket(number: u64, endpoint: &str) -> String {
+    format!(
+        r#"{{"number":{number},"services":[{{"name":"booking","idempotent":false,"endpoints":["{endpoint}"]}}]}}"#
+    )
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Sends an HTTP request such as `GET /path` and returns status and JSON body.
+pub(crate) async fn request(
+    address: SocketAddr,
+    head: &str,
+    token: &str,
+    body: &str,
+) -> (u16, Value) {
+    let length = body.len();
+    let text = format!(
+        "{head} HTTP/1.1\r\nhost: test\r\nconnection: close\r\nauthorization: Bearer {token}\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    );
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    let status = answer[9..12].parse().unwrap();
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap();
+    (status, serde_json::from_str(body).unwrap_or(Value::Null))
+}
