--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -16,6 +16,7 @@
 mod object_kind;
 mod object_mark;
 mod object_ref;
+mod pool_check;
 mod pool_member;
 mod pool_spec;
 pub mod row_keys;
--- a/crates/core/src/member/gossip_machine/absorb.rs
+++ b/crates/core/src/member/gossip_machine/absorb.rs
@@ -89,14 +89,14 @@
 
     /// Refutes what others say about this process, or takes over that it is leaving.
     pub(super) fn meet_own(&mut self, record: &MemberRecord, news: &mut GossipNews) {
-        if !record.supersedes(&self.own) {
-            return;
-        }
-        let is_same_run = record.incarnation == self.own.incarnation;
-        if is_same_run && record.state == MemberState::Leaving {
+        let is_leaving = record.state == MemberState::Leaving && record.is_same_run(&self.own);
+        if is_leaving && self.own.state == MemberState::Live {
             self.own.state = MemberState::Leaving;
-        } else {
+            self.own.incarnation = self.own.incarnation.max(record.incarnation);
+        } else if record.supersedes(&self.own) {
             self.own.incarnation = record.incarnation + 1;
+        } else {
+            return;
         }
         self.store_own(news);
     }
--- a/crates/core/src/member/gossip_machine/listing.rs
+++ b/crates/core/src/member/gossip_machine/listing.rs
@@ -4,10 +4,14 @@
 
 use super::super::GossipAction;
 use super::super::HostListing;
+use super::super::MemberRecord;
 use super::super::MemberState;
 use super::super::gossip_news::GossipNews;
 use super::GossipMachine;
 
+/// The time by which the host list may lag, in milliseconds.
+const LIST_LAG_MS: u64 = 60_000;
+
 /// The greatest number of listed hosts that are considered.
 const MAX_LISTINGS: usize = 20_000;
 
@@ -17,45 +21,74 @@
 impl GossipMachine {
     /// Merges the host list, which only adds members and marks them as leaving.
     ///
-    /// A mark applies to the run of the process that was known when the mark first appeared. A
-    /// process that was restarted since is not marked again by a list that lags.
+    /// A mark applies to the run of the process that was known when the mark first appeared, and
+    /// not to a run that is younger than the list may lag: a process that was restarted under its
+    /// address is not marked by the state of its earlier run.
     pub(super) fn merge_listings(
         &mut self,
         now: MilliTime,
-        mut listings: Vec<HostListing>,
+        listings: &[HostListing],
         news: &mut GossipNews,
         actions: &mut Vec<GossipAction>,
     ) {
-        listings.truncate(MAX_LISTINGS);
-        listings.sort_by(|left, right| left.record.name.cmp(&right.record.name));
-        listings.dedup_by(|left, right| left.record.name == right.record.name);
         let mut contacts = 0;
-        for listing in &listings {
+        let mut marks = Vec::new();
+        for listing in listings.iter().take(MAX_LISTINGS) {
             let name = &listing.record.name;
             let Some(known) = self.table.get(name).cloned() else {
                 self.add_listed(now, listing, news);
                 continue;
             };
-            let is_same_place = known.address == listing.record.address;
-            if !is_same_place && *name != self.own.name && contacts < MAX_CONTACTS {
-                contacts += 1;
-                actions.push(GossipAction::Send {
-                    address: listing.record.address.clone(),
-                    message: Box::new(self.introduction()),
-                });
+            if known.address != listing.record.address {
+                if *name != self.own.name && contacts < MAX_CONTACTS {
+                    contacts += 1;
+                    self.contact_listed(listing, actions);
+                }
+                continue;
             }
-            let is_mark = listing.leaving && is_same_place && !self.was_marked(listing);
-            if is_mark && known.state == MemberState::Live {
-                let mut record = known;
-                record.state = MemberState::Leaving;
-                if record.name == self.own.name {
-                    self.meet_own(&record, news);
-                } else {
-                    self.merge_record(now, &record, news);
+            if listing.leaving {
+                let age_ms = now.since(MilliTime::from_millis(known.incarnation));
+                if age_ms < LIST_LAG_MS {
+                    continue;
+                }
+                let marked = self.marked_record(&known);
+                if known.state == MemberState::Live && marked.is_same_run(&known) {
+                    self.mark_leaving(now, &known, news);
                 }
+                marks.push(marked);
             }
         }
-        self.listings = listings;
+        marks.sort_by(|left, right| left.name.cmp(&right.name));
+        self.marks = marks;
+    }
+
+    fn contact_listed(&self, listing: &HostListing, actions: &mut Vec<GossipAction>) {
+        actions.push(GossipAction::Send {
+            address: listing.record.address.clone(),
+            message: Box::new(self.introduction()),
+        });
+    }
+
+    fn mark_leaving(&mut self, now: MilliTime, known: &MemberRecord, news: &mut GossipNews) {
+        let mut record = known.clone();
+        record.state = MemberState::Leaving;
+        if record.name == self.own.name {
+            self.meet_own(&record, news);
+        } else {
+            self.merge_record(now, &record, news);
+        }
+    }
+
+    /// Returns the record to which the mark of a listed member applies.
+    fn marked_record(&self, known: &MemberRecord) -> MemberRecord {
+        let found = self
+            .marks
+            .binary_search_by(|mark| mark.name.as_str().cmp(&known.name));
+        match found {
+            Ok(index) if self.marks[index].incarnation == 0 => known.clone(),
+            Ok(index) if self.marks[index].address == known.address => self.marks[index].clone(),
+            _ => known.clone(),
+        }
     }
 
     /// Adds a member that only the list knows, without pushing it: the process tells of itself.
@@ -68,16 +101,4 @@
         self.merge_record(now, &record, news);
         news.members.truncate(pushed);
     }
-
-    /// Returns whether the list that was read before had the same mark.
-    fn was_marked(&self, listing: &HostListing) -> bool {
-        let name = listing.record.name.as_str();
-        let found = self
-            .listings
-            .binary_search_by(|known| known.record.name.as_str().cmp(name));
-        found.is_ok_and(|index| {
-            let before = &self.listings[index];
-            before.leaving && before.record.address == listing.record.address
-        })
-    }
 }
--- a/crates/core/src/member/gossip_machine/mod.rs
+++ b/crates/core/src/member/gossip_machine/mod.rs
@@ -12,7 +12,6 @@
 use super::GossipDigest;
 use super::GossipEvent;
 use super::GossipMessage;
-use super::HostListing;
 use super::MemberRecord;
 use super::MemberState;
 use super::MemberTable;
@@ -31,7 +30,8 @@
     crashes: CrashTable,
     overlay: RingOverlay,
     probes: ProbeLedger,
-    listings: Vec<HostListing>,
+    /// The records at which the host list's marks as leaving first appeared, sorted by name.
+    marks: Vec<MemberRecord>,
     seeds: Vec<String>,
     gone: Vec<(String, MilliTime)>,
     suspicions: Vec<Suspicion>,
@@ -39,7 +39,8 @@
     last_contact: MilliTime,
     round: u64,
     digest_address: Option<String>,
-    mismatches: u32,
+    /// The neighbour whose digest differed in the last round.
+    differing: Option<String>,
     /// Whether another member has sent all members that it knows.
     is_synced: bool,
 }
@@ -62,7 +63,7 @@
             config: Arc::new(ConfigState::new()),
             crashes: CrashTable::new(),
             probes: ProbeLedger::default(),
-            listings: Vec::new(),
+            marks: Vec::new(),
             seeds: Vec::new(),
             gone: Vec::new(),
             suspicions: Vec::new(),
@@ -70,7 +71,7 @@
             last_contact: MilliTime::default(),
             round: 0,
             digest_address: None,
-            mismatches: 0,
+            differing: None,
             is_synced: false,
         }
     }
@@ -129,7 +130,7 @@
             }
             GossipEvent::ProbeMissed { name } => self.miss_probe(now, &name, &mut news),
             GossipEvent::HostsListed(listings) => {
-                self.merge_listings(now, listings, &mut news, &mut actions);
+                self.merge_listings(now, &listings, &mut news, &mut actions);
             }
             GossipEvent::ConfigRead(delta) => self.adopt(&delta, &mut news),
             GossipEvent::OwnChanged(record) => self.change_own(&record, &mut news, &mut actions),
--- a/crates/core/src/member/gossip_machine/round.rs
+++ b/crates/core/src/member/gossip_machine/round.rs
@@ -25,11 +25,6 @@
 /// The number of ticks between contacts with members that are gone.
 const GONE_CONTACT_TICKS: u64 = 5;
 
-/// The number of digest rounds in a row with a difference before its repair starts.
-///
-/// A single difference is mostly news that is still on its way.
-const REPAIR_AFTER_MISMATCHES: u32 = 2;
-
 /// The time without any contact after which the seeds are contacted again, in milliseconds.
 const ISOLATED_MS: u64 = 10_000;
 
@@ -148,7 +143,11 @@
         if successors.is_empty() {
             return;
         }
-        let name = &successors[self.round as usize % successors.len()];
+        let turn = &successors[self.round as usize % successors.len()];
+        let differing = successors
+            .iter()
+            .find(|name| Some(*name) == self.differing.as_ref());
+        let name = differing.unwrap_or(turn);
         let mut message = self.new_message();
         message.wants_all = !self.is_synced;
         self.send(name, message, actions);
@@ -193,7 +192,7 @@
     }
 
     fn expire_suspicions(&mut self, now: MilliTime, news: &mut GossipNews) {
-        let is_small = self.table.present().count() <= SMALL_SYSTEM + 1;
+        let is_small = self.table.records().len() <= SMALL_SYSTEM + 1;
         let last_contact = (!is_small).then_some(self.last_contact);
         for (name, incarnation) in self.probes.expired(now, last_contact) {
             let Some(known) = self.table.get(&name) else {
@@ -236,6 +235,9 @@
 
     /// Compares the digest of a reply with the own one, adds the start of a repair to `message` if
     /// one is needed, and returns whether it is.
+    ///
+    /// A first difference is mostly news that is still on its way. The next digest goes to the same
+    /// neighbour, and the repair starts if the difference is still there.
     fn compare_digests(&mut self, reply: &GossipMessage, message: &mut GossipMessage) -> bool {
         let own = message.digest;
         if own.count.saturating_mul(2) <= reply.digest.count && own.members != reply.digest.members
@@ -245,12 +247,12 @@
         }
         let has_members = reply.digest.members != own.members;
         let has_crashes = reply.digest.crashes != own.crashes;
+        let was_differing = self.differing.take().as_ref() == Some(&reply.from);
         if !has_members && !has_crashes {
-            self.mismatches = 0;
             return false;
         }
-        self.mismatches += 1;
-        if self.mismatches < REPAIR_AFTER_MISMATCHES {
+        if !was_differing {
+            self.differing = Some(reply.from.clone());
             return false;
         }
         if has_members {
--- a/crates/core/src/member/member_record.rs
+++ b/crates/core/src/member/member_record.rs
@@ -8,6 +8,9 @@
 use super::MemberRole;
 use super::MemberState;
 
+/// The least time between two starts of a process, in milliseconds.
+const RESTART_GAP_MS: u64 = 1_000;
+
 /// What is known about one process of the system.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberRecord {
@@ -39,4 +42,11 @@
         let own = (self.incarnation, self.state, self.sequence);
         own > (other.incarnation, other.state, other.sequence)
     }
+
+    /// Returns whether both records tell of the same run of the process.
+    ///
+    /// A refutation raises the incarnation by one, a restart to the start time in milliseconds.
+    pub fn is_same_run(&self, other: &MemberRecord) -> bool {
+        self.incarnation.abs_diff(other.incarnation) < RESTART_GAP_MS
+    }
 }
--- /dev/null
+++ b/crates/core/tests/gossip.rs
@@ -0,0 +1,146 @@
+//! The spread of configuration and membership under random faults.
+
+mod gossip_support;
+mod seeded;
+
+use dandelionroad_core::member::GossipEvent;
+use dandelionroad_core::member::HostListing;
+use dandelionroad_core::member::MemberState;
+use gossip_support::GossipNetwork;
+use seeded::for_each_seed;
+
+const NODES: usize = 9;
+
+/// The number of random scripts, and the greatest number of their steps.
+const SCRIPTS: u64 = 2000;
+const MAX_STEPS: usize = 30;
+
+/// The time in which everything settles after the last fault, in milliseconds.
+const SETTLE_MS: u64 = 40_000;
+
+/// The time by which the host list lags at most, in milliseconds.
+const LIST_LAG_MS: u64 = 60_000;
+
+/// A script of faults, and what must hold while it runs.
+struct FaultScript {
+    network: GossipNetwork,
+    revisions: Vec<u64>,
+    /// A reading of the host list that lags behind, and its time.
+    old_list: (u64, Vec<HostListing>),
+}
+
+impl FaultScript {
+    fn step(&mut self, operation: u8, argument: u8) {
+        let index = argument as usize % NODES;
+        let network = &mut self.network;
+        let node = &mut network.nodes[index];
+        let is_active = node.is_running && !node.is_frozen;
+        match operation % 11 {
+            0 | 1 if is_active && network.is_store_up => network.accept_ticket(index),
+            2 => node.is_running = false,
+            3 => {
+                // Two starts of a process are at least a second apart.
+                self.run(1_500);
+                self.network.restart(index);
+                self.revisions[index] = 0;
+            }
+            4 => node.is_frozen = !node.is_frozen,
+            5 => node.side ^= 1,
+            6 => network.nodes.iter_mut().for_each(|node| node.side = 0),
+            7 => network.loss = u64::from(argument % 50),
+            8 => network.is_store_up = !network.is_store_up,
+            9 if is_active => network.leave(index),
+            10 if is_active => {
+                let fresh = (network.now, network.host_list());
+                let (time, list) = std::mem::replace(&mut self.old_list, fresh);
+                if network.now - time < LIST_LAG_MS {
+                    network.handle(index, GossipEvent::HostsListed(list));
+                }
+            }
+            _ => {}
+        }
+        self.run(u64::from(argument) * 20);
+    }
+
+    /// Runs the network and checks that no process goes back to an earlier revision.
+    fn run(&mut self, millis: u64) {
+        self.network.run(millis);
+        for (node, revision) in self.network.nodes.iter().zip(&mut self.revisions) {
+            let held = node.machine.config().revision;
+            assert!(
+                held >= *revision,
+                "revision went back from {revision} to {held}"
+            );
+            *revision = held;
+        }
+    }
+
+    fn end_faults(&mut self) {
+        let network = &mut self.network;
+        network.loss = 0;
+        network.is_store_up = true;
+        for node in &mut network.nodes {
+            node.is_frozen = false;
+            node.side = 0;
+        }
+        self.run(SETTLE_MS);
+    }
+
+    /// Checks that all running processes agree with the truth.
+    fn check_settled(&self) {
+        for node in &self.network.nodes {
+            eprintln!(
+                "DBG {} run={} rev {} hash {}: {}",
+                node.machine.own().name,
+                node.is_running,
+                node.machine.config().revision,
+                node.machine.members().root_hash(),
+                node.machine
+                    .members()
+                    .records()
+                    .map(|r| format!(
+                        "{}:{}:{:?}",
+                        &r.name[r.name.len() - 2..],
+                        r.incarnation,
+                        r.state
+                    ))
+                    .collect::<Vec<_>>()
+                    .join(" ")
+            );
+        }
+        let running = || self.network.nodes.iter().filter(|node| node.is_running);
+        for node in running() {
+            let name = &node.machine.own().name;
+            assert_eq!(*node.machine.config(), self.network.store, "{name}");
+            for other in &self.network.nodes {
+                let own = other.machine.own();
+                let known = node.machine.members().get(&own.name);
+                if other.is_running {
+                    assert_eq!(known, Some(own), "seen by {name}");
+                    let is_live = own.state == MemberState::Live;
+                    assert_eq!(is_live, !other.is_leaving, "{}", own.name);
+                } else if let Some(known) = known {
+                    assert_eq!(known.state, MemberState::Gone, "{} at {name}", own.name);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against configurations that revert, never arrive, or differ, and against members that
+/// stay unknown or are taken for live or gone, after any sequence of faults.
+#[test]
+fn gossip_settles_after_faults() {
+    for_each_seed(SCRIPTS, |script: &Vec<(u8, u8)>| {
+        let mut faults = FaultScript {
+            network: GossipNetwork::new(NODES),
+            revisions: vec![0; NODES],
+            old_list: (0, Vec::new()),
+        };
+        for (operation, argument) in script.iter().take(MAX_STEPS) {
+            faults.step(*operation, *argument);
+        }
+        faults.end_faults();
+        faults.check_settled();
+    });
+}
--- /dev/null
+++ b/crates/core/tests/gossip_support/mod.rs
@@ -0,0 +1,314 @@
+//! A network of gossip machines in simulated milliseconds, with faults, without I/O.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use dandelionroad_core::config::ChangeTicket;
+use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::ident::HostName;
+use dandelionroad_core::ident::ZoneName;
+use dandelionroad_core::member::GossipAction;
+use dandelionroad_core::member::GossipEvent;
+use dandelionroad_core::member::GossipMachine;
+use dandelionroad_core::member::GossipMessage;
+use dandelionroad_core::member::HostListing;
+use dandelionroad_core::member::MemberRecord;
+use dandelionroad_core::member::MemberRole;
+use dandelionroad_core::member::MemberState;
+use dandelionroad_core::member::MemberTable;
+use dandelionroad_core::time::MilliTime;
+
+/// Bytes of the JSON-RPC envelope and the WebSocket header around a gossip request and its reply.
+const REQUEST_BYTES: usize = 86;
+const REPLY_BYTES: usize = 44;
+
+/// Bytes of a probe and of its answer on the wire, headers of the WebSocket included.
+const PROBE_BYTES: usize = 90;
+const PROBE_REPLY_BYTES: usize = 140;
+
+/// The time after which a probe counts as missed, in milliseconds.
+const PROBE_TIMEOUT_MS: u64 = 800;
+
+/// One process of the network.
+pub(crate) struct SimNode {
+    pub(crate) machine: GossipMachine,
+    pub(crate) is_running: bool,
+    pub(crate) is_frozen: bool,
+    /// The side of a partition; nodes of different sides do not reach each other.
+    pub(crate) side: u8,
+    pub(crate) sent_bytes: u64,
+    /// Whether the run was told to leave.
+    pub(crate) is_leaving: bool,
+}
+
+enum Delivery {
+    Tick,
+    Request(usize, Box<GossipMessage>),
+    Event(GossipEvent),
+    Probe(usize, String),
+}
+
+/// The processes, their network and the table service.
+pub(crate) struct GossipNetwork {
+    pub(crate) now: u64,
+    pub(crate) nodes: Vec<SimNode>,
+    pub(crate) store: Arc<ConfigState>,
+    pub(crate) is_store_up: bool,
+    /// Lost messages of a hundred.
+    pub(crate) loss: u64,
+    /// Whether bytes are counted; it costs most of the time.
+    pub(crate) counts_bytes: bool,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    /// Receiver, run of the receiver and content of each queued delivery, by sequence number.
+    deliveries: Vec<Option<(usize, u64, Delivery)>>,
+    runs: Vec<u64>,
+    random: u64,
+}
+
+/// Returns the record of node `index`; every fourth one is an entry.
+pub(crate) fn record(index: usize, incarnation: u64) -> MemberRecord {
+    let is_entry = index.is_multiple_of(4);
+    MemberRecord {
+        name: format!("{}-{index:05}", if is_entry { "entry" } else { "node" }),
+        role: if is_entry {
+            MemberRole::Entry
+        } else {
+            MemberRole::Endpoint
+        },
+        host: HostName::parse("host").unwrap(),
+        zone: ZoneName::parse("zone").unwrap(),
+        address: format!("10.{}.{}.1:7000", index / 256, index % 256),
+        incarnation,
+        state: MemberState::Live,
+        sequence: 0,
+        held: None,
+    }
+}
+
+impl GossipNetwork {
+    /// Creates a network of `count` processes that know each other.
+    pub(crate) fn new(count: usize) -> GossipNetwork {
+        let mut table = MemberTable::new();
+        for index in 0..count {
+            table.merge(&record(index, 1));
+        }
+        let mut network = GossipNetwork {
+            now: 10_000,
+            nodes: Vec::new(),
+            store: Arc::default(),
+            is_store_up: true,
+            loss: 0,
+            counts_bytes: false,
+            queue: BinaryHeap::new(),
+            deliveries: Vec::new(),
+            runs: vec![0; count],
+            random: 1,
+        };
+        for index in 0..count {
+            let machine = GossipMachine::with_table(record(index, 1), table.clone());
+            network.nodes.push(SimNode {
+                machine,
+                is_running: true,
+                is_frozen: false,
+                side: 0,
+                sent_bytes: 0,
+                is_leaving: false,
+            });
+            let delay = network.draw(1_000);
+            network.push(delay, index, Delivery::Tick);
+        }
+        network
+    }
+
+    /// Returns the host list as it is now.
+    pub(crate) fn host_list(&self) -> Vec<HostListing> {
+        let nodes = self.nodes.iter().enumerate();
+        let listings = nodes.filter(|(_, node)| node.is_running);
+        listings
+            .map(|(index, node)| HostListing {
+                record: record(index, 0),
+                leaving: node.is_leaving,
+            })
+            .collect()
+    }
+
+    /// Commits the next ticket to the table service, through node `index`.
+    pub(crate) fn accept_ticket(&mut self, index: usize) {
+        let number = self.store.revision + 1;
+        let ticket = format!(
+            r#"{{"number":{number},"accounts":[{{"name":"account-{}","secret_sha256":"{number:064x}",
+            "units_per_second":20000,"burst_units":60000,"weight":1,"services":["booking"],
+            "models":["model-a"]}}]}}"#,
+            number % 7
+        );
+        let ticket = ChangeTicket::parse(ticket.as_bytes()).unwrap();
+        Arc::make_mut(&mut self.store).apply(&ticket);
+        self.read_store(index);
+    }
+
+    /// Lets node `index` read the table service.
+    pub(crate) fn read_store(&mut self, index: usize) {
+        let held = self.nodes[index].machine.config().revision;
+        let delta = self.store.delta_since(held);
+        self.handle(index, GossipEvent::ConfigRead(delta));
+    }
+
+    /// Hands an event to node `index` now.
+    pub(crate) fn handle(&mut self, index: usize, event: GossipEvent) {
+        let now = MilliTime::from_millis(self.now);
+        let actions = self.nodes[index].machine.handle(now, event);
+        self.carry_out(index, actions);
+    }
+
+    /// Tells node `index` to leave.
+    pub(crate) fn leave(&mut self, index: usize) {
+        self.nodes[index].is_leaving = true;
+        let mut own = self.nodes[index].machine.own().clone();
+        own.state = MemberState::Leaving;
+        self.handle(index, GossipEvent::OwnChanged(Box::new(own)));
+    }
+
+    /// Starts node `index` again under its address, knowing nothing but the host list.
+    pub(crate) fn restart(&mut self, index: usize) {
+        self.runs[index] += 1;
+        let listings = self.host_list();
+        let node = &mut self.nodes[index];
+        node.machine = GossipMachine::new(record(index, self.now));
+        node.is_running = true;
+        node.is_frozen = false;
+        node.is_leaving = false;
+        self.push(0, index, Delivery::Tick);
+        self.handle(index, GossipEvent::HostsListed(listings));
+    }
+
+    /// Runs the network for a time.
+    pub(crate) fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while let Some(Reverse((time, number))) = self.queue.peek().copied()
+            && time <= end
+        {
+            self.queue.pop();
+            self.now = time;
+            let (index, run, delivery) = self.deliveries[number as usize].take().unwrap();
+            if self.runs[index] == run && self.nodes[index].is_running {
+                self.deliver(index, delivery);
+            }
+        }
+        self.now = end;
+    }
+
+    fn deliver(&mut self, index: usize, delivery: Delivery) {
+        if self.nodes[index].is_frozen {
+            // A frozen process finds everything in its buffers when it resumes.
+            self.push(50, index, delivery);
+            return;
+        }
+        match delivery {
+            Delivery::Tick => {
+                self.push(1_000, index, Delivery::Tick);
+                self.handle(index, GossipEvent::Tick);
+                let own = self.nodes[index].machine.own().name.clone();
+                let is_poller = self.nodes[index].machine.members().is_poller(&own);
+                if is_poller && self.is_store_up {
+                    self.read_store(index);
+                }
+            }
+            Delivery::Event(event) => self.handle(index, event),
+            Delivery::Probe(from, name) => {
+                self.count(index, PROBE_REPLY_BYTES);
+                if self.has_link(index, from) {
+                    let delay = self.draw(3) + 1;
+                    self.push(
+                        delay,
+                        from,
+                        Delivery::Event(GossipEvent::ProbeAnswered { name }),
+                    );
+                }
+            }
+            Delivery::Request(from, message) => {
+                let now = MilliTime::from_millis(self.now);
+                let (reply, actions) = self.nodes[index].machine.answer(now, &message);
+                self.count_message(index, &reply, REPLY_BYTES);
+                self.carry_out(index, actions);
+                if self.has_link(index, from) {
+                    let event = GossipEvent::Reply {
+                        address: record(index, 0).address,
+                        message: Box::new(reply),
+                    };
+                    let delay = self.draw(3) + 1;
+                    self.push(delay, from, Delivery::Event(event));
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, actions: Vec<GossipAction>) {
+        for action in actions {
+            match action {
+                GossipAction::Send { address, message } => {
+                    let target = self.find(&address);
+                    if self.has_link(index, target) {
+                        self.count_message(index, &message, REQUEST_BYTES);
+                        let delay = self.draw(3) + 1;
+                        self.push(delay, target, Delivery::Request(index, message));
+                    }
+                }
+                GossipAction::Probe { name, address } => {
+                    let target = self.find(&address);
+                    self.count(index, PROBE_BYTES);
+                    let is_answered = self.has_link(index, target) && !self.nodes[target].is_frozen;
+                    if is_answered {
+                        let delay = self.draw(3) + 1;
+                        self.push(delay, target, Delivery::Probe(index, name));
+                    } else {
+                        let missed = GossipEvent::ProbeMissed { name };
+                        self.push(PROBE_TIMEOUT_MS, index, Delivery::Event(missed));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn find(&self, address: &str) -> usize {
+        let mut digits = address
+            .split('.')
+            .skip(1)
+            .map(|part| part.parse::<usize>().unwrap());
+        digits.next().unwrap() * 256 + digits.next().unwrap()
+    }
+
+    fn has_link(&mut self, from: usize, to: usize) -> bool {
+        let is_lost = self.draw(100) < self.loss;
+        let [from, to] = [&self.nodes[from], &self.nodes[to]];
+        to.is_running && from.side == to.side && !is_lost
+    }
+
+    fn count_message(&mut self, index: usize, message: &GossipMessage, envelope: usize) {
+        if self.counts_bytes {
+            let length = serde_json::to_string(message).unwrap().len();
+            self.count(index, length + envelope);
+        }
+    }
+
+    fn count(&mut self, index: usize, bytes: usize) {
+        self.nodes[index].sent_bytes += bytes as u64;
+    }
+
+    fn push(&mut self, delay: u64, index: usize, delivery: Delivery) {
+        let number = self.deliveries.len() as u64;
+        self.queue.push(Reverse((self.now + delay, number)));
+        self.deliveries
+            .push(Some((index, self.runs[index], delivery)));
+    }
+
+    /// Returns a number below `bound` from a fixed sequence.
+    fn draw(&mut self, bound: u64) -> u64 {
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        (self.random >> 33) % bound
+    }
+}
