--- /dev/null
+++ b/crates/core/src/dispatch/call_machine/mod.rs
@@ -0,0 +1,338 @@
+mod follow;
+mod reply;
+
+use crate::dispatch::CallAction;
+use crate::dispatch::CallEvent;
+use crate::dispatch::CallRow;
+use crate::dispatch::CommitResult;
+use crate::dispatch::RowChange;
+use crate::dispatch::RowKey;
+use crate::dispatch::VersionedRow;
+use crate::outcome::RefusalReason;
+use crate::outcome::RequestOutcome;
+use crate::time::MilliTime;
+
+/// The greatest number of endpoints that one request is handed to.
+const MAX_HAND_OVERS: u32 = 4;
+
+/// The number of failures of the store after which a request stops waiting for it.
+const MAX_STORE_FAILURES: u32 = 3;
+
+/// The wait after a failure of the store or of a question, in milliseconds.
+const FAILURE_WAIT_MS: u64 = 200;
+
+/// The time after which a caller may retry, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// One request for a call that is not idempotent, at the entry.
+///
+/// The machine answers `not-run` only when no order of this request can run any more. Where the
+/// store answers it first makes the attempt void, so that earlier requests with the same key, such
+/// as those of an entry that was lost, don't run after the caller was told.
+#[derive(Debug)]
+pub struct CallMachine {
+    key: RowKey,
+    fingerprint: String,
+    token: String,
+    deadline: MilliTime,
+    has_status_path: bool,
+    step: CallStep,
+    /// Whether this request still looks for the first attempt that is not void. Later it takes a
+    /// void attempt of a refused request as the end of its own.
+    is_scanning: bool,
+    /// Whether no order of this request can run, and no run with this key was seen.
+    is_clean: bool,
+    /// The endpoint's reply to the order of this attempt was lost; it has to be made void.
+    is_lost: bool,
+    /// Set once the request will be refused if the key has no other run.
+    refusal: Option<(RefusalReason, u64)>,
+    hand_overs: u32,
+    store_failures: u32,
+    questions: u32,
+    /// Why the last endpoint refused the order.
+    last_refusal: Option<(RefusalReason, u64)>,
+    /// The dispatched row that this request waits for.
+    followed: Option<VersionedRow>,
+    /// Whether the runner of the followed row is known to have ended or can't be reached.
+    is_runner_lost: bool,
+    answer: Option<(u16, String)>,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CallStep {
+    Read,
+    HandOver,
+    Void,
+    AskRunner,
+    AskService,
+    ReadBody,
+    Wait,
+    Finished,
+}
+
+impl CallMachine {
+    /// Creates the machine of one request and returns its first actions.
+    ///
+    /// `key` names attempt 0. `token` must differ from every other token ever used.
+    pub fn start(
+        key: RowKey,
+        fingerprint: String,
+        token: String,
+        deadline: MilliTime,
+        has_status_path: bool,
+    ) -> (CallMachine, Vec<CallAction>) {
+        let mut machine = CallMachine {
+            key,
+            fingerprint,
+            token,
+            deadline,
+            has_status_path,
+            step: CallStep::Read,
+            is_scanning: true,
+            is_clean: true,
+            is_lost: false,
+            refusal: None,
+            hand_overs: 0,
+            store_failures: 0,
+            questions: 0,
+            last_refusal: None,
+            followed: None,
+            is_runner_lost: false,
+            answer: None,
+        };
+        let actions = machine.read();
+        (machine, actions)
+    }
+
+    /// Takes an event and returns what to do next.
+    pub fn handle(&mut self, event: CallEvent, now: MilliTime) -> Vec<CallAction> {
+        match (self.step, event) {
+            (CallStep::Read, CallEvent::RowRead(found)) => self.on_row(found, now),
+            (CallStep::Read, CallEvent::ReadFailed) => self.on_store_failure(now),
+            (CallStep::HandOver, CallEvent::Replied(reply)) => self.on_reply(reply, now),
+            (CallStep::HandOver, CallEvent::HandOverUnsent) => self.hand_over(now),
+            (CallStep::HandOver, CallEvent::HandOverLost) => {
+                self.is_clean = false;
+                self.is_lost = true;
+                self.void(now)
+            }
+            (
+                CallStep::HandOver,
+                CallEvent::HandOverDenied {
+                    reason,
+                    retry_after_ms,
+                },
+            ) => self.refuse_after_void(reason, retry_after_ms, now),
+            (CallStep::Void, CallEvent::CommitEnded(result)) => self.on_void(result, now),
+            (CallStep::AskRunner, CallEvent::RunnerAsked(state)) => self.on_runner(state, now),
+            (CallStep::AskService, CallEvent::ServiceAsked(result)) => self.on_asked(result, now),
+            (CallStep::ReadBody, CallEvent::BodyRead(body)) => self.on_body(body),
+            (CallStep::Wait, CallEvent::Woke) => self.on_woke(),
+            _ => Vec::new(),
+        }
+    }
+
+    fn on_row(&mut self, found: Option<VersionedRow>, now: MilliTime) -> Vec<CallAction> {
+        let Some(found) = found else {
+            return self.on_absent(now);
+        };
+        match &found.row {
+            CallRow::Void {
+                token, is_refusal, ..
+            } => {
+                let (is_own, is_refusal) = (*token == self.token, *is_refusal);
+                self.on_void_row(is_own, is_refusal, now)
+            }
+            CallRow::Dispatched { fingerprint, .. } | CallRow::Done { fingerprint, .. }
+                if *fingerprint != self.fingerprint =>
+            {
+                self.refuse(
+                    RequestOutcome::NotRun,
+                    RefusalReason::KeyReused,
+                    RETRY_AFTER_MS,
+                )
+            }
+            CallRow::Dispatched { .. } => self.on_dispatched(found, now),
+            CallRow::Done {
+                status,
+                content_type,
+                body,
+                in_object,
+                ..
+            } => {
+                self.answer = Some((*status, content_type.clone()));
+                match in_object {
+                    true => self.next(CallStep::ReadBody, CallAction::ReadBody(body.clone())),
+                    false => self.on_body(Some(body.clone())),
+                }
+            }
+        }
+    }
+
+    fn on_absent(&mut self, now: MilliTime) -> Vec<CallAction> {
+        if self.is_lost || self.refusal.is_some() {
+            return self.void(now);
+        }
+        self.is_clean = true;
+        self.hand_over(now)
+    }
+
+    fn on_void_row(&mut self, is_own: bool, is_refusal: bool, now: MilliTime) -> Vec<CallAction> {
+        match (is_refusal, is_own, self.refusal) {
+            (true, true, Some((reason, retry_after_ms))) => {
+                self.refuse(RequestOutcome::NotRun, reason, retry_after_ms)
+            }
+            // The writer tells its caller that the key was not run, so this request must not run
+            // it after that.
+            (true, _, _) if !self.is_scanning => {
+                let reason = RefusalReason::InProgress;
+                self.refuse(RequestOutcome::NotRun, reason, RETRY_AFTER_MS)
+            }
+            _ => {
+                self.take_next_attempt();
+                self.read_or_go_on(is_own, now)
+            }
+        }
+    }
+
+    /// Goes on at a new attempt, which needs no read if only this request can know it.
+    fn read_or_go_on(&mut self, is_own: bool, now: MilliTime) -> Vec<CallAction> {
+        match (is_own, self.refusal) {
+            (true, Some(_)) => self.void(now),
+            (true, None) => self.hand_over(now),
+            (false, _) => self.read(),
+        }
+    }
+
+    fn take_next_attempt(&mut self) {
+        self.key.attempt += 1;
+        self.is_clean = true;
+        self.is_lost = false;
+        self.followed = None;
+    }
+
+    fn on_body(&mut self, body: Option<String>) -> Vec<CallAction> {
+        let (Some(body), Some((status, content_type))) = (body, self.answer.take()) else {
+            // The call ran, but its recorded answer can't be read now.
+            self.is_clean = false;
+            return self.give_up(RefusalReason::StoreDown);
+        };
+        let replayed = true;
+        let answer = CallAction::Answer {
+            status,
+            content_type,
+            body,
+            replayed,
+        };
+        self.next(CallStep::Finished, answer)
+    }
+
+    fn on_void(&mut self, result: CommitResult, now: MilliTime) -> Vec<CallAction> {
+        match result {
+            CommitResult::Committed => self.on_void_row(true, self.refusal.is_some(), now),
+            CommitResult::Conflict => self.read(),
+            CommitResult::Unsent => self.on_store_failure(now),
+            CommitResult::Lost => {
+                self.store_failures += 1;
+                match self.store_failures >= MAX_STORE_FAILURES {
+                    true => self.give_up(RefusalReason::StoreDown),
+                    false => self.read(),
+                }
+            }
+        }
+    }
+
+    fn on_store_failure(&mut self, now: MilliTime) -> Vec<CallAction> {
+        self.store_failures += 1;
+        let is_last = self.store_failures >= MAX_STORE_FAILURES || now >= self.deadline;
+        match self.is_clean || is_last {
+            true => self.give_up(RefusalReason::StoreDown),
+            false => self.wait(FAILURE_WAIT_MS, now),
+        }
+    }
+
+    fn on_woke(&mut self) -> Vec<CallAction> {
+        match self.followed {
+            Some(_) => self.ask_runner(),
+            None => self.read(),
+        }
+    }
+
+    fn hand_over(&mut self, now: MilliTime) -> Vec<CallAction> {
+        if now >= self.deadline {
+            return self.refuse_after_void(RefusalReason::Deadline, RETRY_AFTER_MS, now);
+        }
+        if self.hand_overs >= MAX_HAND_OVERS {
+            return self.refuse_after_void(RefusalReason::NoEndpoint, RETRY_AFTER_MS, now);
+        }
+        self.hand_overs += 1;
+        self.is_scanning = false;
+        self.next(CallStep::HandOver, CallAction::HandOver(self.key.clone()))
+    }
+
+    /// Refuses the call once its attempt is void, unless the key turns out to have another run.
+    fn refuse_after_void(
+        &mut self,
+        reason: RefusalReason,
+        retry_after_ms: u64,
+        now: MilliTime,
+    ) -> Vec<CallAction> {
+        let last = self
+            .last_refusal
+            .filter(|_| reason == RefusalReason::NoEndpoint);
+        self.refusal = Some(last.unwrap_or((reason, retry_after_ms)));
+        self.void(now)
+    }
+
+    fn void(&mut self, now: MilliTime) -> Vec<CallAction> {
+        self.is_scanning = false;
+        let change = RowChange {
+            key: self.key.clone(),
+            version: None,
+            previous_version: None,
+            row: CallRow::Void {
+                token: self.token.clone(),
+                is_refusal: self.refusal.is_some(),
+                written_ms: now.as_millis(),
+            },
+        };
+        self.next(CallStep::Void, CallAction::Commit(change))
+    }
+
+    fn read(&mut self) -> Vec<CallAction> {
+        self.next(CallStep::Read, CallAction::ReadRow(self.key.clone()))
+    }
+
+    fn wait(&mut self, wait_ms: u64, now: MilliTime) -> Vec<CallAction> {
+        let until = now.plus(wait_ms);
+        self.next(CallStep::Wait, CallAction::Wait { until })
+    }
+
+    /// Refuses the call without a proof from the store that no other request runs the key.
+    fn give_up(&mut self, reason: RefusalReason) -> Vec<CallAction> {
+        let outcome = match self.is_clean {
+            true => RequestOutcome::NotRun,
+            false => RequestOutcome::Unknown,
+        };
+        self.refuse(outcome, reason, RETRY_AFTER_MS)
+    }
+
+    fn refuse(
+        &mut self,
+        outcome: RequestOutcome,
+        reason: RefusalReason,
+        retry_after_ms: u64,
+    ) -> Vec<CallAction> {
+        let refusal = CallAction::Refuse {
+            outcome,
+            reason,
+            retry_after_ms,
+        };
+        self.next(CallStep::Finished, refusal)
+    }
+
+    fn next(&mut self, step: CallStep, action: CallAction) -> Vec<CallAction> {
+        self.step = step;
+        vec![action]
+    }
+}
--- a/crates/core/src/dispatch/call_row.rs
+++ b/crates/core/src/dispatch/call_row.rs
@@ -12,6 +12,11 @@
     Void {
         /// The token of the writer, to settle an answer that was lost.
         token: String,
+        /// Whether the writer tells its caller `not-run`. Requests that chose this attempt before
+        /// then end too, so that none of them runs after the caller was told.
+        is_refusal: bool,
+        /// The time of the write in milliseconds since the Unix epoch, for the retention.
+        written_ms: u64,
     },
     /// The inserter has the only right to hand the call to the service, once.
     Dispatched {
@@ -25,6 +30,8 @@
         incarnation: u64,
         /// The fingerprint of method, path and body.
         fingerprint: String,
+        /// The time of the write in milliseconds since the Unix epoch, for the retention.
+        written_ms: u64,
     },
     /// The service answered.
     Done {
@@ -40,5 +47,27 @@
         body: String,
         /// Whether `body` is the key of an object in the object store.
         in_object: bool,
+        /// The time of the write in milliseconds since the Unix epoch, for the retention.
+        written_ms: u64,
     },
 }
+
+impl CallRow {
+    /// Returns the token of the writer.
+    pub fn token(&self) -> &str {
+        match self {
+            CallRow::Void { token, .. }
+            | CallRow::Dispatched { token, .. }
+            | CallRow::Done { token, .. } => token,
+        }
+    }
+
+    /// Returns the time of the write in milliseconds since the Unix epoch.
+    pub fn written_ms(&self) -> u64 {
+        match self {
+            CallRow::Void { written_ms, .. }
+            | CallRow::Dispatched { written_ms, .. }
+            | CallRow::Done { written_ms, .. } => *written_ms,
+        }
+    }
+}
