--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,12 +1,13 @@
 /*!
 Stand-ins of the outside systems, for tests, measurements and the loopback demonstration.
 
-Each stand-in serves its protocol on a loopback port of its own and carries
-[`FaultSwitches`](server::FaultSwitches), which a test sets from code and the binary
-`dandelion-standins` sets over its control listener.
+Each stand-in serves its protocol on a loopback port of its own and has switches for the faults
+that the real system shows. A test sets the switches from code; the binary `dandelion-standins`
+sets those of [`FaultSwitches`](server::FaultSwitches) over its control listener.
 */
 
 pub mod booking;
+pub mod engine;
 pub mod host;
 pub mod object;
 pub mod serve;
