--- a/crates/daemon/tests/stream_support/cluster.rs
+++ b/crates/daemon/tests/stream_support/cluster.rs
@@ -239,28 +239,17 @@
 }
 
 fn settings(name: &str, role: NodeRole, kind: EngineKind) -> NodeSettings {
-    let any = "127.0.0.1:0".parse().unwrap();
     NodeSettings {
         role,
-        name: name.to_owned(),
         host: format!("host-{name}"),
         zone: "talca".to_owned(),
-        internal_listen: any,
-        public_listen: any,
-        admin_listen: any,
-        table_url: String::new(),
-        object_url: String::new(),
-        hosts_url: String::new(),
-        engine_url: String::new(),
         engine_kind: kind,
-        seeds: Vec::new(),
         admin_token: "admin".to_owned(),
         queue_units: 1_000_000,
         concurrency: 64,
-        step_deadline_ms: 500,
         drain_notice_ms: 0,
         request_deadline_ms: 20_000,
-        platform_deadline_ms: 1_000,
+        ..NodeSettings::entry(name)
     }
 }
 
