--- a/crates/daemon/src/node/node_context.rs
+++ b/crates/daemon/src/node/node_context.rs
@@ -1,18 +1,23 @@
 use std::sync::Arc;
 
 use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::member::CrashTable;
 use dandelionroad_core::member::MemberRecord;
+use dandelionroad_core::member::MemberState;
 use dandelionroad_core::member::MemberTable;
 use dandelionroad_settings::NodeSettings;
 use tokio::sync::watch;
 
+use crate::control::ControlHandle;
+
 use super::NodeClients;
 use super::NodeClock;
 use super::PeerPool;
+use super::RequestCounter;
 
 /// What the parts of one process share.
 ///
-/// Only the control part writes `config` and `members`; the other parts read the newest value or
+/// Only the control part writes `config`, `members` and `crashes`; the other parts read the newest value or
 /// wait for a change.
 pub struct NodeContext {
     /// The settings.
@@ -23,10 +28,29 @@
     pub clients: NodeClients,
     /// The connections to other processes.
     pub peers: PeerPool,
+    /// The requests that run here; a process that stops waits for the last one.
+    pub requests: RequestCounter,
     /// The own member record; its address is the bound internal address.
     pub own: watch::Sender<MemberRecord>,
     /// The configuration in force here.
     pub config: watch::Sender<Arc<ConfigState>>,
     /// The members known here.
     pub members: watch::Sender<Arc<MemberTable>>,
+    /// The crash counts known here.
+    pub crashes: watch::Sender<Arc<CrashTable>>,
+    /// The way to the control part.
+    pub control: ControlHandle,
+}
+
+impl NodeContext {
+    /// Moves the own member record to a later state; an earlier state changes nothing.
+    pub fn advance_state(&self, state: MemberState) {
+        self.own.send_if_modified(|own| {
+            let is_later = own.state < state;
+            if is_later {
+                own.state = state;
+            }
+            is_later
+        });
+    }
 }
