Let an idle endpoint admit work whatever pace it learned

Cause: the pace is learned under load. An endpoint that became idle could go on refusing work with a short deadline for good, as nothing was completed that would correct the pace. Before the first completion, the pace of full slots refused work on an idle endpoint as well. Change: an idle endpoint admits and starts work until its deadline; before the first completion the estimate counts the running items only. Shown to fail: without the exception admit_queue_recovers_from_slow_pace failed on "queue.offer(next, at(60_000)).is_empty()"; without the check at the turn admit_queue_refuses_late_work_at_its_turn found no refusal.

--- a/crates/core/src/admit/admit_queue.rs
+++ b/crates/core/src/admit/admit_queue.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Sets the rate of the endpoint, in work units per second, after a configuration change.
+    pub fn set_rate(&mut self, units_per_second: u64) {
+        self.config.units_per_second = units_per_second.max(1);
+        if !self.pace.is_observed() {
+            let config = &self.config;
+            self.pace = PaceEstimate::new(config.concurrency, config.units_per_second);
+        }
+    }
+
     /// Refuses all new items from now on; waiting and running ones are finished.
     pub fn leave(&mut self) {
         self.is_leaving = true;
@@ -92,7 +101,9 @@
         let start_tag = self.start_tag(&item);
         let wait_ms = self.wait_ms(item.priority, start_tag);
         let finish = now.plus(wait_ms + self.service_ms(&item));
-        if finish > item.deadline {
+        // An idle endpoint takes the item whatever it learned under load, or it would refuse on
+        // and never learn that the load is over.
+        if finish > item.deadline && !(self.is_idle() && now < item.deadline) {
             return vec![self.refusal(&item.request, RefusalReason::Deadline, wait_ms)];
         }
         self.insert(item, start_tag);
@@ -105,7 +116,8 @@
         while let Some(index) = self.next_index() {
             let waiting = self.remove(index);
             let finish = now.plus(self.service_ms(&waiting.item));
-            if finish > waiting.item.deadline {
+            let is_first = self.running.is_empty() && now < waiting.item.deadline;
+            if finish > waiting.item.deadline && !is_first {
                 let request = &waiting.item.request;
                 let refusal = self.refusal(request, RefusalReason::Deadline, 0);
                 batch.refused.push(refusal);
@@ -162,6 +174,10 @@
     ///
     /// The pace of its account counts as well, since accounts with much work progress more slowly.
     fn service_ms(&self, item: &AdmitItem) -> u64 {
+        if !self.pace.is_observed() {
+            let running = self.running.len() as u32 + 1;
+            return PaceEstimate::new(running, self.config.units_per_second).service_ms(item.units);
+        }
         let own = self.accounts.pace(&item.account).unwrap_or(self.pace);
         let usual_ms = self.pace.service_ms(item.units);
         own.service_ms(item.units).max(usual_ms)
--- a/crates/core/src/admit/pace_estimate.rs
+++ b/crates/core/src/admit/pace_estimate.rs
@@ -18,6 +18,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PaceEstimate {
     ms_per_unit: f64,
+    is_observed: bool,
 }
 
 impl PaceEstimate {
@@ -25,15 +26,22 @@
     pub(super) fn new(concurrency: u32, units_per_second: u64) -> PaceEstimate {
         PaceEstimate {
             ms_per_unit: f64::from(concurrency) * 1_000.0 / units_per_second as f64,
+            is_observed: false,
         }
     }
 
     /// Takes the time in which an item of `units` was completed.
     pub(super) fn observe(&mut self, units: u64, started: MilliTime, now: MilliTime) {
+        self.is_observed = true;
         let observed = now.since(started) as f64 / units.max(1) as f64;
         self.ms_per_unit += (observed - self.ms_per_unit) * OBSERVATION_WEIGHT;
     }
 
+    /// Returns whether any item was completed.
+    pub(super) fn is_observed(&self) -> bool {
+        self.is_observed
+    }
+
     /// Returns the time that an item of `units` takes once started, in milliseconds, with a margin.
     pub(super) fn service_ms(&self, units: u64) -> u64 {
         (units as f64 * self.ms_per_unit * SERVICE_MARGIN_PERCENT / 100.0).ceil() as u64
