--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures the decisions of dandelionroad under load, in simulated milliseconds.
 
 use argh::FromArgs;
+use dandelionroad_bench::cost;
 use dandelionroad_bench::sim;
 use dandelionroad_bench::sim::LoadWorkload;
 use dandelionroad_bench::sim::RoutePolicy;
@@ -17,9 +18,15 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum BenchCommand {
+    Cost(CostArgs),
     Load(LoadArgs),
 }
 
+/// Measures time and size of single decisions at 1, 10 and 100 times today's size.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "cost")]
+struct CostArgs {}
+
 /// Simulates workloads and prints one line of JSON for each run.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "load")]
@@ -51,10 +58,18 @@
 fn main() {
     let args: BenchArgs = argh::from_env();
     match args.command {
+        BenchCommand::Cost(CostArgs {}) => print_costs(),
         BenchCommand::Load(load) => run_loads(&load),
     }
 }
 
+fn print_costs() {
+    for line in cost::measure() {
+        let line = serde_json::to_string(&line).expect("costs are serializable");
+        println!("{line}");
+    }
+}
+
 fn run_loads(args: &LoadArgs) {
     for workload in selected(args.workload, &LoadWorkload::ALL) {
         for fault in selected(args.fault, &SimFault::ALL) {
