Route model requests by flow and load at the entry

RoutingState holds the plans, the loads and the work of the entry's own requests, and recomputes the plans when the configuration or the members change. model_bounds gives the bound of each model for the administration API. The load reports of the heads are taken in; endpoints that failed a request are avoided for 5 s, those that refused one for 100 ms.

Shown to fail: without the state check and without the held version choose_leaves_out_unusable_members chose e0 and e2; without counting own work choose_spreads_and_replaces_one_stage failed on its range of 98 to 102 of 200; without the replacement of one stage the head changed from e0 to e1.

--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod followed_body;
 mod model;
 mod request_record;
+pub mod routing;
 mod service;
 
 use std::sync::Arc;
--- a/crates/daemon/src/entry/model/head_stream.rs
+++ b/crates/daemon/src/entry/model/head_stream.rs
@@ -47,12 +47,10 @@
     silent: Option<Arc<WsClient>>,
     reports: &UnboundedSender<HeadReport>,
 ) -> Result<(), bool> {
-    let address = order
-        .route
-        .stages
-        .first()
-        .map(|head| head.address.clone())
-        .unwrap_or_default();
+    let Some(head) = order.route.stages.first().cloned() else {
+        return Err(false);
+    };
+    let address = head.address;
     if let Some(silent) = silent {
         context.peers.drop_same(&address, &silent);
     }
@@ -65,6 +63,10 @@
         !matches!(error, Error::Call(_))
     })?;
     while let Some(Ok(item)) = events.next().await {
+        if let Some(load) = &item.load {
+            let now = context.clock.now();
+            context.routing.report(&head.endpoint, load, now);
+        }
         if reports.send(HeadReport::Event(item.event)).is_err() {
             break;
         }
--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use dandelionroad_core::stream::StreamAction;
+use dandelionroad_core::stream::StreamEvent;
 use dandelionroad_core::stream::StreamLimits;
 use dandelionroad_core::stream::StreamMachine;
 use dandelionroad_core::stream::StreamOrder;
@@ -60,6 +61,7 @@
             reports: reports_in,
             head: None,
             connection: None,
+            was_refused: false,
         };
         driver.run(actions, reports).await;
     });
@@ -73,6 +75,8 @@
     reports: UnboundedSender<HeadReport>,
     head: Option<JoinHandle<()>>,
     connection: Option<Arc<WsClient>>,
+    /// Whether the newest event of the head was a refusal.
+    was_refused: bool,
 }
 
 impl StreamDriver {
@@ -94,7 +98,10 @@
                     self.connection = Some(client);
                     continue;
                 }
-                Some(HeadReport::Event(event)) => self.machine.event(event, now),
+                Some(HeadReport::Event(event)) => {
+                    self.was_refused = matches!(event, StreamEvent::Refused { .. });
+                    self.machine.event(event, now)
+                }
                 Some(HeadReport::Lost(attempt)) => self.machine.stream_lost(attempt, now),
                 Some(HeadReport::OpenFailed(attempt, was_sent)) => {
                     self.machine.open_failed(attempt, was_sent, now)
@@ -104,6 +111,8 @@
             self.carry_out(actions).await;
         }
         self.close_head();
+        let request = self.machine.order().request.clone();
+        self.context.routing.end(&request);
     }
 
     async fn carry_out(&mut self, actions: Vec<StreamAction>) {
@@ -120,13 +129,16 @@
     async fn carry_out_one(&mut self, action: StreamAction) -> Vec<StreamAction> {
         match action {
             StreamAction::ChooseRoute { current, replace } => {
-                let config = self.context.config.borrow().clone();
-                let members = self.context.members.borrow().clone();
-                let model = config.model(&self.machine.order().model);
                 let kept = current.as_ref().zip(replace);
-                let route = model.and_then(|model| {
-                    choose_route(&config, &members, model, self.machine.excluded(), kept)
-                });
+                if let Some((route, failed)) = kept
+                    && let Some(lost) = route.stages.get(failed)
+                {
+                    let routing = &self.context.routing;
+                    routing.avoid(&lost.endpoint, self.was_refused, self.now());
+                }
+                let excluded = self.machine.excluded();
+                let order = self.machine.order();
+                let route = choose_route(&self.context, order, excluded, kept);
                 return self.machine.route_chosen(route, self.now());
             }
             StreamAction::CountCrash { must_wait } => {
--- a/crates/daemon/src/node/node_context.rs
+++ b/crates/daemon/src/node/node_context.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::control::ControlHandle;
+use crate::entry::routing::RoutingState;
 
 use super::NodeClients;
 use super::NodeClock;
@@ -38,6 +39,8 @@
     pub members: watch::Sender<Arc<MemberTable>>,
     /// The crash counts known here.
     pub crashes: watch::Sender<Arc<CrashTable>>,
+    /// The routing of an entry; unused beside an endpoint.
+    pub routing: RoutingState,
     /// The way to the control part.
     pub control: ControlHandle,
 }
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -25,6 +25,7 @@
 use crate::endpoint;
 use crate::entry;
 use crate::entry::EntryServers;
+use crate::entry::routing::RoutingState;
 
 use super::NodeClients;
 use super::NodeClock;
@@ -166,6 +167,7 @@
     let mut table = MemberTable::new();
     table.merge(&record);
     Ok(NodeContext {
+        routing: RoutingState::new(&settings.name, rand::random()),
         settings,
         clock,
         clients,
--- /dev/null
+++ b/crates/daemon/tests/routing.rs
@@ -0,0 +1,149 @@
+//! Guards against routes through endpoints that leave or that load another version, a bound that
+//! ignores them, and load that piles up on one of several equal endpoints.
+
+use std::sync::Arc;
+
+use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::config::ModelSpec;
+use dandelionroad_core::config::PoolMember;
+use dandelionroad_core::config::PoolSpec;
+use dandelionroad_core::ident::AccountName;
+use dandelionroad_core::ident::EndpointName;
+use dandelionroad_core::ident::HostName;
+use dandelionroad_core::ident::ModelName;
+use dandelionroad_core::ident::PoolName;
+use dandelionroad_core::ident::RequestIdent;
+use dandelionroad_core::ident::ZoneName;
+use dandelionroad_core::member::HeldModel;
+use dandelionroad_core::member::MemberRecord;
+use dandelionroad_core::member::MemberRole;
+use dandelionroad_core::member::MemberState;
+use dandelionroad_core::member::MemberTable;
+use dandelionroad_core::stream::ChainRoute;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::stream::StreamOrder;
+use dandelionroad_core::time::MilliTime;
+use dandelionroad_daemon::entry::routing::RoutingState;
+use dandelionroad_daemon::entry::routing::model_bounds;
+
+const LAYERS: u16 = 12;
+const NOW: MilliTime = MilliTime::from_millis(1_000);
+
+fn member(index: usize) -> MemberRecord {
+    MemberRecord {
+        name: format!("e{index}"),
+        role: MemberRole::Endpoint,
+        host: HostName::parse("host").unwrap(),
+        zone: ZoneName::parse("talca").unwrap(),
+        address: format!("127.0.0.1:{}", 7_000 + index),
+        incarnation: 1,
+        state: MemberState::Live,
+        sequence: 0,
+        held: None,
+    }
+}
+
+/// Two endpoints for each half of the layers, of 100 tokens per second each.
+fn view() -> (ConfigState, MemberTable) {
+    let model = ModelName::parse("palm").unwrap();
+    let mut config = ConfigState::new();
+    config.models = vec![ModelSpec {
+        name: model.clone(),
+        version: 1,
+        layers: LAYERS,
+        weights: "palm-1".to_owned(),
+    }];
+    let endpoints = (0..4).map(|index| PoolMember {
+        name: EndpointName::parse(&format!("e{index}")).unwrap(),
+        first_layer: [0, 6][index / 2],
+        end_layer: [6, LAYERS][index / 2],
+        tokens_per_second: 100,
+    });
+    config.pools = vec![PoolSpec {
+        name: PoolName::parse("pool").unwrap(),
+        model,
+        version: 1,
+        min_ready: 1,
+        endpoints: endpoints.collect(),
+    }];
+    let mut members = MemberTable::new();
+    for index in 0..4 {
+        members.merge(&member(index));
+    }
+    (config, members)
+}
+
+fn order(number: usize) -> StreamOrder {
+    StreamOrder {
+        request: RequestIdent::parse(&format!("r{number}")).unwrap(),
+        attempt: 0,
+        account: AccountName::parse("cordeleria").unwrap(),
+        weight: 1,
+        priority: 0,
+        model: ModelName::parse("palm").unwrap(),
+        version: 1,
+        fingerprint: "aa".to_owned(),
+        suspect: false,
+        route: ChainRoute { stages: Vec::new() },
+        prompt: "knot".to_owned(),
+        sent: Vec::new(),
+        max_tokens: 10,
+        deadline_in_ms: 1_000,
+    }
+}
+
+#[test]
+fn choose_leaves_out_unusable_members() {
+    let (config, mut members) = view();
+    assert_eq!(model_bounds(&config, &members)[0].tokens_per_second, 200);
+    let mut leaving = member(0);
+    leaving.state = MemberState::Leaving;
+    members.merge(&leaving);
+    let mut loading = member(2);
+    loading.sequence = 1;
+    loading.held = Some(HeldModel {
+        model: ModelName::parse("palm").unwrap(),
+        version: 2,
+        range: LayerRange::new(6, LAYERS),
+    });
+    members.merge(&loading);
+    assert_eq!(model_bounds(&config, &members)[0].tokens_per_second, 100);
+    let (config, members) = (Arc::new(config), Arc::new(members));
+    let routing = RoutingState::new("entry-0", 7);
+    for number in 0..20 {
+        let order = order(number);
+        let route = routing.choose(&config, &members, &order, &[], None, NOW);
+        let names: Vec<_> = route
+            .unwrap()
+            .stages
+            .into_iter()
+            .map(|stage| stage.endpoint)
+            .collect();
+        assert_eq!(
+            names,
+            ["e1", "e3"].map(|name| EndpointName::parse(name).unwrap())
+        );
+    }
+}
+
+#[test]
+fn choose_spreads_and_replaces_one_stage() {
+    let (config, members) = view();
+    let (config, members) = (Arc::new(config), Arc::new(members));
+    let routing = RoutingState::new("entry-0", 7);
+    let choose = |number: usize| routing.choose(&config, &members, &order(number), &[], None, NOW);
+    let routes: Vec<ChainRoute> = (0..200).map(|number| choose(number).unwrap()).collect();
+    let heads = routes
+        .iter()
+        .filter(|route| route.stages[0].endpoint.as_str() == "e0");
+    assert!((98..=102).contains(&heads.count()));
+    assert!(routes.iter().all(|route| route.covers(LAYERS)));
+    let lost = routes[0].stages[1].endpoint.clone();
+    let kept = Some((&routes[0], 1));
+    let excluded = [lost.clone()];
+    let route = routing
+        .choose(&config, &members, &order(0), &excluded, kept, NOW)
+        .unwrap();
+    assert_eq!(route.stages[0], routes[0].stages[0]);
+    assert_ne!(route.stages[1].endpoint, lost);
+}
