Carry out engine orders in the process beside each engine

The task derives the target from the configuration, reads the engine's state back, takes the fencing number and the turn from the table service and publishes what the engine holds.

Not done here: entries do not choose by held version yet.

--- a/crates/core/src/order/engine_view.rs
+++ b/crates/core/src/order/engine_view.rs
@@ -17,10 +17,12 @@
 
 impl EngineView {
     /// Returns whether the engine holds `target`, loaded completely or not.
+    ///
+    /// An engine that holds more layers than wanted is left as it is.
     pub fn holds(&self, target: &LoadTarget) -> bool {
-        self.model == target.model.as_str()
-            && self.version == target.version
-            && self.range == target.range
+        let has_layers =
+            self.range.first <= target.range.first && self.range.end >= target.range.end;
+        self.model == target.model.as_str() && self.version == target.version && has_layers
     }
 
     /// Returns whether the engine can serve anything now.
--- a/crates/daemon/src/endpoint/mod.rs
+++ b/crates/daemon/src/endpoint/mod.rs
@@ -3,6 +3,7 @@
 */
 
 mod call;
+mod order;
 mod stream;
 
 use std::sync::Arc;
@@ -24,5 +25,6 @@
 /// Starts the tasks of this part.
 pub fn start(context: &Arc<NodeContext>) {
     call::start(context);
+    order::start(context);
     stream::start(context);
 }
--- /dev/null
+++ b/crates/daemon/src/endpoint/order/order_rows.rs
@@ -0,0 +1,189 @@
+use std::sync::Arc;
+
+use dandelionroad_core::ident::EndpointName;
+use dandelionroad_core::member::MemberState;
+use dandelionroad_core::order::FenceNumber;
+use dandelionroad_core::order::LeaveVerdict;
+use dandelionroad_core::order::LoadTarget;
+use dandelionroad_core::order::ReadyEntry;
+use dandelionroad_core::order::ReadyRow;
+use dandelionroad_core::order::TurnRow;
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::table::CommitReply;
+use dandelionroad_platform::table::RowCheck;
+use dandelionroad_platform::table::RowWrite;
+use dandelionroad_platform::table::TableCommit;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::node::NodeContext;
+
+/// The number of engines that may load from the weight store at the same time.
+const TURN_SLOTS: u64 = 4;
+
+/// The lease on a turn in milliseconds, longer than a usual load takes.
+const TURN_LEASE_MS: u64 = 120_000;
+
+/// The number of times that a change is tried again when another process changed the row.
+const MAX_CONFLICTS: u32 = 8;
+
+/// The rows in the table service that the orders of this process use.
+pub(super) struct OrderRows {
+    context: Arc<NodeContext>,
+    name: EndpointName,
+    /// The slot of the turn that this process holds.
+    slot: Option<u64>,
+}
+
+impl OrderRows {
+    /// Creates the access for the endpoint `name`.
+    pub(super) fn new(context: Arc<NodeContext>, name: EndpointName) -> OrderRows {
+        OrderRows {
+            context,
+            name,
+            slot: None,
+        }
+    }
+
+    /// Takes the next fencing number; with the table service down, one from the clock.
+    pub(super) async fn take_fence(&self) -> FenceNumber {
+        let now = self.context.clock.now();
+        let key = format!("fence/{}", self.name);
+        let taken = self.change(key, |stored: Option<FenceNumber>| {
+            let fence = FenceNumber::next(stored, now);
+            (Some(fence), fence)
+        });
+        taken.await.unwrap_or_else(|_| FenceNumber::next(None, now))
+    }
+
+    /// Removes this endpoint from the ready endpoints of its pool, if enough remain.
+    pub(super) async fn leave_ready(
+        &self,
+        target: &LoadTarget,
+        forced: bool,
+    ) -> Option<LeaveVerdict> {
+        let members = self.context.members.borrow().clone();
+        let is_gone = |name: &EndpointName| {
+            members
+                .get(name.as_str())
+                .is_some_and(|record| record.state == MemberState::Gone)
+        };
+        let key = ready_key(target);
+        let left = self.change(key, |row: Option<ReadyRow>| {
+            let mut row = row.unwrap_or_default();
+            row.remove_gone(is_gone);
+            let verdict = row.leave(&self.name, target, forced);
+            (Some(row), verdict)
+        });
+        left.await.ok()
+    }
+
+    /// Enters this endpoint in the ready endpoints of its pool and returns whether that took effect.
+    pub(super) async fn join_ready(&self, target: &LoadTarget) -> bool {
+        let entry = ReadyEntry {
+            name: self.name.clone(),
+            version: target.version,
+            range: target.range,
+        };
+        let joined = self.change(ready_key(target), |row: Option<ReadyRow>| {
+            let mut row = row.unwrap_or_default();
+            row.join(&entry);
+            (Some(row), ())
+        });
+        joined.await.is_ok()
+    }
+
+    /// Takes a free turn at the weight store, `None` if the table service failed.
+    pub(super) async fn take_turn(&mut self) -> Option<bool> {
+        let now = self.context.clock.now();
+        for slot in 0..TURN_SLOTS {
+            let taken = self.change(turn_key(slot), |row: Option<TurnRow>| {
+                let taken = TurnRow::take(row.as_ref(), self.name.as_str(), now, TURN_LEASE_MS);
+                let is_taken = taken.is_some();
+                (taken.or(row), is_taken)
+            });
+            if taken.await.ok()? {
+                self.slot = Some(slot);
+                return Some(true);
+            }
+        }
+        Some(false)
+    }
+
+    /// Gives the turn back. If the table service fails, the lease ends by itself.
+    pub(super) async fn release_turn(&mut self) {
+        let Some(slot) = self.slot.take() else {
+            return;
+        };
+        let released = self.change(turn_key(slot), |row: Option<TurnRow>| {
+            (row.filter(|row| !row.is_held_by(self.name.as_str())), ())
+        });
+        if let Err(error) = released.await {
+            spdlog::warn!("endpoint: weight-store turn {slot} not released: {error}");
+        }
+    }
+
+    /// Changes a row by compare-and-set. `apply` returns the new content and a result.
+    ///
+    /// An answer that was lost is settled by applying the change to what the row holds then; every
+    /// change made here may be repeated.
+    async fn change<T, R>(
+        &self,
+        key: String,
+        apply: impl Fn(Option<T>) -> (Option<T>, R),
+    ) -> Result<R, PlatformError>
+    where
+        T: DeserializeOwned + Serialize,
+    {
+        let table = &self.context.clients.table;
+        for _ in 0..MAX_CONFLICTS {
+            let row = table.read(&key).await?;
+            let version = row.as_ref().map(|row| row.version);
+            let content = row.map(|row| parse(&row.value)).transpose()?;
+            let (next, result) = apply(content);
+            let value = next.map(|next| encode(&next)).transpose()?;
+            let commit = TableCommit {
+                checks: vec![RowCheck {
+                    key: key.clone(),
+                    version,
+                }],
+                writes: vec![RowWrite {
+                    key: key.clone(),
+                    value,
+                }],
+            };
+            if table.commit(&commit).await? == CommitReply::Committed {
+                return Ok(result);
+            }
+        }
+        let detail = format!("row {key} changed {MAX_CONFLICTS} times in a row");
+        Err(PlatformError::Rejected {
+            system: "the table service",
+            status: 409,
+            detail,
+        })
+    }
+}
+
+fn ready_key(target: &LoadTarget) -> String {
+    format!("ready/{}", target.pool)
+}
+
+fn turn_key(slot: u64) -> String {
+    format!("turn/{slot}")
+}
+
+fn parse<T: DeserializeOwned>(text: &str) -> Result<T, PlatformError> {
+    serde_json::from_str(text).map_err(|error| invalid(&error))
+}
+
+fn encode<T: Serialize>(content: &T) -> Result<String, PlatformError> {
+    serde_json::to_string(content).map_err(|error| invalid(&error))
+}
+
+fn invalid(error: &serde_json::Error) -> PlatformError {
+    PlatformError::Invalid {
+        system: "the table service",
+        detail: error.to_string(),
+    }
+}
