--- /dev/null
+++ b/crates/daemon/src/call_rows/mod.rs
@@ -0,0 +1,77 @@
+/*!
+The rows of calls that are not idempotent, as they are kept in the table service.
+*/
+
+use dandelionroad_core::dispatch::CallRow;
+use dandelionroad_core::dispatch::CommitResult;
+use dandelionroad_core::dispatch::RowChange;
+use dandelionroad_core::dispatch::RowKey;
+use dandelionroad_core::dispatch::VersionedRow;
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::table::CommitReply;
+use dandelionroad_platform::table::RowCheck;
+use dandelionroad_platform::table::RowWrite;
+use dandelionroad_platform::table::TableClient;
+use dandelionroad_platform::table::TableCommit;
+
+/// Reads a row; `None` if it is absent.
+///
+/// # Errors
+///
+/// Returns the client's error, or `Invalid` if the row is not one of a call.
+pub(crate) async fn read_row(
+    table: &dyn TableClient,
+    key: &RowKey,
+) -> Result<Option<VersionedRow>, PlatformError> {
+    let Some(found) = table.read(&key.table_key()).await? else {
+        return Ok(None);
+    };
+    let row = serde_json::from_str(&found.value).map_err(|error| PlatformError::Invalid {
+        system: "the table service",
+        detail: format!("row {}: {error}", found.key),
+    })?;
+    let version = found.version;
+    Ok(Some(VersionedRow { version, row }))
+}
+
+/// Commits a change of a row.
+pub(crate) async fn commit_row(table: &dyn TableClient, change: &RowChange) -> CommitResult {
+    match table.commit(&table_commit(change)).await {
+        Ok(CommitReply::Committed) => CommitResult::Committed,
+        Ok(CommitReply::Conflict { .. }) => CommitResult::Conflict,
+        Err(PlatformError::Unreachable { .. }) => CommitResult::Unsent,
+        // A rejection can come from a proxy in front of a service that took the commit.
+        Err(_) => CommitResult::Lost,
+    }
+}
+
+fn table_commit(change: &RowChange) -> TableCommit {
+    let key = change.key.table_key();
+    let mut checks = vec![RowCheck {
+        key: key.clone(),
+        version: change.version,
+    }];
+    if let (Some(previous), Some(version)) = (change.key.previous(), change.previous_version) {
+        checks.push(RowCheck {
+            key: previous.table_key(),
+            version: Some(version),
+        });
+    }
+    let value = Some(row_text(&change.row));
+    TableCommit {
+        checks,
+        writes: vec![RowWrite { key, value }],
+    }
+}
+
+fn row_text(row: &CallRow) -> String {
+    serde_json::to_string(row).expect("a row of strings and numbers is valid JSON")
+}
+
+/// Returns the key under which a call is known to its service.
+///
+/// It contains the client account, so that accounts that choose the same key don't share an
+/// outcome when the service is asked for it.
+pub(crate) fn service_key(key: &RowKey) -> String {
+    format!("{}:{}", key.account, key.key)
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/call/call_host.rs
@@ -0,0 +1,73 @@
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use dandelionroad_core::dispatch::RowKey;
+use dandelionroad_core::dispatch::RunnerIdent;
+
+use crate::node::NodeContext;
+
+use super::call_admission::CallAdmission;
+
+/// What the calls of one endpoint's process share.
+pub(super) struct CallHost {
+    /// The process.
+    pub(super) context: Arc<NodeContext>,
+    /// The admission.
+    pub(super) admission: CallAdmission,
+    /// The attempts that run or whose outcome is being recorded, with the incarnation that their
+    /// rows name. Sorted; two orders for the same attempt are two entries.
+    attempts: Mutex<Vec<(RowKey, u64)>>,
+}
+
+impl CallHost {
+    /// Creates the host of a process without calls.
+    pub(super) fn new(context: Arc<NodeContext>) -> CallHost {
+        CallHost {
+            admission: CallAdmission::new(&context),
+            context,
+            attempts: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// Returns how rows name this process.
+    pub(super) fn runner(&self) -> RunnerIdent {
+        let own = self.context.own.borrow();
+        RunnerIdent {
+            name: own.name.clone(),
+            address: own.address.clone(),
+            incarnation: own.incarnation,
+        }
+    }
+
+    /// Notes an attempt before its row is inserted.
+    pub(super) fn begin(&self, key: &RowKey, incarnation: u64) {
+        let mut attempts = self.lock();
+        let attempt = (key.clone(), incarnation);
+        let index = attempts.partition_point(|known| *known < attempt);
+        attempts.insert(index, attempt);
+    }
+
+    /// Forgets an attempt whose row needs nothing more of this process.
+    pub(super) fn end(&self, key: &RowKey, incarnation: u64) {
+        let mut attempts = self.lock();
+        if let Ok(index) = find(&attempts, key, incarnation) {
+            attempts.remove(index);
+        }
+    }
+
+    /// Returns whether an attempt runs or its outcome is being recorded.
+    pub(super) fn is_running(&self, key: &RowKey, incarnation: u64) -> bool {
+        find(&self.lock(), key, incarnation).is_ok()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(RowKey, u64)>> {
+        self.attempts
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+}
+
+fn find(attempts: &[(RowKey, u64)], key: &RowKey, incarnation: u64) -> Result<usize, usize> {
+    attempts.binary_search_by(|(known, number)| (known, *number).cmp(&(key, incarnation)))
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/call/call_server.rs
@@ -0,0 +1,75 @@
+use std::sync::Arc;
+
+use dandelionroad_core::dispatch::CallOrder;
+use dandelionroad_core::dispatch::CallReply;
+use dandelionroad_core::dispatch::CallState;
+use dandelionroad_core::dispatch::RowKey;
+use dandelionroad_core::outcome::RefusalReason;
+use dandelionroad_core::outcome::RequestOutcome;
+use dandelionroad_messages::CallAnswer;
+use dandelionroad_messages::call_api::CallApiServer;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::core::async_trait;
+
+use super::call_host::CallHost;
+use super::dispatch_driver;
+use super::plain_call;
+
+/// The time after which a refused caller may retry, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// The server of the interface for calls.
+pub(super) struct CallServer {
+    host: Arc<CallHost>,
+}
+
+impl CallServer {
+    /// Creates the server.
+    pub(super) fn new(host: Arc<CallHost>) -> CallServer {
+        CallServer { host }
+    }
+
+    async fn run(&self, mut order: CallOrder) -> CallReply {
+        let context = &self.host.context;
+        let arrival = context.clock.now();
+        let running = context.requests.start();
+        let permit = match self.host.admission.admit(context, &order).await {
+            Ok(permit) => permit,
+            Err(reason) => return refused(RequestOutcome::NotRun, reason),
+        };
+        let waited_ms = context.clock.now().since(arrival);
+        order.deadline_in_ms = order.deadline_in_ms.saturating_sub(waited_ms);
+        match order.row {
+            Some(_) => dispatch_driver::run(&self.host, order, permit, running).await,
+            None => plain_call::run(&self.host, &order).await,
+        }
+    }
+}
+
+#[async_trait]
+impl CallApiServer for CallServer {
+    async fn call_run(&self, order: CallOrder) -> RpcResult<CallAnswer> {
+        let reply = self.run(order).await;
+        Ok(CallAnswer {
+            reply,
+            load: self.host.admission.load(),
+            revision: self.host.context.config.borrow().revision,
+        })
+    }
+
+    async fn call_state(&self, row: RowKey, incarnation: u64) -> RpcResult<CallState> {
+        Ok(match self.host.is_running(&row, incarnation) {
+            true => CallState::Running,
+            false => CallState::Absent,
+        })
+    }
+}
+
+/// Returns a reply without an answer.
+pub(super) fn refused(outcome: RequestOutcome, reason: RefusalReason) -> CallReply {
+    CallReply::Refused {
+        outcome,
+        reason,
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/call/dispatch_driver.rs
@@ -0,0 +1,161 @@
+//! Carries out the actions of the machine of one attempt.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dandelionroad_core::dispatch::CallOrder;
+use dandelionroad_core::dispatch::CallReply;
+use dandelionroad_core::dispatch::DispatchAction;
+use dandelionroad_core::dispatch::DispatchEvent;
+use dandelionroad_core::dispatch::DispatchMachine;
+use dandelionroad_core::dispatch::RunnerIdent;
+use dandelionroad_core::outcome::RefusalReason;
+use dandelionroad_core::outcome::RequestOutcome;
+use dandelionroad_core::time::MilliTime;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::oneshot;
+
+use crate::call_rows::commit_row;
+use crate::call_rows::read_row;
+use crate::node::RunningRequest;
+
+use super::call_host::CallHost;
+use super::call_server::refused;
+use super::plain_call::call_service;
+
+struct DispatchDriver {
+    host: Arc<CallHost>,
+    order: CallOrder,
+    runner: RunnerIdent,
+    machine: DispatchMachine,
+    reply: Option<oneshot::Sender<CallReply>>,
+    /// Given back when the service has ended the call.
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+/// Runs one attempt and returns its reply.
+///
+/// The attempt goes on in a task of its own, so that its outcome is recorded even if the connection
+/// to the entry breaks or the reply was sent before. `running` is held until then.
+pub(super) async fn run(
+    host: &Arc<CallHost>,
+    order: CallOrder,
+    permit: OwnedSemaphorePermit,
+    running: RunningRequest,
+) -> CallReply {
+    let runner = host.runner();
+    let now = host.context.clock.now();
+    let token = format!("{}-{:032x}", runner.name, rand::random::<u128>());
+    let started = DispatchMachine::start(&order, runner.clone(), token, now);
+    let (Some((machine, actions)), Some(key)) = (started, order.row.clone()) else {
+        return refused(RequestOutcome::NotRun, RefusalReason::BadRequest);
+    };
+    let (sender, receiver) = oneshot::channel();
+    host.begin(&key, runner.incarnation);
+    let driver = DispatchDriver {
+        host: host.clone(),
+        order,
+        runner: runner.clone(),
+        machine,
+        reply: Some(sender),
+        permit: Some(permit),
+    };
+    let host = host.clone();
+    tokio::spawn(async move {
+        driver.drive(actions).await;
+        host.end(&key, runner.incarnation);
+        drop(running);
+    });
+    // The machine replies at its deadline at the latest; without a reply, nothing is known.
+    let reply = receiver.await;
+    reply.unwrap_or_else(|_| refused(RequestOutcome::Unknown, RefusalReason::EndpointLost))
+}
+
+impl DispatchDriver {
+    async fn drive(mut self, actions: Vec<DispatchAction>) {
+        let mut queue = VecDeque::from(actions);
+        let mut has_deadline = true;
+        while let Some(action) = queue.pop_front() {
+            let (host, order) = (self.host.clone(), self.order.clone());
+            let incarnation = self.runner.incarnation;
+            let carrying_out = match action {
+                DispatchAction::Finish => return,
+                DispatchAction::Reply(reply) => {
+                    self.send(reply);
+                    continue;
+                }
+                action => carry_out(&host, &order, incarnation, action),
+            };
+            tokio::pin!(carrying_out);
+            loop {
+                let deadline = sleep_until(&host, self.machine.deadline());
+                tokio::select! {
+                    event = &mut carrying_out => {
+                        if let DispatchEvent::ServiceEnded(_) = event {
+                            self.permit = None;
+                        }
+                        queue.extend(self.handle(event));
+                        break;
+                    }
+                    () = deadline, if has_deadline => {
+                        has_deadline = false;
+                        // The only action at a deadline is the reply.
+                        for action in self.handle(DispatchEvent::DeadlinePassed) {
+                            if let DispatchAction::Reply(reply) = action {
+                                self.send(reply);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, event: DispatchEvent) -> Vec<DispatchAction> {
+        self.machine.handle(event, self.host.context.clock.now())
+    }
+
+    fn send(&mut self, reply: CallReply) {
+        if let Some(sender) = self.reply.take() {
+            // The entry may have gone; the outcome is recorded all the same.
+            let _ = sender.send(reply);
+        }
+    }
+}
+
+async fn carry_out(
+    host: &CallHost,
+    order: &CallOrder,
+    incarnation: u64,
+    action: DispatchAction,
+) -> DispatchEvent {
+    let clients = &host.context.clients;
+    match action {
+        DispatchAction::ReadRow(key) => match read_row(clients.table.as_ref(), &key).await {
+            Ok(found) => DispatchEvent::RowRead(found),
+            Err(_) => DispatchEvent::ReadFailed,
+        },
+        DispatchAction::Commit(change) => {
+            DispatchEvent::CommitEnded(commit_row(clients.table.as_ref(), &change).await)
+        }
+        DispatchAction::CallService => {
+            DispatchEvent::ServiceEnded(call_service(&host.context, order, incarnation).await)
+        }
+        DispatchAction::StoreBody { key, body } => {
+            let stored = clients.object.put(&key, Bytes::from(body)).await;
+            DispatchEvent::BodyStored(stored.is_ok())
+        }
+        DispatchAction::Wait { until } => {
+            sleep_until(host, until).await;
+            DispatchEvent::Woke
+        }
+        DispatchAction::Reply(_) | DispatchAction::Finish => DispatchEvent::Woke,
+    }
+}
+
+async fn sleep_until(host: &CallHost, time: MilliTime) {
+    let remaining_ms = time.since(host.context.clock.now());
+    tokio::time::sleep(Duration::from_millis(remaining_ms)).await;
+}
--- /dev/null
+++ b/crates/daemon/src/endpoint/call/plain_call.rs
@@ -0,0 +1,72 @@
+//! Hands calls to the plain service.
+
+use std::time::Duration;
+
+use dandelionroad_core::dispatch::CallOrder;
+use dandelionroad_core::dispatch::CallReply;
+use dandelionroad_core::dispatch::ServiceResult;
+use dandelionroad_core::outcome::RefusalReason;
+use dandelionroad_core::outcome::RequestOutcome;
+use dandelionroad_platform::PlatformError;
+use dandelionroad_platform::service::ServiceCall;
+
+use crate::call_rows::service_key;
+use crate::node::NodeContext;
+use crate::telemetry::HopKind;
+use crate::telemetry::HopSpan;
+
+use super::call_host::CallHost;
+use super::call_server::refused;
+
+/// Runs an idempotent call until its deadline.
+pub(super) async fn run(host: &CallHost, order: &CallOrder) -> CallReply {
+    let deadline = Duration::from_millis(order.deadline_in_ms);
+    let calling = call_service(&host.context, order, host.runner().incarnation);
+    match tokio::time::timeout(deadline, calling).await {
+        Ok(ServiceResult::Answered {
+            status,
+            content_type,
+            body,
+        }) => {
+            let replayed = false;
+            CallReply::Answered {
+                status,
+                content_type,
+                body,
+                replayed,
+            }
+        }
+        Ok(ServiceResult::Unsent) => refused(RequestOutcome::NotRun, RefusalReason::NoEndpoint),
+        Ok(ServiceResult::Lost) => refused(RequestOutcome::Unknown, RefusalReason::EndpointLost),
+        Err(_) => refused(RequestOutcome::Unknown, RefusalReason::Deadline),
+    }
+}
+
+/// Calls the service once and tells what is known about the call.
+pub(super) async fn call_service(
+    context: &NodeContext,
+    order: &CallOrder,
+    fence: u64,
+) -> ServiceResult {
+    let Some(service) = &context.clients.service else {
+        return ServiceResult::Unsent;
+    };
+    let _span = HopSpan::start(HopKind::ServiceCall, &order.request, &context.settings.name);
+    let call = ServiceCall {
+        method: order.method.clone(),
+        path: order.path.clone(),
+        content_type: order.content_type.clone(),
+        body: order.body.clone(),
+        key: order.row.as_ref().map(service_key),
+        fence,
+    };
+    match service.call(&call).await {
+        Ok(answer) => ServiceResult::Answered {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body,
+        },
+        Err(PlatformError::Unreachable { .. }) => ServiceResult::Unsent,
+        Err(_) => ServiceResult::Lost,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/service/call_driver.rs
@@ -0,0 +1,170 @@
+//! Carries out the actions of the machine of a call that is not idempotent.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dandelionroad_core::dispatch::CallAction;
+use dandelionroad_core::dispatch::CallEvent;
+use dandelionroad_core::dispatch::CallMachine;
+use dandelionroad_core::dispatch::CallOrder;
+use dandelionroad_core::dispatch::RepeatAction;
+use dandelionroad_core::dispatch::RowKey;
+use dandelionroad_core::dispatch::ServiceResult;
+use dandelionroad_core::outcome::RefusalReason;
+use dandelionroad_core::outcome::RequestOutcome;
+use dandelionroad_platform::encode_segment;
+
+use crate::call_rows::commit_row;
+use crate::call_rows::read_row;
+use crate::call_rows::service_key;
+use crate::node::NodeContext;
+
+use super::call_handover::CallHandover;
+use super::call_handover::ask_runner;
+use super::call_request::CallRequest;
+use super::endpoint_choice::choose_endpoint;
+use super::repeat_driver;
+
+/// The longest time for which a service is asked for an outcome, in milliseconds.
+const STATUS_TIMEOUT_MS: u64 = 2_000;
+
+/// The time after which a refused caller may retry, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+struct CallDriver<'a> {
+    context: &'a Arc<NodeContext>,
+    request: &'a CallRequest,
+    tried: Vec<String>,
+}
+
+/// Runs a call that is not idempotent and returns the last action of its machine.
+pub(super) async fn run(
+    context: &Arc<NodeContext>,
+    request: &CallRequest,
+    key: RowKey,
+) -> CallAction {
+    let token = format!("{}-{:032x}", context.settings.name, rand::random::<u128>());
+    let fingerprint = request.order.fingerprint.clone();
+    let has_status_path = request.service.status_path.is_some();
+    let (mut machine, actions) =
+        CallMachine::start(key, fingerprint, token, request.deadline, has_status_path);
+    let mut driver = CallDriver {
+        context,
+        request,
+        tried: Vec::new(),
+    };
+    let mut queue = VecDeque::from(actions);
+    while let Some(action) = queue.pop_front() {
+        if matches!(
+            action,
+            CallAction::Answer { .. } | CallAction::Refuse { .. }
+        ) {
+            return action;
+        }
+        if let Some(event) = driver.carry_out(action).await {
+            queue.extend(machine.handle(event, context.clock.now()));
+        }
+    }
+    // Each event but the last leads to an action, so that this is not reached.
+    CallAction::Refuse {
+        outcome: RequestOutcome::Unknown,
+        reason: RefusalReason::EndpointLost,
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
+
+impl CallDriver<'_> {
+    async fn carry_out(&mut self, action: CallAction) -> Option<CallEvent> {
+        let clients = &self.context.clients;
+        Some(match action {
+            CallAction::ReadRow(key) => match read_row(clients.table.as_ref(), &key).await {
+                Ok(found) => CallEvent::RowRead(found),
+                Err(_) => CallEvent::ReadFailed,
+            },
+            CallAction::Commit(change) => {
+                CallEvent::CommitEnded(commit_row(clients.table.as_ref(), &change).await)
+            }
+            CallAction::Record(change) => {
+                let table = clients.table.clone();
+                // If the commit fails, the next repeat asks the service again.
+                tokio::spawn(async move { commit_row(table.as_ref(), &change).await });
+                return None;
+            }
+            CallAction::HandOver(key) => self.hand_over(key).await,
+            CallAction::AskRunner {
+                key,
+                address,
+                incarnation,
+            } => CallEvent::RunnerAsked(ask_runner(self.context, &address, key, incarnation).await),
+            CallAction::AskService => CallEvent::ServiceAsked(self.ask_service().await),
+            CallAction::ReadBody(key) => {
+                let body = clients.object.get(&key).await.ok().flatten();
+                CallEvent::BodyRead(body.and_then(|body| String::from_utf8(body.into()).ok()))
+            }
+            CallAction::Wait { until } => {
+                let remaining_ms = until.since(self.context.clock.now());
+                tokio::time::sleep(Duration::from_millis(remaining_ms)).await;
+                CallEvent::Woke
+            }
+            CallAction::Answer { .. } | CallAction::Refuse { .. } => return None,
+        })
+    }
+
+    async fn hand_over(&mut self, key: RowKey) -> CallEvent {
+        let chosen = choose_endpoint(self.context, &self.request.service, &self.tried);
+        let Some((name, address)) = chosen else {
+            return CallEvent::HandOverDenied {
+                reason: RefusalReason::NoEndpoint,
+                retry_after_ms: RETRY_AFTER_MS,
+            };
+        };
+        self.tried.push(name);
+        let order = CallOrder {
+            row: Some(key),
+            deadline_in_ms: self.request.deadline.since(self.context.clock.now()),
+            ..self.request.order.clone()
+        };
+        match CallHandover::send(self.context, &address, order).await {
+            CallHandover::Replied(reply) => CallEvent::Replied(reply),
+            CallHandover::Unsent => CallEvent::HandOverUnsent,
+            CallHandover::Lost => CallEvent::HandOverLost,
+        }
+    }
+
+    /// Asks the service at its status path through any endpoint. Only a success is an outcome: a
+    /// call that is still under way is not found either.
+    async fn ask_service(&self) -> ServiceResult {
+        let order = &self.request.order;
+        let (Some(path), Some(key)) = (&self.request.service.status_path, &order.row) else {
+            return ServiceResult::Lost;
+        };
+        let remaining_ms = self.request.deadline.since(self.context.clock.now());
+        let question = CallOrder {
+            method: "GET".to_owned(),
+            path: format!(
+                "{}/{}",
+                path.trim_end_matches('/'),
+                encode_segment(&service_key(key))
+            ),
+            content_type: String::new(),
+            body: String::new(),
+            row: None,
+            fingerprint: String::new(),
+            deadline_in_ms: remaining_ms.min(STATUS_TIMEOUT_MS),
+            ..order.clone()
+        };
+        match repeat_driver::run(self.context, &self.request.service, &question).await {
+            RepeatAction::Answer {
+                status,
+                content_type,
+                body,
+            } if status / 100 == 2 => ServiceResult::Answered {
+                status,
+                content_type,
+                body,
+            },
+            _ => ServiceResult::Lost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/service/repeat_driver.rs
@@ -0,0 +1,59 @@
+//! Carries out the actions of the machine of an idempotent call.
+
+use std::sync::Arc;
+
+use dandelionroad_core::config::ServiceSpec;
+use dandelionroad_core::dispatch::CallOrder;
+use dandelionroad_core::dispatch::RepeatAction;
+use dandelionroad_core::dispatch::RepeatEvent;
+use dandelionroad_core::dispatch::RepeatMachine;
+use dandelionroad_core::outcome::RefusalReason;
+
+use crate::node::NodeContext;
+
+use super::call_handover::CallHandover;
+use super::endpoint_choice::choose_endpoint;
+
+/// The time after which a refused caller may retry, in milliseconds.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Runs an idempotent call and returns the last action of its machine.
+pub(super) async fn run(
+    context: &Arc<NodeContext>,
+    service: &ServiceSpec,
+    order: &CallOrder,
+) -> RepeatAction {
+    let deadline = context.clock.now().plus(order.deadline_in_ms);
+    let mut machine = RepeatMachine::new();
+    let mut tried = Vec::new();
+    loop {
+        let deadline_in_ms = deadline.since(context.clock.now());
+        let event = match choose_endpoint(context, service, &tried) {
+            _ if deadline_in_ms == 0 => denied(RefusalReason::Deadline),
+            None => denied(RefusalReason::NoEndpoint),
+            Some((name, address)) => {
+                tried.push(name);
+                let order = CallOrder {
+                    deadline_in_ms,
+                    ..order.clone()
+                };
+                match CallHandover::send(context, &address, order).await {
+                    CallHandover::Replied(reply) => RepeatEvent::Replied(reply),
+                    CallHandover::Unsent => RepeatEvent::HandOverUnsent,
+                    CallHandover::Lost => RepeatEvent::HandOverLost,
+                }
+            }
+        };
+        let action = machine.handle(event);
+        if action != RepeatAction::HandOver {
+            return action;
+        }
+    }
+}
+
+fn denied(reason: RefusalReason) -> RepeatEvent {
+    RepeatEvent::HandOverDenied {
+        reason,
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,8 @@
 loopback demonstration start several in one process.
 */
 
+mod call_rows;
+
 pub mod command;
 pub mod control;
 pub mod endpoint;
--- a/crates/platform/src/http_link.rs
+++ b/crates/platform/src/http_link.rs
@@ -190,8 +190,8 @@
     text
 }
 
-/// Encodes a text as one segment of a path.
-pub(crate) fn encode_segment(text: &str) -> String {
+/// Encodes a text as one segment of a path or one value of a query.
+pub fn encode_segment(text: &str) -> String {
     let mut encoded = String::with_capacity(text.len());
     for byte in text.bytes() {
         match byte {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -16,6 +16,7 @@
 mod http_link;
 mod platform_error;
 
+pub use self::http_link::encode_segment;
 pub use self::platform_error::PlatformError;
 
 /// The future that the client traits return, so that they can be used as trait objects.
