Admit streams and calls through the fair queue at the endpoint

WorkGate puts the admission queue of the core in front of engines and plain services: fair between accounts, priorities, early refusal, one suspect at a time at a head. A waiting task that is dropped or whose deadline passes gives its place or slot back. A single item beyond the queue's bound is no longer refused by itself. The configured rate of the endpoint is taken from its pool.

Shown to fail: without the guard's call of end, gate_forgets_dropped_waiter failed ("10 units wait"); without the cancellation in the queue gate_refuses_at_deadline_and_keeps_slot hung until its time limit of 60 s; with the fair tags broken gate_serves_small_account_before_flood printed "left: ["large", "large", "large", "small"]".

--- a/crates/core/src/admit/admit_queue.rs
+++ b/crates/core/src/admit/admit_queue.rs
@@ -229,7 +229,8 @@
     /// Refuses the items furthest beyond their account's share until the queue is within bounds.
     fn shed_excess(&mut self) -> Vec<AdmitRefusal> {
         let mut refused = Vec::new();
-        while self.waiting_units > self.config.queue_units {
+        // A single item may exceed the bound, as it could never be admitted otherwise.
+        while self.waiting_units > self.config.queue_units && self.waiting.len() > 1 {
             let last = (0..self.waiting.len()).max_by_key(|index| {
                 let waiting = &self.waiting[*index];
                 (waiting.item.priority, waiting.finish_tag)
--- a/crates/daemon/src/endpoint/call/call_admission.rs
+++ b/crates/daemon/src/endpoint/call/call_admission.rs
@@ -1,28 +1,35 @@
 use std::sync::Arc;
-use std::time::Duration;
 
+use dandelionroad_core::admit::AdmitConfig;
+use dandelionroad_core::admit::AdmitItem;
 use dandelionroad_core::dispatch::CallOrder;
 use dandelionroad_core::member::MemberState;
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::route::LoadReport;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 
+use crate::endpoint::admission::WorkGate;
+use crate::endpoint::admission::WorkPermit;
 use crate::node::NodeContext;
 
+/// The work of a call in work units; calls differ little, and their length is not known before.
+const CALL_UNITS: u64 = 1;
+
+/// The rate assumed until the first call was completed, in work units per second.
+const DEFAULT_CALLS_PER_SECOND: u64 = 1_000;
+
 /// The admission of calls to the plain service.
 pub(super) struct CallAdmission {
-    concurrency: usize,
-    permits: Arc<Semaphore>,
+    gate: Arc<WorkGate>,
 }
 
 impl CallAdmission {
     /// Creates the admission of a process without calls.
     pub(super) fn new(context: &NodeContext) -> CallAdmission {
-        let concurrency = context.settings.concurrency.max(1) as usize;
+        let settings = &context.settings;
+        let concurrency = settings.concurrency;
+        let config = AdmitConfig::new(settings.queue_units, concurrency, DEFAULT_CALLS_PER_SECOND);
         CallAdmission {
-            concurrency,
-            permits: Arc::new(Semaphore::new(concurrency)),
+            gate: WorkGate::new(context.clock, config),
         }
     }
 
@@ -31,24 +38,25 @@
         &self,
         context: &NodeContext,
         order: &CallOrder,
-    ) -> Result<OwnedSemaphorePermit, RefusalReason> {
+    ) -> Result<WorkPermit, RefusalReason> {
         if context.own.borrow().state != MemberState::Live {
             return Err(RefusalReason::Leaving);
         }
-        let deadline = Duration::from_millis(order.deadline_in_ms);
-        let waiting = self.permits.clone().acquire_owned();
-        match tokio::time::timeout(deadline, waiting).await {
-            Ok(Ok(permit)) => Ok(permit),
-            _ => Err(RefusalReason::Deadline),
-        }
+        let item = AdmitItem {
+            request: order.request.clone(),
+            account: order.account.clone(),
+            weight: order.weight,
+            priority: order.priority,
+            units: CALL_UNITS,
+            deadline: context.clock.now().plus(order.deadline_in_ms),
+            is_suspect: false,
+        };
+        let admitted = self.gate.admit(item).await;
+        admitted.map_err(|(reason, _)| reason)
     }
 
     /// Returns the present load; a call counts as one work unit.
     pub(super) fn load(&self) -> LoadReport {
-        let free = self.permits.available_permits();
-        LoadReport {
-            running_units: self.concurrency.saturating_sub(free) as u64,
-            ..LoadReport::default()
-        }
+        self.gate.load()
     }
 }
--- a/crates/daemon/src/endpoint/call/call_server.rs
+++ b/crates/daemon/src/endpoint/call/call_server.rs
@@ -41,7 +41,11 @@
         order.deadline_in_ms = order.deadline_in_ms.saturating_sub(waited_ms);
         match order.row {
             Some(_) => dispatch_driver::run(&self.host, order, permit, running).await,
-            None => plain_call::run(&self.host, &order).await,
+            None => {
+                let reply = plain_call::run(&self.host, &order).await;
+                permit.complete();
+                reply
+            }
         }
     }
 }
--- a/crates/daemon/src/endpoint/call/dispatch_driver.rs
+++ b/crates/daemon/src/endpoint/call/dispatch_driver.rs
@@ -14,11 +14,11 @@
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
 use dandelionroad_core::time::MilliTime;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::oneshot;
 
 use crate::call_rows::commit_row;
 use crate::call_rows::read_row;
+use crate::endpoint::admission::WorkPermit;
 use crate::node::RunningRequest;
 
 use super::call_host::CallHost;
@@ -32,7 +32,7 @@
     machine: DispatchMachine,
     reply: Option<oneshot::Sender<CallReply>>,
     /// Given back when the service has ended the call.
-    permit: Option<OwnedSemaphorePermit>,
+    permit: Option<WorkPermit>,
 }
 
 /// Runs one attempt and returns its reply.
@@ -42,7 +42,7 @@
 pub(super) async fn run(
     host: &Arc<CallHost>,
     order: CallOrder,
-    permit: OwnedSemaphorePermit,
+    permit: WorkPermit,
     running: RunningRequest,
 ) -> CallReply {
     let runner = host.runner();
@@ -94,7 +94,7 @@
                 tokio::select! {
                     event = &mut carrying_out => {
                         if let DispatchEvent::ServiceEnded(_) = event {
-                            self.permit = None;
+                            self.give_back();
                         }
                         queue.extend(self.handle(event));
                         break;
@@ -113,6 +113,12 @@
         }
     }
 
+    fn give_back(&mut self) {
+        if let Some(permit) = self.permit.take() {
+            permit.complete();
+        }
+    }
+
     fn handle(&mut self, event: DispatchEvent) -> Vec<DispatchAction> {
         self.machine.handle(event, self.host.context.clock.now())
     }
--- a/crates/daemon/src/endpoint/mod.rs
+++ b/crates/daemon/src/endpoint/mod.rs
@@ -2,6 +2,7 @@
 The role endpoint: admits, orders and fences what the engine or plain service beside it runs.
 */
 
+pub mod admission;
 mod call;
 mod order;
 mod stream;
--- a/crates/daemon/src/endpoint/stream/mod.rs
+++ b/crates/daemon/src/endpoint/stream/mod.rs
@@ -8,7 +8,6 @@
 mod stage_tasks;
 mod stream_admission;
 mod stream_host;
-mod stream_permit;
 mod stream_server;
 mod stream_slot;
 
--- a/crates/daemon/src/endpoint/stream/slot_state.rs
+++ b/crates/daemon/src/endpoint/stream/slot_state.rs
@@ -3,7 +3,7 @@
 use dandelionroad_core::time::MilliTime;
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::stream_permit::StreamPermit;
+use crate::endpoint::admission::WorkPermit;
 
 /// What the tasks of one request share.
 pub(super) struct SlotState {
@@ -12,7 +12,7 @@
     /// The subscription of the entry and its attempt (head only).
     pub(super) sink: Option<(u32, UnboundedSender<StreamEvent>)>,
     /// The admission (head only); given back when the answer is whole.
-    pub(super) permit: Option<StreamPermit>,
+    pub(super) permit: Option<WorkPermit>,
     /// When the request was last heard of.
     pub(super) heard_at: MilliTime,
 }
--- a/crates/daemon/src/endpoint/stream/stream_admission.rs
+++ b/crates/daemon/src/endpoint/stream/stream_admission.rs
@@ -1,49 +1,43 @@
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::sync::Mutex;
 
+use dandelionroad_core::admit::AdmitConfig;
+use dandelionroad_core::admit::AdmitItem;
+use dandelionroad_core::admit::WorkUnits;
+use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::member::MemberState;
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::route::LoadReport;
 use dandelionroad_core::stream::StreamOrder;
-use tokio::sync::Semaphore;
 
+use crate::endpoint::admission::WorkGate;
+use crate::endpoint::admission::WorkPermit;
+use crate::entry::routing::RoutingState;
 use crate::node::NodeContext;
 
-use super::stream_permit::StreamPermit;
-
-/// The assumed length of a prompt token in bytes.
-const PROMPT_TOKEN_BYTES: usize = 4;
-
 /// The time after which a refused request may find room again, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// The rate assumed until the configuration names one, in tokens per second.
+const DEFAULT_TOKENS_PER_SECOND: u64 = 100;
+
 /// The admission of model requests at the head of their route.
 pub(super) struct StreamAdmission {
     context: Arc<NodeContext>,
-    permits: Arc<Semaphore>,
-    queued_units: AtomicU64,
-    running_units: Arc<AtomicU64>,
-}
-
-/// Work in the queue; leaves it when dropped.
-struct QueuedUnits<'a>(&'a AtomicU64, u64);
-
-impl Drop for QueuedUnits<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(self.1, Ordering::Relaxed);
-    }
+    gate: Arc<WorkGate>,
+    /// The configuration from which the rate was taken.
+    rated: Mutex<Arc<ConfigState>>,
 }
 
 impl StreamAdmission {
     /// Creates the admission with an empty queue.
     pub(super) fn new(context: Arc<NodeContext>) -> StreamAdmission {
-        let concurrency = context.settings.concurrency.max(1) as usize;
+        let settings = &context.settings;
+        let rate = WorkUnits::default().per_second(DEFAULT_TOKENS_PER_SECOND);
+        let config = AdmitConfig::new(settings.queue_units, settings.concurrency, rate);
         StreamAdmission {
-            permits: Arc::new(Semaphore::new(concurrency)),
-            queued_units: AtomicU64::new(0),
-            running_units: Arc::new(AtomicU64::new(0)),
+            gate: WorkGate::new(context.clock, config),
+            rated: Mutex::default(),
             context,
         }
     }
@@ -52,23 +46,21 @@
     pub(super) async fn admit(
         &self,
         order: &StreamOrder,
-    ) -> Result<StreamPermit, (RefusalReason, u64)> {
+    ) -> Result<WorkPermit, (RefusalReason, u64)> {
         if self.is_leaving() {
             return Err((RefusalReason::Leaving, RETRY_AFTER_MS));
         }
-        let units = work_units(order);
-        let queued = self.queued_units.fetch_add(units, Ordering::Relaxed);
-        let _queued = QueuedUnits(&self.queued_units, units);
-        if queued > 0 && queued + units > self.context.settings.queue_units {
-            return Err((RefusalReason::Overloaded, RETRY_AFTER_MS));
-        }
-        let deadline = Duration::from_millis(order.deadline_in_ms);
-        let waiting = self.permits.clone().acquire_owned();
-        let Ok(Ok(permit)) = tokio::time::timeout(deadline, waiting).await else {
-            return Err((RefusalReason::Deadline, RETRY_AFTER_MS));
+        self.update_rate();
+        let item = AdmitItem {
+            request: order.request.clone(),
+            account: order.account.clone(),
+            weight: order.weight,
+            priority: order.priority,
+            units: RoutingState::units(order),
+            deadline: self.context.clock.now().plus(order.deadline_in_ms),
+            is_suspect: order.suspect,
         };
-        let running = self.running_units.clone();
-        Ok(StreamPermit::new(permit, units, running))
+        self.gate.admit(item).await
     }
 
     /// Returns whether this process takes no new work.
@@ -78,15 +70,28 @@
 
     /// Returns the present load.
     pub(super) fn load(&self) -> LoadReport {
-        LoadReport {
-            queued_units: self.queued_units.load(Ordering::Relaxed),
-            running_units: self.running_units.load(Ordering::Relaxed),
-            units_per_second: 0,
-        }
+        self.gate.load()
     }
-}
 
-fn work_units(order: &StreamOrder) -> u64 {
-    let prompt = order.prompt.len().div_ceil(PROMPT_TOKEN_BYTES) as u64;
-    prompt + u64::from(order.max_tokens)
+    /// Takes the rate of this endpoint from a configuration that was not seen before.
+    fn update_rate(&self) {
+        let config = self.context.config.borrow().clone();
+        let mut rated = self
+            .rated
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        if Arc::ptr_eq(&rated, &config) {
+            return;
+        }
+        let own = &self.context.settings.name;
+        let members = config.pools.iter().flat_map(|pool| &pool.endpoints);
+        let rate = members
+            .filter(|member| member.name.as_str() == own)
+            .map(|member| u64::from(member.tokens_per_second))
+            .max();
+        if let Some(rate) = rate {
+            self.gate.set_rate(WorkUnits::default().per_second(rate));
+        }
+        *rated = config;
+    }
 }
--- a/crates/daemon/src/endpoint/stream/stream_host.rs
+++ b/crates/daemon/src/endpoint/stream/stream_host.rs
@@ -139,8 +139,10 @@
                 action => stage_tasks::spawn(self.clone(), slot.clone(), action),
             }
         }
-        if state.machine.is_finished() {
-            state.permit = None;
+        if state.machine.is_finished()
+            && let Some(permit) = state.permit.take()
+        {
+            permit.complete();
         }
         if is_forgotten {
             state.sink = None;
