Enforce account limits and the retry budget at the entry

The limit of an account in work units is divided between the live entries; a model request or idempotent call beyond it is refused not-run with retry-after. Calls with an idempotency key are not limited at the entry: a repeat whose first attempt ran must not be told not-run. Retries of refused requests take from the budget and wait with jitter.

--- a/crates/daemon/src/entry/caller_error.rs
+++ b/crates/daemon/src/entry/caller_error.rs
@@ -47,6 +47,15 @@
         }
     }
 
+    /// Creates the error for a request beyond the limit of its client account.
+    pub(super) fn account_limit(request: &RequestIdent, retry_after_ms: u64) -> CallerError {
+        let detail = "the client account is over its limit of work units";
+        CallerError {
+            retry_after_ms,
+            ..CallerError::not_run(request, RefusalReason::AccountLimit, detail)
+        }
+    }
+
     /// Returns the JSON body.
     pub(super) fn body(&self) -> Value {
         json!({"error": {
--- a/crates/daemon/src/entry/model/model_handlers.rs
+++ b/crates/daemon/src/entry/model/model_handlers.rs
@@ -22,6 +22,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::entry::routing::RoutingState;
 use crate::node::NodeContext;
 
 use super::super::caller_auth::authenticate;
@@ -125,6 +126,13 @@
         max_tokens: request.max_tokens,
         deadline_in_ms: context.settings.request_deadline_ms,
     };
+    let members = context.members.borrow().clone();
+    let units = RoutingState::units(&order);
+    let now = context.clock.now();
+    let taken = context
+        .limits
+        .take(&config, &members, &order.account, units, now);
+    taken.map_err(|retry_after_ms| CallerError::account_limit(ident, retry_after_ms))?;
     let events = start_stream(context, order);
     if request.is_stream {
         streamed_answer(ident, &request, events).await
--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dandelionroad_core::admit::RetryBudget;
 use dandelionroad_core::stream::StreamAction;
 use dandelionroad_core::stream::StreamEvent;
 use dandelionroad_core::stream::StreamLimits;
@@ -62,6 +63,7 @@
             head: None,
             connection: None,
             was_refused: false,
+            retries: 0,
         };
         driver.run(actions, reports).await;
     });
@@ -77,6 +79,8 @@
     connection: Option<Arc<WsClient>>,
     /// Whether the newest event of the head was a refusal.
     was_refused: bool,
+    /// The retries after refusals.
+    retries: u32,
 }
 
 impl StreamDriver {
@@ -136,6 +140,10 @@
                     let routing = &self.context.routing;
                     routing.avoid(&lost.endpoint, self.was_refused, self.now());
                 }
+                // A request that has run searches again after a pause, without the budget.
+                if std::mem::take(&mut self.was_refused) && !self.may_retry().await {
+                    return self.machine.route_chosen(None, self.now());
+                }
                 let excluded = self.machine.excluded();
                 let order = self.machine.order();
                 let route = choose_route(&self.context, order, excluded, kept);
@@ -172,6 +180,17 @@
         Vec::new()
     }
 
+    /// Takes a retry after a refusal from the budget and waits with jitter.
+    async fn may_retry(&mut self) -> bool {
+        if !self.context.limits.try_retry() {
+            return false;
+        }
+        let delay_ms = RetryBudget::delay_ms(self.retries, rand::random());
+        self.retries += 1;
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        true
+    }
+
     fn answer(&self, event: AnswerEvent) {
         // A caller that has gone away is noticed by the loop.
         let _ = self.answers.send(event);
--- a/crates/daemon/src/entry/service/service_handlers.rs
+++ b/crates/daemon/src/entry/service/service_handlers.rs
@@ -13,7 +13,9 @@
 use axum::http::header::CONTENT_TYPE;
 use axum::response::IntoResponse;
 use axum::response::Response;
+use dandelionroad_core::admit::WorkUnits;
 use dandelionroad_core::dispatch::CallAction;
+use dandelionroad_core::dispatch::CallOrder;
 use dandelionroad_core::dispatch::RepeatAction;
 use dandelionroad_core::ident::RequestIdent;
 use dandelionroad_core::outcome::RefusalReason;
@@ -33,6 +35,9 @@
 /// The header of an answer that comes from the record of an earlier call.
 const REPLAYED_HEADER: &str = "x-dandelionroad-replayed";
 
+/// The assumed length of a token of a body in bytes.
+const BODY_TOKEN_BYTES: u64 = 4;
+
 /// Serves any method on `/services/{service}/{path}`.
 pub(super) async fn call(
     State(context): State<Arc<NodeContext>>,
@@ -63,6 +68,17 @@
     })?;
     let time = (context.clock.now(), context.settings.request_deadline_ms);
     let request = CallRequest::parse(&config, account, ident, target, &body, time)?;
+    if request.order.row.is_none() {
+        // A call with a key is not limited here: `not-run` would be false for a repeat whose first
+        // attempt ran. The endpoint admits it under its row.
+        let members = context.members.borrow().clone();
+        let account = &request.order.account;
+        let units = call_units(&request.order);
+        let taken = context
+            .limits
+            .take(&config, &members, account, units, time.0);
+        taken.map_err(|retry_after_ms| CallerError::account_limit(ident, retry_after_ms))?;
+    }
     match request.order.row.clone() {
         Some(key) => match call_driver::run(context, &request, key).await {
             CallAction::Answer {
@@ -105,6 +121,12 @@
     }
 }
 
+/// Returns the work of a call that counts against the account's limit, in work units.
+fn call_units(order: &CallOrder) -> u64 {
+    let tokens = (order.body.len() as u64).div_ceil(BODY_TOKEN_BYTES);
+    WorkUnits::default().of_request(tokens, 0)
+}
+
 /// Returns the service's own answer; the outcome header tells its errors from refusals.
 fn answer(status: u16, content_type: &str, body: String, replayed: bool) -> Response {
     let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
--- a/crates/daemon/src/node/node_context.rs
+++ b/crates/daemon/src/node/node_context.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::control::ControlHandle;
+use crate::entry::routing::EntryLimits;
 use crate::entry::routing::RoutingState;
 
 use super::NodeClients;
@@ -41,6 +42,8 @@
     pub crashes: watch::Sender<Arc<CrashTable>>,
     /// The routing of an entry; unused beside an endpoint.
     pub routing: RoutingState,
+    /// The account limits and the retry budget of an entry; unused beside an endpoint.
+    pub limits: EntryLimits,
     /// The way to the control part.
     pub control: ControlHandle,
 }
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -25,6 +25,7 @@
 use crate::endpoint;
 use crate::entry;
 use crate::entry::EntryServers;
+use crate::entry::routing::EntryLimits;
 use crate::entry::routing::RoutingState;
 
 use super::NodeClients;
@@ -168,6 +169,7 @@
     table.merge(&record);
     Ok(NodeContext {
         routing: RoutingState::new(&settings.name, rand::random()),
+        limits: EntryLimits::new(),
         settings,
         clock,
         clients,
--- a/crates/daemon/tests/routing.rs
+++ b/crates/daemon/tests/routing.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use dandelionroad_core::config::AccountSpec;
 use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::config::ModelSpec;
 use dandelionroad_core::config::PoolMember;
@@ -23,6 +24,7 @@
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::stream::StreamOrder;
 use dandelionroad_core::time::MilliTime;
+use dandelionroad_daemon::entry::routing::EntryLimits;
 use dandelionroad_daemon::entry::routing::RoutingState;
 use dandelionroad_daemon::entry::routing::model_bounds;
 
@@ -147,3 +149,33 @@
     assert_eq!(route.stages[0], routes[0].stages[0]);
     assert_ne!(route.stages[1].endpoint, lost);
 }
+
+#[test]
+fn limits_divide_between_entries_and_bound_retries() {
+    // Guards against a limit that each entry grants in full, and retries without a budget.
+    let (mut config, mut members) = view();
+    let account = AccountName::parse("cordeleria").unwrap();
+    config.accounts = vec![AccountSpec {
+        name: account.clone(),
+        secret_sha256: "0".repeat(64),
+        units_per_second: 100,
+        burst_units: 400,
+        weight: 1,
+        priority: 0,
+        services: Vec::new(),
+        models: Vec::new(),
+    }];
+    for index in 4..6 {
+        let mut entry = member(index);
+        entry.role = MemberRole::Entry;
+        members.merge(&entry);
+    }
+    let (config, members) = (Arc::new(config), Arc::new(members));
+    let limits = EntryLimits::new();
+    let take = |units, now| limits.take(&config, &members, &account, units, now);
+    assert_eq!(take(200, NOW), Ok(()));
+    assert_eq!(take(50, NOW), Err(1_000));
+    assert_eq!(take(50, NOW.plus(1_000)), Ok(()));
+    let retries = (0..100).filter(|_| limits.try_retry()).count();
+    assert!(retries <= 20, "{retries} retries");
+}
