Test graceful shutdown with real processes under load

Entry and endpoint are stopped in both orders, and every node is replaced in turn, while callers stream answers. No request is cut off, and the engines run each step once, so that no stage was replaced because of a stop.

A head counted as running for 10 s after its answer was whole, because its saved outputs are kept that long; it now counts until the entry has closed the subscription.

--- a/crates/daemon/src/endpoint/stream/slot_state.rs
+++ b/crates/daemon/src/endpoint/stream/slot_state.rs
@@ -3,6 +3,8 @@
 use dandelionroad_core::time::MilliTime;
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::node::RunningRequest;
+
 use super::stream_permit::StreamPermit;
 
 /// What the tasks of one request share.
@@ -13,6 +15,8 @@
     pub(super) sink: Option<(u32, UnboundedSender<StreamEvent>)>,
     /// The admission (head only); given back when the answer is whole.
     pub(super) permit: Option<StreamPermit>,
+    /// Keeps a leaving process alive; given back when the entry has the whole answer.
+    pub(super) running: Option<RunningRequest>,
     /// When the request was last heard of.
     pub(super) heard_at: MilliTime,
 }
--- a/crates/daemon/src/endpoint/stream/stream_host.rs
+++ b/crates/daemon/src/endpoint/stream/stream_host.rs
@@ -249,6 +249,9 @@
         {
             state.sink = None;
             state.heard_at = self.context.clock.now();
+            if state.machine.is_finished() {
+                state.running = None;
+            }
         }
     }
 
--- a/crates/daemon/src/endpoint/stream/stream_slot.rs
+++ b/crates/daemon/src/endpoint/stream/stream_slot.rs
@@ -4,7 +4,6 @@
 use dandelionroad_core::stream::StageMachine;
 
 use crate::node::NodeContext;
-use crate::node::RunningRequest;
 use crate::telemetry::HopKind;
 use crate::telemetry::HopSpan;
 
@@ -13,12 +12,11 @@
 /// One request at this process.
 pub(super) struct StreamSlot {
     state: Mutex<SlotState>,
-    _running: RunningRequest,
     _span: HopSpan,
 }
 
 impl StreamSlot {
-    /// Creates the slot of a machine without a subscription; it counts as running until dropped.
+    /// Creates the slot of a machine without a subscription.
     pub(super) fn new(machine: StageMachine, context: &NodeContext) -> StreamSlot {
         let request = &machine.order().request;
         let mut span = HopSpan::start(HopKind::Stage, request, &context.settings.name);
@@ -28,9 +26,9 @@
                 machine,
                 sink: None,
                 permit: None,
+                running: Some(context.requests.start()),
                 heard_at: context.clock.now(),
             }),
-            _running: context.requests.start(),
             _span: span,
         }
     }
--- /dev/null
+++ b/crates/daemon/tests/graceful_shutdown.rs
@@ -0,0 +1,203 @@
+//! Guards against a planned stop that cuts off a request, and against an entry that the balancer
+//! keeps choosing while it stops.
+
+mod process_support;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use dandelionroad_demo::ACCOUNT_SECRET;
+use dandelionroad_demo::LAYERS;
+use dandelionroad_demo::MODEL;
+use dandelionroad_standins::engine::TokenModel;
+use dandelionroad_standins::load::CallResult;
+use dandelionroad_standins::load::CallerClient;
+use dandelionroad_standins::load::LoadKind;
+use dandelionroad_standins::load::LoadReport;
+use tokio::task::JoinSet;
+
+use self::process_support::ProcessCluster;
+
+/// The number of callers that send one request after the other.
+const CALLERS: usize = 6;
+
+/// The number of tokens of each answer.
+const TOKENS: u32 = 12;
+
+/// The number of stages of every route.
+const STAGES: u64 = 3;
+
+/// Callers behind a balancer that knows which entries are ready.
+struct Callers {
+    ready: Arc<Mutex<Vec<String>>>,
+    is_over: Arc<AtomicBool>,
+    ended: Arc<AtomicUsize>,
+    tasks: JoinSet<Vec<CallResult>>,
+}
+
+impl Callers {
+    fn start(cluster: &ProcessCluster) -> Callers {
+        let entries = cluster.entries.iter();
+        let urls = entries.map(|entry| format!("http://{}", entry.public));
+        let mut callers = Callers {
+            ready: Arc::new(Mutex::new(urls.collect())),
+            is_over: Arc::default(),
+            ended: Arc::default(),
+            tasks: JoinSet::new(),
+        };
+        for caller in 0..CALLERS {
+            let ready = callers.ready.clone();
+            let is_over = callers.is_over.clone();
+            let ended = callers.ended.clone();
+            callers.tasks.spawn(async move {
+                let client = CallerClient::new(ACCOUNT_SECRET);
+                let mut results = Vec::new();
+                while !is_over.load(Ordering::Relaxed) {
+                    let index = results.len();
+                    let entry = {
+                        let ready = ready.lock().unwrap();
+                        ready[(caller + index) % ready.len()].clone()
+                    };
+                    results.push(ask(&client, &entry, &format!("{caller}-{index}")).await);
+                    ended.fetch_add(1, Ordering::Relaxed);
+                }
+                results
+            });
+        }
+        callers
+    }
+
+    /// Does what the balancer does once the readiness check of an entry fails.
+    fn remove(&self, public: &str) {
+        let url = format!("http://{public}");
+        self.ready.lock().unwrap().retain(|known| *known != url);
+    }
+
+    fn add(&self, public: &str) {
+        self.ready.lock().unwrap().push(format!("http://{public}"));
+    }
+
+    /// Waits until each caller can have sent a request after this call.
+    async fn wait_round(&self) {
+        let target = self.ended.load(Ordering::Relaxed) + 2 * CALLERS;
+        process_support::wait_until("a round of requests", async || {
+            self.ended.load(Ordering::Relaxed) >= target
+        })
+        .await;
+    }
+
+    async fn finish(self) -> LoadReport {
+        self.is_over.store(true, Ordering::Relaxed);
+        let results = self.tasks.join_all().await;
+        LoadReport::new(results.into_iter().flatten().collect())
+    }
+}
+
+async fn ask(client: &CallerClient, entry: &str, label: &str) -> CallResult {
+    let prompt = format!("splice {label} [length={TOKENS}]");
+    let expected = TokenModel::new(1, LAYERS).answer(&prompt, TOKENS).concat();
+    let call = (MODEL, prompt.as_str(), TOKENS);
+    client
+        .stream(entry, LoadKind::Completion, call, &expected)
+        .await
+}
+
+fn assert_nothing_cut_off(report: &LoadReport) {
+    assert!(report.results.len() > CALLERS, "too few requests: {report}");
+    assert!(report.failures().is_empty(), "{report}");
+}
+
+/// A stage that is cut off is replaced, and its layers are computed again from the start.
+fn assert_nothing_recomputed(cluster: &ProcessCluster, reports: &[LoadReport]) {
+    let answers: usize = reports.iter().map(|report| report.results.len()).sum();
+    let steps: u64 = cluster
+        .engines
+        .iter()
+        .map(|engine| engine.stats().steps)
+        .sum();
+    assert_eq!(
+        steps,
+        answers as u64 * u64::from(TOKENS) * STAGES,
+        "{answers} answers"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_entry_and_endpoint_in_both_orders_cuts_off_nothing() {
+    // An answer takes longer than the least time between the start of a shutdown and the exit.
+    let mut cluster = ProcessCluster::start(25_000).await;
+    let mut reports = Vec::new();
+    for is_entry_first in [true, false] {
+        let callers = Callers::start(&cluster);
+        callers.wait_round().await;
+        let mut entry = cluster.entries.remove(0);
+        let mut stage = cluster.endpoints.remove(0);
+        match is_entry_first {
+            true => [&entry, &stage].map(|node| node.signal("TERM")),
+            false => [&stage, &entry].map(|node| node.signal("TERM")),
+        };
+        let url = format!("http://{}/readyz", entry.public);
+        process_support::wait_until("failed readiness", async || {
+            let answer = CallerClient::new(ACCOUNT_SECRET).get(&url).await;
+            matches!(answer, Ok((503, _)))
+        })
+        .await;
+        callers.remove(&entry.public);
+        assert!(entry.exited().await.success());
+        assert!(stage.exited().await.success());
+        callers.wait_round().await;
+        let entry = cluster.spawn_entry(0).await;
+        cluster.entries.insert(0, entry);
+        let stage = cluster.spawn_endpoint(0).await;
+        cluster.endpoints.insert(0, stage);
+        cluster.list_hosts();
+        cluster.wait_ready(0).await;
+        for entry in [0, 1] {
+            cluster.wait_live(entry, 0).await;
+        }
+        let report = callers.finish().await;
+        assert_nothing_cut_off(&report);
+        reports.push(report);
+    }
+    assert_nothing_recomputed(&cluster, &reports);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn shutdown_rolling_replacement_of_every_node_cuts_off_nothing() {
+    let mut cluster = ProcessCluster::start(2_000).await;
+    let callers = Callers::start(&cluster);
+    callers.wait_round().await;
+    for index in 0..cluster.endpoints.len() {
+        let mut old = cluster.endpoints.remove(index);
+        old.signal("TERM");
+        assert!(old.exited().await.success());
+        let new = cluster.spawn_endpoint(index).await;
+        cluster.endpoints.insert(index, new);
+        cluster.list_hosts();
+        for entry in [0, 1] {
+            cluster.wait_live(entry, index).await;
+        }
+        callers.wait_round().await;
+    }
+    for index in 0..cluster.entries.len() {
+        let mut old = cluster.entries.remove(index);
+        old.signal("TERM");
+        callers.remove(&old.public);
+        assert!(old.exited().await.success());
+        let new = cluster.spawn_entry(index).await;
+        cluster.entries.insert(index, new);
+        cluster.list_hosts();
+        cluster.wait_ready(index).await;
+        for endpoint in 0..cluster.endpoints.len() {
+            cluster.wait_live(index, endpoint).await;
+        }
+        callers.add(&cluster.entries[index].public);
+        callers.wait_round().await;
+    }
+    let report = callers.finish().await;
+    assert_nothing_cut_off(&report);
+    assert_nothing_recomputed(&cluster, &[report]);
+}
--- /dev/null
+++ b/crates/daemon/tests/process_support/node_process.rs
@@ -0,0 +1,61 @@
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+
+use tokio::io::AsyncBufReadExt;
+use tokio::io::BufReader;
+use tokio::process::Child;
+
+/// A running node; it is killed when the value is dropped.
+pub(crate) struct NodeProcess {
+    pub(crate) name: String,
+    pub(crate) internal: String,
+    /// Empty for an endpoint.
+    pub(crate) public: String,
+    /// Empty for an endpoint.
+    pub(crate) admin: String,
+    child: Child,
+}
+
+impl NodeProcess {
+    /// Starts the daemon and waits for its ready line.
+    pub(crate) async fn spawn(args: &[&str], variables: &[(&str, String)]) -> NodeProcess {
+        let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_dandelionroad"))
+            .args(args)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
+            .env("DANDELIONROAD_LOG_LEVEL", "warn")
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .unwrap();
+        let output = BufReader::new(child.stdout.take().unwrap());
+        let line = output.lines().next_line().await.unwrap();
+        let line = line.unwrap_or_else(|| panic!("{args:?} ended without a ready line"));
+        let field = |key: &str| {
+            let mut fields = line.split(' ').filter_map(|field| field.split_once('='));
+            let found = fields.find(|(name, _)| *name == key);
+            found.map_or_else(String::new, |(_, value)| value.to_owned())
+        };
+        NodeProcess {
+            name: field("name"),
+            internal: field("internal"),
+            public: field("public"),
+            admin: field("admin"),
+            child,
+        }
+    }
+
+    /// Sends a signal such as `TERM`, `STOP` or `CONT`.
+    pub(crate) fn signal(&self, signal: &str) {
+        let pid = self.child.id().expect("the process was not waited for");
+        let status = Command::new("kill")
+            .args([format!("-{signal}"), pid.to_string()])
+            .status();
+        assert!(status.unwrap().success(), "can't signal {}", self.name);
+    }
+
+    /// Waits for the end of the process.
+    pub(crate) async fn exited(&mut self) -> ExitStatus {
+        self.child.wait().await.unwrap()
+    }
+}
--- a/crates/standins/src/load/caller_client.rs
+++ b/crates/standins/src/load/caller_client.rs
@@ -91,7 +91,21 @@
     ///
     /// Returns what broke the connection.
     pub async fn post(&self, url: &str, body: &str) -> Result<(u16, String), String> {
-        let request = self.request("POST", url, None, body.to_owned());
+        self.exchange(self.request("POST", url, None, body.to_owned()))
+            .await
+    }
+
+    /// Gets any URL and returns the status and the body of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns what broke the connection.
+    pub async fn get(&self, url: &str) -> Result<(u16, String), String> {
+        self.exchange(self.request("GET", url, None, String::new()))
+            .await
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<(u16, String), String> {
         let response = self.client.request(request).await;
         let response = response.map_err(|error| error.to_string())?;
         let status = response.status().as_u16();
