--- a/crates/core/tests/admit_queue.rs
+++ b/crates/core/tests/admit_queue.rs
@@ -5,6 +5,7 @@
 use dandelionroad_core::admit::AdmitConfig;
 use dandelionroad_core::admit::AdmitItem;
 use dandelionroad_core::admit::AdmitQueue;
+use dandelionroad_core::admit::StepQueue;
 use dandelionroad_core::ident::AccountName;
 use dandelionroad_core::ident::RequestIdent;
 use dandelionroad_core::outcome::RefusalReason;
@@ -125,14 +126,15 @@
 
 #[test]
 fn admit_queue_refuses_late_work_at_its_turn() {
-    let mut queue = AdmitQueue::new(AdmitConfig::new(100_000, 1, 1_000));
+    let mut queue = AdmitQueue::new(AdmitConfig::new(100_000, 2, 1_000));
     queue.offer(item(0, "a", 100), at(0));
+    queue.offer(item(1, "a", 100), at(0));
     let first = queue.poll(at(0)).started[0].request.clone();
-    let mut late = item(1, "a", 100);
-    late.deadline = at(400);
+    let mut late = item(2, "a", 100);
+    late.deadline = at(700);
     assert!(queue.offer(late, at(0)).is_empty());
     queue.cancel(&first);
-    let batch = queue.poll(at(350));
+    let batch = queue.poll(at(600));
     assert_eq!(batch.refused[0].reason, RefusalReason::Deadline);
     assert!(batch.started.is_empty());
 }
@@ -179,6 +181,44 @@
     assert!(queue.poll(at(1)).started[0].is_suspect);
 }
 
+#[test]
+fn admit_queue_recovers_from_slow_pace() {
+    // Guards against an idle endpoint that refuses everything after a time of slow progress.
+    let mut queue = AdmitQueue::new(AdmitConfig::new(100_000, 4, 1_000));
+    queue.offer(item(0, "a", 10), at(0));
+    let first = queue.poll(at(0)).started[0].request.clone();
+    queue.finish(&first, at(60_000));
+    let mut next = item(1, "a", 10);
+    next.deadline = at(60_500);
+    assert!(queue.offer(next, at(60_000)).is_empty());
+    assert_eq!(queue.poll(at(60_000)).started.len(), 1);
+}
+
+#[test]
+fn admit_queue_learns_pace_of_account() {
+    // Guards against estimates from other accounts' requests that progress faster.
+    let mut queue = AdmitQueue::new(AdmitConfig::new(100_000, 10, 10_000));
+    let accounts = ["quick", "slow"];
+    for (number, account) in accounts.iter().enumerate() {
+        // Runs on, so that the queue does not forget the account.
+        queue.offer(item(1_000 + number, account, 1), at(0));
+    }
+    queue.poll(at(0));
+    for number in 0..40 {
+        let start = number as u64 * 2_000;
+        queue.offer(item(number, accounts[number % 2], 100), at(start));
+        let started = queue.poll(at(start)).started;
+        let time_ms = [10, 1_000][number % 2];
+        queue.finish(&started[0].request, at(start + time_ms));
+    }
+    let refusals = accounts.map(|account| {
+        let mut item = item(9_999, account, 100);
+        item.deadline = at(80_000 + 1_200);
+        queue.offer(item, at(80_000)).len()
+    });
+    assert_eq!(refusals, [0, 1]);
+}
+
 #[test]
 fn admit_queue_reserves_slots_for_idle_accounts() {
     // Guards against a large account that holds every slot when a small one arrives.
@@ -186,8 +226,25 @@
     for number in 0..20 {
         queue.offer(item(number, "large", 10), at(0));
     }
-    assert_eq!(queue.poll(at(0)).started.len(), 7);
+    assert_eq!(queue.poll(at(0)).started.len(), 6);
     queue.offer(item(20, "small", 10), at(1));
     let started = queue.poll(at(1)).started;
     assert_eq!(started[0].account.as_str(), "small");
 }
+
+#[test]
+fn step_queue_serves_light_accounts_first_without_starving() {
+    // Guards against a small account that waits behind a large one's steps, and the reverse.
+    let [large, small] = ["large", "small"].map(|name| AccountName::parse(name).unwrap());
+    let mut queue = StepQueue::new(10_000);
+    (0..50).for_each(|_| queue.push(&large, 1, 8, "large"));
+    queue.push(&small, 1, 8, "small");
+    assert_eq!(queue.pop(), Some("small"));
+    let mut order = Vec::new();
+    for _ in 0..200 {
+        queue.push(&small, 1, 8, "small");
+        order.extend(queue.pop());
+    }
+    let smalls = order.iter().filter(|name| **name == "small").count();
+    assert!((40..=160).contains(&smalls), "{smalls} of 200 were small");
+}
