Serve the old model version until a whole chain holds the new one

Cause: an accepted ticket that raised a version left a pool without any route until its engines had loaded it, because routes were planned for the configured version only. Change: plans are kept for each version that engines hold; a new request takes the configured version once a chain of endpoints covers all layers with it, and the highest other one until then. A request that has sent tokens keeps its version. version_follows_whole_chains walks through a rollout of four endpoints.

--- a/crates/core/src/stream/stream_machine.rs
+++ b/crates/core/src/stream/stream_machine.rs
@@ -103,6 +103,11 @@
         self.phase == StreamPhase::Done
     }
 
+    /// Sets the version of the model that the next route serves.
+    pub fn use_version(&mut self, version: u32) {
+        self.order.version = version;
+    }
+
     /// Takes the route that was chosen, or `None` if there is none.
     pub fn route_chosen(&mut self, route: Option<ChainRoute>, now: MilliTime) -> Vec<StreamAction> {
         let mut actions = Vec::new();
--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -23,6 +23,7 @@
 use super::head_stream::HeadReport;
 use super::head_stream::follow_head;
 use super::route_choice::choose_route;
+use super::route_choice::choose_version;
 
 /// The time between two checks of the deadlines, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 25;
@@ -136,6 +137,10 @@
                     let routing = &self.context.routing;
                     routing.avoid(&lost.endpoint, self.was_refused, self.now());
                 }
+                if kept.is_none() {
+                    let version = choose_version(&self.context, self.machine.order());
+                    self.machine.use_version(version);
+                }
                 let excluded = self.machine.excluded();
                 let order = self.machine.order();
                 let route = choose_route(&self.context, order, excluded, kept);
--- a/crates/daemon/src/entry/routing/model_bound.rs
+++ b/crates/daemon/src/entry/routing/model_bound.rs
@@ -4,6 +4,7 @@
 use dandelionroad_core::route::FlowGraph;
 use serde::Serialize;
 
+use super::model_plan::served_versions;
 use super::model_plan::usable_nodes;
 
 /// The bound on the throughput of a model.
@@ -11,7 +12,8 @@
 pub struct ModelBound {
     /// The model.
     pub model: ModelName,
-    /// The maximum flow through the live endpoints, in tokens per second.
+    /// The maximum flow through the live endpoints of the version that is served, in tokens per
+    /// second.
     pub tokens_per_second: u64,
 }
 
@@ -23,11 +25,15 @@
         .models
         .iter()
         .map(|model| {
-            let nodes = usable_nodes(config, members, model);
-            let plan = FlowGraph::new(model.layers, &nodes, &[]).plan();
+            let bound = |version| {
+                let nodes = usable_nodes(config, members, model, version);
+                FlowGraph::new(model.layers, &nodes, &[]).plan().bound()
+            };
+            let versions = served_versions(members, model);
+            let served = versions.into_iter().map(bound).find(|bound| *bound > 0);
             ModelBound {
                 model: model.name.clone(),
-                tokens_per_second: plan.bound(),
+                tokens_per_second: served.unwrap_or_default(),
             }
         })
         .collect()
--- a/crates/daemon/src/entry/routing/model_plan.rs
+++ b/crates/daemon/src/entry/routing/model_plan.rs
@@ -1,6 +1,7 @@
 use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::config::ModelSpec;
 use dandelionroad_core::config::PoolMember;
+use dandelionroad_core::config::PoolSpec;
 use dandelionroad_core::ident::ModelName;
 use dandelionroad_core::member::MemberRecord;
 use dandelionroad_core::member::MemberRole;
@@ -15,6 +16,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ModelPlan {
     pub(super) model: ModelName,
+    pub(super) version: u32,
     pub(super) nodes: Vec<FlowNode>,
     pub(super) plan: RoutePlan,
 }
@@ -23,28 +25,51 @@
     /// Computes the plan of a model.
     ///
     /// No process measures the links yet, so that they don't limit the flow.
-    pub(super) fn new(model: &ModelSpec, nodes: Vec<FlowNode>) -> ModelPlan {
+    pub(super) fn new(model: &ModelSpec, version: u32, nodes: Vec<FlowNode>) -> ModelPlan {
         ModelPlan {
             model: model.name.clone(),
+            version,
             plan: FlowGraph::new(model.layers, &nodes, &[]).plan(),
             nodes,
         }
     }
+
+    /// Returns what plans are sorted by.
+    pub(super) fn key(&self) -> (&ModelName, u32) {
+        (&self.model, self.version)
+    }
 }
 
-/// Returns the live endpoints of the model's pools.
+/// Returns the versions of a model that may be served: the configured one first, then the others
+/// that engines hold, the highest first.
+///
+/// During a rollout the engines of the old version serve until a whole chain holds the new one.
+pub(super) fn served_versions(members: &MemberTable, model: &ModelSpec) -> Vec<u32> {
+    let held = members.records().filter_map(|record| record.held.as_ref());
+    let mut others: Vec<u32> = held
+        .filter(|held| held.model == model.name && held.version != model.version)
+        .map(|held| held.version)
+        .collect();
+    others.sort_unstable_by(|left, right| right.cmp(left));
+    others.dedup();
+    let mut versions = vec![model.version];
+    versions.extend(others);
+    versions
+}
+
+/// Returns the live endpoints of the model's pools that serve `version`.
 pub(super) fn usable_nodes(
     config: &ConfigState,
     members: &MemberTable,
     model: &ModelSpec,
+    version: u32,
 ) -> Vec<FlowNode> {
     config
         .pools_of(&model.name)
-        .filter(|pool| pool.version == model.version)
-        .flat_map(|pool| &pool.endpoints)
-        .filter_map(|endpoint| {
+        .flat_map(|pool| pool.endpoints.iter().map(move |endpoint| (pool, endpoint)))
+        .filter_map(|(pool, endpoint)| {
             let record = members.get(endpoint.name.as_str())?;
-            is_usable(record, endpoint, model).then(|| FlowNode {
+            serves(record, pool, endpoint, version).then(|| FlowNode {
                 endpoint: endpoint.name.clone(),
                 zone: record.zone.clone(),
                 range: LayerRange::new(endpoint.first_layer, endpoint.end_layer),
@@ -54,13 +79,19 @@
         .collect()
 }
 
-/// Returns whether a member serves its part of the model; an engine that tells what it holds must
-/// hold this part of this version.
-fn is_usable(record: &MemberRecord, endpoint: &PoolMember, model: &ModelSpec) -> bool {
+/// Returns whether a member serves its part of a version.
+///
+/// A member that has not yet told what its engine holds (sequence 0) is taken to hold the version
+/// of its pool; one that told that it holds nothing is loading.
+fn serves(record: &MemberRecord, pool: &PoolSpec, endpoint: &PoolMember, version: u32) -> bool {
     let is_live = record.role == MemberRole::Endpoint && record.state == MemberState::Live;
-    let range = LayerRange::new(endpoint.first_layer, endpoint.end_layer);
-    let is_held = record.held.as_ref().is_none_or(|held| {
-        held.model == model.name && held.version == model.version && held.range == range
-    });
+    let is_held = match &record.held {
+        Some(held) => {
+            let has_layers =
+                held.range.first <= endpoint.first_layer && held.range.end >= endpoint.end_layer;
+            held.model == pool.model && held.version == version && has_layers
+        }
+        None => record.sequence == 0 && pool.version == version,
+    };
     is_live && is_held
 }
--- a/crates/daemon/src/entry/routing/routing_state.rs
+++ b/crates/daemon/src/entry/routing/routing_state.rs
@@ -60,11 +60,26 @@
         let mut tables = self.tables();
         tables.refresh(config, members);
         let units = RoutingState::units(order);
-        let route = tables.choose(&order.model, units, excluded, kept, now)?;
+        let route = tables.choose(order, units, excluded, kept, now)?;
         tables.begin(&order.request, &route, units);
         Some(route)
     }
 
+    /// Returns the version of the model that a request is to run with.
+    ///
+    /// During a rollout it is the configured version once a whole chain of endpoints holds it, and
+    /// the highest other one that a whole chain holds until then.
+    pub fn version(
+        &self,
+        config: &Arc<ConfigState>,
+        members: &Arc<MemberTable>,
+        order: &StreamOrder,
+    ) -> u32 {
+        let mut tables = self.tables();
+        tables.refresh(config, members);
+        tables.version(order)
+    }
+
     /// Removes the work of a request that has ended.
     pub fn end(&self, request: &RequestIdent) {
         self.tables().end(request);
--- a/crates/daemon/src/entry/routing/routing_tables.rs
+++ b/crates/daemon/src/entry/routing/routing_tables.rs
@@ -14,9 +14,11 @@
 use dandelionroad_core::stream::ChainRoute;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::stream::RouteStage;
+use dandelionroad_core::stream::StreamOrder;
 use dandelionroad_core::time::MilliTime;
 
 use super::model_plan::ModelPlan;
+use super::model_plan::served_versions;
 use super::model_plan::usable_nodes;
 use super::request_work::RequestWork;
 
@@ -28,7 +30,7 @@
     seed: u64,
     config: Arc<ConfigState>,
     members: Arc<MemberTable>,
-    /// Sorted by model.
+    /// Sorted by model and version.
     plans: Vec<ModelPlan>,
     /// Sorted by request.
     works: Vec<RequestWork>,
@@ -52,11 +54,13 @@
         if Arc::ptr_eq(&self.config, config) && Arc::ptr_eq(&self.members, members) {
             return;
         }
-        let plans = config
-            .models
-            .iter()
-            .map(|model| self.plan_of(config, members, model))
-            .collect();
+        let mut plans = Vec::new();
+        for model in &config.models {
+            for version in served_versions(members, model) {
+                plans.push(self.plan_of(config, members, model, version));
+            }
+        }
+        plans.sort_by(|left, right| left.key().cmp(&right.key()));
         self.plans = plans;
         self.config = config.clone();
         self.members = members.clone();
@@ -72,14 +76,14 @@
     /// Chooses a route; see [`RoutingState::choose`](super::RoutingState::choose).
     pub(super) fn choose(
         &mut self,
-        model: &ModelName,
+        order: &StreamOrder,
         units: u64,
         excluded: &[EndpointName],
         kept: Option<(&ChainRoute, usize)>,
         now: MilliTime,
     ) -> Option<ChainRoute> {
         self.seed = mix_seed(self.seed);
-        let plan = self.plan(model)?;
+        let plan = self.plan(&order.model, order.version)?;
         if let Some((route, failed)) = kept
             && let Some(route) = self.replace_stage(plan, route, failed, units, excluded, now)
         {
@@ -131,20 +135,45 @@
             .binary_search_by(|work| work.request.cmp(request))
     }
 
-    fn plan(&self, model: &ModelName) -> Option<&ModelPlan> {
+    /// Returns the version that a request is to run with.
+    ///
+    /// A request that has sent tokens keeps its version as long as a route serves it.
+    pub(super) fn version(&self, order: &StreamOrder) -> u32 {
+        let has_route = |version| {
+            let plan = self.plan(&order.model, version);
+            plan.is_some_and(|plan| plan.plan.bound() > 0)
+        };
+        if !order.sent.is_empty() && has_route(order.version) {
+            return order.version;
+        }
+        let Some(model) = self.config.model(&order.model) else {
+            return order.version;
+        };
+        let versions = served_versions(&self.members, model);
+        let served = versions.into_iter().find(|version| has_route(*version));
+        served.unwrap_or(model.version)
+    }
+
+    fn plan(&self, model: &ModelName, version: u32) -> Option<&ModelPlan> {
         let index = self
             .plans
-            .binary_search_by(|plan| plan.model.cmp(model))
+            .binary_search_by(|plan| plan.key().cmp(&(model, version)))
             .ok()?;
         Some(&self.plans[index])
     }
 
-    fn plan_of(&self, config: &ConfigState, members: &MemberTable, model: &ModelSpec) -> ModelPlan {
-        let usable = usable_nodes(config, members, model);
+    fn plan_of(
+        &self,
+        config: &ConfigState,
+        members: &MemberTable,
+        model: &ModelSpec,
+        version: u32,
+    ) -> ModelPlan {
+        let usable = usable_nodes(config, members, model, version);
         let nodes = EndpointSubset::default().select(&self.entry, &usable);
-        match self.plan(&model.name) {
+        match self.plan(&model.name, version) {
             Some(held) if held.nodes == nodes && held.plan.layers() == model.layers => held.clone(),
-            _ => ModelPlan::new(model, nodes),
+            _ => ModelPlan::new(model, version, nodes),
         }
     }
 
--- a/crates/daemon/tests/routing.rs
+++ b/crates/daemon/tests/routing.rs
@@ -147,3 +147,55 @@
     assert_eq!(route.stages[0], routes[0].stages[0]);
     assert_ne!(route.stages[1].endpoint, lost);
 }
+
+/// Guards against a pool that serves nothing while its engines change from one version to the next,
+/// and against an answer that mixes two versions.
+#[test]
+fn version_follows_whole_chains() {
+    let (mut config, mut members) = view();
+    config.models[0].version = 2;
+    config.pools[0].version = 2;
+    let holds = |members: &mut MemberTable, index: usize, sequence: u64, version: Option<u32>| {
+        let first = [0, 6][index / 2];
+        let held = version.map(|version| HeldModel {
+            model: ModelName::parse("palm").unwrap(),
+            version,
+            range: LayerRange::new(first, first + 6),
+        });
+        members.merge(&MemberRecord {
+            sequence,
+            held,
+            ..member(index)
+        });
+    };
+    let config = Arc::new(config);
+    let routing = RoutingState::new("entry-0", 7);
+    for index in 0..4 {
+        holds(&mut members, index, 1, Some(1));
+    }
+    let started = StreamOrder {
+        sent: vec!["knot".to_owned()],
+        ..order(1)
+    };
+    // (endpoint, held version) in turn, then the version of a new and of a started request.
+    let steps = [
+        (0, None, 1, 1),
+        (0, Some(2), 1, 1),
+        (2, None, 1, 1),
+        (2, Some(2), 2, 1),
+        (1, None, 2, 2),
+    ];
+    for (sequence, (index, version, new, old)) in steps.into_iter().enumerate() {
+        holds(&mut members, index, sequence as u64 + 2, version);
+        let members = Arc::new(members.clone());
+        assert_eq!(routing.version(&config, &members, &order(0)), new);
+        assert_eq!(routing.version(&config, &members, &started), old);
+        let wanted = StreamOrder {
+            version: new,
+            ..order(0)
+        };
+        let route = routing.choose(&config, &members, &wanted, &[], None, NOW);
+        assert!(route.unwrap().covers(LAYERS));
+        assert!(model_bounds(&config, &members)[0].tokens_per_second >= 100);
+    }
+}
