Repair lasting differences of member tables, and bind host list marks to runs

The second digest is now sent once. A mark now applies to runs that are older than the list may lag.

--- a/crates/core/src/member/gossip_machine/absorb.rs
+++ b/crates/core/src/member/gossip_machine/absorb.rs
@@ -42,6 +42,9 @@
         for record in &message.members {
             if record.name == self.own.name {
                 self.meet_own(record, news);
+                if self.own.supersedes(record) {
+                    outdated.push(self.own.clone());
+                }
             } else if !self.merge_record(now, record, news)
                 && let Some(known) = self.table.get(&record.name)
                 && known.supersedes(record)
@@ -70,7 +73,11 @@
         news: &mut GossipNews,
     ) -> bool {
         let was_present = self.is_present(&record.name);
-        if !is_valid(record) || !self.table.merge(record) {
+        if !is_valid(record) {
+            return false;
+        }
+        let record = &self.with_listed_mark(now, record);
+        if !self.table.merge(record) {
             return false;
         }
         news.members.push(record.name.clone());
--- a/crates/core/src/member/gossip_machine/listing.rs
+++ b/crates/core/src/member/gossip_machine/listing.rs
@@ -18,6 +18,15 @@
 /// The greatest number of listed addresses that are contacted after one reading of the host list.
 const MAX_CONTACTS: usize = 4;
 
+/// The mark of the host list that a member is leaving.
+#[derive(Clone, Debug)]
+pub(super) struct ListedMark {
+    /// The member as it was known when the mark appeared.
+    record: MemberRecord,
+    /// When the mark appeared.
+    since: MilliTime,
+}
+
 impl GossipMachine {
     /// Merges the host list, which only adds members and marks them as leaving.
     ///
@@ -37,6 +46,9 @@
             let name = &listing.record.name;
             let Some(known) = self.table.get(name).cloned() else {
                 self.add_listed(now, listing, news);
+                if listing.leaving {
+                    marks.push(self.mark_of(now, &listing.record));
+                }
                 continue;
             };
             if known.address != listing.record.address {
@@ -47,21 +59,36 @@
                 continue;
             }
             if listing.leaving {
-                let age_ms = now.since(MilliTime::from_millis(known.incarnation));
-                if age_ms < LIST_LAG_MS {
+                if is_young(&known, now) {
                     continue;
                 }
-                let marked = self.marked_record(&known);
-                if known.state == MemberState::Live && marked.is_same_run(&known) {
+                let mark = self.mark_of(now, &known);
+                if known.state == MemberState::Live && mark.record.is_same_run(&known) {
                     self.mark_leaving(now, &known, news);
                 }
-                marks.push(marked);
+                marks.push(mark);
             }
         }
-        marks.sort_by(|left, right| left.name.cmp(&right.name));
+        marks.sort_by(|left, right| left.record.name.cmp(&right.record.name));
         self.marks = marks;
     }
 
+    /// Returns the first record heard of a member, with the mark that the list gave the member.
+    pub(super) fn with_listed_mark(&self, now: MilliTime, record: &MemberRecord) -> MemberRecord {
+        let mut record = record.clone();
+        let known = self.table.get(&record.name);
+        let is_first = known.is_some_and(|known| known.incarnation == 0);
+        if is_first
+            && record.state == MemberState::Live
+            && let Some(mark) = self.find_mark(&record.name)
+            && mark.record.address == record.address
+            && !is_young(&record, mark.since)
+        {
+            record.state = MemberState::Leaving;
+        }
+        record
+    }
+
     fn contact_listed(&self, listing: &HostListing, actions: &mut Vec<GossipAction>) {
         actions.push(GossipAction::Send {
             address: listing.record.address.clone(),
@@ -79,16 +106,29 @@
         }
     }
 
-    /// Returns the record to which the mark of a listed member applies.
-    fn marked_record(&self, known: &MemberRecord) -> MemberRecord {
+    /// Returns the mark of a listed member: the earlier one, or a new one for the known run.
+    fn mark_of(&self, now: MilliTime, known: &MemberRecord) -> ListedMark {
+        let earlier = self
+            .find_mark(&known.name)
+            .filter(|mark| mark.record.address == known.address);
+        match earlier {
+            Some(mark) if mark.record.incarnation > 0 => mark.clone(),
+            Some(mark) => ListedMark {
+                record: known.clone(),
+                since: mark.since,
+            },
+            None => ListedMark {
+                record: known.clone(),
+                since: now,
+            },
+        }
+    }
+
+    fn find_mark(&self, name: &str) -> Option<&ListedMark> {
         let found = self
             .marks
-            .binary_search_by(|mark| mark.name.as_str().cmp(&known.name));
-        match found {
-            Ok(index) if self.marks[index].incarnation == 0 => known.clone(),
-            Ok(index) if self.marks[index].address == known.address => self.marks[index].clone(),
-            _ => known.clone(),
-        }
+            .binary_search_by(|mark| mark.record.name.as_str().cmp(name));
+        Some(&self.marks[found.ok()?])
     }
 
     /// Adds a member that only the list knows, without pushing it: the process tells of itself.
@@ -102,3 +142,8 @@
         news.members.truncate(pushed);
     }
 }
+
+/// Returns whether a run had started so lately that a list read at `time` may tell of an earlier one.
+fn is_young(record: &MemberRecord, time: MilliTime) -> bool {
+    time.since(MilliTime::from_millis(record.incarnation)) < LIST_LAG_MS
+}
--- a/crates/core/src/member/gossip_machine/mod.rs
+++ b/crates/core/src/member/gossip_machine/mod.rs
@@ -21,6 +21,8 @@
 use super::gossip_repair::answer_ranges;
 use super::probe_ledger::ProbeLedger;
 
+use self::listing::ListedMark;
+
 /// The view of one process on configuration, members and crash counts, and how it spreads.
 #[derive(Clone, Debug)]
 pub struct GossipMachine {
@@ -30,8 +32,8 @@
     crashes: CrashTable,
     overlay: RingOverlay,
     probes: ProbeLedger,
-    /// The records at which the host list's marks as leaving first appeared, sorted by name.
-    marks: Vec<MemberRecord>,
+    /// The members that the host list marks as leaving, sorted by name.
+    marks: Vec<ListedMark>,
     seeds: Vec<String>,
     gone: Vec<(String, MilliTime)>,
     suspicions: Vec<Suspicion>,
@@ -41,6 +43,8 @@
     digest_address: Option<String>,
     /// The neighbour whose digest differed in the last round.
     differing: Option<String>,
+    /// Whether the last digest went to a neighbour whose digest had differed.
+    is_second_digest: bool,
     /// Whether another member has sent all members that it knows.
     is_synced: bool,
 }
@@ -72,6 +76,7 @@
             round: 0,
             digest_address: None,
             differing: None,
+            is_second_digest: false,
             is_synced: false,
         }
     }
--- a/crates/core/src/member/gossip_machine/round.rs
+++ b/crates/core/src/member/gossip_machine/round.rs
@@ -144,9 +144,12 @@
             return;
         }
         let turn = &successors[self.round as usize % successors.len()];
+        // Taken, so that a neighbour that has died meanwhile does not get every further digest.
+        let differing = self.differing.take();
         let differing = successors
             .iter()
-            .find(|name| Some(*name) == self.differing.as_ref());
+            .find(|name| Some(*name) == differing.as_ref());
+        self.is_second_digest = differing.is_some();
         let name = differing.unwrap_or(turn);
         let mut message = self.new_message();
         message.wants_all = !self.is_synced;
@@ -247,11 +250,10 @@
         }
         let has_members = reply.digest.members != own.members;
         let has_crashes = reply.digest.crashes != own.crashes;
-        let was_differing = self.differing.take().as_ref() == Some(&reply.from);
         if !has_members && !has_crashes {
             return false;
         }
-        if !was_differing {
+        if !self.is_second_digest {
             self.differing = Some(reply.from.clone());
             return false;
         }
