--- /dev/null
+++ b/crates/bench/src/sim/sim_engine.rs
@@ -0,0 +1,121 @@
+use dandelionroad_core::admit::AdmitConfig;
+use dandelionroad_core::admit::AdmitQueue;
+use dandelionroad_core::admit::StepQueue;
+use dandelionroad_core::admit::WorkUnits;
+use dandelionroad_core::ident::AccountName;
+use dandelionroad_core::route::FlowNode;
+
+use super::Fleet;
+use super::sim_clock::MILLI_US;
+use super::sim_clock::SECOND_US;
+use super::sim_work::SimWork;
+
+/// The least time of a step: a small batch is limited by memory and not by arithmetic.
+const LEAST_STEP_US: u64 = 5 * MILLI_US;
+
+/// The time that a full batch takes.
+const FULL_STEP_US: u64 = 10 * MILLI_US;
+
+/// The work that fits in the admission queue, in seconds of the engine's rate.
+const QUEUE_SECONDS: u64 = 4;
+
+/// The work that the order of steps remembers, in seconds of the engine's rate.
+const USAGE_SECONDS: u64 = 4;
+
+/// The rate in tokens per second for each admitted request.
+///
+/// More slots lengthen the time between tokens and fewer leave engines idle while requests are at
+/// other stages; `docs/policy.md` has the figures.
+const TOKENS_PER_SECOND_PER_SLOT: u64 = 10;
+
+/// A fake of an engine that batches continuously, with the admission queue beside it.
+///
+/// A step takes the time of its work at the engine's rate, but never less than 5 ms. The process
+/// beside it orders the work; prompts are computed in chunks of a quarter of a batch.
+pub(super) struct SimEngine {
+    pub(super) queue: AdmitQueue,
+    pub(super) zone: usize,
+    pub(super) units_per_second: u64,
+    pub(super) is_alive: bool,
+    steps: StepQueue<(AccountName, SimWork)>,
+    finishing: Vec<SimWork>,
+    is_busy: bool,
+}
+
+impl SimEngine {
+    pub(super) fn new(node: &FlowNode) -> SimEngine {
+        let units_per_second = WorkUnits::default().per_second(node.tokens_per_second);
+        let slots = (node.tokens_per_second / TOKENS_PER_SECOND_PER_SLOT).max(8);
+        let config = AdmitConfig::new(
+            units_per_second * QUEUE_SECONDS,
+            slots as u32,
+            units_per_second,
+        );
+        SimEngine {
+            queue: AdmitQueue::new(config),
+            zone: Fleet::zone_index(&node.zone),
+            units_per_second,
+            is_alive: true,
+            steps: StepQueue::new(units_per_second * USAGE_SECONDS),
+            finishing: Vec::new(),
+            is_busy: false,
+        }
+    }
+
+    /// Adds work and returns the duration of the step that it starts, if the engine was idle.
+    pub(super) fn push(&mut self, account: &AccountName, work: SimWork) -> Option<u64> {
+        self.add(account.clone(), work);
+        if self.is_busy {
+            return None;
+        }
+        self.start_step()
+    }
+
+    /// Ends the step and returns its results and the duration of the next step.
+    pub(super) fn end_step(&mut self) -> (Vec<SimWork>, Option<u64>) {
+        self.is_busy = false;
+        let finished = std::mem::take(&mut self.finishing);
+        (finished, self.start_step())
+    }
+
+    /// Drops everything; the engine is dead.
+    pub(super) fn kill(&mut self) {
+        self.is_alive = false;
+        self.steps = StepQueue::new(0);
+        self.finishing.clear();
+    }
+
+    fn batch_units(&self) -> u64 {
+        (self.units_per_second * FULL_STEP_US / SECOND_US).max(8)
+    }
+
+    fn chunk_units(&self) -> u64 {
+        (self.batch_units() / 4).max(WorkUnits::default().generated_token)
+    }
+
+    fn add(&mut self, account: AccountName, work: SimWork) {
+        let units = work.units.min(self.chunk_units());
+        self.steps.push(&account.clone(), 1, units, (account, work));
+    }
+
+    fn start_step(&mut self) -> Option<u64> {
+        let mut used = 0;
+        let chunk = self.chunk_units();
+        while used < self.batch_units() {
+            let Some((account, mut work)) = self.steps.pop() else {
+                break;
+            };
+            let part = work.units.min(chunk);
+            used += part;
+            work.units -= part;
+            if work.units == 0 {
+                self.finishing.push(work);
+            } else {
+                self.add(account, work);
+            }
+        }
+        self.is_busy = used > 0;
+        let duration_us = used * SECOND_US / self.units_per_second;
+        self.is_busy.then_some(duration_us.max(LEAST_STEP_US))
+    }
+}
--- a/crates/daemon/src/endpoint/stream/engine_runner.rs
+++ b/crates/daemon/src/endpoint/stream/engine_runner.rs
@@ -11,18 +11,25 @@
 use dandelionroad_platform::engine::GenerateOrder;
 use futures_util::StreamExt;
 
+use crate::telemetry::HopKind;
+use crate::telemetry::HopSpan;
+
 use super::stream_host::StreamHost;
 use super::stream_slot::StreamSlot;
 
 /// Runs one step.
 pub(super) async fn run_step(host: Arc<StreamHost>, slot: Arc<StreamSlot>, step: EngineStep) {
     let Some(engine) = host.context.clients.engine.clone() else {
-        host.drive(&slot, |machine, _| {
-            machine.engine_failed(&step.session, FaultKind::Refused)
+        host.drive(&slot, |machine, now| {
+            machine.engine_failed(&step.session, FaultKind::Refused, now)
         });
         return;
     };
-    match engine.step(&step).await {
+    let mut span = engine_span(&host, &slot);
+    span.set_number("position", u64::from(step.position));
+    let result = engine.step(&step).await;
+    drop(span);
+    match result {
         Ok(output) => {
             let output = StageOutput {
                 payload: output.payload,
@@ -35,8 +42,8 @@
         Err(error) => {
             spdlog::warn!("endpoint: a step failed: {error}");
             let kind = fault_of(&error);
-            host.drive(&slot, |machine, _| {
-                machine.engine_failed(&step.session, kind)
+            host.drive(&slot, |machine, now| {
+                machine.engine_failed(&step.session, kind, now)
             });
         }
     }
@@ -51,7 +58,9 @@
 ) {
     let result = generate(&host, &slot, &session, order).await;
     if let Err(kind) = result {
-        host.drive(&slot, |machine, _| machine.engine_failed(&session, kind));
+        host.drive(&slot, |machine, now| {
+            machine.engine_failed(&session, kind, now)
+        });
     }
 }
 
@@ -70,6 +79,7 @@
         max_tokens: order.max_tokens,
         priority: order.priority,
     };
+    let _span = engine_span(host, slot);
     let mut tokens = engine
         .generate(&order)
         .await
@@ -88,6 +98,11 @@
     Err(FaultKind::EngineCrash)
 }
 
+fn engine_span(host: &StreamHost, slot: &StreamSlot) -> HopSpan {
+    let request = || slot.lock().machine.order().request.clone();
+    HopSpan::start_lazy(HopKind::EngineCall, &host.context.settings.name, request)
+}
+
 fn fault_of(error: &PlatformError) -> FaultKind {
     match error {
         PlatformError::Rejected { .. } | PlatformError::Invalid { .. } => FaultKind::Refused,
