--- a/crates/daemon/src/endpoint/stream/engine_runner.rs
+++ b/crates/daemon/src/endpoint/stream/engine_runner.rs
@@ -29,6 +29,11 @@
     span.set_number("position", u64::from(step.position));
     let result = engine.step(&step).await;
     drop(span);
+    // A step that the engine takes after the cancellation would leave its session behind.
+    if is_abandoned(&slot, &step.session) {
+        // An engine that is gone holds no session.
+        let _ = engine.cancel(&step.session).await;
+    }
     match result {
         Ok(output) => {
             let output = StageOutput {
@@ -90,7 +95,7 @@
         host.drive(slot, |machine, now| {
             machine.generated(session, token.position, token.text, end, now)
         });
-        if end.is_some() {
+        if end.is_some() || is_abandoned(slot, session) {
             return Ok(());
         }
     }
@@ -103,6 +108,11 @@
     HopSpan::start_lazy(HopKind::EngineCall, &host.context.settings.name, request)
 }
 
+fn is_abandoned(slot: &StreamSlot, session: &str) -> bool {
+    let state = slot.lock();
+    state.machine.is_finished() || state.machine.session() != session
+}
+
 fn fault_of(error: &PlatformError) -> FaultKind {
     match error {
         PlatformError::Rejected { .. } | PlatformError::Invalid { .. } => FaultKind::Refused,
--- a/crates/daemon/tests/stream_support/cluster.rs
+++ b/crates/daemon/tests/stream_support/cluster.rs
@@ -72,6 +72,14 @@
         self.link.set_frozen(false);
     }
 
+    pub(crate) fn is_killed(&self) -> bool {
+        self.link.is_killed()
+    }
+
+    pub(crate) fn crash_engine(&self) {
+        self.engine.crash();
+    }
+
     fn freeze_engine(&self) {
         self.engine.mode.send_replace(EngineMode::Frozen);
     }
@@ -167,6 +175,18 @@
         }
     }
 
+    /// Returns the endpoints that run the request, in the order of their layers.
+    pub(crate) fn route(&self) -> Vec<usize> {
+        let running = self.stages.iter().enumerate();
+        let running = running.filter(|(_, stage)| {
+            let is_up = !stage.is_killed() && *stage.engine.mode.borrow() == EngineMode::Running;
+            is_up && stage.engine.session_count() > 0
+        });
+        let mut route: Vec<_> = running.map(|(index, stage)| (stage.range, index)).collect();
+        route.sort_unstable();
+        route.into_iter().map(|(_, index)| index).collect()
+    }
+
     /// Sends a request over `/v1/completions`.
     pub(crate) async fn complete(
         &self,
@@ -195,6 +215,17 @@
     }
 }
 
+/// Waits for a condition, and fails after a time that no correct run needs.
+pub(crate) async fn wait_until(condition: impl Fn() -> bool) {
+    let polling = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let result = tokio::time::timeout(Duration::from_secs(20), polling).await;
+    result.expect("the condition holds in time");
+}
+
 /// Reads one server-sent event of an answer; `None` at the end of the body.
 pub(crate) struct EventReader {
     body: Incoming,
--- a/crates/daemon/tests/stream_support/fake_engine.rs
+++ b/crates/daemon/tests/stream_support/fake_engine.rs
@@ -62,6 +62,12 @@
         self.sessions.lock().unwrap().len()
     }
 
+    /// Loses every session and fails every call from now on.
+    pub(crate) fn crash(&self) {
+        self.sessions.lock().unwrap().clear();
+        self.mode.send_replace(EngineMode::Crashed);
+    }
+
     async fn wait(&self) -> Result<(), PlatformError> {
         let mut mode = self.mode.subscribe();
         if !self.step_time.is_zero() {
--- a/crates/daemon/tests/stream_support/link_proxy.rs
+++ b/crates/daemon/tests/stream_support/link_proxy.rs
@@ -61,6 +61,10 @@
         self.state.send_modify(|state| state.is_killed = true);
     }
 
+    pub(crate) fn is_killed(&self) -> bool {
+        self.state.borrow().is_killed
+    }
+
     /// Makes the open connections silent for good; new ones work.
     pub(crate) fn silence_open(&self) {
         let opened = *self.opened.borrow();
--- a/crates/daemon/tests/stream_support/mod.rs
+++ b/crates/daemon/tests/stream_support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(
     dead_code,
+    unused_imports,
     reason = "each program that includes this module uses a part of it"
 )]
 
@@ -11,6 +12,7 @@
 
 pub(crate) use self::cluster::EventReader;
 pub(crate) use self::cluster::TestCluster;
+pub(crate) use self::cluster::wait_until;
 pub(crate) use self::fake_engine::EngineMode;
 pub(crate) use self::fake_engine::FakeEngine;
 pub(crate) use self::fake_engine::LAYERS;
