--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls/single.rs
@@ -1,11 +1,17 @@
-//! Calls to plain services through whole nodes over loopback.
-
-mod call_support;
+//! One fault at a time, and what the caller is told.
 
+use dandelionroad_core::dispatch::CallOrder;
+use dandelionroad_core::dispatch::CallReply;
+use dandelionroad_core::ident::AccountName;
+use dandelionroad_core::ident::RequestIdent;
+use dandelionroad_core::ident::ServiceName;
 use dandelionroad_core::member::MemberState;
+use dandelionroad_core::outcome::RefusalReason;
+use dandelionroad_core::outcome::RequestOutcome;
+use dandelionroad_messages::call_api::CallApiClient;
 use dandelionroad_standins::server::ServerMode;
 
-use self::call_support::CallSystem;
+use super::support::CallSystem;
 
 /// Guards against a second run for a repeat, against answers of another request with the same key,
 /// and against calls without a key.
@@ -214,6 +220,19 @@
     leaving
         .own
         .send_modify(|own| own.state = MemberState::Leaving);
+    let peers = &system.entries[0].handle.context.peers;
+    let address = leaving.own.borrow().address.clone();
+    let client = peers.client(&address).await.unwrap();
+    let CallReply::Refused {
+        outcome, reason, ..
+    } = client.call_run(order()).await.unwrap().reply
+    else {
+        panic!("a leaving endpoint must refuse new work");
+    };
+    assert_eq!(
+        (outcome, reason),
+        (RequestOutcome::NotRun, RefusalReason::Leaving)
+    );
     for index in 0..6 {
         let booked = system.book(0, &format!("k{index}")).await;
         assert_eq!(booked.status, 201, "{booked:?}");
@@ -225,3 +244,21 @@
         .count();
     assert_eq!((rows.len(), at_leaving), (6, 0));
 }
+
+/// Returns the order to read a stock.
+fn order() -> CallOrder {
+    CallOrder {
+        request: RequestIdent::parse("r").unwrap(),
+        account: AccountName::parse("cordeleria").unwrap(),
+        weight: 1,
+        priority: 0,
+        service: ServiceName::parse("stock").unwrap(),
+        method: "GET".to_owned(),
+        path: "/stock/hawser".to_owned(),
+        content_type: String::new(),
+        body: String::new(),
+        row: None,
+        fingerprint: String::new(),
+        deadline_in_ms: 1_000,
+    }
+}
