Test the spans of a request through a whole system, and stop with bookings under load

With the line that sets the root identifiers taken out of with_root_ids, hop_span_spans_of_a_request_form_one_trace fails: the trace of the request holds other spans than engine-call, stage, entry.

--- a/crates/daemon/src/endpoint/stream/slot_state.rs
+++ b/crates/daemon/src/endpoint/stream/slot_state.rs
@@ -4,6 +4,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::node::RunningRequest;
+use crate::telemetry::HopSpan;
 
 use super::stream_permit::StreamPermit;
 
@@ -17,6 +18,8 @@
     pub(super) permit: Option<StreamPermit>,
     /// Keeps a leaving process alive; given back when the entry has the whole answer.
     pub(super) running: Option<RunningRequest>,
+    /// The span of the stage, which ends with `running`.
+    pub(super) span: Option<HopSpan>,
     /// When the request was last heard of.
     pub(super) heard_at: MilliTime,
 }
--- a/crates/daemon/src/endpoint/stream/stream_host.rs
+++ b/crates/daemon/src/endpoint/stream/stream_host.rs
@@ -251,6 +251,7 @@
             state.heard_at = self.context.clock.now();
             if state.machine.is_finished() {
                 state.running = None;
+                state.span = None;
             }
         }
     }
--- a/crates/daemon/src/endpoint/stream/stream_slot.rs
+++ b/crates/daemon/src/endpoint/stream/stream_slot.rs
@@ -12,7 +12,6 @@
 /// One request at this process.
 pub(super) struct StreamSlot {
     state: Mutex<SlotState>,
-    _span: HopSpan,
 }
 
 impl StreamSlot {
@@ -27,9 +26,9 @@
                 sink: None,
                 permit: None,
                 running: Some(context.requests.start()),
+                span: Some(span),
                 heard_at: context.clock.now(),
             }),
-            _span: span,
         }
     }
 
--- a/crates/daemon/tests/graceful_shutdown.rs
+++ b/crates/daemon/tests/graceful_shutdown.rs
@@ -12,6 +12,7 @@
 use dandelionroad_demo::ACCOUNT_SECRET;
 use dandelionroad_demo::LAYERS;
 use dandelionroad_demo::MODEL;
+use dandelionroad_demo::SERVICE;
 use dandelionroad_standins::engine::TokenModel;
 use dandelionroad_standins::load::CallResult;
 use dandelionroad_standins::load::CallerClient;
@@ -39,7 +40,8 @@
 }
 
 impl Callers {
-    fn start(cluster: &ProcessCluster) -> Callers {
+    /// Starts the callers; `label` makes their prompts and keys distinct from those of others.
+    fn start(cluster: &ProcessCluster, label: &'static str) -> Callers {
         let entries = cluster.entries.iter();
         let urls = entries.map(|entry| format!("http://{}", entry.public));
         let mut callers = Callers {
@@ -61,7 +63,11 @@
                         let ready = ready.lock().unwrap();
                         ready[(caller + index) % ready.len()].clone()
                     };
-                    results.push(ask(&client, &entry, &format!("{caller}-{index}")).await);
+                    let label = format!("{label}-{caller}-{index}");
+                    results.push(match index % 4 {
+                        3 => client.book(&entry, SERVICE, &label).await,
+                        _ => ask(&client, &entry, &label).await,
+                    });
                     ended.fetch_add(1, Ordering::Relaxed);
                 }
                 results
@@ -111,8 +117,12 @@
 }
 
 /// A stage that is cut off is replaced, and its layers are computed again from the start.
-fn assert_nothing_recomputed(cluster: &ProcessCluster, reports: &[LoadReport]) {
-    let answers: usize = reports.iter().map(|report| report.results.len()).sum();
+fn assert_nothing_run_twice(cluster: &ProcessCluster, reports: &[LoadReport]) {
+    let results = || reports.iter().flat_map(|report| &report.results);
+    let bookings = results()
+        .filter(|result| result.kind == LoadKind::Booking)
+        .count();
+    let answers = results().count() - bookings;
     let steps: u64 = cluster
         .engines
         .iter()
@@ -123,6 +133,8 @@
         answers as u64 * u64::from(TOKENS) * STAGES,
         "{answers} answers"
     );
+    assert_eq!(cluster.booking.total_runs(), bookings);
+    assert!(cluster.booking.most_runs() <= 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -130,8 +142,8 @@
     // An answer takes longer than the least time between the start of a shutdown and the exit.
     let mut cluster = ProcessCluster::start(25_000).await;
     let mut reports = Vec::new();
-    for is_entry_first in [true, false] {
-        let callers = Callers::start(&cluster);
+    for (label, is_entry_first) in [("entry-first", true), ("endpoint-first", false)] {
+        let callers = Callers::start(&cluster, label);
         callers.wait_round().await;
         let mut entry = cluster.entries.remove(0);
         let mut stage = cluster.endpoints.remove(0);
@@ -162,13 +174,13 @@
         assert_nothing_cut_off(&report);
         reports.push(report);
     }
-    assert_nothing_recomputed(&cluster, &reports);
+    assert_nothing_run_twice(&cluster, &reports);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn shutdown_rolling_replacement_of_every_node_cuts_off_nothing() {
     let mut cluster = ProcessCluster::start(2_000).await;
-    let callers = Callers::start(&cluster);
+    let callers = Callers::start(&cluster, "rolling");
     callers.wait_round().await;
     for index in 0..cluster.endpoints.len() {
         let mut old = cluster.endpoints.remove(index);
@@ -199,5 +211,5 @@
     }
     let report = callers.finish().await;
     assert_nothing_cut_off(&report);
-    assert_nothing_recomputed(&cluster, &[report]);
+    assert_nothing_run_twice(&cluster, &[report]);
 }
--- a/crates/daemon/tests/telemetry.rs
+++ b/crates/daemon/tests/telemetry.rs
@@ -1,8 +1,9 @@
-//! Guards against spans of one request that fall into several traces, and against metrics that
-//! mix outcomes.
+//! Guards against spans of one request that fall into several traces, and against hops without a
+//! span.
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use dandelionroad_core::ident::RequestIdent;
@@ -10,10 +11,22 @@
 use dandelionroad_daemon::telemetry::HopSpan;
 use dandelionroad_daemon::telemetry::TelemetryHub;
 use dandelionroad_daemon::telemetry::record_request;
+use dandelionroad_demo::ACCOUNT_SECRET;
+use dandelionroad_demo::DemoCluster;
+use dandelionroad_demo::DemoOptions;
+use dandelionroad_demo::MODEL;
+use dandelionroad_demo::SERVICE;
+use dandelionroad_standins::load::CallOutcome;
+use dandelionroad_standins::load::CallerClient;
+use dandelionroad_standins::load::LoadKind;
+use opentelemetry::SpanId;
 use opentelemetry_sdk::error::OTelSdkResult;
 use opentelemetry_sdk::trace::SpanData;
 use opentelemetry_sdk::trace::SpanExporter;
 
+/// The number of tokens of the answer.
+const TOKENS: u32 = 2;
+
 #[derive(Clone, Debug, Default)]
 struct SpanStore(Arc<Mutex<Vec<SpanData>>>);
 
@@ -24,33 +37,57 @@
     }
 }
 
+impl SpanStore {
+    /// Returns the store of this test's process, which the exporter fills.
+    fn installed() -> &'static SpanStore {
+        static STORE: OnceLock<SpanStore> = OnceLock::new();
+        STORE.get_or_init(|| {
+            let store = SpanStore::default();
+            let metrics = opentelemetry_stdout::MetricExporter::default();
+            let interval = Duration::from_secs(3_600);
+            TelemetryHub::install_exporters("test", store.clone(), metrics, interval);
+            store
+        })
+    }
+
+    /// Returns the spans of the trace whose spans `is_wanted` accepts, in the order of their ends.
+    fn trace(&self, is_wanted: impl Fn(&SpanData) -> bool) -> Vec<SpanData> {
+        TelemetryHub::installed().unwrap().flush();
+        let spans = self.0.lock().unwrap();
+        let Some(wanted) = spans.iter().find(|span| is_wanted(span)) else {
+            return Vec::new();
+        };
+        let trace = wanted.span_context.trace_id();
+        let spans = spans
+            .iter()
+            .filter(|span| span.span_context.trace_id() == trace);
+        spans.cloned().collect()
+    }
+}
+
+fn has_text(span: &SpanData, key: &str, value: &str) -> bool {
+    let mut attributes = span.attributes.iter();
+    attributes.any(|attribute| attribute.key.as_str() == key && attribute.value.as_str() == value)
+}
+
+fn count(spans: &[SpanData], name: &str) -> usize {
+    spans.iter().filter(|span| span.name == name).count()
+}
+
 #[test]
 fn hop_span_spans_of_a_request_form_one_trace() {
-    let early = HopSpan::start(HopKind::Entry, &RequestIdent::parse("early").unwrap(), "e");
-    drop(early);
-    let store = SpanStore::default();
-    let metrics = opentelemetry_stdout::MetricExporter::default();
-    let interval = Duration::from_secs(3_600);
-    TelemetryHub::install_exporters("test", store.clone(), metrics, interval);
-    let hub = TelemetryHub::installed().unwrap();
+    let store = SpanStore::installed();
     for text in ["0123456789abcdef0123456789abcdef", "caller-chosen-7"] {
         let request = RequestIdent::parse(text).unwrap();
         let stage = HopSpan::start(HopKind::Stage, &request, "endpoint-1");
-        let mut call = HopSpan::start(HopKind::EngineCall, &request, "endpoint-1");
-        call.set_number("position", 3);
-        drop((call, stage));
+        drop(HopSpan::start(HopKind::EngineCall, &request, "endpoint-1"));
+        drop(stage);
         drop(HopSpan::start(HopKind::Entry, &request, "entry-1"));
         record_request("model", "not-run", "overloaded");
-        hub.flush();
-        let spans = std::mem::take(&mut *store.0.lock().unwrap());
+        let spans = store.trace(|span| has_text(span, "request", text));
         let names: Vec<&str> = spans.iter().map(|span| span.name.as_ref()).collect();
         assert_eq!(names, ["engine-call", "stage", "entry"]);
         let root = &spans[2].span_context;
-        assert!(
-            spans
-                .iter()
-                .all(|span| span.span_context.trace_id() == root.trace_id())
-        );
         assert!(
             spans[..2]
                 .iter()
@@ -61,3 +98,36 @@
         }
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn cluster_request_has_a_span_for_each_hop() {
+    let store = SpanStore::installed();
+    let cluster = DemoCluster::start(DemoOptions::three_stages())
+        .await
+        .unwrap();
+    cluster.apply_ticket().await.unwrap();
+    cluster.wait_ready().await;
+    let entry = &cluster.entry_urls()[0];
+    let caller = CallerClient::new(ACCOUNT_SECRET);
+    let call = (MODEL, "which knot [length=2]", TOKENS);
+    let answer = caller.stream(entry, LoadKind::Completion, call, "").await;
+    assert_eq!(answer.outcome, CallOutcome::Answered);
+    let booked = caller.book(entry, SERVICE, "order-1").await;
+    assert_eq!(booked.outcome, CallOutcome::Answered);
+    let is_root = |span: &SpanData, kind| {
+        span.parent_span_id == SpanId::INVALID && has_text(span, "kind", kind)
+    };
+    // A stage ends when the entry has closed its subscription, which is after the answer.
+    let model = loop {
+        let spans = store.trace(|span| is_root(span, "model"));
+        if count(&spans, "stage") == 3 {
+            break spans;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    assert_eq!(count(&model, "entry"), 1);
+    assert_eq!(count(&model, "engine-call"), 3 * TOKENS as usize);
+    let service = store.trace(|span| is_root(span, "service"));
+    assert_eq!(count(&service, "entry"), 1);
+    assert_eq!(count(&service, "service-call"), 1);
+}
