Add dandelionctl, the bound route, and an abort that stops the gossip

- NodeHandle::abort stops the control tasks too; before, an aborted process went on gossiping that it is live.
- GET /admin/v1/bound returns the bounds that the routing part computes.

--- /dev/null
+++ b/crates/cli/src/command/list_command.rs
@@ -0,0 +1,52 @@
+use argh::FromArgs;
+
+use crate::admin_client::AdminClient;
+use crate::cli_error::CliError;
+use crate::exit_status::ExitStatus;
+use crate::output::items;
+use crate::output::print_json;
+use crate::output::print_table;
+use crate::output::text;
+
+/// List the objects with the ticket and the revision that set them.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list", example = "{command_name} pool")]
+pub(crate) struct ListCommand {
+    /// only this kind: account, model, pool or service
+    #[argh(positional)]
+    kind: Option<String>,
+}
+
+impl ListCommand {
+    /// Runs the command.
+    pub(crate) async fn run(
+        &self,
+        client: &AdminClient,
+        is_json: bool,
+    ) -> Result<ExitStatus, CliError> {
+        let config = client.get("config").await?;
+        let is_wanted = |kind: &str| self.kind.as_deref().is_none_or(|wanted| wanted == kind);
+        let mut rows = Vec::new();
+        for mark in items(&config, "marks") {
+            let (kind, name) = (text(mark, "kind"), text(mark, "name"));
+            let objects = items(&config, &format!("{kind}s"));
+            // The marks of deleted objects are kept in the configuration.
+            let is_present = objects.iter().any(|object| text(object, "name") == name);
+            if is_present && is_wanted(&kind) {
+                rows.push(vec![
+                    kind,
+                    name,
+                    text(mark, "ticket"),
+                    text(mark, "revision"),
+                ]);
+            }
+        }
+        if is_json {
+            let object = |row: &Vec<String>| serde_json::json!({"kind": row[0], "name": row[1]});
+            print_json(&rows.iter().map(object).collect());
+        } else {
+            print_table(&["KIND", "NAME", "TICKET", "REVISION"], &rows);
+        }
+        Ok(ExitStatus::Done)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,59 @@
+//! The subcommands.
+
+mod apply_command;
+mod bound_command;
+mod endpoints_command;
+mod history_command;
+mod list_command;
+mod members_command;
+mod show_command;
+mod wait_command;
+
+use argh::FromArgs;
+
+use crate::admin_client::AdminClient;
+use crate::cli_error::CliError;
+use crate::exit_status::ExitStatus;
+
+use self::apply_command::ApplyCommand;
+use self::bound_command::BoundCommand;
+use self::endpoints_command::EndpointsCommand;
+use self::history_command::HistoryCommand;
+use self::list_command::ListCommand;
+use self::members_command::MembersCommand;
+use self::show_command::ShowCommand;
+use self::wait_command::WaitCommand;
+
+/// One of the subcommands.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum ControlAction {
+    Apply(ApplyCommand),
+    Bound(BoundCommand),
+    Endpoints(EndpointsCommand),
+    History(HistoryCommand),
+    List(ListCommand),
+    Members(MembersCommand),
+    Show(ShowCommand),
+    Wait(WaitCommand),
+}
+
+impl ControlAction {
+    /// Runs the subcommand.
+    pub(crate) async fn run(
+        &self,
+        client: &AdminClient,
+        is_json: bool,
+    ) -> Result<ExitStatus, CliError> {
+        match self {
+            ControlAction::Apply(command) => command.run(client, is_json).await,
+            ControlAction::Bound(command) => command.run(client, is_json).await,
+            ControlAction::Endpoints(command) => command.run(client, is_json).await,
+            ControlAction::History(command) => command.run(client, is_json).await,
+            ControlAction::List(command) => command.run(client, is_json).await,
+            ControlAction::Members(command) => command.run(client, is_json).await,
+            ControlAction::Show(command) => command.run(client, is_json).await,
+            ControlAction::Wait(command) => command.run(client, is_json).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/exit_status.rs
@@ -0,0 +1,30 @@
+use std::process::ExitCode;
+
+/// The exit codes, as the help text documents them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ExitStatus {
+    /// The command did what it says.
+    Done = 0,
+    /// The command line, the file or the request is wrong.
+    Usage = 1,
+    /// The ticket has faults; nothing was changed.
+    Invalid = 2,
+    /// The ticket is superseded or in conflict; nothing was changed.
+    Refused = 3,
+    /// The table service is down or busy; nothing was changed, and the command can be repeated.
+    NotRun = 4,
+    /// The ticket may have taken effect; the same ticket can be applied again without harm.
+    Unknown = 5,
+    /// The revision is not in force everywhere within the time.
+    Lagging = 6,
+    /// The entry can't be reached or rejects the token.
+    Unreachable = 7,
+    /// There is no such object.
+    NotFound = 8,
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> ExitCode {
+        ExitCode::from(status as u8)
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,42 @@
+//! The forms of output.
+
+use serde_json::Value;
+
+/// Prints a value as JSON.
+pub(crate) fn print_json(value: &Value) {
+    println!("{value:#}");
+}
+
+/// Prints rows with aligned columns below their headings.
+pub(crate) fn print_table(headings: &[&str], rows: &[Vec<String>]) {
+    let width = |column: usize| {
+        let cells = rows.iter().map(|row| row[column].len());
+        cells.chain([headings[column].len()]).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..headings.len()).map(width).collect();
+    let print_row = |cells: &mut dyn Iterator<Item = &str>| {
+        let padded = cells
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:width$}"));
+        let line = padded.collect::<Vec<_>>().join("  ");
+        println!("{}", line.trim_end());
+    };
+    print_row(&mut headings.iter().copied());
+    for row in rows {
+        print_row(&mut row.iter().map(String::as_str));
+    }
+}
+
+/// Returns the field of a value as text, `-` if it is absent.
+pub(crate) fn text(value: &Value, field: &str) -> String {
+    match &value[field] {
+        Value::Null => "-".to_owned(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+/// Returns the items of a list field.
+pub(crate) fn items<'a>(value: &'a Value, field: &str) -> &'a [Value] {
+    value[field].as_array().map_or(&[], Vec::as_slice)
+}
--- a/crates/core/src/member/gossip_machine/absorb.rs
+++ b/crates/core/src/member/gossip_machine/absorb.rs
@@ -76,7 +76,7 @@
         if !is_valid(record) {
             return false;
         }
-        let record = &self.with_listed_mark(now, record);
+        let record = &self.with_listed_mark(record);
         if !self.table.merge(record) {
             return false;
         }
--- a/crates/core/src/member/gossip_machine/listing.rs
+++ b/crates/core/src/member/gossip_machine/listing.rs
@@ -74,7 +74,7 @@
     }
 
     /// Returns the first record heard of a member, with the mark that the list gave the member.
-    pub(super) fn with_listed_mark(&self, now: MilliTime, record: &MemberRecord) -> MemberRecord {
+    pub(super) fn with_listed_mark(&self, record: &MemberRecord) -> MemberRecord {
         let mut record = record.clone();
         let known = self.table.get(&record.name);
         let is_first = known.is_some_and(|known| known.incarnation == 0);
--- a/crates/daemon/src/control/control_handle.rs
+++ b/crates/daemon/src/control/control_handle.rs
@@ -6,6 +6,7 @@
 use dandelionroad_core::member::GossipMessage;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
 
 use super::control_event::ControlEvent;
 
@@ -17,6 +18,8 @@
     events: mpsc::Sender<ControlEvent>,
     /// Taken by the control task when it starts.
     receiver: Mutex<Option<mpsc::Receiver<ControlEvent>>>,
+    /// The tasks of the control part.
+    tasks: Mutex<Vec<AbortHandle>>,
 }
 
 impl ControlHandle {
@@ -26,6 +29,7 @@
         ControlHandle {
             events,
             receiver: Mutex::new(Some(receiver)),
+            tasks: Mutex::default(),
         }
     }
 
@@ -54,6 +58,21 @@
         answer.await.ok()
     }
 
+    /// Stops gossip, probes and polls at once, as the loss of the process would.
+    pub fn abort(&self) {
+        let tasks = self.tasks.lock();
+        let tasks = tasks.unwrap_or_else(|poison| poison.into_inner());
+        tasks.iter().for_each(AbortHandle::abort);
+    }
+
+    /// Starts a task that [`ControlHandle::abort`] stops.
+    pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        let handle = tokio::spawn(task).abort_handle();
+        let tasks = self.tasks.lock();
+        let mut tasks = tasks.unwrap_or_else(|poison| poison.into_inner());
+        tasks.push(handle);
+    }
+
     /// Takes the receiving end; the second call returns `None`.
     pub(super) fn take_receiver(&self) -> Option<mpsc::Receiver<ControlEvent>> {
         let mut receiver = self
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -32,10 +32,11 @@
 
 /// Starts the tasks of this part; further calls have no effect.
 pub fn start(context: &Arc<NodeContext>) {
-    if let Some(receiver) = context.control.take_receiver() {
-        tokio::spawn(control_task::run(context.clone(), receiver));
-        tokio::spawn(host_poller::run(context.clone()));
-        tokio::spawn(store_poller::run(context.clone()));
+    let control = &context.control;
+    if let Some(receiver) = control.take_receiver() {
+        control.spawn(control_task::run(context.clone(), receiver));
+        control.spawn(host_poller::run(context.clone()));
+        control.spawn(store_poller::run(context.clone()));
     }
 }
 
--- a/crates/daemon/src/entry/admin/member_routes.rs
+++ b/crates/daemon/src/entry/admin/member_routes.rs
@@ -1,4 +1,5 @@
-//! The routes that show the members and wait until a revision is in force everywhere.
+//! The routes that show the members and the bound, and wait until a revision is in force
+//! everywhere.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,8 @@
 use serde::Serialize;
 
 use crate::control::peer_calls;
+use crate::entry::routing::ModelBound;
+use crate::entry::routing::model_bounds;
 use crate::node::NodeContext;
 
 use super::admin_error::AdminError;
@@ -50,6 +53,12 @@
     members: Vec<MemberView>,
 }
 
+#[derive(Serialize)]
+struct BoundAnswer {
+    revision: u64,
+    models: Vec<ModelBound>,
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct WaitQuery {
@@ -74,10 +83,19 @@
 /// Returns the routes.
 pub(super) fn routes() -> Router<Arc<NodeContext>> {
     Router::new()
+        .route("/admin/v1/bound", get(show_bound))
         .route("/admin/v1/members", get(list_members))
         .route("/admin/v1/wait", get(wait_for_revision))
 }
 
+async fn show_bound(State(context): State<Arc<NodeContext>>) -> Json<BoundAnswer> {
+    let config = context.config.borrow().clone();
+    let members = context.members.borrow().clone();
+    let models = model_bounds(&config, &members);
+    let revision = config.revision;
+    Json(BoundAnswer { revision, models })
+}
+
 async fn list_members(State(context): State<Arc<NodeContext>>) -> Json<MembersAnswer> {
     let members = context.members.borrow().clone();
     let records = members.records().cloned().collect();
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -128,8 +128,9 @@
         self.server.clone().stopped().await;
     }
 
-    /// Closes the listeners and their connections at once.
+    /// Closes the listeners and their connections and stops the gossip at once.
     pub fn abort(&self) {
+        self.context.control.abort();
         if let Some(entry) = &self.entry {
             entry.abort();
         }
