--- a/crates/core/src/member/ring_overlay.rs
+++ b/crates/core/src/member/ring_overlay.rs
@@ -10,7 +10,7 @@
 
 /// The neighbours of a process in the overlay over which news spreads.
 ///
-/// The members are ordered on [`RING_COUNT`] rings, each by another hash of the name. The neighbours
+/// The members are ordered on several rings, each by another hash of the name. The neighbours
 /// are the successors and predecessors on the rings. The union of the rings is a random regular
 /// graph of degree 8, and every ring alone connects all members. All processes with equal tables
 /// agree on the neighbours without a message, and a member that comes or goes changes the neighbours
--- a/crates/standins/src/serve/serve_options.rs
+++ b/crates/standins/src/serve/serve_options.rs
@@ -21,8 +21,8 @@
     /// address of a booking service; give the option again for more services
     #[argh(option)]
     pub booking: Vec<SocketAddr>,
-    /// a model engine as ADDRESS,MODEL,LAYERS[,STEP_US[,PROMPT_TOKEN_US]] with LAYERS such as 0-8
-    /// or 12; give the option again for more; PUT /engine/faults and POST /engine/crash at its URL
+    /// a model engine as ADDRESS,MODEL,LAYERS with LAYERS such as 0-8 or 12, optionally followed
+    /// by ,STEP_US and ,PROMPT_TOKEN_US; give the option again for more; PUT /engine/faults and POST /engine/crash at its URL
     #[argh(option)]
     pub engine: Vec<EngineSpec>,
     /// address of the control listener: GET, PUT /control/NAME reads, sets the fault plan of NAME
