--- a/crates/daemon/tests/stream_support/link_proxy.rs
+++ b/crates/daemon/tests/stream_support/link_proxy.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
@@ -29,6 +31,8 @@
     pub(crate) address: SocketAddr,
     state: watch::Sender<LinkState>,
     opened: watch::Sender<u64>,
+    /// The chunks forwarded in both directions.
+    pub(crate) chunks: Arc<AtomicU64>,
 }
 
 impl LinkProxy {
@@ -43,6 +47,7 @@
                 is_killed: false,
             }),
             opened: watch::Sender::new(0),
+            chunks: Arc::default(),
         });
         tokio::spawn(accept(listener, target, proxy.clone()));
         proxy
@@ -96,19 +101,30 @@
             let (far_in, far_out) = far.into_split();
             let mut killed = proxy.state.subscribe();
             tokio::select! {
-                () = forward(near_in, far_out, proxy.state.subscribe(), number) => {}
-                () = forward(far_in, near_out, proxy.state.subscribe(), number) => {}
+                () = forward(near_in, far_out, proxy.state.subscribe(), number, proxy.chunks.clone()) => {}
+                () = forward(far_in, near_out, proxy.state.subscribe(), number, proxy.chunks.clone()) => {}
                 _ = killed.wait_for(|state| state.is_killed) => {}
             }
         });
     }
 }
 
+/// Waits with more precision than the timer of the runtime, whose step is one millisecond.
+async fn wait_until_due(due: Instant) {
+    if due > Instant::now() + Duration::from_millis(2) {
+        tokio::time::sleep_until(due - Duration::from_millis(2)).await;
+    }
+    while Instant::now() < due {
+        tokio::task::yield_now().await;
+    }
+}
+
 async fn forward(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<LinkState>,
     number: u64,
+    chunks_sent: Arc<AtomicU64>,
 ) {
     let (sender, mut chunks) = mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
     let delays = state.clone();
@@ -123,7 +139,8 @@
     };
     let writing = async move {
         while let Some((due, chunk)) = chunks.recv().await {
-            tokio::time::sleep_until(due).await;
+            wait_until_due(due).await;
+            chunks_sent.fetch_add(1, Ordering::Relaxed);
             let passes = |state: &LinkState| !state.is_frozen && number >= state.silent_below;
             if state.wait_for(passes).await.is_err() || to.write_all(&chunk).await.is_err() {
                 return;
