--- a/crates/core/src/admit/admit_queue.rs
+++ b/crates/core/src/admit/admit_queue.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Sets the rate of the endpoint, in work units per second, after a configuration change.
+    pub fn set_rate(&mut self, units_per_second: u64) {
+        self.config.units_per_second = units_per_second.max(1);
+        if !self.pace.is_observed() {
+            let config = &self.config;
+            self.pace = PaceEstimate::new(config.concurrency, config.units_per_second);
+        }
+    }
+
     /// Refuses all new items from now on; waiting and running ones are finished.
     pub fn leave(&mut self) {
         self.is_leaving = true;
@@ -91,8 +100,10 @@
         }
         let start_tag = self.start_tag(&item);
         let wait_ms = self.wait_ms(item.priority, start_tag);
-        let finish = now.plus(wait_ms + self.pace.service_ms(item.units));
-        if finish > item.deadline {
+        let finish = now.plus(wait_ms + self.service_ms(&item));
+        // An idle endpoint takes the item whatever it learned under load, or it would refuse on
+        // and never learn that the load is over.
+        if finish > item.deadline && !(self.is_idle() && now < item.deadline) {
             return vec![self.refusal(&item.request, RefusalReason::Deadline, wait_ms)];
         }
         self.insert(item, start_tag);
@@ -104,8 +115,9 @@
         let mut batch = AdmitBatch::default();
         while let Some(index) = self.next_index() {
             let waiting = self.remove(index);
-            let finish = now.plus(self.pace.service_ms(waiting.item.units));
-            if finish > waiting.item.deadline {
+            let finish = now.plus(self.service_ms(&waiting.item));
+            let is_first = self.running.is_empty() && now < waiting.item.deadline;
+            if finish > waiting.item.deadline && !is_first {
                 let request = &waiting.item.request;
                 let refusal = self.refusal(request, RefusalReason::Deadline, 0);
                 batch.refused.push(refusal);
@@ -121,6 +133,10 @@
     pub fn finish(&mut self, request: &RequestIdent, now: MilliTime) {
         if let Some(ended) = self.end(request) {
             self.pace.observe(ended.item.units, ended.started, now);
+            let (pace, account) = (self.pace, &ended.item.account);
+            let own = self.accounts.entry(account).pace.get_or_insert(pace);
+            own.observe(ended.item.units, ended.started, now);
+            self.accounts.trim(account, self.virtual_time);
         }
     }
 
@@ -154,6 +170,19 @@
         self.running.iter().map(|running| &running.item.request)
     }
 
+    /// Returns the time that an item takes once started, in milliseconds.
+    ///
+    /// The pace of its account counts as well, since accounts with much work progress more slowly.
+    fn service_ms(&self, item: &AdmitItem) -> u64 {
+        if !self.pace.is_observed() {
+            let running = self.running.len() as u32 + 1;
+            return PaceEstimate::new(running, self.config.units_per_second).service_ms(item.units);
+        }
+        let own = self.accounts.pace(&item.account).unwrap_or(self.pace);
+        let usual_ms = self.pace.service_ms(item.units);
+        own.service_ms(item.units).max(usual_ms)
+    }
+
     fn start_tag(&mut self, item: &AdmitItem) -> u64 {
         let virtual_time = self.virtual_time;
         self.accounts
@@ -226,10 +255,12 @@
     fn next_index(&self) -> Option<usize> {
         let free = (self.config.concurrency as usize).checked_sub(self.running.len() + 1)?;
         let has_suspect = self.running.iter().any(|running| running.item.is_suspect);
+        // One more account, so that an only account leaves the reserve to the next one.
+        let fair_slots = (self.config.concurrency / (self.accounts.active() + 1)).max(1);
         let is_startable = |waiting: &WaitingItem| {
             let item = &waiting.item;
             let is_reserved = free < self.config.reserved_slots as usize;
-            let may_take = !is_reserved || self.accounts.running(&item.account) == 0;
+            let may_take = !is_reserved || self.accounts.running(&item.account) < fair_slots;
             // Two suspects on one endpoint could not be told apart after a crash.
             may_take && !(item.is_suspect && has_suspect)
         };
--- a/crates/core/src/member/gossip_machine/mod.rs
+++ b/crates/core/src/member/gossip_machine/mod.rs
@@ -21,6 +21,8 @@
 use super::gossip_repair::answer_ranges;
 use super::probe_ledger::ProbeLedger;
 
+use self::listing::ListedMark;
+
 /// The view of one process on configuration, members and crash counts, and how it spreads.
 #[derive(Clone, Debug)]
 pub struct GossipMachine {
@@ -30,8 +32,8 @@
     crashes: CrashTable,
     overlay: RingOverlay,
     probes: ProbeLedger,
-    /// The records at which the host list's marks as leaving first appeared, sorted by name.
-    marks: Vec<MemberRecord>,
+    /// The members that the host list marks as leaving, sorted by name.
+    marks: Vec<ListedMark>,
     seeds: Vec<String>,
     gone: Vec<(String, MilliTime)>,
     suspicions: Vec<Suspicion>,
@@ -39,8 +41,6 @@
     last_contact: MilliTime,
     round: u64,
     digest_address: Option<String>,
-    /// The neighbour whose digest differed in the last round.
-    differing: Option<String>,
     /// Whether another member has sent all members that it knows.
     is_synced: bool,
 }
@@ -71,7 +71,6 @@
             last_contact: MilliTime::default(),
             round: 0,
             digest_address: None,
-            differing: None,
             is_synced: false,
         }
     }
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -25,6 +25,7 @@
 use crate::endpoint;
 use crate::entry;
 use crate::entry::EntryServers;
+use crate::entry::routing::RoutingState;
 
 use super::NodeClients;
 use super::NodeClock;
@@ -127,8 +128,9 @@
         self.server.clone().stopped().await;
     }
 
-    /// Closes the listeners and their connections at once.
+    /// Closes the listeners and their connections and stops the gossip at once.
     pub fn abort(&self) {
+        self.context.control.abort();
         if let Some(entry) = &self.entry {
             entry.abort();
         }
@@ -166,6 +168,7 @@
     let mut table = MemberTable::new();
     table.merge(&record);
     Ok(NodeContext {
+        routing: RoutingState::new(&settings.name, rand::random()),
         settings,
         clock,
         clients,
