--- a/crates/daemon/examples/stream_times/recovery.rs
+++ b/crates/daemon/examples/stream_times/recovery.rs
@@ -24,7 +24,7 @@
     pub(crate) apply: fn(&TestCluster, usize),
 }
 
-const CASES: [FaultCase; 5] = [
+const CASES: [FaultCase; 6] = [
     FaultCase {
         name: "stage killed",
         stage: 1,
@@ -45,6 +45,11 @@
         stage: 0,
         apply: |cluster, victim| cluster.stages[victim].kill(),
     },
+    FaultCase {
+        name: "head frozen",
+        stage: 0,
+        apply: |cluster, victim| cluster.stages[victim].freeze(),
+    },
     FaultCase {
         name: "link slowed 100x",
         stage: 1,
