Skip zero delays in the stand-ins

Cause: a timer of tokio takes up to a millisecond even for a delay of zero, and each request of a stand-in had one or two. Change: no timer without a delay.

--- a/crates/standins/src/server/fault_switches.rs
+++ b/crates/standins/src/server/fault_switches.rs
@@ -46,7 +46,7 @@
     /// Waits as the plan tells before a request takes effect.
     pub async fn before_request(&self) {
         let delay_ms = self.plan.borrow().delay_ms;
-        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        delay(delay_ms).await;
         let mut plan = self.plan.subscribe();
         // The sender lives as long as `self`, so that waiting can't fail.
         let _ = plan.wait_for(|plan| plan.mode != ServerMode::Frozen).await;
@@ -55,7 +55,7 @@
     /// Waits as the plan tells after a request took effect.
     pub async fn after_request(&self) {
         let delay_ms = self.plan.borrow().answer_delay_ms;
-        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        delay(delay_ms).await;
     }
 
     /// Carries out the faults before the effect of a write.
@@ -102,3 +102,10 @@
         })
     }
 }
+
+/// Waits, unless the delay is zero: a timer of tokio takes up to a millisecond even then.
+async fn delay(delay_ms: u64) {
+    if delay_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+    }
+}
