Test retries elsewhere and the deletion of old rows with whole nodes

booking_lost_store_answer_runs_once waited for faults that its last booking does not use up, and passed only when other parts wrote to the store; it now waits for the recorded outcome.

Shown to fail: with the spawn of row_sweeper taken out, rows_are_deleted_after_retention prints 'no deletion within 20s'; with a refusal in place of the next hand-over after HandOverUnsent in RepeatMachine or CallMachine, calls_go_elsewhere_after_endpoint_died gets 503 not-run.

--- a/crates/daemon/tests/calls/single.rs
+++ b/crates/daemon/tests/calls/single.rs
@@ -9,6 +9,8 @@
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
 use dandelionroad_messages::call_api::CallApiClient;
+use dandelionroad_platform::table::RowWrite;
+use dandelionroad_platform::table::TableCommit;
 use dandelionroad_standins::server::ServerMode;
 
 use super::support::CallSystem;
@@ -162,11 +164,14 @@
         let key = format!("k{lost}");
         let booked = system.book(0, &key).await;
         assert_eq!((booked.status, system.runs(&key)), (201, 1), "{booked:?}");
-        system
-            .wait("end of the faults", || {
-                system.table.faults().plan().cut_after == 0
-            })
-            .await;
+        let is_recorded = || {
+            let rows = system.table.rows("call/");
+            rows.iter()
+                .filter(|row| row.value.contains("\"done\""))
+                .count()
+                == lost as usize
+        };
+        system.wait("recorded outcome", is_recorded).await;
     }
 }
 
@@ -245,6 +250,50 @@
     assert_eq!((rows.len(), at_leaving), (6, 0));
 }
 
+/// Guards against callers that notice the death of one endpoint: idempotent calls and bookings that
+/// were not handed over go to another one.
+#[tokio::test]
+async fn calls_go_elsewhere_after_endpoint_died() {
+    let mut system = CallSystem::start(1, 3).await;
+    system.endpoints[0].kill();
+    system.endpoints[1].kill();
+    for index in 0..4 {
+        let stock = system
+            .call(0, "GET /services/stock/stock/hawser", None, "")
+            .await;
+        assert_eq!(stock.status, 200, "{stock:?}");
+        let booked = system.book(0, &format!("k{index}")).await;
+        assert_eq!(booked.status, 201, "{booked:?}");
+    }
+    assert_eq!(
+        (system.booking.total_runs(), system.booking.most_runs()),
+        (4, 1)
+    );
+}
+
+/// Guards against rows that pile up after their retention.
+#[tokio::test]
+async fn rows_are_deleted_after_retention() {
+    let system = CallSystem::start(1, 1).await;
+    assert_eq!(system.book(0, "k").await.status, 201);
+    system
+        .wait("row", || !system.table.rows("call/").is_empty())
+        .await;
+    let old = r#"{"state":"void","token":"t","is_refusal":false,"written_ms":1}"#;
+    let write = RowWrite {
+        key: "call/a/s/6b/0".to_owned(),
+        value: Some(old.to_owned()),
+    };
+    system.table.commit(&TableCommit {
+        checks: Vec::new(),
+        writes: vec![write],
+    });
+    system
+        .wait("deletion", || system.table.rows("call/a/").is_empty())
+        .await;
+    assert_eq!(system.table.rows("call/").len(), 1);
+}
+
 /// Returns the order to read a stock.
 fn order() -> CallOrder {
     CallOrder {
