Keep a state of the own record that is newer than the gossip machine's

Cause: the control task replaced the whole own record with the machine's copy, which can be older than a stop or a model load that was noted in the meantime; a refutation at that moment would have made a leaving endpoint live again. Now only incarnation, sequence number and a later state are taken over.

With record.state taken over as it is, adopt_own_older_state_keeps_leaving fails: left Live, right Leaving.

--- a/crates/daemon/src/control/control_task.rs
+++ b/crates/daemon/src/control/control_task.rs
@@ -76,7 +76,7 @@
                     .send_replace(Arc::new(machine.crashes().clone()));
             }
             GossipAction::OwnChanged => {
-                context.own.send_replace(machine.own().clone());
+                context.adopt_own(machine.own());
             }
         }
     }
--- a/crates/daemon/src/node/node_context.rs
+++ b/crates/daemon/src/node/node_context.rs
@@ -56,4 +56,16 @@
             is_later
         });
     }
+
+    /// Takes the incarnation and the sequence number of the own record from the gossip.
+    ///
+    /// The state and the held model may have changed here since the gossip machine last saw them,
+    /// so that its older values must not replace them.
+    pub fn adopt_own(&self, record: &MemberRecord) {
+        self.own.send_modify(|own| {
+            own.incarnation = own.incarnation.max(record.incarnation);
+            own.sequence = own.sequence.max(record.sequence);
+            own.state = own.state.max(record.state);
+        });
+    }
 }
--- /dev/null
+++ b/crates/daemon/tests/node_context.rs
@@ -0,0 +1,26 @@
+//! Guards against a stop that is undone by gossip which was computed before it.
+
+use dandelionroad_core::member::MemberRecord;
+use dandelionroad_core::member::MemberState;
+use dandelionroad_daemon::node::NodeClients;
+use dandelionroad_daemon::node::NodeHandle;
+use dandelionroad_settings::NodeSettings;
+
+#[tokio::test]
+async fn adopt_own_older_state_keeps_leaving() {
+    let settings = NodeSettings::entry("entry-1");
+    let clients = NodeClients::from_settings(&settings);
+    let node = NodeHandle::start(settings, clients).await.unwrap();
+    let before: MemberRecord = node.context.own.borrow().clone();
+    node.context.advance_state(MemberState::Leaving);
+    let refuted = MemberRecord {
+        incarnation: before.incarnation + 1,
+        ..before.clone()
+    };
+    node.context.adopt_own(&refuted);
+    let own = node.context.own.borrow().clone();
+    assert_eq!(own.state, MemberState::Leaving);
+    assert_eq!(own.incarnation, before.incarnation + 1);
+    node.context.advance_state(MemberState::Live);
+    assert_eq!(node.context.own.borrow().state, MemberState::Leaving);
+}
