--- a/crates/daemon/src/endpoint/stream/stream_server.rs
+++ b/crates/daemon/src/endpoint/stream/stream_server.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use dandelionroad_core::ident::RequestIdent;
+use dandelionroad_core::route::LoadReport;
 use dandelionroad_core::stream::FaultKind;
 use dandelionroad_core::stream::StepMessage;
 use dandelionroad_core::stream::StepReply;
@@ -19,6 +20,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 
+use crate::telemetry;
+
 use super::stream_host::StreamHost;
 
 /// The time between two signs of life on a subscription, in milliseconds.
@@ -44,11 +47,17 @@
         let is_token = matches!(event, StreamEvent::Token { .. });
         StreamItem {
             event,
-            load: (!is_token).then(|| self.host.admission.load()),
+            load: (!is_token).then(|| self.report_load()),
             revision: (!is_token).then(|| self.ack().revision),
         }
     }
 
+    fn report_load(&self) -> LoadReport {
+        let load = self.host.admission.load();
+        telemetry::record_queue_units(&self.host.context.settings.name, load.queued_units);
+        load
+    }
+
     /// Sends the events until the subscription or the stream ends, with signs of life.
     async fn forward(
         &self,
--- a/crates/daemon/src/telemetry/metric_set.rs
+++ b/crates/daemon/src/telemetry/metric_set.rs
@@ -64,8 +64,8 @@
         self.revision.record(revision, &attributes);
     }
 
-    pub(super) fn record_bound(&self, pool: &str, tokens_per_second: u64) {
-        let attributes = [KeyValue::new("pool", pool.to_owned())];
+    pub(super) fn record_bound(&self, model: &str, tokens_per_second: u64) {
+        let attributes = [KeyValue::new("model", model.to_owned())];
         self.bound.record(tokens_per_second, &attributes);
     }
 }
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -56,9 +56,9 @@
     }
 }
 
-/// Records the bound on the throughput of a pool, in tokens per second.
-pub fn record_bound(pool: &str, tokens_per_second: u64) {
+/// Records the bound on the throughput of a model, in tokens per second.
+pub fn record_bound(model: &str, tokens_per_second: u64) {
     if let Some(hub) = TelemetryHub::installed() {
-        hub.metrics().record_bound(pool, tokens_per_second);
+        hub.metrics().record_bound(model, tokens_per_second);
     }
 }
--- a/crates/daemon/tests/telemetry.rs
+++ b/crates/daemon/tests/telemetry.rs
@@ -1,5 +1,5 @@
-//! Guards against spans of one request that fall into several traces, and against hops without a
-//! span.
+//! Guards against spans of one request that fall into several traces, hops without a span, and
+//! metrics that nothing records.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -21,6 +21,10 @@
 use dandelionroad_standins::load::LoadKind;
 use opentelemetry::SpanId;
 use opentelemetry_sdk::error::OTelSdkResult;
+use opentelemetry_sdk::metrics::Temporality;
+use opentelemetry_sdk::metrics::data::ResourceMetrics;
+use opentelemetry_sdk::metrics::data::ScopeMetrics;
+use opentelemetry_sdk::metrics::exporter::PushMetricExporter;
 use opentelemetry_sdk::trace::SpanData;
 use opentelemetry_sdk::trace::SpanExporter;
 
@@ -37,16 +41,41 @@
     }
 }
 
+/// Keeps the names of the exported metrics.
+#[derive(Clone, Debug, Default)]
+struct MetricNames(Arc<Mutex<Vec<String>>>);
+
+impl PushMetricExporter for MetricNames {
+    async fn export(&self, metrics: &ResourceMetrics) -> OTelSdkResult {
+        let metrics = metrics.scope_metrics().flat_map(ScopeMetrics::metrics);
+        let names = metrics.map(|metric| metric.name().to_owned());
+        self.0.lock().unwrap().extend(names);
+        Ok(())
+    }
+
+    fn force_flush(&self) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn shutdown_with_timeout(&self, _timeout: Duration) -> OTelSdkResult {
+        Ok(())
+    }
+
+    fn temporality(&self) -> Temporality {
+        Temporality::Cumulative
+    }
+}
+
 impl SpanStore {
-    /// Returns the store of this test's process, which the exporter fills.
-    fn installed() -> &'static SpanStore {
-        static STORE: OnceLock<SpanStore> = OnceLock::new();
+    /// Returns the stores of this test's process, which the exporters fill.
+    fn installed() -> &'static (SpanStore, MetricNames) {
+        static STORE: OnceLock<(SpanStore, MetricNames)> = OnceLock::new();
         STORE.get_or_init(|| {
             let store = SpanStore::default();
-            let metrics = opentelemetry_stdout::MetricExporter::default();
+            let names = MetricNames::default();
             let interval = Duration::from_secs(3_600);
-            TelemetryHub::install_exporters("test", store.clone(), metrics, interval);
-            store
+            TelemetryHub::install_exporters("test", store.clone(), names.clone(), interval);
+            (store, names)
         })
     }
 
@@ -76,7 +105,7 @@
 
 #[test]
 fn hop_span_spans_of_a_request_form_one_trace() {
-    let store = SpanStore::installed();
+    let (store, _) = SpanStore::installed();
     for text in ["0123456789abcdef0123456789abcdef", "caller-chosen-7"] {
         let request = RequestIdent::parse(text).unwrap();
         let stage = HopSpan::start(HopKind::Stage, &request, "endpoint-1");
@@ -101,7 +130,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn cluster_request_has_a_span_for_each_hop() {
-    let store = SpanStore::installed();
+    let (store, names) = SpanStore::installed();
     let cluster = DemoCluster::start(DemoOptions::three_stages())
         .await
         .unwrap();
@@ -130,4 +159,16 @@
     let service = store.trace(|span| is_root(span, "service"));
     assert_eq!(count(&service, "entry"), 1);
     assert_eq!(count(&service, "service-call"), 1);
+    let names = names.0.lock().unwrap();
+    for name in [
+        "requests",
+        "first_token",
+        "token_gap",
+        "queue_units",
+        "revision",
+        "bound",
+    ] {
+        let name = format!("dandelionroad.{name}");
+        assert!(names.contains(&name), "{name} is not in {names:?}");
+    }
 }
