Push news to the four successors only

Cause: each process received every change up to 8 times; at the target's rates a process sent 2,718 bytes a second, above the budget of 2 KB. Change: news goes to the successors on the four rings, no longer to the predecessors as well.

--- a/crates/core/src/member/gossip_machine/mod.rs
+++ b/crates/core/src/member/gossip_machine/mod.rs
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Publishes what changed and pushes it to the neighbours, but not to where it came from.
+    /// Publishes what changed and pushes it to the successors, but not to where it came from.
     fn publish(
         &mut self,
         news: &GossipNews,
@@ -217,7 +217,7 @@
             return;
         }
         let message = self.news_message(news);
-        for name in self.overlay.neighbours() {
+        for name in self.overlay.successors() {
             if except != Some(name.as_str()) {
                 self.send(name, message.clone(), actions);
             }
--- a/crates/core/src/member/ring_overlay.rs
+++ b/crates/core/src/member/ring_overlay.rs
@@ -10,15 +10,14 @@
 
 /// The neighbours of a process in the overlay over which news spreads.
 ///
-/// The members are ordered on [`RING_COUNT`] rings, each by another hash of the name. The neighbours
-/// are the successors and predecessors on the rings. The union of the rings is a random regular
-/// graph of degree 8, and every ring alone connects all members. All processes with equal tables
-/// agree on the neighbours without a message, and a member that comes or goes changes the neighbours
-/// of 8 others only.
+/// The members are ordered on four rings, each by another hash of the name. A process sends to its
+/// successors on the rings and hears from its predecessors. The union of the rings is a random
+/// regular graph of degree 8, and every ring alone connects all members. All processes with equal
+/// tables agree on it without a message, and a member that comes or goes changes the neighbours of
+/// 8 others only.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RingOverlay {
     successors: Vec<String>,
-    neighbours: Vec<String>,
     probed: Vec<String>,
 }
 
@@ -38,10 +37,8 @@
             let Some(first) = distances.iter().min() else {
                 break;
             };
-            push_new(&mut overlay.successors, first.1);
-            push_new(&mut overlay.neighbours, first.1);
-            if let Some(last) = distances.iter().max() {
-                push_new(&mut overlay.neighbours, last.1);
+            if !overlay.successors.contains(first.1) {
+                overlay.successors.push(first.1.clone());
             }
             if ring == 0 {
                 let count = PROBE_COUNT.min(distances.len());
@@ -58,19 +55,8 @@
         &self.successors
     }
 
-    /// Returns the names of the up to 8 neighbours.
-    pub fn neighbours(&self) -> &[String] {
-        &self.neighbours
-    }
-
     /// Returns the names of the up to 3 members that the process probes.
     pub fn probed(&self) -> &[String] {
         &self.probed
     }
 }
-
-fn push_new(names: &mut Vec<String>, name: &str) {
-    if !names.iter().any(|known| known == name) {
-        names.push(name.to_owned());
-    }
-}
