Let a resumed process yield its name to its replacement

A process that was paused and replaced under the same name at another address raised its incarnation above that of the replacement, which raised its own in turn, without end and at the pace of the network. It now takes the record over and turns leaving. A process in its first ten seconds takes the name over instead, at most once a second, because the other record may be left from a process whose clock was ahead.

--- a/crates/core/src/member/gossip_machine/absorb.rs
+++ b/crates/core/src/member/gossip_machine/absorb.rs
@@ -14,6 +14,13 @@
 use super::super::gossip_news::GossipNews;
 use super::GossipMachine;
 
+/// The time after its start in which a process takes over its name from a process elsewhere, in
+/// milliseconds.
+const TAKE_OVER_MS: u64 = 10_000;
+
+/// The least time between two such take-overs, in milliseconds.
+const TAKE_OVER_PAUSE_MS: u64 = 1_000;
+
 /// The greatest number of forwarded suspicions that are remembered.
 const MAX_SUSPICIONS: usize = 256;
 
@@ -41,7 +48,7 @@
         let mut outdated = Vec::new();
         for record in &message.members {
             if record.name == self.own.name {
-                self.meet_own(record, news);
+                self.meet_own(now, record, news);
                 if self.own.supersedes(record) {
                     outdated.push(self.own.clone());
                 }
@@ -95,19 +102,54 @@
     }
 
     /// Refutes what others say about this process, or takes over that it is leaving.
-    pub(super) fn meet_own(&mut self, record: &MemberRecord, news: &mut GossipNews) {
+    pub(super) fn meet_own(
+        &mut self,
+        now: MilliTime,
+        record: &MemberRecord,
+        news: &mut GossipNews,
+    ) {
         let is_leaving = record.state == MemberState::Leaving && record.is_same_run(&self.own);
         if is_leaving && self.own.state == MemberState::Live {
             self.own.state = MemberState::Leaving;
             self.own.incarnation = self.own.incarnation.max(record.incarnation);
-        } else if record.supersedes(&self.own) {
-            self.own.incarnation = record.incarnation + 1;
-        } else {
+        } else if !record.supersedes(&self.own) {
             return;
+        } else if record.address != self.own.address && record.state != MemberState::Gone {
+            return self.meet_namesake(now, record, news);
+        } else {
+            self.own.incarnation = record.incarnation + 1;
         }
         self.store_own(news);
     }
 
+    /// Yields to a process of the same name elsewhere that started later, as after a pause in which
+    /// this one was replaced.
+    ///
+    /// A process that has just started takes the name over instead: the other record may be left
+    /// from an earlier process whose clock was ahead. Without this rule the two would raise their
+    /// incarnations in turn for ever.
+    fn meet_namesake(&mut self, now: MilliTime, record: &MemberRecord, news: &mut GossipNews) {
+        if now.since(self.started_at) < TAKE_OVER_MS {
+            // Two new processes of one name contend at this pace, not at that of the network.
+            if self
+                .took_over_at
+                .is_some_and(|last| now.since(last) < TAKE_OVER_PAUSE_MS)
+            {
+                return;
+            }
+            self.took_over_at = Some(now);
+            self.own.incarnation = record.incarnation + 1;
+            self.store_own(news);
+            return;
+        }
+        if self.table.merge(record) {
+            self.own.state = self.own.state.max(MemberState::Leaving);
+            news.members.push(record.name.clone());
+            news.has_members = true;
+            news.has_own = true;
+        }
+    }
+
     pub(super) fn take_suspicion(&mut self, suspicion: &Suspicion, news: &mut GossipNews) {
         if suspicion.name == self.own.name {
             if suspicion.incarnation >= self.own.incarnation {
--- a/crates/core/src/member/gossip_machine/listing.rs
+++ b/crates/core/src/member/gossip_machine/listing.rs
@@ -100,7 +100,7 @@
         let mut record = known.clone();
         record.state = MemberState::Leaving;
         if record.name == self.own.name {
-            self.meet_own(&record, news);
+            self.meet_own(now, &record, news);
         } else {
             self.merge_record(now, &record, news);
         }
--- a/crates/core/src/member/gossip_machine/mod.rs
+++ b/crates/core/src/member/gossip_machine/mod.rs
@@ -27,6 +27,9 @@
 #[derive(Clone, Debug)]
 pub struct GossipMachine {
     own: MemberRecord,
+    /// When the process started, as its first incarnation says.
+    started_at: MilliTime,
+    took_over_at: Option<MilliTime>,
     table: MemberTable,
     config: Arc<ConfigState>,
     crashes: CrashTable,
@@ -58,6 +61,8 @@
         table.merge(&own);
         GossipMachine {
             overlay: RingOverlay::new(&table, &own.name),
+            started_at: MilliTime::from_millis(own.incarnation),
+            took_over_at: None,
             own,
             table,
             config: Arc::new(ConfigState::new()),
--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -4,9 +4,13 @@
 mod seeded;
 
 use dandelionroad_core::member::GossipEvent;
+use dandelionroad_core::member::GossipMachine;
 use dandelionroad_core::member::HostListing;
+use dandelionroad_core::member::MemberRecord;
 use dandelionroad_core::member::MemberState;
+use dandelionroad_core::time::MilliTime;
 use gossip_support::GossipNetwork;
+use gossip_support::record;
 use seeded::for_each_seed;
 
 const NODES: usize = 9;
@@ -199,3 +203,59 @@
         }
     });
 }
+
+/// Guards against a resumed process that contends for its name with the one that replaced it, and
+/// against a new process that yields to the record of a dead one whose clock was ahead.
+#[test]
+fn gossip_yields_to_replacement() {
+    let now = MilliTime::from_millis(200_000);
+    let mut paused = GossipMachine::new(record(1, 100_000));
+    let replacement = MemberRecord {
+        address: "10.9.9.9:7000".to_owned(),
+        ..record(1, 195_000)
+    };
+    let mut new = GossipMachine::new(replacement.clone());
+    let (reply, _) = paused.answer(now, &new.introduction());
+    let (reply, _) = new.answer(now, &reply);
+    paused.answer(now, &reply);
+    assert_eq!(paused.own().state, MemberState::Leaving);
+    assert_eq!(paused.members().get(&replacement.name), Some(&replacement));
+    assert_eq!(new.own(), &replacement);
+
+    let dead = GossipMachine::new(record(1, 999_000));
+    new.answer(now, &dead.introduction());
+    assert_eq!(
+        (new.own().state, new.own().incarnation),
+        (MemberState::Live, 999_001)
+    );
+}
+
+/// Guards against a process that takes its probed members for gone because it was paused itself.
+#[test]
+fn gossip_forgets_misses_after_pause() {
+    let mut network = GossipNetwork::new(9);
+    network.run(1_500);
+    let paused = &mut network.nodes[3].machine;
+    let time = |millis| MilliTime::from_millis(network.now + millis);
+    paused.handle(time(0), GossipEvent::Tick);
+    let names: Vec<String> = paused
+        .members()
+        .records()
+        .map(|known| known.name.clone())
+        .collect();
+    for name in names.iter().cycle().take(3 * names.len()) {
+        let name = name.clone();
+        paused.handle(time(0), GossipEvent::ProbeMissed { name });
+    }
+    // The first message after the pause is no sign that the others have had time to answer.
+    let message = network.nodes[4].machine.introduction();
+    let paused = &mut network.nodes[3].machine;
+    paused.answer(time(60_000), &message);
+    paused.handle(time(60_000), GossipEvent::Tick);
+    assert!(
+        paused
+            .members()
+            .records()
+            .all(|known| known.state == MemberState::Live)
+    );
+}
