--- a/crates/core/src/outcome/refusal_reason.rs
+++ b/crates/core/src/outcome/refusal_reason.rs
@@ -23,6 +23,8 @@
     Deadline,
     /// The endpoint is leaving.
     Leaving,
+    /// The engine does not hold the layers of the model version, or is about to unload them.
+    NotLoaded,
     /// No endpoint can serve the request now.
     NoEndpoint,
     /// The table service can't be reached, so nothing can be proved.
@@ -52,6 +54,7 @@
             RefusalReason::Overloaded => "overloaded",
             RefusalReason::Deadline => "deadline",
             RefusalReason::Leaving => "leaving",
+            RefusalReason::NotLoaded => "not-loaded",
             RefusalReason::NoEndpoint => "no-endpoint",
             RefusalReason::StoreDown => "store-down",
             RefusalReason::RetryBudget => "retry-budget",
@@ -82,6 +85,7 @@
                 "allow more time or send the request when there is less load"
             }
             RefusalReason::Leaving => "send the request again",
+            RefusalReason::NotLoaded => "send the request again",
             RefusalReason::NoEndpoint => "send the request again when the pool has live endpoints",
             RefusalReason::StoreDown => "send the call again when the table service answers",
             RefusalReason::RetryBudget => {
--- a/crates/daemon/src/endpoint/stream/stream_host.rs
+++ b/crates/daemon/src/endpoint/stream/stream_host.rs
@@ -276,6 +276,8 @@
             let reason = RefusalReason::Leaving;
             return StepReply::Refused { reason };
         }
+        // Counted before the check of what the engine holds, so that an unload waits for it.
+        let _running = self.context.requests.start();
         match self.new_machine(order, message.stage) {
             Ok((machine, actions)) => {
                 let slot = Arc::new(StreamSlot::new(machine, &self.context));
@@ -304,6 +306,9 @@
         order: StreamOrder,
         stage: usize,
     ) -> Result<(StageMachine, Vec<StageAction>), RefusalReason> {
+        if !self.holds(&order, stage) {
+            return Err(RefusalReason::NotLoaded);
+        }
         let settings = &self.context.settings;
         let own = EndpointName::parse(&settings.name).map_err(|_| RefusalReason::BadRequest)?;
         let limits = StageLimits {
@@ -313,6 +318,20 @@
         StageMachine::open(&own, limits, order, stage, self.context.clock.now())
     }
 
+    /// Returns whether the engine holds what a stage needs.
+    ///
+    /// An engine whose state was never read (sequence 0) is tried.
+    fn holds(&self, order: &StreamOrder, stage: usize) -> bool {
+        let own = self.context.own.borrow();
+        let Some(held) = &own.held else {
+            return own.sequence == 0;
+        };
+        let range = order.route.stages.get(stage).map(|entry| entry.range);
+        let has_layers = range
+            .is_some_and(|range| held.range.first <= range.first && range.end <= held.range.end);
+        held.model == order.model && held.version == order.version && has_layers
+    }
+
     fn close(&self, request: &RequestIdent, attempt: u32, slot: &Arc<StreamSlot>) {
         let entry = (request.clone(), attempt, self.context.clock.now());
         self.table().close(request, slot, entry);
--- a/crates/daemon/src/entry/caller_error.rs
+++ b/crates/daemon/src/entry/caller_error.rs
@@ -79,6 +79,7 @@
             RefusalReason::EndpointLost | RefusalReason::ServiceError => StatusCode::BAD_GATEWAY,
             RefusalReason::Overloaded
             | RefusalReason::Leaving
+            | RefusalReason::NotLoaded
             | RefusalReason::NoEndpoint
             | RefusalReason::StoreDown
             | RefusalReason::RetryBudget => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/standins/src/engine/engine_standin.rs
+++ b/crates/standins/src/engine/engine_standin.rs
@@ -6,6 +6,7 @@
 use std::time::UNIX_EPOCH;
 
 use axum::Router;
+use dandelionroad_platform::engine::EngineState;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
@@ -88,6 +89,11 @@
         self.shared.memory().stats.clone()
     }
 
+    /// Returns what the engine holds.
+    pub fn state(&self) -> EngineState {
+        self.shared.memory().state.clone()
+    }
+
     /// Returns the first 100,000 steps that ran, in order.
     pub fn runs(&self) -> Vec<RunRecord> {
         self.shared.memory().runs.clone()
