Name the request in each log line about it, and test the command line

Also puts the tests of real processes into one binary, so that each uses the whole harness.

With request taken out of the log line of RequestRecord::write, entry_json_log_names_the_request fails: the identifier is not in the log.

--- a/crates/daemon/src/endpoint/stream/engine_runner.rs
+++ b/crates/daemon/src/endpoint/stream/engine_runner.rs
@@ -45,7 +45,11 @@
             });
         }
         Err(error) => {
-            spdlog::warn!("endpoint: a step failed: {error}");
+            let request = slot.lock().machine.order().request.clone();
+            spdlog::warn!(
+                "endpoint: a step failed: {error}",
+                kv: { request = request.as_str(), position = step.position }
+            );
             let kind = fault_of(&error);
             host.drive(&slot, |machine, now| {
                 machine.engine_failed(&step.session, kind, now)
--- /dev/null
+++ b/crates/daemon/tests/processes/command_line.rs
@@ -0,0 +1,109 @@
+//! Guards against a check that passes settings with which the daemon can't start, and against log
+//! lines that can't be tied to their request.
+
+use std::net::TcpListener;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+
+use dandelionroad_standins::load::CallerClient;
+use serde_json::Value;
+
+use super::process_support::NodeProcess;
+
+/// Platform addresses that nothing listens on.
+const URLS: [(&str, &str); 4] = [
+    ("DANDELIONROAD_TABLE_URL", "http://127.0.0.1:1"),
+    ("DANDELIONROAD_OBJECT_URL", "http://127.0.0.1:1"),
+    ("DANDELIONROAD_HOSTS_URL", "http://127.0.0.1:1"),
+    ("DANDELIONROAD_ADMIN_TOKEN", "token-of-the-test"),
+];
+
+fn check(args: &[&str]) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_dandelionroad"));
+    command
+        .args(["check", "entry", "--name", "entry-1"])
+        .args(args);
+    let Output { status, stdout, .. } = command.envs(URLS).output().unwrap();
+    (status.code(), String::from_utf8(stdout).unwrap())
+}
+
+#[test]
+fn check_tells_faults_errors_and_warnings_apart() {
+    let any = "127.0.0.1:0";
+    let free = [
+        "--public-listen",
+        any,
+        "--admin-listen",
+        any,
+        "--internal-listen",
+        any,
+    ];
+    let (code, output) = check(&free);
+    assert_eq!(code, Some(2), "{output}");
+    assert!(
+        output.contains("--zone (DANDELIONROAD_ZONE) is missing"),
+        "{output}"
+    );
+    let (code, output) = check(&[&free[..], &["--zone", "talca"]].concat());
+    assert_eq!(code, Some(0), "{output}");
+    assert!(
+        output.contains("warning: the table service can't be reached"),
+        "{output}"
+    );
+    let used = TcpListener::bind(any).unwrap();
+    let address = used.local_addr().unwrap().to_string();
+    let (code, output) = check(
+        &[
+            &free[2..],
+            &["--zone", "talca", "--public-listen", &address],
+        ]
+        .concat(),
+    );
+    assert_eq!(code, Some(1), "{output}");
+    assert!(output.contains("error: --public-listen"), "{output}");
+    assert!(!output.contains("token-of-the-test"), "{output}");
+}
+
+#[tokio::test]
+async fn entry_json_log_names_the_request() {
+    let any = "127.0.0.1:0";
+    let args = [
+        "entry",
+        "--name",
+        "entry-1",
+        "--zone",
+        "talca",
+        "--public-listen",
+        any,
+    ];
+    let more = [
+        "--admin-listen",
+        any,
+        "--internal-listen",
+        any,
+        "--drain-notice-ms",
+        "1",
+    ];
+    let log = ["--log-format", "json", "--log-level", "info"];
+    let variables = URLS.map(|(name, value)| (name, value.to_owned()));
+    let args = [&args[..], &more, &log].concat();
+    let mut entry = NodeProcess::spawn_with(&args, &variables, Stdio::piped()).await;
+    let url = format!("http://{}/v1/chat/completions", entry.public);
+    let (status, body) = CallerClient::new("nobody").post(&url, "{}").await.unwrap();
+    assert_eq!(status, 401);
+    let body: Value = serde_json::from_str(&body).unwrap();
+    entry.signal("TERM");
+    let log = entry.log().await;
+    assert!(entry.exited().await.success());
+    assert!(!log.contains("token-of-the-test"), "{log}");
+    let lines: Vec<Value> = log
+        .lines()
+        .filter_map(|line| serde_json::from_str(line).ok())
+        .collect();
+    assert_eq!(lines.len(), log.lines().count(), "{log}");
+    let request = &body["error"]["request_id"];
+    let line = lines.iter().find(|line| line["kv"]["request"] == *request);
+    let line = line.unwrap_or_else(|| panic!("{request} is not in {log}"));
+    assert_eq!(line["kv"]["reason"], "unauthorized");
+}
--- a/crates/daemon/tests/graceful_shutdown.rs
+++ b/crates/daemon/tests/processes/graceful_shutdown.rs
@@ -1,8 +1,6 @@
 //! Guards against a planned stop that cuts off a request, and against an entry that the balancer
 //! keeps choosing while it stops.
 
-mod process_support;
-
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -20,7 +18,8 @@
 use dandelionroad_standins::load::LoadReport;
 use tokio::task::JoinSet;
 
-use self::process_support::ProcessCluster;
+use super::process_support::ProcessCluster;
+use super::process_support::wait_until;
 
 /// The number of callers that send one request after the other.
 const CALLERS: usize = 6;
@@ -89,7 +88,7 @@
     /// Waits until each caller can have sent a request after this call.
     async fn wait_round(&self) {
         let target = self.ended.load(Ordering::Relaxed) + 2 * CALLERS;
-        process_support::wait_until("a round of requests", async || {
+        wait_until("a round of requests", async || {
             self.ended.load(Ordering::Relaxed) >= target
         })
         .await;
@@ -152,7 +151,7 @@
             false => [&stage, &entry].map(|node| node.signal("TERM")),
         };
         let url = format!("http://{}/readyz", entry.public);
-        process_support::wait_until("failed readiness", async || {
+        wait_until("failed readiness", async || {
             let answer = CallerClient::new(ACCOUNT_SECRET).get(&url).await;
             matches!(answer, Ok((503, _)))
         })
--- a/crates/daemon/tests/process_support/node_process.rs
+++ b/crates/daemon/tests/processes/process_support/node_process.rs
@@ -3,6 +3,7 @@
 use std::process::Stdio;
 
 use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncReadExt;
 use tokio::io::BufReader;
 use tokio::process::Child;
 
@@ -20,11 +21,21 @@
 impl NodeProcess {
     /// Starts the daemon and waits for its ready line.
     pub(crate) async fn spawn(args: &[&str], variables: &[(&str, String)]) -> NodeProcess {
+        let args = [args, &["--log-level", "warn"]].concat();
+        NodeProcess::spawn_with(&args, variables, Stdio::inherit()).await
+    }
+
+    /// Starts the daemon with its log sent to `log`, and waits for its ready line.
+    pub(crate) async fn spawn_with(
+        args: &[&str],
+        variables: &[(&str, String)],
+        log: Stdio,
+    ) -> NodeProcess {
         let mut child = tokio::process::Command::new(env!("CARGO_BIN_EXE_dandelionroad"))
             .args(args)
             .envs(variables.iter().map(|(name, value)| (name, value)))
-            .env("DANDELIONROAD_LOG_LEVEL", "warn")
             .stdout(Stdio::piped())
+            .stderr(log)
             .kill_on_drop(true)
             .spawn()
             .unwrap();
@@ -54,6 +65,14 @@
         assert!(status.unwrap().success(), "can't signal {}", self.name);
     }
 
+    /// Returns the rest of a piped log when the process has closed it.
+    pub(crate) async fn log(&mut self) -> String {
+        let mut text = String::new();
+        let log = self.child.stderr.as_mut().expect("the log is piped");
+        log.read_to_string(&mut text).await.unwrap();
+        text
+    }
+
     /// Waits for the end of the process.
     pub(crate) async fn exited(&mut self) -> ExitStatus {
         self.child.wait().await.unwrap()
