Try a new connection after 150 ms of silence between stages

Cause: a silent connection was given up after half the step deadline, 250 ms of 500. Change: the first try takes 3 tenths of the deadline, the second one over a new connection the rest. Ruled out: 100 ms, the round trip of a link of 0.5 ms that is slowed a hundredfold.

--- a/crates/daemon/src/endpoint/stream/peer_calls.rs
+++ b/crates/daemon/src/endpoint/stream/peer_calls.rs
@@ -9,24 +9,29 @@
 
 use crate::node::PeerPool;
 
-/// Calls the process at `address`, and once more over a new connection if the pooled one fails or
-/// stays silent for `timeout`.
+/// The part of the deadline for the first try, in tenths.
 ///
-/// Both tries together take at most twice `timeout`.
+/// 150 ms of the default deadline leave room for the round trip of a link that is slowed a
+/// hundredfold, 100 ms.
+const FIRST_TRY_TENTHS: u32 = 3;
+
+/// Calls the process at `address`, and once more over a new connection if the pooled one fails or
+/// stays silent for a part of the deadline.
 pub(super) async fn call_peer<T, F>(
     peers: &PeerPool,
     address: &str,
-    timeout: Duration,
+    deadline: Duration,
     mut call: impl FnMut(Arc<WsClient>) -> F,
 ) -> Result<T, FaultKind>
 where
     F: Future<Output = Result<T, Error>>,
 {
-    let first = try_once(peers, address, timeout, &mut call).await;
+    let first_try = deadline * FIRST_TRY_TENTHS / 10;
+    let first = try_once(peers, address, first_try, &mut call).await;
     match first {
         Ok(value) => Ok(value),
         Err(FaultKind::Refused) => Err(FaultKind::Refused),
-        Err(_) => try_once(peers, address, timeout, &mut call).await,
+        Err(_) => try_once(peers, address, deadline - first_try, &mut call).await,
     }
 }
 
--- a/crates/daemon/src/endpoint/stream/stage_tasks.rs
+++ b/crates/daemon/src/endpoint/stream/stage_tasks.rs
@@ -90,8 +90,8 @@
 
 async fn push(host: Arc<StreamHost>, slot: Arc<StreamSlot>, address: &str, message: StepMessage) {
     let attempt = message.attempt;
-    let timeout = half_deadline(&host);
-    let result = call_peer(&host.context.peers, address, timeout, |client| {
+    let deadline = deadline(&host);
+    let result = call_peer(&host.context.peers, address, deadline, |client| {
         let message = message.clone();
         async move { client.step_push(message).await }
     })
@@ -109,8 +109,8 @@
     token: TokenMessage,
 ) {
     let attempt = token.attempt;
-    let timeout = half_deadline(&host);
-    let result = call_peer(&host.context.peers, address, timeout, |client| {
+    let deadline = deadline(&host);
+    let result = call_peer(&host.context.peers, address, deadline, |client| {
         let token = token.clone();
         async move { client.token_return(token).await }
     })
@@ -128,9 +128,9 @@
     stage: usize,
     kind: FaultKind,
 ) {
-    let timeout = half_deadline(host);
+    let deadline = deadline(host);
     // A head that can't be reached is replaced by the entry, so that the report is not needed.
-    let _ = call_peer(&host.context.peers, address, timeout, |client| {
+    let _ = call_peer(&host.context.peers, address, deadline, |client| {
         let request = request.clone();
         async move { client.fault_report(request, attempt, stage, kind).await }
     })
@@ -138,15 +138,15 @@
 }
 
 async fn cancel(host: &StreamHost, address: &str, request: &RequestIdent) {
-    let timeout = half_deadline(host);
+    let deadline = deadline(host);
     // A stage that can't be reached forgets the request when it hears nothing of it for long.
-    let _ = call_peer(&host.context.peers, address, timeout, |client| {
+    let _ = call_peer(&host.context.peers, address, deadline, |client| {
         let request = request.clone();
         async move { client.stream_cancel(request).await }
     })
     .await;
 }
 
-fn half_deadline(host: &StreamHost) -> Duration {
-    Duration::from_millis(host.context.settings.step_deadline_ms / 2)
+fn deadline(host: &StreamHost) -> Duration {
+    Duration::from_millis(host.context.settings.step_deadline_ms)
 }
