--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -3,3 +3,4 @@
 mod command_line;
 mod graceful_shutdown;
 mod process_support;
+mod rollout;
--- a/crates/daemon/tests/rollout.rs
+++ b/crates/daemon/tests/processes/rollout.rs
@@ -1,8 +1,6 @@
 //! Guards against a rollout of a model version that cuts off or refuses requests, that mixes two
 //! versions in one answer, or that takes the pool below its minimum.
 
-mod process_support;
-
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -19,7 +17,8 @@
 use serde_json::json;
 use tokio::task::JoinSet;
 
-use self::process_support::ProcessCluster;
+use super::process_support::ProcessCluster;
+use super::process_support::wait_until;
 
 const CALLERS: usize = 4;
 const TOKENS: u32 = 8;
@@ -80,7 +79,7 @@
         .await;
     assert!(matches!(applied, Ok((200, _))), "{applied:?}");
     let states = || cluster.engines.iter().map(|engine| engine.state());
-    process_support::wait_until("all engines at version 2", async || {
+    wait_until("all engines at version 2", async || {
         let ready = states().filter(|state| state.ready).count();
         assert!(ready >= MIN_READY, "{ready} engines are ready");
         states().all(|state| state.ready && state.version == 2)
@@ -88,7 +87,7 @@
     .await;
     let client = CallerClient::new(ACCOUNT_SECRET);
     let entry = format!("http://{}", cluster.entries[1].public);
-    process_support::wait_until("an answer of version 2", async || {
+    wait_until("an answer of version 2", async || {
         ask(&client, &entry, "last").await == 2
     })
     .await;
