Bound the time to open a connection and test the death of an entry

A service that drops packets held a call for half of its deadline of 60 s before it was known that nothing was sent; opening a connection is now given up after 1 s. The dispatch driver shares the order instead of copying its body for each action.

--- a/crates/daemon/src/endpoint/call/dispatch_driver.rs
+++ b/crates/daemon/src/endpoint/call/dispatch_driver.rs
@@ -27,7 +27,7 @@
 
 struct DispatchDriver {
     host: Arc<CallHost>,
-    order: CallOrder,
+    order: Arc<CallOrder>,
     runner: RunnerIdent,
     machine: DispatchMachine,
     reply: Option<oneshot::Sender<CallReply>>,
@@ -56,7 +56,7 @@
     host.begin(&key, runner.incarnation);
     let driver = DispatchDriver {
         host: host.clone(),
-        order,
+        order: Arc::new(order),
         runner: runner.clone(),
         machine,
         reply: Some(sender),
--- a/crates/daemon/tests/calls/single.rs
+++ b/crates/daemon/tests/calls/single.rs
@@ -217,6 +217,29 @@
     assert_eq!(system.runs("k"), 1);
 }
 
+/// Guards against a second run, and against a lost outcome, when the entry dies while the call runs
+/// and the caller repeats it at another entry.
+#[tokio::test]
+async fn booking_killed_entry_is_replayed_elsewhere() {
+    let mut system = CallSystem::start(2, 2).await;
+    system
+        .booking
+        .faults()
+        .change(|plan| plan.answer_delay_ms = 300);
+    tokio::select! {
+        first = system.book(0, "k") => panic!("answered before the entry died: {first:?}"),
+        () = system.wait("run", || system.runs("k") == 1) => {}
+    }
+    system.entries[0].kill();
+    let second = system.book(1, "k").await;
+    assert_eq!(
+        (second.status, second.is_replayed),
+        (201, true),
+        "{second:?}"
+    );
+    assert_eq!(system.runs("k"), 1);
+}
+
 /// Guards against new work at an endpoint that is leaving.
 #[tokio::test]
 async fn booking_leaving_endpoint_gets_no_work() {
--- a/crates/platform/src/http_link.rs
+++ b/crates/platform/src/http_link.rs
@@ -23,6 +23,11 @@
 /// deadline of the whole call, which proves nothing.
 const CONNECT_SHARE: u32 = 2;
 
+/// The longest time that opening a connection may take, in milliseconds.
+///
+/// The systems are at most one availability zone away, half a millisecond one way.
+const MAX_CONNECT_MS: u64 = 1_000;
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Connections to one outside system, with a deadline for each call.
@@ -169,7 +174,8 @@
 
 fn new_client(deadline: Duration, keeps_connections: bool) -> HttpClient {
     let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(deadline / CONNECT_SHARE));
+    let connect_timeout = (deadline / CONNECT_SHARE).min(Duration::from_millis(MAX_CONNECT_MS));
+    connector.set_connect_timeout(Some(connect_timeout));
     connector.set_nodelay(true);
     let mut builder = Client::builder(TokioExecutor::new());
     if !keeps_connections {
