--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -3,6 +3,7 @@
 mod gossip_support;
 mod seeded;
 
+use dandelionroad_core::member::CrashRecord;
 use dandelionroad_core::member::GossipEvent;
 use dandelionroad_core::member::GossipMachine;
 use dandelionroad_core::member::HostListing;
@@ -188,18 +189,31 @@
         let mut network = GossipNetwork::new(40);
         network.loss = 20;
         network.run(2_000);
-        network.accept_ticket(*acceptor as usize % 40);
+        let acceptor = *acceptor as usize % 40;
+        network.accept_ticket(acceptor);
         network.is_store_up = false;
-        let leaver = 1 + *leaver as usize % 39;
+        let crash = CrashRecord {
+            fingerprint: "f".to_owned(),
+            version: 1,
+            count: 2,
+        };
+        network.handle(acceptor, GossipEvent::CrashCounted(crash));
+        let leaver = 1 + *leaver as usize % 38;
         network.leave(leaver);
+        let mut list = network.host_list();
+        list[leaver + 1].leaving = true;
+        network.handle(0, GossipEvent::HostsListed(list));
         network.run(PROMISED_MS);
-        let name = network.nodes[leaver].machine.own().name.clone();
+        let names = [leaver, leaver + 1].map(|index| record(index, 0).name);
         for node in &network.nodes {
             let machine = &node.machine;
             let own = &machine.own().name;
             assert_eq!(machine.config().revision, 1, "{own}");
-            let known = machine.members().get(&name).map(|known| known.state);
-            assert_eq!(known, Some(MemberState::Leaving), "{own}");
+            assert_eq!(machine.crashes().count("f"), 2, "{own}");
+            for name in &names {
+                let known = machine.members().get(name).map(|known| known.state);
+                assert_eq!(known, Some(MemberState::Leaving), "{name} at {own}");
+            }
         }
     });
 }
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -8,7 +8,12 @@
 use control_support::has_live;
 use control_support::request;
 use control_support::service_ticket;
+use dandelionroad_core::config::ChangeTicket;
+use dandelionroad_core::config::CommitPlan;
+use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::member::MemberState;
+use dandelionroad_platform::table::RowWrite;
+use dandelionroad_platform::table::TableCommit;
 use dandelionroad_standins::server::FaultPlan;
 use dandelionroad_standins::server::ServerMode;
 
@@ -107,3 +112,34 @@
         assert_eq!(request(address, &head, "wrong", "").await.0, 401, "{path}");
     }
 }
+
+/// Guards against a process that starts far behind and reads objects while tickets are committed,
+/// or that gives up because the log is long.
+#[tokio::test]
+async fn entry_starts_far_behind() {
+    const REVISIONS: u64 = 1_030;
+    let mut system = ControlSystem::start().await;
+    let mut expected = ConfigState::new();
+    for number in 1..=REVISIONS {
+        let ticket = service_ticket(number, &format!("node-{number}"));
+        let ticket = ChangeTicket::parse(ticket.as_bytes()).unwrap();
+        let plan = CommitPlan::new(&ticket, "token", 0, number - 1, &[]);
+        let writes = plan.writes.into_iter().map(|write| RowWrite {
+            key: write.key,
+            value: Some(write.value),
+        });
+        system.table.commit(&TableCommit {
+            checks: Vec::new(),
+            writes: writes.collect(),
+        });
+        expected.apply(&ticket);
+    }
+    system.add(entry("entry-1")).await;
+    system.wait_config(0, |config| *config == expected).await;
+    // The log alone would take five scans, the objects and the rest of the log take two.
+    assert!(
+        system.table.counts().scans < 5,
+        "{:?}",
+        system.table.counts()
+    );
+}
