Test the promises with processes that are killed and paused

Four tests over separate processes: whole answers while stages are killed and paused twice; bookings sent to both entries at once while one runner is paused, one is killed, an entry is killed and the table service loses answers; changes in force within 6 s with the table service down, two paused processes and one started during the outage; no new work at a leaving endpoint 3 s after SIGTERM while the host list does not show it.

--- /dev/null
+++ b/crates/daemon/tests/processes/node_faults.rs
@@ -0,0 +1,208 @@
+//! Guards the promises to callers and operators while processes are killed and paused.
+
+use std::time::Duration;
+
+use dandelionroad_demo::ACCOUNT_SECRET;
+use dandelionroad_demo::ADMIN_TOKEN;
+use dandelionroad_demo::DemoLayout;
+use dandelionroad_demo::MODEL;
+use dandelionroad_demo::SERVICE;
+use dandelionroad_demo::demo_ticket;
+use dandelionroad_standins::load::CallOutcome;
+use dandelionroad_standins::load::CallerClient;
+use dandelionroad_standins::load::LoadKind;
+use dandelionroad_standins::server::ServerMode;
+use serde_json::Value;
+use serde_json::json;
+
+use super::callers::Callers;
+use super::callers::assert_nothing_cut_off;
+use super::process_support::ProcessCluster;
+use super::process_support::wait_until;
+
+/// The number of bookings of a test.
+const BOOKINGS: usize = 24;
+
+/// The time in which a change has to be in force everywhere, in milliseconds.
+const IN_FORCE_MS: u64 = 6_000;
+
+/// The time after which a leaving endpoint must get no new work, in milliseconds.
+const LEAVE_LIMIT_MS: u64 = 3_000;
+
+/// A killed stage, a paused stage that resumes, and both again: answers stay whole and correct.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_stay_whole_while_stages_die_and_pause() {
+    let mut cluster = ProcessCluster::start(4_000).await;
+    let callers = Callers::start(&cluster, "stages");
+    for _ in 0..2 {
+        callers.wait_round().await;
+        cluster.endpoints[0].signal("KILL");
+        cluster.endpoints[2].signal("STOP");
+        callers.wait_round().await;
+        callers.wait_round().await;
+        cluster.endpoints[2].signal("CONT");
+        let replacement = cluster.spawn_endpoint(0).await;
+        cluster.endpoints[0] = replacement;
+        cluster.list_hosts();
+        for entry in [0, 1] {
+            cluster.wait_live(entry, 0).await;
+            cluster.wait_live(entry, 2).await;
+        }
+    }
+    assert_nothing_cut_off(&callers.finish().await);
+}
+
+fn outcome_name(outcome: &CallOutcome) -> &str {
+    match outcome {
+        CallOutcome::Refused { outcome, .. } => outcome,
+        CallOutcome::Answered => "answered",
+        CallOutcome::CutOff(_) | CallOutcome::Wrong(_) => "unknown",
+    }
+}
+
+/// Sends bookings through both entries at once and returns the two outcomes of each key.
+async fn book_twice(urls: [String; 2]) -> Vec<[String; 2]> {
+    let client = CallerClient::new(ACCOUNT_SECRET);
+    let mut outcomes = Vec::new();
+    for number in 0..BOOKINGS {
+        let key = format!("order-{number}");
+        let left = client.book(&urls[0], SERVICE, &key);
+        let right = client.book(&urls[1], SERVICE, &key);
+        let (left, right) = tokio::join!(left, right);
+        outcomes.push([left, right].map(|result| outcome_name(&result.outcome).to_owned()));
+    }
+    outcomes
+}
+
+/// Each key is sent to both entries at once while one runner is paused, the other one is killed, an
+/// entry is killed and the table service loses answers: no key runs twice, and a key whose every
+/// answer was `not-run` never ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_run_at_most_once_while_runners_die_and_pause() {
+    let mut cluster = ProcessCluster::start(1_000).await;
+    let runners = cluster.endpoints.len() - 2;
+    cluster.booking.faults().change(|plan| plan.delay_ms = 20);
+    let urls = [0, 1].map(|entry| format!("http://{}", cluster.entries[entry].public));
+    let bookings = tokio::spawn(book_twice(urls));
+    let table = cluster.table.faults().clone();
+    wait_until("first bookings", async || cluster.booking.total_runs() >= 4).await;
+    cluster.endpoints[runners].signal("STOP");
+    table.change(|plan| plan.cut_after = 4);
+    wait_until("bookings beside a paused runner", async || {
+        cluster.booking.total_runs() >= 8
+    })
+    .await;
+    cluster.endpoints[runners + 1].signal("KILL");
+    cluster.endpoints[runners].signal("CONT");
+    let replacement = cluster.spawn_endpoint(runners + 1).await;
+    cluster.endpoints[runners + 1] = replacement;
+    cluster.list_hosts();
+    wait_until("bookings after both faults", async || {
+        cluster.booking.total_runs() >= 10
+    })
+    .await;
+    cluster.entries[0].signal("KILL");
+    let outcomes = bookings.await.unwrap();
+    for (number, outcome) in outcomes.iter().enumerate() {
+        let key = format!("cordeleria:order-{number}");
+        let runs = cluster.booking.runs(&key);
+        assert!(runs <= 1, "{key} ran {runs} times: {outcome:?}");
+        if outcome.iter().any(|name| name == "answered") {
+            assert_eq!(runs, 1, "{key} was answered without a run");
+        }
+        if outcome.iter().all(|name| name == "not-run") {
+            assert_eq!(runs, 0, "{key} ran: {outcome:?}");
+        }
+    }
+    let answered = outcomes.iter().flatten().filter(|name| *name == "answered");
+    assert!(answered.count() >= BOOKINGS / 2, "{outcomes:?}");
+}
+
+/// Returns the revisions at the running processes as an entry sees them, in the order of names.
+async fn revisions(cluster: &ProcessCluster, entry: usize) -> Vec<u64> {
+    let url = format!("http://{}/admin/v1/members", cluster.entries[entry].admin);
+    let answer = CallerClient::new(ADMIN_TOKEN).get(&url).await;
+    let body: Value = serde_json::from_str(&answer.unwrap_or_default().1).unwrap_or_default();
+    let members = body["members"].as_array().cloned().unwrap_or_default();
+    let live = members.iter().filter(|member| member["state"] == "live");
+    live.map(|member| member["revision"].as_u64().unwrap_or_default())
+        .collect()
+}
+
+/// The table service goes down right after a change was accepted, an endpoint and an entry are
+/// paused, and a process starts during the outage: the change is in force everywhere in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_is_in_force_everywhere_during_outage() {
+    let mut cluster = ProcessCluster::start(1_000).await;
+    let mut ticket = demo_ticket(&DemoLayout::three_stages());
+    cluster.entries[1].signal("STOP");
+    cluster.endpoints[1].signal("STOP");
+    let url = format!("http://{}/admin/v1/tickets", cluster.entries[0].admin);
+    let client = CallerClient::new(ADMIN_TOKEN);
+    for number in 2..=5 {
+        ticket["number"] = json!(number);
+        let applied = client.post(&url, &ticket.to_string()).await;
+        assert!(matches!(applied, Ok((200, _))), "{applied:?}");
+    }
+    cluster.table.faults().set_mode(ServerMode::Down);
+    cluster.endpoints[0].signal("KILL");
+    let replacement = cluster.spawn_endpoint(0).await;
+    cluster.endpoints[0] = replacement;
+    cluster.list_hosts();
+    cluster.entries[1].signal("CONT");
+    cluster.endpoints[1].signal("CONT");
+    let count = cluster.entries.len() + cluster.endpoints.len();
+    let in_force = wait_until("revision 5 everywhere", async || {
+        let seen = revisions(&cluster, 0).await;
+        seen.len() == count && seen.iter().all(|revision| *revision == 5)
+    });
+    let limit = Duration::from_millis(IN_FORCE_MS);
+    let reached = tokio::time::timeout(limit, in_force).await;
+    let seen = revisions(&cluster, 0).await;
+    assert!(reached.is_ok(), "not in force within {limit:?}: {seen:?}");
+    for _ in 0..10 {
+        let seen = revisions(&cluster, 1).await;
+        assert!(seen.iter().all(|revision| *revision == 5), "{seen:?}");
+    }
+}
+
+/// An endpoint leaves while the host list says nothing about it: after a few seconds its engine
+/// gets no new request, and the long answer it works on is finished.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_endpoint_gets_no_new_work() {
+    let mut cluster = ProcessCluster::start(10_000).await;
+    // The other endpoint of the same layers starts later, so that the long answer runs here.
+    cluster.endpoints[1].signal("STOP");
+    let url = format!("http://{}", cluster.entries[0].public);
+    let long = tokio::spawn(async move {
+        let client = CallerClient::new(ACCOUNT_SECRET);
+        let call = (MODEL, "splice [length=200]", 200);
+        client.stream(&url, LoadKind::Completion, call, "").await
+    });
+    wait_until("a running answer", async || {
+        cluster.engines[0].stats().steps > 5
+    })
+    .await;
+    cluster.endpoints[1].signal("CONT");
+    for entry in [0, 1] {
+        cluster.wait_live(entry, 1).await;
+    }
+    let callers = Callers::start(&cluster, "leaving");
+    callers.wait_round().await;
+    cluster.endpoints[0].signal("TERM");
+    tokio::time::sleep(Duration::from_millis(LEAVE_LIMIT_MS)).await;
+    let before = cluster.engines[0].stats();
+    assert!(
+        !long.is_finished(),
+        "the long answer ended too early to prove anything"
+    );
+    callers.wait_round().await;
+    let after = cluster.engines[0].stats();
+    assert_eq!(
+        before.prompt_tokens, after.prompt_tokens,
+        "new work after the limit"
+    );
+    assert_nothing_cut_off(&callers.finish().await);
+    assert_eq!(long.await.unwrap().outcome, CallOutcome::Answered);
+    assert!(cluster.endpoints[0].exited().await.success());
+}
