--- a/crates/daemon/src/node/node_context.rs
+++ b/crates/daemon/src/node/node_context.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 
 use crate::control::ControlHandle;
+use crate::entry::routing::EntryLimits;
 use crate::entry::routing::RoutingState;
 
 use super::NodeClients;
@@ -41,6 +42,8 @@
     pub crashes: watch::Sender<Arc<CrashTable>>,
     /// The routing of an entry; unused beside an endpoint.
     pub routing: RoutingState,
+    /// The account limits and the retry budget of an entry; unused beside an endpoint.
+    pub limits: EntryLimits,
     /// The way to the control part.
     pub control: ControlHandle,
 }
@@ -56,4 +59,16 @@
             is_later
         });
     }
+
+    /// Takes the incarnation and the sequence number of the own record from the gossip.
+    ///
+    /// The state and the held model may have changed here since the gossip machine last saw them,
+    /// so that its older values must not replace them.
+    pub fn adopt_own(&self, record: &MemberRecord) {
+        self.own.send_modify(|own| {
+            own.incarnation = own.incarnation.max(record.incarnation);
+            own.sequence = own.sequence.max(record.sequence);
+            own.state = own.state.max(record.state);
+        });
+    }
 }
