Open a silent stream again after 300 ms

Cause: the entry waited the whole step deadline, 500 ms, before it opened a silent stream again, and as long once more before it replaced the head. Change: the first wait is 6 tenths of the step deadline, three signs of life of the head. Ruled out: a shorter second wait; over a link slowed a hundredfold a new connection and subscription alone take about 300 ms.

--- a/crates/core/src/stream/stream_machine.rs
+++ b/crates/core/src/stream/stream_machine.rs
@@ -217,7 +217,7 @@
             return actions;
         }
         match self.phase {
-            StreamPhase::Streaming if now.since(self.heard_at) >= self.limits.silence_ms => {
+            StreamPhase::Streaming if now.since(self.heard_at) >= self.silence_limit_ms() => {
                 self.has_run = true;
                 self.open_again(FaultKind::Silent, now, &mut actions);
             }
@@ -231,6 +231,14 @@
         actions
     }
 
+    fn silence_limit_ms(&self) -> u64 {
+        if self.is_second_try {
+            self.limits.reopen_ms
+        } else {
+            self.limits.silence_ms
+        }
+    }
+
     fn is_current(&self, attempt: u32) -> bool {
         self.phase == StreamPhase::Streaming && attempt == self.order.attempt
     }
--- a/crates/core/tests/stream_world/sim_world.rs
+++ b/crates/core/tests/stream_world/sim_world.rs
@@ -62,7 +62,8 @@
             deadline_in_ms: 0,
         };
         let limits = StreamLimits {
-            silence_ms: STEP_DEADLINE_MS,
+            silence_ms: STEP_DEADLINE_MS / 2,
+            reopen_ms: STEP_DEADLINE_MS,
             max_attempts: u32::MAX,
             route_retry_ms: 200,
         };
--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -28,6 +28,12 @@
 /// The time between two checks of the deadlines, in milliseconds.
 const CHECK_INTERVAL_MS: u64 = 25;
 
+/// The part of the step deadline without an event of the head after which a new connection is tried,
+/// in tenths.
+///
+/// The head sends a sign of life every 100 ms, so that two of them may be lost or late.
+const SILENCE_TENTHS: u64 = 6;
+
 /// The greatest number of attempts of one request.
 const MAX_ATTEMPTS: u32 = 16;
 
@@ -49,7 +55,8 @@
         let (reports_in, reports) = mpsc::unbounded_channel();
         let now = context.clock.now();
         let limits = StreamLimits {
-            silence_ms: context.settings.step_deadline_ms,
+            silence_ms: context.settings.step_deadline_ms * SILENCE_TENTHS / 10,
+            reopen_ms: context.settings.step_deadline_ms,
             max_attempts: MAX_ATTEMPTS,
             route_retry_ms: ROUTE_RETRY_MS,
         };
