--- a/crates/daemon/tests/stream_chain.rs
+++ b/crates/daemon/tests/stream_chain.rs
@@ -42,3 +42,48 @@
     assert_eq!(choice["finish_reason"], "stop");
     assert_eq!(body["usage"]["completion_tokens"], 7);
 }
+
+/// Guards against a whole-model engine that starts again from the prompt or repeats tokens.
+#[tokio::test]
+async fn complete_whole_model_resumes() {
+    let step_time = Duration::from_millis(3);
+    let ranges = [(0, 12), (0, 12)];
+    let cluster = TestCluster::start(&ranges, step_time, NO_DELAY, 30).await;
+    let mut reader = EventReader::new(cluster.complete("whole", 40, true).await);
+    let mut tokens = vec![reader.token().await.unwrap()];
+    let victim = cluster.route()[0];
+    cluster.stages[victim].kill();
+    while let Some(token) = reader.token().await {
+        tokens.push(token);
+    }
+    assert_eq!(tokens, expected_tokens("whole", 30));
+    assert_eq!(reader.next().await.as_deref(), Some("data: [DONE]"));
+}
+
+/// Guards against refusals without the outcome that client libraries of callers rely on.
+#[tokio::test]
+async fn chat_and_refusals() {
+    let cluster = TestCluster::start(&THREE_STAGES, NO_DELAY, NO_DELAY, NO_END).await;
+    let messages = r#"[{"role":"user","content":[{"type":"text","text":"knot"}]}]"#;
+    let body = format!(r#"{{"model":"palm","max_tokens":3,"messages":{messages}}}"#);
+    let response = cluster.post("/v1/chat/completions", body).await;
+    let body = response.into_body().collect().await.unwrap().to_bytes();
+    let body: Value = serde_json::from_slice(&body).unwrap();
+    let expected = expected_tokens("user: knot\nassistant:", 3).concat();
+    assert_eq!(body["choices"][0]["message"]["content"], expected);
+    assert_eq!(body["choices"][0]["finish_reason"], "length");
+    for (body, status) in [
+        (r#"{"model":"palm"}"#, 400),
+        (r#"{"model":"other","prompt":"knot"}"#, 404),
+    ] {
+        let response = cluster.post("/v1/completions", body.to_owned()).await;
+        assert_eq!(response.status(), status);
+        assert_eq!(response.headers()["x-dandelionroad-outcome"], "not-run");
+        assert!(response.headers().contains_key("x-request-id"));
+    }
+    for stage in &cluster.stages {
+        stage.kill();
+    }
+    let response = cluster.complete("knot", 3, true).await;
+    assert_eq!(response.status(), 503);
+}
