--- a/crates/daemon/examples/stream_times/restart.rs
+++ b/crates/daemon/examples/stream_times/restart.rs
@@ -40,6 +40,7 @@
     let mut events = open(&peers, "first", prompt, first).await;
     let mut delivered = 0;
     let mut pause = TokenPause::start();
+    let mut is_applied = false;
     let mut has_failed = false;
     let mut token_at = Instant::now();
     while delivered < TOKENS_BEFORE as u32 + TOKENS_AFTER {
@@ -65,7 +66,8 @@
             events = open(&peers, "second", prompt, second.clone()).await;
             token_at = Instant::now();
         }
-        if delivered == TOKENS_BEFORE as u32 && !has_failed {
+        if delivered == TOKENS_BEFORE as u32 && !is_applied {
+            is_applied = true;
             (case.apply)(&cluster, victim);
             pause = TokenPause::start();
         }
