--- a/crates/core/tests/gossip.rs
+++ b/crates/core/tests/gossip.rs
@@ -3,10 +3,15 @@
 mod gossip_support;
 mod seeded;
 
+use dandelionroad_core::member::CrashRecord;
 use dandelionroad_core::member::GossipEvent;
+use dandelionroad_core::member::GossipMachine;
 use dandelionroad_core::member::HostListing;
+use dandelionroad_core::member::MemberRecord;
 use dandelionroad_core::member::MemberState;
+use dandelionroad_core::time::MilliTime;
 use gossip_support::GossipNetwork;
+use gossip_support::record;
 use seeded::for_each_seed;
 
 const NODES: usize = 9;
@@ -22,7 +27,7 @@
 const PROMISED_MS: u64 = 6_000;
 
 /// The time by which the host list lags at most, in milliseconds.
-const LIST_LAG_MS: u64 = 60_000;
+const LIST_LAG_MS: u64 = 30_000;
 
 /// A script of faults, and what must hold while it runs.
 struct FaultScript {
@@ -184,18 +189,87 @@
         let mut network = GossipNetwork::new(40);
         network.loss = 20;
         network.run(2_000);
-        network.accept_ticket(*acceptor as usize % 40);
+        let acceptor = *acceptor as usize % 40;
+        network.accept_ticket(acceptor);
         network.is_store_up = false;
-        let leaver = 1 + *leaver as usize % 39;
+        let crash = CrashRecord {
+            fingerprint: "f".to_owned(),
+            version: 1,
+            count: 2,
+        };
+        network.handle(acceptor, GossipEvent::CrashCounted(crash));
+        let leaver = 1 + *leaver as usize % 38;
         network.leave(leaver);
+        let mut list = network.host_list();
+        list[leaver + 1].leaving = true;
+        network.handle(0, GossipEvent::HostsListed(list));
         network.run(PROMISED_MS);
-        let name = network.nodes[leaver].machine.own().name.clone();
+        let names = [leaver, leaver + 1].map(|index| record(index, 0).name);
         for node in &network.nodes {
             let machine = &node.machine;
             let own = &machine.own().name;
             assert_eq!(machine.config().revision, 1, "{own}");
-            let known = machine.members().get(&name).map(|known| known.state);
-            assert_eq!(known, Some(MemberState::Leaving), "{own}");
+            assert_eq!(machine.crashes().count("f"), 2, "{own}");
+            for name in &names {
+                let known = machine.members().get(name).map(|known| known.state);
+                assert_eq!(known, Some(MemberState::Leaving), "{name} at {own}");
+            }
         }
     });
 }
+
+/// Guards against a resumed process that contends for its name with the one that replaced it, and
+/// against a new process that yields to the record of a dead one whose clock was ahead.
+#[test]
+fn gossip_yields_to_replacement() {
+    let now = MilliTime::from_millis(200_000);
+    let mut paused = GossipMachine::new(record(1, 100_000));
+    let replacement = MemberRecord {
+        address: "10.9.9.9:7000".to_owned(),
+        ..record(1, 195_000)
+    };
+    let mut new = GossipMachine::new(replacement.clone());
+    let (reply, _) = paused.answer(now, &new.introduction());
+    let (reply, _) = new.answer(now, &reply);
+    paused.answer(now, &reply);
+    assert_eq!(paused.own().state, MemberState::Leaving);
+    assert_eq!(paused.members().get(&replacement.name), Some(&replacement));
+    assert_eq!(new.own(), &replacement);
+
+    let dead = GossipMachine::new(record(1, 999_000));
+    new.answer(now, &dead.introduction());
+    assert_eq!(
+        (new.own().state, new.own().incarnation),
+        (MemberState::Live, 999_001)
+    );
+}
+
+/// Guards against a process that takes its probed members for gone because it was paused itself.
+#[test]
+fn gossip_forgets_misses_after_pause() {
+    let mut network = GossipNetwork::new(9);
+    network.run(1_500);
+    let paused = &mut network.nodes[3].machine;
+    let time = |millis| MilliTime::from_millis(network.now + millis);
+    paused.handle(time(0), GossipEvent::Tick);
+    let names: Vec<String> = paused
+        .members()
+        .records()
+        .map(|known| known.name.clone())
+        .collect();
+    for name in names.iter().cycle().take(3 * names.len()) {
+        let name = name.clone();
+        paused.handle(time(0), GossipEvent::ProbeMissed { name });
+    }
+    // The first message after the pause is no sign that the others have had time to answer.
+    let message = network.nodes[4].machine.introduction();
+    let paused = &mut network.nodes[3].machine;
+    paused.answer(time(60_000), &message);
+    paused.handle(time(60_000), GossipEvent::Tick);
+    assert!(
+        paused
+            .members()
+            .records()
+            .all(|known| known.state == MemberState::Live)
+    );
+}
