Record requests whose caller goes away before the answer

The record of a request was created with its answer, so that a caller who left earlier was counted nowhere. It is now created on arrival and written when it is dropped.

--- a/crates/daemon/src/entry/entry_servers.rs
+++ b/crates/daemon/src/entry/entry_servers.rs
@@ -39,7 +39,7 @@
         let _ = tokio::time::timeout(wait, &mut *self.admin.lock().await).await;
     }
 
-    /// Closes the listeners at once; answers under way may break off.
+    /// Closes the listeners at once; answers under way break off when the process exits.
     pub fn abort(&self) {
         for server in [&self.public, &self.admin] {
             if let Ok(server) = server.try_lock() {
--- a/crates/daemon/src/entry/follow_request.rs
+++ b/crates/daemon/src/entry/follow_request.rs
@@ -19,6 +19,7 @@
 use super::caller_error::OUTCOME_HEADER;
 use super::caller_error::REQUEST_ID_HEADER;
 use super::followed_body::FollowedBody;
+use super::request_record::CANCELLED;
 use super::request_record::RequestRecord;
 
 /// Counts a caller's request as running until its answer was sent, and records how it ended.
@@ -28,10 +29,18 @@
     next: Next,
 ) -> Response {
     let running = context.requests.start();
-    let arrival = (SystemTime::now(), Instant::now());
-    let kind = match request.uri().path().starts_with("/services/") {
-        true => "service",
-        false => "model",
+    let mut record = RequestRecord {
+        node: context.settings.name.clone(),
+        kind: match request.uri().path().starts_with("/services/") {
+            true => "service",
+            false => "model",
+        },
+        request: None,
+        arrival: SystemTime::now(),
+        start: Instant::now(),
+        // It stays so if the caller goes away before there is an answer.
+        outcome: CANCELLED,
+        reason: None,
     };
     let mut response = next.run(request).await;
     if context.own.borrow().state != MemberState::Live {
@@ -39,15 +48,9 @@
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    let record = RequestRecord {
-        node: context.settings.name.clone(),
-        kind,
-        request: request_ident(&response),
-        arrival: arrival.0,
-        start: arrival.1,
-        outcome: outcome_text(&response),
-        reason: response.extensions().get::<RefusalReason>().copied(),
-    };
+    record.request = request_ident(&response);
+    record.outcome = outcome_text(&response);
+    record.reason = response.extensions().get::<RefusalReason>().copied();
     let is_stream = header_text(&response, CONTENT_TYPE.as_str()) == Some("text/event-stream");
     let (parts, body) = response.into_parts();
     let body = FollowedBody::new(body, record, running, is_stream);
--- a/crates/daemon/src/entry/followed_body.rs
+++ b/crates/daemon/src/entry/followed_body.rs
@@ -15,6 +15,7 @@
 use crate::node::RunningRequest;
 use crate::telemetry;
 
+use super::request_record::CANCELLED;
 use super::request_record::RequestRecord;
 
 /// The start of the event that ends an answer that broke off.
@@ -125,8 +126,7 @@
 impl Drop for FollowedBody {
     fn drop(&mut self) {
         if !self.is_ended {
-            self.record.outcome = "cancelled";
+            self.record.outcome = CANCELLED;
         }
-        self.record.write();
     }
 }
--- a/crates/daemon/src/entry/request_record.rs
+++ b/crates/daemon/src/entry/request_record.rs
@@ -8,14 +8,17 @@
 use crate::telemetry::HopKind;
 use crate::telemetry::HopSpan;
 
-/// What is recorded about a caller's request when its answer has ended.
+/// The outcome of a request whose caller went away before the end of the answer.
+pub(super) const CANCELLED: &str = "cancelled";
+
+/// What is recorded about a caller's request; written when the value is dropped.
 #[derive(Debug)]
 pub(super) struct RequestRecord {
     /// The name of this process.
     pub(super) node: String,
     /// `model` or `service`.
     pub(super) kind: &'static str,
-    /// The request, unless the route does not exist.
+    /// The request, once there is an answer that names it.
     pub(super) request: Option<RequestIdent>,
     /// The wall-clock time of the arrival.
     pub(super) arrival: SystemTime,
@@ -27,9 +30,8 @@
     pub(super) reason: Option<RefusalReason>,
 }
 
-impl RequestRecord {
-    /// Writes the log line, the span and the metric of the request.
-    pub(super) fn write(&self) {
+impl Drop for RequestRecord {
+    fn drop(&mut self) {
         let reason = self.reason.map_or("", RefusalReason::as_str);
         telemetry::record_request(self.kind, self.outcome, reason);
         let Some(request) = &self.request else {
