--- a/crates/daemon/src/entry/model/crash_count.rs
+++ b/crates/daemon/src/entry/model/crash_count.rs
@@ -64,8 +64,8 @@
 /// Counts a possible crash of the request and returns whether it may be retried.
 pub(super) async fn count_crash(context: &NodeContext, order: &StreamOrder) -> bool {
     spdlog::warn!(
-        "entry: request {} may have crashed an endpoint",
-        order.request
+        "entry: a request may have crashed an endpoint",
+        kv: { request = order.request.as_str() }
     );
     let table = context.clients.table.as_ref();
     let Some(record) = context.crash_watch.crash(table, order).await else {
