Choose service endpoints by load and avoid engines that crashed

Calls go to the less loaded of two random endpoints, by own calls and discounted reports. With the load ignored, call_loads_prefer_less_loaded_endpoint failed.

Change: a failed stage is avoided at once, and all paths are compared when both draws meet an endpoint to avoid.

--- a/crates/core/src/route/route_chooser.rs
+++ b/crates/core/src/route/route_chooser.rs
@@ -11,6 +11,9 @@
 /// The number of paths drawn, of which the one with the least loaded slowest stage is taken.
 const PATH_DRAWS: u64 = 2;
 
+/// The rank of an endpoint that is to be avoided, far above any time to complete, in milliseconds.
+const AVOIDED_MS: f64 = 1e12;
+
 /// The choice of a route: a path in proportion to the flow, and on it the less loaded of two
 /// endpoints for each stage.
 #[derive(Clone, Copy, Debug)]
@@ -39,13 +42,17 @@
             waits.fold(0.0, f64::max)
         };
         let best = drawn.min_by(|left, right| slowest_ms(left).total_cmp(&slowest_ms(right)));
-        if best.is_some() {
+        if best
+            .as_ref()
+            .is_some_and(|route| slowest_ms(route) < AVOIDED_MS)
+        {
             return best;
         }
-        self.plan
-            .paths()
-            .iter()
-            .find_map(|path| self.fill(path, units, seed))
+        // Every drawn path meets an endpoint that is excluded or to be avoided.
+        let paths = self.plan.paths().iter();
+        paths
+            .filter_map(|path| self.fill(path, units, seed))
+            .min_by(|left, right| slowest_ms(left).total_cmp(&slowest_ms(right)))
     }
 
     /// Chooses endpoints that replace a stage of `range`, usually one, else a chain of several.
@@ -127,7 +134,6 @@
 
     /// Returns the time to complete; avoided endpoints come after all others.
     fn rank(&self, endpoint: &EndpointName, units: u64) -> f64 {
-        const AVOIDED_MS: f64 = 1e12;
         let (is_avoided, wait_ms) = self.picker.rank(endpoint, units, self.now);
         wait_ms + if is_avoided { AVOIDED_MS } else { 0.0 }
     }
--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -116,6 +116,7 @@
                 }
                 Some(HeadReport::Event(event)) => {
                     self.was_refused = matches!(event, StreamEvent::Refused { .. });
+                    self.avoid_failed(&event, now);
                     self.machine.event(event, now)
                 }
                 Some(HeadReport::Lost(attempt)) => self.machine.stream_lost(attempt, now),
@@ -199,6 +200,19 @@
         Vec::new()
     }
 
+    /// Avoids the endpoint of a failed stage for other requests too, also when this one ends.
+    fn avoid_failed(&self, event: &StreamEvent, now: MilliTime) {
+        let StreamEvent::StageFault { attempt, stage, .. } = event else {
+            return;
+        };
+        let order = self.machine.order();
+        if let Some(lost) = order.route.stages.get(*stage)
+            && *attempt == order.attempt
+        {
+            self.context.routing.avoid(&lost.endpoint, false, now);
+        }
+    }
+
     /// Takes a retry after a refusal from the budget and waits with jitter.
     async fn may_retry(&mut self) -> bool {
         if !self.context.limits.try_retry() {
--- a/crates/daemon/src/entry/service/call_driver.rs
+++ b/crates/daemon/src/entry/service/call_driver.rs
@@ -119,13 +119,13 @@
                 retry_after_ms: RETRY_AFTER_MS,
             };
         };
-        self.tried.push(name);
+        self.tried.push(name.clone());
         let order = CallOrder {
             row: Some(key),
             deadline_in_ms: self.request.deadline.since(self.context.clock.now()),
             ..self.request.order.clone()
         };
-        match CallHandover::send(self.context, &address, order).await {
+        match CallHandover::send(self.context, (&name, &address), order).await {
             CallHandover::Replied(reply) => CallEvent::Replied(reply),
             CallHandover::Unsent => CallEvent::HandOverUnsent,
             CallHandover::Lost => CallEvent::HandOverLost,
--- a/crates/daemon/src/entry/service/call_handover.rs
+++ b/crates/daemon/src/entry/service/call_handover.rs
@@ -5,6 +5,8 @@
 use dandelionroad_core::dispatch::CallReply;
 use dandelionroad_core::dispatch::CallState;
 use dandelionroad_core::dispatch::RowKey;
+use dandelionroad_core::ident::EndpointName;
+use dandelionroad_core::route::LoadReport;
 use dandelionroad_messages::call_api::CallApiClient;
 
 use crate::node::NodeContext;
@@ -29,18 +31,25 @@
 }
 
 impl CallHandover {
-    /// Hands an order to the endpoint's process at `address`.
+    /// Hands an order to the process of the endpoint `name` at `address`.
     pub(super) async fn send(
         context: &Arc<NodeContext>,
-        address: &str,
+        (name, address): (&str, &str),
         order: CallOrder,
     ) -> CallHandover {
+        let Ok(endpoint) = EndpointName::parse(name) else {
+            return CallHandover::Unsent;
+        };
+        let counted = CountedCall::begin(context, endpoint);
         let Ok(client) = context.peers.client(address).await else {
             return CallHandover::Unsent;
         };
         let limit = Duration::from_millis(order.deadline_in_ms + REPLY_GRACE_MS);
         match tokio::time::timeout(limit, client.call_run(order)).await {
-            Ok(Ok(answer)) => CallHandover::Replied(answer.reply),
+            Ok(Ok(answer)) => {
+                counted.replied(&answer.load);
+                CallHandover::Replied(answer.reply)
+            }
             Ok(Err(_)) | Err(_) => {
                 context.peers.drop_same(address, &client);
                 CallHandover::Lost
@@ -49,6 +58,36 @@
     }
 }
 
+/// A call counted at its endpoint, until it is dropped.
+struct CountedCall<'a> {
+    context: &'a NodeContext,
+    endpoint: EndpointName,
+    load: Option<LoadReport>,
+}
+
+impl CountedCall<'_> {
+    fn begin(context: &NodeContext, endpoint: EndpointName) -> CountedCall<'_> {
+        context.call_loads.begin(&endpoint);
+        CountedCall {
+            context,
+            endpoint,
+            load: None,
+        }
+    }
+
+    fn replied(mut self, load: &LoadReport) {
+        self.load = Some(*load);
+    }
+}
+
+impl Drop for CountedCall<'_> {
+    fn drop(&mut self) {
+        let now = self.context.clock.now();
+        let loads = &self.context.call_loads;
+        loads.end(&self.endpoint, self.load.as_ref(), now);
+    }
+}
+
 /// Asks the endpoint's process at `address` for the state of an attempt; `None` if it can't be
 /// reached.
 pub(super) async fn ask_runner(
--- a/crates/daemon/src/entry/service/endpoint_choice.rs
+++ b/crates/daemon/src/entry/service/endpoint_choice.rs
@@ -1,22 +1,34 @@
 //! The choice of an endpoint for a call.
 
 use dandelionroad_core::config::ServiceSpec;
+use dandelionroad_core::ident::EndpointName;
 use dandelionroad_core::member::MemberRole;
-use rand::seq::IteratorRandom;
+use dandelionroad_core::member::MemberState;
 
 use crate::node::NodeContext;
 
-/// Returns name and internal address of a live endpoint of the service that is not in `tried`.
+/// Returns name and internal address of a live endpoint of the service that is not in `tried`: the
+/// less loaded of two random ones.
 pub(super) fn choose_endpoint(
     context: &NodeContext,
     service: &ServiceSpec,
     tried: &[String],
 ) -> Option<(String, String)> {
     let members = context.members.borrow().clone();
-    let serves = |name: &str| service.endpoints.iter().any(|known| known.as_str() == name);
-    let candidates = members
-        .live(MemberRole::Endpoint)
-        .filter(|member| serves(&member.name) && !tried.contains(&member.name));
-    let chosen = candidates.choose(&mut rand::rng())?;
-    Some((chosen.name.clone(), chosen.address.clone()))
+    let is_usable = |name: &&EndpointName| {
+        let record = members.get(name.as_str());
+        record.is_some_and(|record| {
+            record.role == MemberRole::Endpoint && record.state == MemberState::Live
+        })
+    };
+    let candidates: Vec<EndpointName> = service
+        .endpoints
+        .iter()
+        .filter(is_usable)
+        .filter(|name| !tried.iter().any(|known| known == name.as_str()))
+        .cloned()
+        .collect();
+    let index = context.call_loads.pick(&candidates, context.clock.now())?;
+    let record = members.get(candidates[index].as_str())?;
+    Some((record.name.clone(), record.address.clone()))
 }
--- a/crates/daemon/src/entry/service/repeat_driver.rs
+++ b/crates/daemon/src/entry/service/repeat_driver.rs
@@ -32,12 +32,12 @@
             _ if deadline_in_ms == 0 => denied(RefusalReason::Deadline),
             None => denied(RefusalReason::NoEndpoint),
             Some((name, address)) => {
-                tried.push(name);
+                tried.push(name.clone());
                 let order = CallOrder {
                     deadline_in_ms,
                     ..order.clone()
                 };
-                match CallHandover::send(context, &address, order).await {
+                match CallHandover::send(context, (&name, &address), order).await {
                     CallHandover::Replied(reply) => RepeatEvent::Replied(reply),
                     CallHandover::Unsent => RepeatEvent::HandOverUnsent,
                     CallHandover::Lost => RepeatEvent::HandOverLost,
--- a/crates/daemon/src/node/node_context.rs
+++ b/crates/daemon/src/node/node_context.rs
@@ -10,6 +10,7 @@
 
 use crate::control::ControlHandle;
 use crate::entry::crash::CrashWatch;
+use crate::entry::routing::CallLoads;
 use crate::entry::routing::EntryLimits;
 use crate::entry::routing::RoutingState;
 
@@ -45,6 +46,8 @@
     pub routing: RoutingState,
     /// The account limits and the retry budget of an entry; unused beside an endpoint.
     pub limits: EntryLimits,
+    /// The loads of plain services at an entry; unused beside an endpoint.
+    pub call_loads: CallLoads,
     /// The crashes of requests at an entry; unused beside an endpoint.
     pub crash_watch: CrashWatch,
     /// The way to the control part.
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -26,6 +26,7 @@
 use crate::entry;
 use crate::entry::EntryServers;
 use crate::entry::crash::CrashWatch;
+use crate::entry::routing::CallLoads;
 use crate::entry::routing::EntryLimits;
 use crate::entry::routing::RoutingState;
 
@@ -172,6 +173,7 @@
     Ok(NodeContext {
         routing: RoutingState::new(&settings.name, rand::random()),
         limits: EntryLimits::new(),
+        call_loads: CallLoads::new(rand::random()),
         crash_watch: CrashWatch::new(),
         settings,
         clock,
--- a/crates/daemon/tests/routing.rs
+++ b/crates/daemon/tests/routing.rs
@@ -24,6 +24,7 @@
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::stream::StreamOrder;
 use dandelionroad_core::time::MilliTime;
+use dandelionroad_daemon::entry::routing::CallLoads;
 use dandelionroad_daemon::entry::routing::EntryLimits;
 use dandelionroad_daemon::entry::routing::RoutingState;
 use dandelionroad_daemon::entry::routing::model_bounds;
@@ -231,3 +232,17 @@
         assert!(model_bounds(&config, &members)[0].tokens_per_second >= 100);
     }
 }
+
+/// Guards against calls that pile up at a busy endpoint of a service.
+#[test]
+fn call_loads_prefer_less_loaded_endpoint() {
+    let names = ["s0", "s1"].map(|name| EndpointName::parse(name).unwrap());
+    let loads = CallLoads::new(7);
+    loads.begin(&names[0]);
+    assert!((0..20).all(|_| loads.pick(&names, NOW) == Some(1)));
+    loads.end(&names[0], None, NOW);
+    let first = (0..40)
+        .filter(|_| loads.pick(&names, NOW) == Some(0))
+        .count();
+    assert!((5..=35).contains(&first), "{first} of 40");
+}
