--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -21,6 +21,7 @@
 
 use super::answer_event::AnswerEvent;
 use super::crash_count::count_crash;
+use super::crash_count::end_request;
 use super::head_stream::HeadReport;
 use super::head_stream::follow_head;
 use super::route_choice::choose_route;
@@ -72,6 +73,7 @@
             connection: None,
             was_refused: false,
             retries: 0,
+            is_whole: false,
         };
         driver.run(actions, reports).await;
     });
@@ -89,6 +91,8 @@
     was_refused: bool,
     /// The retries after refusals.
     retries: u32,
+    /// Whether the whole answer was passed on.
+    is_whole: bool,
 }
 
 impl StreamDriver {
@@ -112,6 +116,7 @@
                 }
                 Some(HeadReport::Event(event)) => {
                     self.was_refused = matches!(event, StreamEvent::Refused { .. });
+                    self.avoid_failed(&event, now);
                     self.machine.event(event, now)
                 }
                 Some(HeadReport::Lost(attempt)) => self.machine.stream_lost(attempt, now),
@@ -125,6 +130,7 @@
         self.close_head();
         let request = self.machine.order().request.clone();
         self.context.routing.end(&request);
+        end_request(&self.context, self.machine.order(), self.is_whole);
     }
 
     async fn carry_out(&mut self, actions: Vec<StreamAction>) {
@@ -164,10 +170,11 @@
             StreamAction::CountCrash { must_wait } => {
                 let order = self.machine.order().clone();
                 if must_wait {
-                    let may_retry = count_crash(&order).await;
+                    let may_retry = count_crash(&self.context, &order).await;
                     return self.machine.crash_counted(may_retry, self.now());
                 }
-                tokio::spawn(async move { count_crash(&order).await });
+                let context = self.context.clone();
+                tokio::spawn(async move { count_crash(&context, &order).await });
             }
             StreamAction::Open {
                 order,
@@ -182,6 +189,7 @@
             }
             StreamAction::Deliver { text } => self.answer(AnswerEvent::Token(text)),
             StreamAction::Finish { reason, tokens } => {
+                self.is_whole = true;
                 self.answer(AnswerEvent::Finish { reason, tokens });
             }
             StreamAction::Fail(failure) => {
@@ -192,6 +200,19 @@
         Vec::new()
     }
 
+    /// Avoids the endpoint of a failed stage for other requests too, also when this one ends.
+    fn avoid_failed(&self, event: &StreamEvent, now: MilliTime) {
+        let StreamEvent::StageFault { attempt, stage, .. } = event else {
+            return;
+        };
+        let order = self.machine.order();
+        if let Some(lost) = order.route.stages.get(*stage)
+            && *attempt == order.attempt
+        {
+            self.context.routing.avoid(&lost.endpoint, false, now);
+        }
+    }
+
     /// Takes a retry after a refusal from the budget and waits with jitter.
     async fn may_retry(&mut self) -> bool {
         if !self.context.limits.try_retry() {
