--- a/crates/daemon/tests/processes/process_support/process_cluster.rs
+++ b/crates/daemon/tests/processes/process_support/process_cluster.rs
@@ -33,11 +33,17 @@
     pub(crate) endpoints: Vec<NodeProcess>,
     object: ObjectStandin,
     layout: DemoLayout,
+    step_deadline_ms: u64,
 }
 
 impl ProcessCluster {
     /// Starts everything, applies the first ticket and waits until requests are answered.
     pub(crate) async fn start(step_us: u64) -> ProcessCluster {
+        ProcessCluster::start_with_deadline(step_us, 500).await
+    }
+
+    /// Starts everything with a step deadline, after which a stage without progress is replaced.
+    pub(crate) async fn start_with_deadline(step_us: u64, step_deadline_ms: u64) -> ProcessCluster {
         let any_port = ([127, 0, 0, 1], 0).into();
         let layout = DemoLayout::three_stages();
         let mut engines = Vec::new();
@@ -55,6 +61,7 @@
             entries: Vec::new(),
             endpoints: Vec::new(),
             layout,
+            step_deadline_ms,
         };
         for index in 0..cluster.layout.entries.len() {
             let entry = cluster.spawn_entry(index).await;
@@ -165,6 +172,10 @@
             ("DANDELIONROAD_OBJECT_URL", self.object.url()),
             ("DANDELIONROAD_HOSTS_URL", self.hosts.url()),
             ("DANDELIONROAD_ADMIN_TOKEN", ADMIN_TOKEN.to_owned()),
+            (
+                "DANDELIONROAD_STEP_DEADLINE_MS",
+                self.step_deadline_ms.to_string(),
+            ),
         ]
     }
 }
