Check a stream at its next deadline instead of every 25 ms

Cause: the entry checked each running request 40 times a second, which was most of its cost for slow streams; at 900 streams an entry it would be 36,000 wake-ups a second. Change: StreamMachine::next_check tells when tick has something to do, and the driver waits until then or until an event.

--- a/crates/core/src/stream/stream_event.rs
+++ b/crates/core/src/stream/stream_event.rs
@@ -52,3 +52,16 @@
         attempt: u32,
     },
 }
+
+impl StreamEvent {
+    /// Returns the attempt that the event belongs to.
+    pub fn attempt(&self) -> u32 {
+        match self {
+            StreamEvent::Token { attempt, .. }
+            | StreamEvent::End { attempt, .. }
+            | StreamEvent::Refused { attempt, .. }
+            | StreamEvent::StageFault { attempt, .. }
+            | StreamEvent::Progress { attempt } => *attempt,
+        }
+    }
+}
--- a/crates/core/src/stream/stream_machine.rs
+++ b/crates/core/src/stream/stream_machine.rs
@@ -129,7 +129,7 @@
     /// Takes an event of the head.
     pub fn event(&mut self, event: StreamEvent, now: MilliTime) -> Vec<StreamAction> {
         let mut actions = Vec::new();
-        if self.phase != StreamPhase::Streaming || attempt_of(&event) != self.order.attempt {
+        if self.phase != StreamPhase::Streaming || event.attempt() != self.order.attempt {
             return actions;
         }
         self.heard_at = now;
@@ -206,7 +206,17 @@
         actions
     }
 
-    /// Checks the deadlines; called several times within the silence limit.
+    /// Returns when [`tick`](StreamMachine::tick) has something to do, unless an event comes before.
+    pub fn next_check(&self) -> MilliTime {
+        let next = match self.phase {
+            StreamPhase::Streaming => self.heard_at.plus(self.silence_limit_ms()),
+            StreamPhase::Routing { retry_at: Some(at) } => at,
+            _ => self.deadline,
+        };
+        next.min(self.deadline)
+    }
+
+    /// Checks the deadlines; called at the time of [`next_check`](StreamMachine::next_check).
     pub fn tick(&mut self, now: MilliTime) -> Vec<StreamAction> {
         let mut actions = Vec::new();
         if self.phase == StreamPhase::Done {
@@ -388,13 +398,3 @@
         }));
     }
 }
-
-fn attempt_of(event: &StreamEvent) -> u32 {
-    match event {
-        StreamEvent::Token { attempt, .. }
-        | StreamEvent::End { attempt, .. }
-        | StreamEvent::Refused { attempt, .. }
-        | StreamEvent::StageFault { attempt, .. }
-        | StreamEvent::Progress { attempt } => *attempt,
-    }
-}
--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -27,9 +27,6 @@
 use super::route_choice::choose_route;
 use super::route_choice::choose_version;
 
-/// The time between two checks of the deadlines, in milliseconds.
-const CHECK_INTERVAL_MS: u64 = 25;
-
 /// The part of the step deadline without an event of the head after which a new connection is tried,
 /// in tenths.
 ///
@@ -98,15 +95,17 @@
 impl StreamDriver {
     async fn run(mut self, actions: Vec<StreamAction>, mut reports: UnboundedReceiver<HeadReport>) {
         self.carry_out(actions).await;
-        let mut interval = tokio::time::interval(Duration::from_millis(CHECK_INTERVAL_MS));
         while !self.machine.is_done() {
+            // One timer for each event costs less than a check of every stream at a fixed rate.
+            let wait_ms = self.machine.next_check().since(self.now());
+            let check = tokio::time::sleep(Duration::from_millis(wait_ms.max(1)));
             let report = tokio::select! {
                 report = reports.recv() => report,
                 () = self.answers.closed() => {
                     self.cancel();
                     break;
                 }
-                _ = interval.tick() => None,
+                () = check => None,
             };
             let now = self.now();
             let actions = match report {
