--- a/crates/settings/src/entry_flags.rs
+++ b/crates/settings/src/entry_flags.rs
@@ -2,11 +2,9 @@
 
 use argh::FromArgs;
 
-use super::LogFormat;
-use super::LogLevel;
 use super::NodeSettings;
 use super::SettingsError;
-use super::TelemetryExporter;
+use super::common_flags::CommonFlags;
 use super::settings_reader::SettingsReader;
 
 /// The default port for other processes of the system.
@@ -108,15 +106,23 @@
             admin_listen: SocketAddr::from(([127, 0, 0, 1], ADMIN_PORT)),
             ..NodeSettings::entry("")
         };
-        reader.name("name", &self.name, &mut settings.name);
-        settings.host.clone_from(&settings.name);
-        reader.optional_name("host", &self.host, &mut settings.host);
-        reader.name("zone", &self.zone, &mut settings.zone);
-        reader.reachable_listen(
-            "internal-listen",
-            &self.internal_listen,
-            &mut settings.internal_listen,
-        );
+        let common = CommonFlags {
+            name: &self.name,
+            host: &self.host,
+            zone: &self.zone,
+            internal_listen: &self.internal_listen,
+            table_url: &self.table_url,
+            object_url: &self.object_url,
+            hosts_url: &self.hosts_url,
+            seeds: &self.seeds,
+            step_deadline_ms: &self.step_deadline_ms,
+            platform_deadline_ms: &self.platform_deadline_ms,
+            log_level: &self.log_level,
+            log_format: &self.log_format,
+            telemetry: &self.telemetry,
+            metrics_interval_ms: &self.metrics_interval_ms,
+        };
+        common.read(&mut reader, &mut settings);
         reader.listen(
             "public-listen",
             &self.public_listen,
@@ -127,10 +133,6 @@
             &self.admin_listen,
             &mut settings.admin_listen,
         );
-        reader.url("table-url", &self.table_url, &mut settings.table_url);
-        reader.url("object-url", &self.object_url, &mut settings.object_url);
-        reader.url("hosts-url", &self.hosts_url, &mut settings.hosts_url);
-        reader.addresses("seeds", &self.seeds, &mut settings.seeds);
         reader.number(
             "request-deadline-ms",
             &self.request_deadline_ms,
@@ -149,45 +151,6 @@
             "a number of hours, at least 1",
             &mut settings.record_retention_hours,
         );
-        reader.number(
-            "step-deadline-ms",
-            &self.step_deadline_ms,
-            "a number of milliseconds, at least 1",
-            &mut settings.step_deadline_ms,
-        );
-        reader.number(
-            "platform-deadline-ms",
-            &self.platform_deadline_ms,
-            "a number of milliseconds, at least 1",
-            &mut settings.platform_deadline_ms,
-        );
-        reader.choice(
-            "log-level",
-            &self.log_level,
-            "debug, info, warn or error",
-            LogLevel::CHOICES,
-            &mut settings.log_level,
-        );
-        reader.choice(
-            "log-format",
-            &self.log_format,
-            "text or json",
-            LogFormat::CHOICES,
-            &mut settings.log_format,
-        );
-        reader.choice(
-            "telemetry",
-            &self.telemetry,
-            "off or stdout",
-            TelemetryExporter::CHOICES,
-            &mut settings.telemetry,
-        );
-        reader.number(
-            "metrics-interval-ms",
-            &self.metrics_interval_ms,
-            "a number of milliseconds, at least 1",
-            &mut settings.metrics_interval_ms,
-        );
         reader.secret(
             "admin-token",
             "the secret of the administration API",
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,6 +18,7 @@
 ```
 */
 
+mod common_flags;
 mod endpoint_flags;
 mod engine_kind;
 mod entry_flags;
