Answer unknown routes, wrong methods and oversized tickets with a JSON error

Cause: these three got an empty or plain-text body without outcome and request identifier, seen by sending bad input to every listener of scripts/loopback. Oversized bodies, invalid JSON, out-of-range numbers, wrong tokens, long keys, invalid tickets, random bytes and invalid parameters on the internal listeners were answered with an error before, and the next request was served.

--- a/crates/daemon/src/entry/admin/ticket_routes.rs
+++ b/crates/daemon/src/entry/admin/ticket_routes.rs
@@ -8,6 +8,7 @@
 use axum::extract::DefaultBodyLimit;
 use axum::extract::Query;
 use axum::extract::State;
+use axum::extract::rejection::BytesRejection;
 use axum::http::StatusCode;
 use axum::response::IntoResponse;
 use axum::response::Response;
@@ -58,7 +59,14 @@
         .layer(DefaultBodyLimit::max(MAX_TICKET_BYTES))
 }
 
-async fn apply_ticket(State(context): State<Arc<NodeContext>>, body: Bytes) -> Response {
+async fn apply_ticket(
+    State(context): State<Arc<NodeContext>>,
+    body: Result<Bytes, BytesRejection>,
+) -> Response {
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => return AdminError::bad_request(error.body_text()).into_response(),
+    };
     let verdict = match ChangeTicket::parse(&body) {
         Ok(ticket) => ticket_runner::run(&context, ticket).await,
         Err(faults) => TicketVerdict::Invalid { faults },
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -21,10 +21,14 @@
 use axum::http::StatusCode;
 use axum::routing::get;
 use dandelionroad_core::member::MemberState;
+use dandelionroad_core::outcome::RefusalReason;
 use tokio::net::TcpListener;
 
 use crate::node::NodeContext;
 
+use self::caller_auth::new_request_ident;
+use self::caller_error::CallerError;
+
 pub use self::entry_servers::EntryServers;
 
 /// Serves both listeners until they are closed.
@@ -34,6 +38,11 @@
     let callers = Router::new()
         .merge(model::routes(context))
         .merge(service::routes(context))
+        .fallback(async || no_route("there is no such route"))
+        .method_not_allowed_fallback(async || {
+            let error = no_route("the route does not take this method");
+            (StatusCode::METHOD_NOT_ALLOWED, error)
+        })
         .layer(follow)
         .route("/healthz", get(async || "ok\n"))
         .merge(
@@ -44,6 +53,10 @@
     EntryServers::start((public, callers), (admin, admin::routes(context)))
 }
 
+fn no_route(detail: &str) -> CallerError {
+    CallerError::not_run(&new_request_ident(), RefusalReason::NotFound, detail)
+}
+
 /// Answers 200 while this entry may be given new requests by the balancer.
 async fn readiness(State(context): State<Arc<NodeContext>>) -> (StatusCode, &'static str) {
     if context.own.borrow().state != MemberState::Live {
--- a/crates/daemon/tests/stream_chain.rs
+++ b/crates/daemon/tests/stream_chain.rs
@@ -72,11 +72,14 @@
     let expected = expected_tokens("user: knot\nassistant:", 3).concat();
     assert_eq!(body["choices"][0]["message"]["content"], expected);
     assert_eq!(body["choices"][0]["finish_reason"], "length");
-    for (body, status) in [
-        (r#"{"model":"palm"}"#, 400),
-        (r#"{"model":"other","prompt":"knot"}"#, 404),
+    let completions = "/v1/completions";
+    for (path, body, status) in [
+        (completions, r#"{"model":"palm"}"#, 400),
+        (completions, r#"{"model":"other","prompt":"knot"}"#, 404),
+        ("/v1/models", "", 405),
+        ("/v1/nothing", "", 404),
     ] {
-        let response = cluster.post("/v1/completions", body.to_owned()).await;
+        let response = cluster.post(path, body.to_owned()).await;
         assert_eq!(response.status(), status);
         assert_eq!(response.headers()["x-dandelionroad-outcome"], "not-run");
         assert!(response.headers().contains_key("x-request-id"));
