Write hexadecimal text in one place

Six places formatted bytes as hexadecimal digits on their own; they now call hex_text. OrderMachine::on_order filtered actions that release_turn never returns; the filter is gone.

--- a/crates/core/src/config/ticket_record.rs
+++ b/crates/core/src/config/ticket_record.rs
@@ -3,6 +3,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::hex::hex_text;
+
 use super::ChangeTicket;
 
 /// The value of a row `ticket/<number>`: which ticket took effect under the number.
@@ -27,6 +29,6 @@
         ticket.delete.sort();
         let text = serde_json::to_string(&ticket).expect("tickets have only string keys");
         let digest = Sha256::digest(text);
-        digest.iter().map(|byte| format!("{byte:02x}")).collect()
+        hex_text(&digest)
     }
 }
--- a/crates/core/src/dispatch/call_fingerprint.rs
+++ b/crates/core/src/dispatch/call_fingerprint.rs
@@ -1,6 +1,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::hex::hex_text;
+
 /// Returns the fingerprint of a call: the SHA-256 of method, path and body in hexadecimal digits.
 pub fn call_fingerprint(method: &str, path: &str, body: &str) -> String {
     let mut digest = Sha256::new();
@@ -10,5 +12,5 @@
         digest.update(part);
     }
     let digest = digest.finalize();
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    hex_text(&digest)
 }
--- a/crates/core/src/dispatch/row_key.rs
+++ b/crates/core/src/dispatch/row_key.rs
@@ -1,6 +1,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::hex::hex_text;
 use crate::ident::AccountName;
 use crate::ident::ServiceName;
 
@@ -19,12 +20,14 @@
 
 impl RowKey {
     /// Returns the key of the row in the table service.
+    ///
+    /// The caller's key is encoded so that it can't contain a separator.
     pub fn table_key(&self) -> String {
         format!(
             "call/{}/{}/{}/{}",
             self.account,
             self.service,
-            hex(&self.key),
+            hex_text(self.key.as_bytes()),
             self.attempt
         )
     }
@@ -38,8 +41,3 @@
         })
     }
 }
-
-/// Encodes the caller's key so that it can't contain a separator.
-fn hex(text: &str) -> String {
-    text.bytes().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod admit;
 pub mod config;
 pub mod dispatch;
+pub mod hex;
 pub mod ident;
 pub mod member;
 pub mod order;
--- a/crates/core/src/order/order_machine.rs
+++ b/crates/core/src/order/order_machine.rs
@@ -161,10 +161,9 @@
             return self.watch_load(now);
         }
         // An order without an answer may have had its effect, so the state decides.
-        let mut actions = self.release_turn();
+        let actions = self.release_turn();
         self.enter(OrderPhase::Reading, now);
         self.retry_later(now);
-        actions.retain(|action| *action == OrderAction::ReleaseTurn);
         actions
     }
 
--- a/crates/daemon/src/entry/caller_auth.rs
+++ b/crates/daemon/src/entry/caller_auth.rs
@@ -2,6 +2,7 @@
 use axum::http::header::AUTHORIZATION;
 use dandelionroad_core::config::AccountSpec;
 use dandelionroad_core::config::ConfigState;
+use dandelionroad_core::hex::hex_text;
 use dandelionroad_core::ident::RequestIdent;
 use dandelionroad_core::outcome::RefusalReason;
 use sha2::Digest;
@@ -19,10 +20,7 @@
         let detail = "the request carries no bearer token";
         CallerError::not_run(request, RefusalReason::Unauthorized, detail)
     })?;
-    let digest: String = Sha256::digest(secret)
-        .iter()
-        .map(|byte| format!("{byte:02x}"))
-        .collect();
+    let digest = hex_text(&Sha256::digest(secret));
     config.account_by_secret(&digest).cloned().ok_or_else(|| {
         let detail = "the bearer token belongs to no client account";
         CallerError::not_run(request, RefusalReason::Unauthorized, detail)
--- a/crates/daemon/src/entry/model/model_handlers.rs
+++ b/crates/daemon/src/entry/model/model_handlers.rs
@@ -13,6 +13,7 @@
 use dandelionroad_core::config::AccountSpec;
 use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::config::ModelSpec;
+use dandelionroad_core::hex::hex_text;
 use dandelionroad_core::ident::ModelName;
 use dandelionroad_core::ident::RequestIdent;
 use dandelionroad_core::outcome::RefusalReason;
@@ -163,5 +164,5 @@
     digest.update([0]);
     digest.update(body);
     let digest = digest.finalize();
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    hex_text(&digest)
 }
--- a/crates/demo/src/demo_ticket.rs
+++ b/crates/demo/src/demo_ticket.rs
@@ -1,3 +1,4 @@
+use dandelionroad_core::hex::hex_text;
 use serde_json::Value;
 use serde_json::json;
 use sha2::Digest;
@@ -66,5 +67,5 @@
 
 fn hex_digest(secret: &str) -> String {
     let digest = Sha256::digest(secret);
-    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+    hex_text(&digest)
 }
