--- a/crates/platform/src/http_answer.rs
+++ b/crates/clients/src/http_answer.rs
@@ -1,11 +1,12 @@
 use bytes::Bytes;
 
 /// An answer with its body read to the end.
-pub(crate) struct HttpAnswer {
+#[derive(Clone, Debug)]
+pub struct HttpAnswer {
     /// The HTTP status.
-    pub(crate) status: u16,
+    pub status: u16,
     /// The content type, or an empty text.
-    pub(crate) content_type: String,
+    pub content_type: String,
     /// The whole body.
-    pub(crate) body: Bytes,
+    pub body: Bytes,
 }
--- a/crates/platform/src/http_link.rs
+++ b/crates/clients/src/http_link.rs
@@ -31,7 +31,8 @@
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// Connections to one outside system, with a deadline for each call.
-pub(crate) struct HttpLink {
+#[derive(Debug)]
+pub struct HttpLink {
     system: &'static str,
     base_url: String,
     deadline: Duration,
@@ -42,7 +43,7 @@
 
 impl HttpLink {
     /// Creates a link that keeps idle connections for later calls.
-    pub(crate) fn new(system: &'static str, base_url: &str, deadline: Duration) -> HttpLink {
+    pub fn new(system: &'static str, base_url: &str, deadline: Duration) -> HttpLink {
         HttpLink::build(system, base_url, deadline, true)
     }
 
@@ -75,7 +76,7 @@
     ///
     /// Returns `Unreachable` if no connection could be opened, `Indeterminate` if the answer did
     /// not arrive whole within the deadline, and `Invalid` if the request can't be written.
-    pub(crate) async fn send(
+    pub async fn send(
         &self,
         method: &str,
         path: &str,
--- a/crates/platform/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -16,6 +16,8 @@
 mod http_link;
 mod platform_error;
 
+pub use self::http_answer::HttpAnswer;
+pub use self::http_link::HttpLink;
 pub use self::http_link::encode_segment;
 pub use self::platform_error::PlatformError;
 
--- /dev/null
+++ b/crates/core/src/chain/finder_request.rs
@@ -0,0 +1,14 @@
+use crate::time::MilliTime;
+
+/// What a request needs of a chain.
+#[derive(Clone, Copy, Debug)]
+pub struct FinderRequest<'a> {
+    /// The tokens of context for which memory is needed at every part.
+    pub tokens: f64,
+    /// The availability zone of the process that sends the request.
+    pub zone: &'a str,
+    /// The identifiers of engines that must not take part.
+    pub excluded: &'a [String],
+    /// The present time.
+    pub now: MilliTime,
+}
--- /dev/null
+++ b/crates/core/src/chain/found_chain.rs
@@ -0,0 +1,10 @@
+use super::ChainPart;
+
+/// A chain that covers all layers of the model once and in order.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FoundChain {
+    /// The parts in order; the first one takes the request.
+    pub parts: Vec<ChainPart>,
+    /// The expected time of a token step, in milliseconds.
+    pub step_ms: f64,
+}
--- /dev/null
+++ b/crates/core/src/chain/mod.rs
@@ -0,0 +1,24 @@
+/*!
+Chains of engines that hand a request on among themselves.
+
+[`PlacementPlan`] gives layer ranges to engines that start empty; [`ChainFinder`] finds, for one
+request, the chain of held ranges that covers all layers once and in order with the least expected
+time, among those with enough memory.
+*/
+
+mod chain_finder;
+mod chain_part;
+mod finder_request;
+mod found_chain;
+mod placement_engine;
+mod placement_group;
+mod placement_order;
+mod placement_plan;
+
+pub use self::chain_finder::ChainFinder;
+pub use self::chain_part::ChainPart;
+pub use self::finder_request::FinderRequest;
+pub use self::found_chain::FoundChain;
+pub use self::placement_engine::PlacementEngine;
+pub use self::placement_order::PlacementOrder;
+pub use self::placement_plan::PlacementPlan;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,13 +17,16 @@
 */
 
 pub mod admit;
+pub mod chain;
 pub mod config;
 pub mod dispatch;
 pub mod hex;
 pub mod ident;
+pub mod lease;
 pub mod member;
 pub mod order;
 pub mod outcome;
+pub mod relay;
 pub mod route;
 pub mod stream;
 pub mod time;
--- /dev/null
+++ b/crates/core/src/relay/attempt_end.rs
@@ -0,0 +1,12 @@
+/// How one attempt of a request at an endpoint ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AttemptEnd {
+    /// Nothing was sent: no connection could be opened.
+    NotSent,
+    /// The endpoint said that it did not run the request.
+    Rejected,
+    /// The endpoint answered that the request failed.
+    Failed,
+    /// The connection broke, the answer was not whole or none came in time; it may have run.
+    Broken,
+}
--- /dev/null
+++ b/crates/core/src/relay/attempt_plan.rs
@@ -0,0 +1,72 @@
+use super::AttemptEnd;
+use super::RelayRoute;
+
+/// The most sends of one request, whether they ran or not.
+///
+/// Each send that is rejected costs its callers time and counts against the shared retry budget.
+const MAX_SENDS: u32 = 4;
+
+/// Decides whether a request may be sent once more.
+///
+/// # Example
+///
+/// ```
+/// use dandelionroad_core::relay::AttemptEnd;
+/// use dandelionroad_core::relay::AttemptPlan;
+///
+/// // A request that may run once, on one endpoint.
+/// let mut plan = AttemptPlan::new(false, 1);
+/// plan.end(AttemptEnd::NotSent);
+/// assert!(plan.may_send());
+/// plan.end(AttemptEnd::Broken);
+/// assert!(!plan.may_send());
+/// assert!(plan.may_have_run());
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptPlan {
+    allows_repeat: bool,
+    max_runs: u32,
+    sends: u32,
+    runs: u32,
+}
+
+impl AttemptPlan {
+    /// Creates the plan of a request that may run on `max_runs` endpoints.
+    pub fn new(allows_repeat: bool, max_runs: u32) -> AttemptPlan {
+        AttemptPlan {
+            allows_repeat,
+            max_runs: max_runs.max(1),
+            sends: 0,
+            runs: 0,
+        }
+    }
+
+    /// Creates the plan of a route's request.
+    pub fn for_route(route: &RelayRoute) -> AttemptPlan {
+        AttemptPlan::new(route.repeat.allows_repeat(), route.max_attempts)
+    }
+
+    /// Takes the end of an attempt.
+    pub fn end(&mut self, end: AttemptEnd) {
+        self.sends += 1;
+        match end {
+            AttemptEnd::NotSent | AttemptEnd::Rejected => {}
+            AttemptEnd::Failed | AttemptEnd::Broken => self.runs += 1,
+        }
+    }
+
+    /// Returns whether the request may be sent again.
+    pub fn may_send(&self) -> bool {
+        self.sends < MAX_SENDS && (self.runs == 0 || self.allows_repeat && self.runs < self.max_runs)
+    }
+
+    /// Returns whether some attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.runs > 0
+    }
+
+    /// Returns the number of ended attempts.
+    pub fn sends(&self) -> u32 {
+        self.sends
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/engine_entry.rs
@@ -0,0 +1,57 @@
+use crate::time::MilliTime;
+
+use super::EngineRecord;
+
+/// A listed engine and what this process believes of it.
+#[derive(Clone, Debug)]
+pub struct EngineEntry {
+    /// The newest listing.
+    pub record: EngineRecord,
+    /// When it was first listed in this incarnation.
+    pub listed: MilliTime,
+    /// Until when no new work is sent to it after a failure.
+    pub avoided_until: MilliTime,
+    /// Failures since the last success.
+    pub failures: u32,
+    /// The requests of this process that it runs.
+    pub own_requests: u32,
+    /// The memory that the requests of this process take there, in tokens times layers.
+    pub own_units: f64,
+    /// The requests that other processes reported last.
+    pub peer_requests: u32,
+    /// The memory that the requests of other processes take, in tokens times layers.
+    pub peer_units: f64,
+    /// The factor on its usual times that was seen last; 1 is usual.
+    pub slowness: f64,
+}
+
+impl EngineEntry {
+    pub(super) fn new(record: EngineRecord, now: MilliTime) -> EngineEntry {
+        EngineEntry {
+            record,
+            listed: now,
+            avoided_until: MilliTime::default(),
+            failures: 0,
+            own_requests: 0,
+            own_units: 0.0,
+            peer_requests: 0,
+            peer_units: 0.0,
+            slowness: 1.0,
+        }
+    }
+
+    /// Returns whether new work may be sent to it.
+    pub fn is_usable(&self, now: MilliTime) -> bool {
+        !self.record.is_draining && self.avoided_until <= now
+    }
+
+    /// Returns the requests of all processes that it runs, as far as known.
+    pub fn requests(&self) -> u32 {
+        self.own_requests + self.peer_requests
+    }
+
+    /// Returns the memory of the requests of all processes, in tokens times layers.
+    pub fn units(&self) -> f64 {
+        self.own_units + self.peer_units
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/engine_table.rs
@@ -0,0 +1,159 @@
+use crate::time::MilliTime;
+
+use super::EngineEntry;
+use super::EngineRecord;
+
+/// How long an engine is avoided after one failure, in milliseconds.
+///
+/// Requests that depend on a dead engine stall for two seconds before they are cut off, so a shorter
+/// time would send several rounds of requests to it.
+const AVOID_MS: u64 = 2_000;
+
+/// The longest time that an engine is avoided, in milliseconds.
+const MAX_AVOID_MS: u64 = 6_000;
+
+/// How long an entry that is missing after an outage of the store is still believed, in
+/// milliseconds.
+///
+/// Entries lapse while the store is away; live engines are listed again within two seconds.
+const RELIST_MS: u64 = 2_000;
+
+/// The listed engines, sorted by identifier, with what this process believes of them.
+#[derive(Clone, Debug, Default)]
+pub struct EngineTable {
+    entries: Vec<EngineEntry>,
+    /// Until when missing entries are kept, because the store has just come back.
+    keeps_missing_until: MilliTime,
+}
+
+impl EngineTable {
+    /// Creates an empty table.
+    pub fn new() -> EngineTable {
+        EngineTable::default()
+    }
+
+    /// Returns the engines, sorted by identifier.
+    pub fn entries(&self) -> &[EngineEntry] {
+        &self.entries
+    }
+
+    /// Returns the engine with this identifier.
+    pub fn get(&self, id: &str) -> Option<&EngineEntry> {
+        self.position(id).ok().map(|index| &self.entries[index])
+    }
+
+    /// Returns the engine with this identifier for a change of what is believed of it.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut EngineEntry> {
+        let index = self.position(id).ok()?;
+        Some(&mut self.entries[index])
+    }
+
+    /// Returns the engine at an address.
+    pub fn at_address(&self, address: &str) -> Option<&EngineEntry> {
+        let address: std::net::SocketAddr = address.parse().ok()?;
+        self.entries.iter().find(|entry| entry.record.address == address)
+    }
+
+    /// Takes the end of an outage of the store, after which listings may be incomplete for a while.
+    pub fn store_returned(&mut self, now: MilliTime) {
+        self.keeps_missing_until = now.plus(RELIST_MS);
+    }
+
+    /// Replaces the listing; returns the identifiers that were added and those that were removed.
+    pub fn replace(&mut self, records: Vec<EngineRecord>, now: MilliTime) -> (Vec<String>, Vec<String>) {
+        let mut records = records;
+        records.sort_by(|left, right| left.id.cmp(&right.id));
+        records.dedup_by(|left, right| left.id == right.id);
+        let mut old = std::mem::take(&mut self.entries);
+        let mut added = Vec::new();
+        for record in records {
+            let known = old.binary_search_by(|entry| entry.record.id.cmp(&record.id));
+            match known {
+                Ok(index) if old[index].record.started_ms == record.started_ms => {
+                    let mut entry = old.remove(index);
+                    entry.record = record;
+                    self.entries.push(entry);
+                }
+                Ok(index) => {
+                    // Another incarnation: nothing that was believed of the former holds.
+                    old.remove(index);
+                    added.push(record.id.clone());
+                    self.entries.push(EngineEntry::new(record, now));
+                }
+                Err(_) => {
+                    added.push(record.id.clone());
+                    self.entries.push(EngineEntry::new(record, now));
+                }
+            }
+        }
+        let mut removed = Vec::new();
+        for entry in old {
+            if now < self.keeps_missing_until && !entry.record.is_draining {
+                self.entries.push(entry);
+            } else {
+                removed.push(entry.record.id);
+            }
+        }
+        self.entries
+            .sort_by(|left, right| left.record.id.cmp(&right.record.id));
+        (added, removed)
+    }
+
+    /// Counts a failure and avoids the engine for a time that grows with failures in a row.
+    pub fn fail(&mut self, id: &str, now: MilliTime) {
+        if let Some(entry) = self.get_mut(id) {
+            entry.failures += 1;
+            let avoid_ms = AVOID_MS.saturating_mul(u64::from(entry.failures)).min(MAX_AVOID_MS);
+            entry.avoided_until = entry.avoided_until.max(now.plus(avoid_ms));
+        }
+    }
+
+    /// Avoids the engine for `avoid_ms`, without a judgement on its health.
+    pub fn avoid(&mut self, id: &str, now: MilliTime, avoid_ms: u64) {
+        if let Some(entry) = self.get_mut(id) {
+            entry.avoided_until = entry.avoided_until.max(now.plus(avoid_ms));
+        }
+    }
+
+    /// Counts a success.
+    pub fn succeed(&mut self, id: &str) {
+        if let Some(entry) = self.get_mut(id) {
+            entry.failures = 0;
+        }
+    }
+
+    /// Adds a request of this process that takes `units` of memory.
+    pub fn begin(&mut self, id: &str, units: f64) {
+        if let Some(entry) = self.get_mut(id) {
+            entry.own_requests += 1;
+            entry.own_units += units;
+        }
+    }
+
+    /// Removes a request of this process.
+    pub fn end(&mut self, id: &str, units: f64) {
+        if let Some(entry) = self.get_mut(id) {
+            entry.own_requests = entry.own_requests.saturating_sub(1);
+            entry.own_units = (entry.own_units - units).max(0.0);
+        }
+    }
+
+    /// Replaces what other processes run, as pairs of identifier, requests and units.
+    pub fn set_peer_loads(&mut self, loads: &[(&str, u32, f64)]) {
+        for entry in &mut self.entries {
+            entry.peer_requests = 0;
+            entry.peer_units = 0.0;
+        }
+        for (id, requests, units) in loads {
+            if let Some(entry) = self.get_mut(id) {
+                entry.peer_requests += requests;
+                entry.peer_units += units;
+            }
+        }
+    }
+
+    fn position(&self, id: &str) -> Result<usize, usize> {
+        self.entries
+            .binary_search_by(|entry| entry.record.id.as_str().cmp(id))
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/key_index.rs
@@ -0,0 +1,33 @@
+use super::RelayConfig;
+
+/// The keys of a configuration's client accounts.
+#[derive(Clone, Debug, Default)]
+pub struct KeyIndex {
+    /// Each key with the position of its account, sorted by key.
+    entries: Vec<(String, usize)>,
+}
+
+impl KeyIndex {
+    /// Creates the index of a configuration's keys.
+    pub fn new(config: &RelayConfig) -> KeyIndex {
+        let mut entries = Vec::new();
+        for (position, account) in config.accounts.iter().enumerate() {
+            entries.extend(account.keys.iter().map(|key| (key.clone(), position)));
+        }
+        entries.sort();
+        KeyIndex { entries }
+    }
+
+    /// Returns whether requests need a key at all.
+    pub fn is_open(&self, config: &RelayConfig) -> bool {
+        config.accounts.is_empty()
+    }
+
+    /// Returns the position of the account that holds `key`.
+    pub fn find(&self, key: &str) -> Option<usize> {
+        let index = self
+            .entries
+            .binary_search_by(|(known, _)| known.as_str().cmp(key));
+        index.ok().map(|index| self.entries[index].1)
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/mod.rs
@@ -0,0 +1,51 @@
+/*!
+Forwarding of requests to engines and plain services that need no process of dandelionroad beside
+them.
+
+An operator's [`RelayConfig`] names routes, services and client accounts. [`RouteIndex`] and
+[`KeyIndex`] answer the look-ups of each request, [`ConfigAge`] bounds how old the configuration may
+be, [`EngineTable`] holds the listed engines and what is believed of them, and [`ServicePicker`]
+chooses an endpoint of a plain service.
+*/
+
+mod accelerator_kind;
+mod attempt_end;
+mod attempt_plan;
+mod caller_limits;
+mod config_age;
+mod engine_entry;
+mod engine_record;
+mod engine_table;
+mod event_splitter;
+mod key_index;
+mod model_shape;
+mod relay_account;
+mod relay_config;
+mod relay_route;
+mod relay_service;
+mod repeat_rule;
+mod request_size;
+mod route_index;
+mod service_picker;
+mod service_share;
+
+pub use self::accelerator_kind::AcceleratorKind;
+pub use self::attempt_end::AttemptEnd;
+pub use self::attempt_plan::AttemptPlan;
+pub use self::caller_limits::CallerLimits;
+pub use self::config_age::ConfigAge;
+pub use self::engine_entry::EngineEntry;
+pub use self::engine_record::EngineRecord;
+pub use self::engine_table::EngineTable;
+pub use self::event_splitter::EventSplitter;
+pub use self::key_index::KeyIndex;
+pub use self::model_shape::ModelShape;
+pub use self::relay_account::RelayAccount;
+pub use self::relay_config::RelayConfig;
+pub use self::relay_route::RelayRoute;
+pub use self::relay_service::RelayService;
+pub use self::repeat_rule::RepeatRule;
+pub use self::request_size::RequestSize;
+pub use self::route_index::RouteIndex;
+pub use self::service_picker::ServicePicker;
+pub use self::service_share::ServiceShare;
--- /dev/null
+++ b/crates/core/src/relay/model_shape.rs
@@ -0,0 +1,57 @@
+use super::AcceleratorKind;
+
+/// The model that the engines of a service run together, and the cost of running it.
+///
+/// Times are those of an accelerator with both factors at 1 that holds all layers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelShape {
+    /// The name of the model.
+    pub name: String,
+    /// The number of layers.
+    pub layers: u16,
+    /// The weights of one layer, in megabytes.
+    pub layer_mb: f64,
+    /// The memory of one token of context over all layers, in bytes.
+    pub token_bytes: f64,
+    /// The requests that an engine runs at once as the first of a chain.
+    pub slots: u32,
+    /// The fixed time of a token step, in milliseconds.
+    pub step_ms: f64,
+    /// The time that each writing request adds to a token step, in milliseconds.
+    pub sequence_ms: f64,
+    /// The time that 1,000 tokens of context of a writing request add to a step, in milliseconds.
+    pub context_ms: f64,
+    /// The prompt tokens that are read in a millisecond.
+    pub read_per_ms: f64,
+    /// The time to load all layers, in milliseconds.
+    pub load_ms: f64,
+    /// The mean number of prompt tokens of a request.
+    pub usual_prompt: f64,
+    /// The mean number of output tokens of a request.
+    pub usual_answer: f64,
+    /// The kinds of accelerators, sorted by name.
+    pub kinds: Vec<AcceleratorKind>,
+}
+
+impl ModelShape {
+    /// Returns the kind of accelerator with this name.
+    pub fn kind(&self, name: &str) -> Option<&AcceleratorKind> {
+        let index = self
+            .kinds
+            .binary_search_by(|kind| kind.name.as_str().cmp(name));
+        index.ok().map(|index| &self.kinds[index])
+    }
+
+    /// Returns the most layers that an accelerator of `memory_mb` holds.
+    pub fn max_layers(&self, memory_mb: f64) -> u16 {
+        let count = (memory_mb / self.layer_mb.max(1e-9)).floor();
+        (count.max(0.0) as u16).min(self.layers)
+    }
+
+    /// Returns the memory that `held` layers leave for requests, in tokens times layers.
+    pub fn room_units(&self, memory_mb: f64, held: u16) -> f64 {
+        let free_mb = memory_mb - f64::from(held) * self.layer_mb;
+        let unit_bytes = self.token_bytes / f64::from(self.layers.max(1));
+        (free_mb * 1e6 / unit_bytes.max(1e-9)).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/relay/relay_service.rs
@@ -0,0 +1,12 @@
+use super::ModelShape;
+
+/// A set of engines or endpoints that serve the same requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelayService {
+    /// The name of the service.
+    pub name: String,
+    /// The connections that one endpoint accepts from all callers together.
+    pub max_connections: u32,
+    /// The model that the engines run together; none for a plain service.
+    pub model: Option<ModelShape>,
+}
--- /dev/null
+++ b/crates/core/src/relay/service_picker.rs
@@ -0,0 +1,57 @@
+use crate::route::mix_seed;
+use crate::time::MilliTime;
+
+use super::EngineEntry;
+use super::EngineTable;
+
+/// The waiting requests that an endpoint of a plain service takes beyond its slots, as a factor.
+///
+/// Beyond it, the queue at the endpoint outlasts the callers' short deadlines.
+const QUEUE_FACTOR: u32 = 2;
+
+/// Chooses an endpoint of a plain service for a request: few slots, short deadlines.
+#[derive(Clone, Copy, Debug)]
+pub struct ServicePicker<'a> {
+    table: &'a EngineTable,
+    service: &'a str,
+}
+
+impl<'a> ServicePicker<'a> {
+    /// Creates a picker for one service.
+    pub fn new(table: &'a EngineTable, service: &'a str) -> ServicePicker<'a> {
+        ServicePicker { table, service }
+    }
+
+    /// Returns the endpoint with the least load for its slots, except those in `excluded`.
+    ///
+    /// Endpoints that are avoided are taken only if no other is listed: a request that is sent to
+    /// one may fail, a request that is refused has failed already.
+    pub fn pick(&self, excluded: &[String], now: MilliTime, seed: u64) -> Option<&'a EngineEntry> {
+        let listed = || {
+            let is_allowed = |entry: &&EngineEntry| !excluded.contains(&entry.record.id);
+            self.listed().filter(is_allowed)
+        };
+        let usable = listed().filter(|entry| entry.is_usable(now));
+        usable
+            .min_by_key(|entry| load_key(entry, seed))
+            .or_else(|| listed().min_by_key(|entry| (entry.avoided_until, load_key(entry, seed))))
+    }
+
+    /// Returns whether some endpoint has room.
+    pub fn has_room(&self) -> bool {
+        self.listed()
+            .any(|entry| entry.requests() < entry.record.slots.max(1) * QUEUE_FACTOR)
+    }
+
+    fn listed(&self) -> impl Iterator<Item = &'a EngineEntry> + use<'a> {
+        let service = self.service;
+        let is_listed =
+            move |entry: &&EngineEntry| entry.record.service == service && !entry.record.is_draining;
+        self.table.entries().iter().filter(is_listed)
+    }
+}
+
+fn load_key(entry: &EngineEntry, seed: u64) -> (u64, u64) {
+    let load = u64::from(entry.requests()) * 1_000 / u64::from(entry.record.slots.max(1));
+    (load, mix_seed(seed ^ entry.record.started_ms))
+}
--- a/crates/daemon/src/call_rows/mod.rs
+++ b/crates/daemon/src/call_rows/mod.rs
@@ -7,12 +7,12 @@
 use dandelionroad_core::dispatch::RowChange;
 use dandelionroad_core::dispatch::RowKey;
 use dandelionroad_core::dispatch::VersionedRow;
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::table::CommitReply;
-use dandelionroad_platform::table::RowCheck;
-use dandelionroad_platform::table::RowWrite;
-use dandelionroad_platform::table::TableClient;
-use dandelionroad_platform::table::TableCommit;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::CommitReply;
+use dandelionroad_clients::table::RowCheck;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableClient;
+use dandelionroad_clients::table::TableCommit;
 
 /// Reads a row; `None` if it is absent.
 ///
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -9,8 +9,8 @@
 use dandelionroad_core::config::row_keys::OBJECT_PREFIX;
 use dandelionroad_core::config::row_keys::REVISION_KEY;
 use dandelionroad_core::config::row_keys::log_key;
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::table::TableClient;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::TableClient;
 use serde::de::DeserializeOwned;
 
 /// The number of rows of one scan.
--- a/crates/daemon/src/control/host_poller.rs
+++ b/crates/daemon/src/control/host_poller.rs
@@ -9,7 +9,7 @@
 use dandelionroad_core::member::HostListing;
 use dandelionroad_core::member::MemberRecord;
 use dandelionroad_core::member::MemberState;
-use dandelionroad_platform::host::HostEntry;
+use dandelionroad_clients::host::HostEntry;
 use spdlog::warn;
 
 use crate::node::NodeContext;
--- a/crates/daemon/src/control/store_poller.rs
+++ b/crates/daemon/src/control/store_poller.rs
@@ -31,7 +31,7 @@
     }
 }
 
-async fn poll(context: &NodeContext) -> Result<(), dandelionroad_platform::PlatformError> {
+async fn poll(context: &NodeContext) -> Result<(), dandelionroad_clients::PlatformError> {
     let held = context.config.borrow().clone();
     let newest = config_store::catch_up(context.clients.table.as_ref(), &held).await?;
     if newest.revision > held.revision {
--- a/crates/daemon/src/endpoint/order/order_rows.rs
+++ b/crates/daemon/src/endpoint/order/order_rows.rs
@@ -8,11 +8,11 @@
 use dandelionroad_core::order::ReadyEntry;
 use dandelionroad_core::order::ReadyRow;
 use dandelionroad_core::order::TurnRow;
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::table::CommitReply;
-use dandelionroad_platform::table::RowCheck;
-use dandelionroad_platform::table::RowWrite;
-use dandelionroad_platform::table::TableCommit;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::CommitReply;
+use dandelionroad_clients::table::RowCheck;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
--- a/crates/daemon/src/endpoint/order/order_task.rs
+++ b/crates/daemon/src/endpoint/order/order_task.rs
@@ -13,8 +13,8 @@
 use dandelionroad_core::order::OrderConfig;
 use dandelionroad_core::order::OrderEvent;
 use dandelionroad_core::order::OrderMachine;
-use dandelionroad_platform::engine::EngineClient;
-use dandelionroad_platform::engine::EngineOrder;
+use dandelionroad_clients::engine::EngineClient;
+use dandelionroad_clients::engine::EngineOrder;
 
 use crate::node::NodeContext;
 
--- a/crates/daemon/src/endpoint/stream/engine_runner.rs
+++ b/crates/daemon/src/endpoint/stream/engine_runner.rs
@@ -6,9 +6,9 @@
 use dandelionroad_core::stream::StageOutput;
 use dandelionroad_core::stream::StopReason;
 use dandelionroad_core::stream::StreamOrder;
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::engine::EngineStep;
-use dandelionroad_platform::engine::GenerateOrder;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::engine::EngineStep;
+use dandelionroad_clients::engine::GenerateOrder;
 use futures_util::StreamExt;
 
 use crate::telemetry::HopKind;
--- a/crates/daemon/src/endpoint/stream/stage_tasks.rs
+++ b/crates/daemon/src/endpoint/stream/stage_tasks.rs
@@ -9,7 +9,7 @@
 use dandelionroad_core::stream::StepMessage;
 use dandelionroad_messages::TokenMessage;
 use dandelionroad_messages::stream_api::StreamApiClient;
-use dandelionroad_platform::engine::EngineStep;
+use dandelionroad_clients::engine::EngineStep;
 use futures_util::future::join_all;
 
 use super::engine_runner;
--- a/crates/daemon/src/entry/admin/admin_error.rs
+++ b/crates/daemon/src/entry/admin/admin_error.rs
@@ -2,7 +2,7 @@
 use axum::http::StatusCode;
 use axum::response::IntoResponse;
 use axum::response::Response;
-use dandelionroad_platform::PlatformError;
+use dandelionroad_clients::PlatformError;
 use serde_json::json;
 
 /// An error of the administration API.
--- a/crates/daemon/src/entry/admin/ticket_runner.rs
+++ b/crates/daemon/src/entry/admin/ticket_runner.rs
@@ -9,11 +9,11 @@
 use dandelionroad_core::config::TicketEvent;
 use dandelionroad_core::config::TicketMachine;
 use dandelionroad_core::config::TicketVerdict;
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::table::CommitReply;
-use dandelionroad_platform::table::RowCheck;
-use dandelionroad_platform::table::RowWrite;
-use dandelionroad_platform::table::TableCommit;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::CommitReply;
+use dandelionroad_clients::table::RowCheck;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 use spdlog::info;
 
 use crate::control::config_store;
--- a/crates/daemon/src/entry/crash/crash_row.rs
+++ b/crates/daemon/src/entry/crash/crash_row.rs
@@ -1,10 +1,10 @@
 //! The row `crash/<fingerprint>` of the table service.
 
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::table::RowCheck;
-use dandelionroad_platform::table::RowWrite;
-use dandelionroad_platform::table::TableClient;
-use dandelionroad_platform::table::TableCommit;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::RowCheck;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableClient;
+use dandelionroad_clients::table::TableCommit;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/daemon/src/entry/crash/crash_watch.rs
+++ b/crates/daemon/src/entry/crash/crash_watch.rs
@@ -6,7 +6,7 @@
 use dandelionroad_core::member::CrashRecord;
 use dandelionroad_core::member::CrashTable;
 use dandelionroad_core::stream::StreamOrder;
-use dandelionroad_platform::table::TableClient;
+use dandelionroad_clients::table::TableClient;
 
 use super::crash_row::write_runs;
 
--- a/crates/daemon/src/entry/service/call_driver.rs
+++ b/crates/daemon/src/entry/service/call_driver.rs
@@ -13,7 +13,7 @@
 use dandelionroad_core::dispatch::ServiceResult;
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
-use dandelionroad_platform::encode_segment;
+use dandelionroad_clients::encode_segment;
 
 use crate::call_rows::commit_row;
 use crate::call_rows::read_row;
--- a/crates/daemon/src/entry/service/row_sweeper.rs
+++ b/crates/daemon/src/entry/service/row_sweeper.rs
@@ -5,10 +5,10 @@
 
 use dandelionroad_core::dispatch::CallRow;
 use dandelionroad_core::dispatch::RowSweep;
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::table::RowCheck;
-use dandelionroad_platform::table::RowWrite;
-use dandelionroad_platform::table::TableCommit;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::RowCheck;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 
 use crate::node::NodeContext;
 
--- a/crates/daemon/src/node/node_clients.rs
+++ b/crates/daemon/src/node/node_clients.rs
@@ -1,16 +1,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dandelionroad_platform::engine::EngineClient;
-use dandelionroad_platform::engine::HttpEngine;
-use dandelionroad_platform::host::HostClient;
-use dandelionroad_platform::host::HttpHost;
-use dandelionroad_platform::object::HttpObject;
-use dandelionroad_platform::object::ObjectClient;
-use dandelionroad_platform::service::HttpService;
-use dandelionroad_platform::service::ServiceClient;
-use dandelionroad_platform::table::HttpTable;
-use dandelionroad_platform::table::TableClient;
+use dandelionroad_clients::engine::EngineClient;
+use dandelionroad_clients::engine::HttpEngine;
+use dandelionroad_clients::host::HostClient;
+use dandelionroad_clients::host::HttpHost;
+use dandelionroad_clients::object::HttpObject;
+use dandelionroad_clients::object::ObjectClient;
+use dandelionroad_clients::service::HttpService;
+use dandelionroad_clients::service::ServiceClient;
+use dandelionroad_clients::table::HttpTable;
+use dandelionroad_clients::table::TableClient;
 use dandelionroad_settings::EngineKind;
 use dandelionroad_settings::NodeRole;
 use dandelionroad_settings::NodeSettings;
--- a/crates/daemon/tests/calls/single.rs
+++ b/crates/daemon/tests/calls/single.rs
@@ -9,8 +9,8 @@
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
 use dandelionroad_messages::call_api::CallApiClient;
-use dandelionroad_platform::table::RowWrite;
-use dandelionroad_platform::table::TableCommit;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 use dandelionroad_standins::server::ServerMode;
 
 use super::support::CallSystem;
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -12,8 +12,8 @@
 use dandelionroad_core::config::CommitPlan;
 use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::member::MemberState;
-use dandelionroad_platform::table::RowWrite;
-use dandelionroad_platform::table::TableCommit;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 use dandelionroad_standins::server::FaultPlan;
 use dandelionroad_standins::server::ServerMode;
 
--- a/crates/daemon/tests/processes/process_support/process_cluster.rs
+++ b/crates/daemon/tests/processes/process_support/process_cluster.rs
@@ -7,7 +7,7 @@
 use dandelionroad_demo::DemoLayout;
 use dandelionroad_demo::MODEL;
 use dandelionroad_demo::demo_ticket;
-use dandelionroad_platform::host::HostEntry;
+use dandelionroad_clients::host::HostEntry;
 use dandelionroad_standins::booking::BookingStandin;
 use dandelionroad_standins::engine::EngineOptions;
 use dandelionroad_standins::engine::EngineStandin;
--- a/crates/daemon/tests/stream_support/memory_table.rs
+++ b/crates/daemon/tests/stream_support/memory_table.rs
@@ -3,12 +3,12 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use dandelionroad_platform::ClientFuture;
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::table::CommitReply;
-use dandelionroad_platform::table::TableClient;
-use dandelionroad_platform::table::TableCommit;
-use dandelionroad_platform::table::TableRow;
+use dandelionroad_clients::ClientFuture;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::CommitReply;
+use dandelionroad_clients::table::TableClient;
+use dandelionroad_clients::table::TableCommit;
+use dandelionroad_clients::table::TableRow;
 
 /// A table service in memory that can be taken down.
 #[derive(Default)]
--- a/crates/demo/src/demo_cluster.rs
+++ b/crates/demo/src/demo_cluster.rs
@@ -3,7 +3,7 @@
 
 use dandelionroad_daemon::node::NodeClients;
 use dandelionroad_daemon::node::NodeHandle;
-use dandelionroad_platform::host::HostEntry;
+use dandelionroad_clients::host::HostEntry;
 use dandelionroad_settings::EngineKind;
 use dandelionroad_settings::NodeSettings;
 use dandelionroad_standins::booking::BookingStandin;
--- /dev/null
+++ b/crates/relay/src/engine/load_guard.rs
@@ -0,0 +1,46 @@
+use std::rc::Rc;
+
+use dandelionroad_core::chain::ChainPart;
+
+use crate::node::NodeState;
+
+/// The share of engines that a running request takes; given back when it is dropped.
+pub struct LoadGuard {
+    state: Rc<NodeState>,
+    /// Each engine with the memory taken there, in tokens times layers.
+    loads: Vec<(String, f64)>,
+}
+
+impl LoadGuard {
+    /// Takes `tokens` of context at each part of a chain.
+    pub fn for_chain(state: &Rc<NodeState>, parts: &[ChainPart], tokens: f64) -> LoadGuard {
+        let load = |part: &ChainPart| (part.id.clone(), tokens * f64::from(part.layers.len()));
+        LoadGuard::take(state, parts.iter().map(load).collect())
+    }
+
+    /// Takes a place at an endpoint of a plain service.
+    pub fn for_endpoint(state: &Rc<NodeState>, id: &str) -> LoadGuard {
+        LoadGuard::take(state, vec![(id.to_owned(), 0.0)])
+    }
+
+    fn take(state: &Rc<NodeState>, loads: Vec<(String, f64)>) -> LoadGuard {
+        let mut view = state.view.borrow_mut();
+        for (id, units) in &loads {
+            view.engines.begin(id, *units);
+        }
+        drop(view);
+        LoadGuard {
+            state: Rc::clone(state),
+            loads,
+        }
+    }
+}
+
+impl Drop for LoadGuard {
+    fn drop(&mut self) {
+        let mut view = self.state.view.borrow_mut();
+        for (id, units) in &self.loads {
+            view.engines.end(id, *units);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/engine/mod.rs
@@ -0,0 +1,11 @@
+/*!
+Connections to engines and endpoints.
+*/
+
+mod engine_client;
+mod load_guard;
+mod send_fault;
+
+pub use self::engine_client::EngineClient;
+pub use self::load_guard::LoadGuard;
+pub use self::send_fault::SendFault;
--- /dev/null
+++ b/crates/relay/src/engine/send_fault.rs
@@ -0,0 +1,18 @@
+use snafu::Snafu;
+
+/// A request that got no head of an answer, by what that proves.
+#[derive(Debug, Snafu)]
+pub enum SendFault {
+    /// No connection could be opened, so nothing was sent.
+    #[snafu(display("can't connect: {detail}"))]
+    NotSent {
+        /// What the transport said.
+        detail: String,
+    },
+    /// The connection broke after the request was sent; it may have run.
+    #[snafu(display("no answer: {detail}"))]
+    Broken {
+        /// What the transport said.
+        detail: String,
+    },
+}
--- /dev/null
+++ b/crates/relay/src/ingress/admission.rs
@@ -0,0 +1,51 @@
+use dandelionroad_core::relay::RelayConfig;
+use dandelionroad_core::time::MilliTime;
+
+use crate::node::RelayView;
+use crate::wire::CallerRequest;
+use crate::wire::RefusalKind;
+
+/// The positions of an admitted request's route, service and client account in the configuration.
+pub(super) type Admitted = (usize, usize, Option<usize>);
+
+/// Decides by the configuration whether a request is admitted.
+///
+/// While the configuration may be out of date, nothing is denied by it and no key is accepted:
+/// either could be wrong, and the request has not run.
+///
+/// # Errors
+///
+/// Returns why the request is refused.
+pub(super) fn admit(
+    view: &RelayView,
+    config: &RelayConfig,
+    caller: &CallerRequest,
+    host: &str,
+    path: &str,
+    now: MilliTime,
+) -> Result<Admitted, RefusalKind> {
+    let is_fresh = view.config_age.is_fresh(now);
+    let deny = |kind: RefusalKind| match is_fresh {
+        true => kind,
+        false => RefusalKind::StaleConfig,
+    };
+    let route = view.routes.find(host, path).ok_or(deny(RefusalKind::NoRoute))?;
+    let spec = &config.routes[route];
+    let account = if config.accounts.is_empty() || spec.is_public {
+        None
+    } else {
+        let key = caller.key.as_deref();
+        let found = key.and_then(|key| view.keys.find(key));
+        let account = found.ok_or(deny(RefusalKind::UnknownKey))?;
+        if !is_fresh {
+            return Err(RefusalKind::StaleConfig);
+        }
+        Some(account)
+    };
+    let name = spec.service(&caller.id).ok_or(RefusalKind::NoEngine)?;
+    let service = config
+        .services
+        .binary_search_by(|service| service.name.as_str().cmp(name))
+        .map_err(|_| RefusalKind::NoEngine)?;
+    Ok((route, service, account))
+}
--- /dev/null
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -0,0 +1,183 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use dandelionroad_core::relay::AttemptEnd;
+use dandelionroad_core::relay::AttemptPlan;
+use dandelionroad_core::relay::RepeatRule;
+use dandelionroad_core::relay::ServicePicker;
+use dandelionroad_core::route::hash_text;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use crate::engine::LoadGuard;
+use crate::engine::SendFault;
+use crate::node::NodeState;
+use crate::telemetry::RequestLog;
+use crate::wire::EngineCall;
+use crate::wire::RefusalKind;
+
+use super::caller_body::CallerBody;
+use super::caller_body::full_body;
+use super::engine_reply::EngineReply;
+use super::relay_request::RelayRequest;
+use super::request_handler::end_refused;
+
+/// The least time that is left for a further attempt, in milliseconds.
+const LEAST_ATTEMPT_MS: u64 = 30;
+
+/// The share of the remaining time after which a repeatable request is given to another endpoint, as
+/// a divisor.
+const SHARE_DIVISOR: u64 = 2;
+
+/// How one attempt ended.
+enum PlainEnd {
+    /// An answer to pass on.
+    Answered(Response<CallerBody>),
+    /// An error of the endpoint, to pass on if nothing better can be had.
+    Failed(Response<CallerBody>),
+    /// No answer to pass on.
+    Lost(AttemptEnd),
+}
+
+/// Passes a request on to an endpoint of a plain service, and its whole answer back.
+pub(super) async fn drive_plain(
+    state: Rc<NodeState>,
+    relay: RelayRequest,
+    mut log: RequestLog,
+) -> Response<CallerBody> {
+    let mut plan = AttemptPlan::for_route(relay.route());
+    let mut tried: Vec<String> = Vec::new();
+    let mut failure = None;
+    loop {
+        let now = state.clock.now();
+        let left_ms = relay.deadline.since(now);
+        let may_go_on = plan.sends() == 0 || left_ms >= LEAST_ATTEMPT_MS;
+        if !may_go_on || !plan.may_send() || !takes_retry(&state, &plan) {
+            break;
+        }
+        let Some((id, address)) = pick(&state, &relay, &tried) else {
+            break;
+        };
+        log.sent(&id);
+        tried.push(id.clone());
+        match attempt(&state, &relay, &id, address, left_ms).await {
+            PlainEnd::Answered(response) => {
+                state.view.borrow_mut().engines.succeed(&id);
+                log.first_event();
+                log.end("served");
+                return response;
+            }
+            PlainEnd::Failed(response) => {
+                plan.end(AttemptEnd::Failed);
+                log.failed("endpoint failed");
+                failure = Some(response);
+            }
+            PlainEnd::Lost(end) => {
+                plan.end(end);
+                log.failed(lost_text(end));
+                let now = state.clock.now();
+                state.view.borrow_mut().engines.fail(&id, now);
+            }
+        }
+    }
+    if let Some(response) = failure {
+        log.end("failed");
+        return response;
+    }
+    let kind = match plan.may_have_run() {
+        false => RefusalKind::NoEngine,
+        true if state.clock.now() >= relay.deadline => RefusalKind::TimedOut,
+        true => RefusalKind::LostAnswer,
+    };
+    end_refused(&state, &mut log, &relay.caller.id, kind)
+}
+
+/// Takes a retry from the budget, if this would be one.
+fn takes_retry(state: &NodeState, plan: &AttemptPlan) -> bool {
+    if plan.sends() == 0 {
+        return true;
+    }
+    let is_allowed = state.view.borrow_mut().retries.try_retry();
+    state.metrics.count_retry(if is_allowed { "plain" } else { "budget" });
+    is_allowed
+}
+
+fn pick(
+    state: &NodeState,
+    relay: &RelayRequest,
+    tried: &[String],
+) -> Option<(String, std::net::SocketAddr)> {
+    let view = state.view.borrow();
+    let picker = ServicePicker::new(&view.engines, &relay.service().name);
+    let seed = hash_text(tried.len() as u64, &relay.caller.id);
+    let entry = picker.pick(tried, state.clock.now(), seed)?;
+    Some((entry.record.id.clone(), entry.record.address))
+}
+
+async fn attempt(
+    state: &Rc<NodeState>,
+    relay: &RelayRequest,
+    id: &str,
+    address: std::net::SocketAddr,
+    left_ms: u64,
+) -> PlainEnd {
+    let _load = LoadGuard::for_endpoint(state, id);
+    let is_once = relay.route().repeat == RepeatRule::AtMostOnce;
+    let call = EngineCall {
+        expected_id: id,
+        deadline_ms: left_ms,
+        account: relay.account().map(|account| account.name.as_str()),
+        priority: relay.priority(),
+        last_event: None,
+        chain: &[],
+    };
+    let headers = state.format.encode_headers(&relay.parts.headers, &call);
+    let method = &relay.parts.method;
+    let sent = state
+        .engines
+        .send(address, method, relay.path(), headers, relay.body.clone(), is_once);
+    let wait_ms = match is_once {
+        true => left_ms,
+        false => left_ms / SHARE_DIVISOR,
+    };
+    let exchange = async {
+        let response = sent.await?;
+        Ok::<PlainEnd, SendFault>(take_answer(state, relay, response).await)
+    };
+    match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
+        Ok(Ok(end)) => end,
+        Ok(Err(SendFault::NotSent { .. })) => PlainEnd::Lost(AttemptEnd::NotSent),
+        Ok(Err(SendFault::Broken { .. })) | Err(_) => PlainEnd::Lost(AttemptEnd::Broken),
+    }
+}
+
+async fn take_answer(state: &NodeState, relay: &RelayRequest, response: Response<Incoming>) -> PlainEnd {
+    let reply = EngineReply::read(state, &relay.caller.id, &response);
+    if matches!(reply, EngineReply::Rejected { .. } | EngineReply::Foreign) {
+        return PlainEnd::Lost(reply.end());
+    }
+    let (parts, body) = response.into_parts();
+    let body: Bytes = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return PlainEnd::Lost(AttemptEnd::Broken),
+    };
+    let mut answer = Response::new(full_body(body));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = state.format.caller_headers(&parts.headers);
+    match reply {
+        EngineReply::Failed => PlainEnd::Failed(answer),
+        _ => PlainEnd::Answered(answer),
+    }
+}
+
+/// Returns the text of an end in logs.
+pub(super) fn lost_text(end: AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::NotSent => "not sent",
+        AttemptEnd::Rejected => "rejected",
+        AttemptEnd::Failed => "failed",
+        AttemptEnd::Broken => "broken",
+    }
+}
--- /dev/null
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -0,0 +1,61 @@
+use std::rc::Rc;
+
+use hyper::Response;
+use tokio::task::spawn_local;
+
+use crate::node::NodeState;
+use crate::telemetry::RequestLog;
+use crate::wire::RefusalKind;
+
+use super::caller_body::CallerBody;
+use super::caller_body::full_body;
+use super::caller_body::piece_body;
+use super::relay_request::RelayRequest;
+use super::request_handler::end_refused;
+use super::stream_relay::StreamOpened;
+use super::stream_relay::StreamRelay;
+
+/// Runs a model request on a chain of engines and passes its events on as they come.
+pub(super) async fn drive_stream(
+    state: Rc<NodeState>,
+    relay: RelayRequest,
+    mut log: RequestLog,
+) -> Response<CallerBody> {
+    let mut stream = StreamRelay::new(Rc::clone(&state), relay);
+    match stream.open(&mut log).await {
+        StreamOpened::Streaming(parts) => {
+            let (sender, body) = piece_body();
+            let mut response = Response::new(body);
+            *response.status_mut() = parts.status;
+            *response.headers_mut() = state.format.caller_headers(&parts.headers);
+            spawn_local(async move {
+                tokio::select! {
+                    () = stream.run(&sender, &mut log) => {}
+                    // Dropping the stream closes its connection, at which the engines stop.
+                    () = sender.closed() => {}
+                }
+            });
+            response
+        }
+        StreamOpened::Answered(parts, body) => {
+            log.end("failed");
+            let mut response = Response::new(full_body(body));
+            *response.status_mut() = parts.status;
+            *response.headers_mut() = state.format.caller_headers(&parts.headers);
+            response
+        }
+        StreamOpened::Refused(kind) => {
+            let id = stream.request_id().to_owned();
+            end_refused(&state, &mut log, &id, kind)
+        }
+    }
+}
+
+/// Returns how a model request ends that got no answer.
+pub(super) fn refusal_kind(may_have_run: bool, is_late: bool) -> RefusalKind {
+    match (may_have_run, is_late) {
+        (false, _) => RefusalKind::NoEngine,
+        (true, true) => RefusalKind::TimedOut,
+        (true, false) => RefusalKind::LostAnswer,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/node/relay_settings.rs
@@ -0,0 +1,30 @@
+use std::net::SocketAddr;
+
+/// The settings of a process that relays requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RelaySettings {
+    /// The name of the process, which no other one has.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether the process takes callers.
+    pub readiness: SocketAddr,
+    /// Where the other processes of dandelionroad send datagrams.
+    pub peers: SocketAddr,
+    /// Where metrics are read.
+    pub metrics: SocketAddr,
+    /// Where the store is.
+    pub store: SocketAddr,
+    /// The greatest age of the configuration with which keys are accepted, in milliseconds.
+    pub key_age_ms: u64,
+    /// The time between two reads of the list of engines, in milliseconds.
+    pub list_interval_ms: u64,
+    /// Retries of all processes together, as a share of the requests, in percent.
+    pub retry_percent: u32,
+    /// Retries of all processes together that are allowed beside that share, in each window.
+    pub retry_slack: u32,
+    /// The time between the signal to stop and the end of the process, in milliseconds.
+    pub grace_ms: u64,
+}
--- /dev/null
+++ b/crates/relay/src/node/relay_view.rs
@@ -0,0 +1,64 @@
+use std::rc::Rc;
+
+use dandelionroad_core::admit::RetryBudget;
+use dandelionroad_core::relay::ConfigAge;
+use dandelionroad_core::relay::EngineTable;
+use dandelionroad_core::relay::KeyIndex;
+use dandelionroad_core::relay::RelayConfig;
+use dandelionroad_core::relay::RouteIndex;
+
+use super::RelaySettings;
+
+/// What a process believes of the system around it.
+#[derive(Debug)]
+pub struct RelayView {
+    /// The newest configuration.
+    pub config: Option<Rc<RelayConfig>>,
+    /// The routes of the configuration.
+    pub routes: RouteIndex,
+    /// The keys of the configuration.
+    pub keys: KeyIndex,
+    /// When the configuration was last known to be the newest.
+    pub config_age: ConfigAge,
+    /// The listed engines.
+    pub engines: EngineTable,
+    /// Whether the engines were listed at least once.
+    pub has_listing: bool,
+    /// The retries that are left to this process.
+    pub retries: RetryBudget,
+    /// Whether the process is stopping.
+    pub is_stopping: bool,
+}
+
+impl RelayView {
+    /// Creates the view of a process that knows nothing yet.
+    pub fn new(settings: &RelaySettings) -> RelayView {
+        RelayView {
+            config: None,
+            routes: RouteIndex::default(),
+            keys: KeyIndex::default(),
+            config_age: ConfigAge::new(settings.key_age_ms),
+            engines: EngineTable::new(),
+            has_listing: false,
+            retries: RetryBudget::new(settings.retry_percent, settings.retry_slack),
+            is_stopping: false,
+        }
+    }
+
+    /// Adopts a configuration unless a newer one is held; returns whether it was adopted.
+    pub fn adopt(&mut self, config: RelayConfig) -> bool {
+        let held = self.config.as_ref().map(|config| config.version);
+        if held.is_some_and(|version| version >= config.version) {
+            return false;
+        }
+        self.routes = RouteIndex::new(&config);
+        self.keys = KeyIndex::new(&config);
+        self.config = Some(Rc::new(config));
+        true
+    }
+
+    /// Returns whether callers may be sent to this process.
+    pub fn is_ready(&self) -> bool {
+        self.config.is_some() && self.has_listing && !self.is_stopping
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peer/peer_table.rs
@@ -0,0 +1,111 @@
+use std::net::SocketAddr;
+
+use dandelionroad_core::time::MilliTime;
+
+use super::PeerLoad;
+use super::PeerMessage;
+
+/// How long the loads of a silent process are counted, in milliseconds.
+///
+/// Five messages may be lost; the requests of a process that died end within seconds.
+const SILENT_MS: u64 = 1_000;
+
+/// How long a silent process is still sent messages, in milliseconds.
+const FORGET_MS: u64 = 15_000;
+
+/// One other process.
+#[derive(Clone, Debug)]
+struct PeerState {
+    address: SocketAddr,
+    heard: MilliTime,
+    sequence: u64,
+    loads: Vec<PeerLoad>,
+    reaches_store: bool,
+    is_heard: bool,
+}
+
+/// The other processes, sorted by address.
+#[derive(Clone, Debug, Default)]
+pub struct PeerTable {
+    peers: Vec<PeerState>,
+}
+
+impl PeerTable {
+    /// Creates an empty table.
+    pub fn new() -> PeerTable {
+        PeerTable::default()
+    }
+
+    /// Adds a process that is listed in the store.
+    pub fn listed(&mut self, address: SocketAddr, now: MilliTime) {
+        self.entry(address, now);
+    }
+
+    /// Takes a message; returns whether it was newer than those before.
+    pub fn heard(&mut self, address: SocketAddr, message: PeerMessage, now: MilliTime) -> bool {
+        let peer = self.entry(address, now);
+        // A restart begins with a low sequence again; a sequence far below is a new sender.
+        let is_old = message.sequence <= peer.sequence && now.since(peer.heard) < SILENT_MS;
+        if is_old {
+            return false;
+        }
+        peer.heard = now;
+        peer.is_heard = true;
+        peer.sequence = message.sequence;
+        peer.loads = message.loads;
+        peer.reaches_store = message.reaches_store;
+        true
+    }
+
+    /// Forgets processes that were silent for long.
+    pub fn expire(&mut self, now: MilliTime) {
+        self.peers.retain(|peer| now.since(peer.heard) < FORGET_MS);
+    }
+
+    /// Returns the addresses to which messages are sent.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers.iter().map(|peer| peer.address).collect()
+    }
+
+    /// Returns the number of processes that were heard of lately.
+    pub fn live(&self, now: MilliTime) -> u32 {
+        self.live_peers(now).count() as u32
+    }
+
+    /// Returns whether no live process that reaches the store has a lower address than `own`.
+    pub fn is_first(&self, own: SocketAddr, now: MilliTime) -> bool {
+        !self.live_peers(now).any(|peer| peer.reaches_store && peer.address < own)
+    }
+
+    /// Returns the loads of the live processes, as identifier of the engine, requests and units.
+    pub fn loads(&self, now: MilliTime) -> Vec<(&str, u32, f64)> {
+        let loads = self.live_peers(now).flat_map(|peer| &peer.loads);
+        loads
+            .map(|load| (load.engine.as_str(), load.requests, load.units as f64))
+            .collect()
+    }
+
+    fn live_peers(&self, now: MilliTime) -> impl Iterator<Item = &PeerState> {
+        let is_live = move |peer: &&PeerState| peer.is_heard && now.since(peer.heard) < SILENT_MS;
+        self.peers.iter().filter(is_live)
+    }
+
+    fn entry(&mut self, address: SocketAddr, now: MilliTime) -> &mut PeerState {
+        let index = match self.peers.binary_search_by_key(&address, |peer| peer.address) {
+            Ok(index) => index,
+            Err(index) => {
+                let peer = PeerState {
+                    address,
+                    heard: now,
+                    sequence: 0,
+                    loads: Vec::new(),
+                    reaches_store: false,
+                    is_heard: false,
+                };
+                self.peers.insert(index, peer);
+                index
+            }
+        };
+        &mut self.peers[index]
+    }
+}
--- /dev/null
+++ b/crates/relay/src/store/config_task.rs
@@ -0,0 +1,98 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use dandelionroad_core::time::MilliTime;
+
+use crate::node::NodeState;
+use crate::wire::StoreCall;
+use crate::wire::StoreReply;
+use crate::wire::StoreRow;
+use crate::wire::StoreTable;
+
+use super::StoreClient;
+use super::store_client::WATCH_WAIT_MS;
+
+/// The pause after a call that failed, in milliseconds.
+///
+/// Six processes that ask four times a second stay far below the store's rate.
+const RETRY_PAUSE_MS: u64 = 250;
+
+/// Follows the operator's configuration until the process ends.
+pub async fn run_config(state: Rc<NodeState>, store: Rc<StoreClient>) {
+    let mut version: Option<u64> = None;
+    let mut is_reached = true;
+    loop {
+        let start = state.clock.now();
+        let result = match version {
+            None => read_all(&state, &store, start).await,
+            Some(known) => watch(&state, &store, known, start).await,
+        };
+        match result {
+            Ok(next) => {
+                if !is_reached {
+                    spdlog::info!("store: regained for the configuration");
+                }
+                is_reached = true;
+                version = next;
+            }
+            Err(error) => {
+                if is_reached {
+                    let age = state.view.borrow().config_age.age_ms(state.clock.now());
+                    spdlog::warn!("store: lost for the configuration: {error}", kv: {
+                        config_age_ms = age.unwrap_or(u64::MAX),
+                    });
+                }
+                is_reached = false;
+                tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn read_all(
+    state: &NodeState,
+    store: &StoreClient,
+    start: MilliTime,
+) -> Result<Option<u64>, String> {
+    let (rows, version, _) = store.read(StoreTable::Config).await?;
+    take_rows(state, &rows, start)?;
+    Ok(Some(version))
+}
+
+async fn watch(
+    state: &NodeState,
+    store: &StoreClient,
+    version: u64,
+    start: MilliTime,
+) -> Result<Option<u64>, String> {
+    let call = StoreCall::Watch {
+        table: StoreTable::Config,
+        version,
+        wait_ms: WATCH_WAIT_MS,
+    };
+    match store.call(&call).await? {
+        StoreReply::Rows { rows, version, .. } => {
+            take_rows(state, &rows, start)?;
+            Ok(Some(version))
+        }
+        StoreReply::HistoryLost => Ok(None),
+        other => Err(format!("unexpected answer: {other:?}")),
+    }
+}
+
+/// Adopts the newest configuration among the rows and confirms the age of the held one.
+fn take_rows(state: &NodeState, rows: &[StoreRow], start: MilliTime) -> Result<(), String> {
+    let decoded = state.format.decode_config(rows).map_err(|fault| fault.to_string())?;
+    let mut view = state.view.borrow_mut();
+    if let Some(config) = decoded {
+        let version = config.version;
+        if view.adopt(config) {
+            spdlog::info!("config: adopted", kv: { version = version });
+            state.metrics.set_config_version(version);
+        }
+    }
+    if view.config.is_some() {
+        view.config_age.confirm(start);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/relay/src/telemetry/mod.rs
@@ -0,0 +1,13 @@
+/*!
+Logs on the standard output and metrics on an address of the settings.
+*/
+
+mod install_log;
+mod metrics_server;
+mod relay_metrics;
+mod request_log;
+
+pub use self::install_log::install_log;
+pub use self::metrics_server::serve_metrics;
+pub use self::relay_metrics::RelayMetrics;
+pub use self::request_log::RequestLog;
--- /dev/null
+++ b/crates/relay/src/telemetry/request_log.rs
@@ -0,0 +1,104 @@
+use std::rc::Rc;
+
+use dandelionroad_core::time::MilliTime;
+
+use crate::node::NodeState;
+
+/// The record of one request, written as one log line and counted when it ends.
+pub struct RequestLog {
+    state: Rc<NodeState>,
+    id: String,
+    arrived: MilliTime,
+    first: Option<MilliTime>,
+    route: String,
+    engines: String,
+    sends: u32,
+    outcome: &'static str,
+    detail: String,
+}
+
+impl RequestLog {
+    /// Begins the record of a request.
+    pub fn new(state: &Rc<NodeState>, id: &str, arrived: MilliTime) -> RequestLog {
+        state.running.set(state.running.get() + 1);
+        RequestLog {
+            state: Rc::clone(state),
+            id: id.to_owned(),
+            arrived,
+            first: None,
+            route: String::new(),
+            engines: String::new(),
+            sends: 0,
+            // Overwritten by each regular end; a caller that leaves drops the request as it is.
+            outcome: "caller-left",
+            detail: String::new(),
+        }
+    }
+
+    /// Returns when the request arrived.
+    pub fn arrived(&self) -> MilliTime {
+        self.arrived
+    }
+
+    /// Takes the route of the request.
+    pub fn set_route(&mut self, prefix: &str) {
+        self.route = prefix.to_owned();
+    }
+
+    /// Takes a send to the engines named by `engines`.
+    pub fn sent(&mut self, engines: &str) {
+        self.sends += 1;
+        if !self.engines.is_empty() {
+            self.engines.push(';');
+        }
+        self.engines.push_str(engines);
+    }
+
+    /// Takes the first event, or the head of a whole answer.
+    pub fn first_event(&mut self) {
+        if self.first.is_none() {
+            self.first = Some(self.state.clock.now());
+        }
+    }
+
+    /// Returns whether an event was passed on.
+    pub fn has_event(&self) -> bool {
+        self.first.is_some()
+    }
+
+    /// Takes the cause of a failed send.
+    pub fn failed(&mut self, cause: &str) {
+        if !self.detail.is_empty() {
+            self.detail.push_str("; ");
+        }
+        self.detail.push_str(cause);
+    }
+
+    /// Takes how the request ended.
+    pub fn end(&mut self, outcome: &'static str) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for RequestLog {
+    fn drop(&mut self) {
+        let state = &self.state;
+        state.running.set(state.running.get().saturating_sub(1));
+        let now = state.clock.now();
+        let whole_ms = now.since(self.arrived);
+        let first_ms = self.first.map(|first| first.since(self.arrived));
+        state.metrics.count_request(self.outcome, first_ms, whole_ms);
+        let view = state.view.borrow();
+        spdlog::info!("request: {}", self.outcome, kv: {
+            request = self.id.as_str(),
+            route = self.route.as_str(),
+            engines = self.engines.as_str(),
+            sends = self.sends,
+            first_ms = first_ms.map_or(-1, |first| first as i64),
+            whole_ms = whole_ms,
+            config = view.config.as_ref().map_or(0, |config| config.version),
+            config_age_ms = view.config_age.age_ms(now).unwrap_or(u64::MAX),
+            cause = self.detail.as_str(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/relay/src/wire/mod.rs
@@ -0,0 +1,38 @@
+/*!
+What a deployment's protocols say, decoded into the words of this project.
+
+A deployment brings one [`WireFormat`]. It translates and does nothing else: it opens no connection,
+keeps no state and decides nothing.
+*/
+
+mod caller_request;
+mod encoded_call;
+mod engine_answer;
+mod engine_call;
+mod engine_order;
+mod engine_report;
+mod order_answer;
+mod refusal_kind;
+mod store_call;
+mod store_reply;
+mod store_row;
+mod store_table;
+mod store_write;
+mod wire_fault;
+mod wire_format;
+
+pub use self::caller_request::CallerRequest;
+pub use self::encoded_call::EncodedCall;
+pub use self::engine_answer::EngineAnswer;
+pub use self::engine_call::EngineCall;
+pub use self::engine_order::EngineOrder;
+pub use self::engine_report::EngineReport;
+pub use self::order_answer::OrderAnswer;
+pub use self::refusal_kind::RefusalKind;
+pub use self::store_call::StoreCall;
+pub use self::store_reply::StoreReply;
+pub use self::store_row::StoreRow;
+pub use self::store_table::StoreTable;
+pub use self::store_write::StoreWrite;
+pub use self::wire_fault::WireFault;
+pub use self::wire_format::WireFormat;
--- a/crates/standins/src/engine/batch_loop.rs
+++ b/crates/standins/src/engine/batch_loop.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use dandelionroad_platform::engine::EngineStep;
-use dandelionroad_platform::engine::StepOutput;
+use dandelionroad_clients::engine::EngineStep;
+use dandelionroad_clients::engine::StepOutput;
 
 use super::RunRecord;
 use super::batch_job::BatchJob;
--- a/crates/standins/src/engine/batch_work.rs
+++ b/crates/standins/src/engine/batch_work.rs
@@ -1,6 +1,6 @@
-use dandelionroad_platform::engine::EngineStep;
-use dandelionroad_platform::engine::GeneratedToken;
-use dandelionroad_platform::engine::StepOutput;
+use dandelionroad_clients::engine::EngineStep;
+use dandelionroad_clients::engine::GeneratedToken;
+use dandelionroad_clients::engine::StepOutput;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
--- a/crates/standins/src/engine/engine_memory.rs
+++ b/crates/standins/src/engine/engine_memory.rs
@@ -1,6 +1,6 @@
 use dandelionroad_core::stream::LayerRange;
-use dandelionroad_platform::engine::EngineOrder;
-use dandelionroad_platform::engine::EngineState;
+use dandelionroad_clients::engine::EngineOrder;
+use dandelionroad_clients::engine::EngineState;
 
 use super::EngineStats;
 use super::RunRecord;
--- a/crates/standins/src/engine/engine_shared.rs
+++ b/crates/standins/src/engine/engine_shared.rs
@@ -1,7 +1,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
-use dandelionroad_platform::engine::EngineState;
+use dandelionroad_clients::engine::EngineState;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
--- a/crates/standins/src/engine/engine_standin.rs
+++ b/crates/standins/src/engine/engine_standin.rs
@@ -6,7 +6,7 @@
 use std::time::UNIX_EPOCH;
 
 use axum::Router;
-use dandelionroad_platform::engine::EngineState;
+use dandelionroad_clients::engine::EngineState;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioExecutor;
--- a/crates/standins/src/engine/layer_session.rs
+++ b/crates/standins/src/engine/layer_session.rs
@@ -1,7 +1,7 @@
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::stream::StepPayload;
-use dandelionroad_platform::engine::EngineStep;
-use dandelionroad_platform::engine::StepOutput;
+use dandelionroad_clients::engine::EngineStep;
+use dandelionroad_clients::engine::StepOutput;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/standins/src/host/host_standin.rs
+++ b/crates/standins/src/host/host_standin.rs
@@ -10,7 +10,7 @@
 use axum::extract::State;
 use axum::http::StatusCode;
 use axum::routing::get;
-use dandelionroad_platform::host::HostEntry;
+use dandelionroad_clients::host::HostEntry;
 
 use crate::server::FaultSwitches;
 use crate::server::StandinServer;
--- a/crates/standins/src/table/row_store.rs
+++ b/crates/standins/src/table/row_store.rs
@@ -1,6 +1,6 @@
-use dandelionroad_platform::table::CommitReply;
-use dandelionroad_platform::table::TableCommit;
-use dandelionroad_platform::table::TableRow;
+use dandelionroad_clients::table::CommitReply;
+use dandelionroad_clients::table::TableCommit;
+use dandelionroad_clients::table::TableRow;
 
 /// The rows of the table service, sorted by key, without I/O.
 #[derive(Clone, Debug, Default)]
--- a/crates/standins/src/table/table_standin.rs
+++ b/crates/standins/src/table/table_standin.rs
@@ -15,9 +15,9 @@
 use axum::response::Response;
 use axum::routing::get;
 use axum::routing::post;
-use dandelionroad_platform::table::CommitReply;
-use dandelionroad_platform::table::TableCommit;
-use dandelionroad_platform::table::TableRow;
+use dandelionroad_clients::table::CommitReply;
+use dandelionroad_clients::table::TableCommit;
+use dandelionroad_clients::table::TableRow;
 use serde::Deserialize;
 use serde_json::json;
 
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -2,14 +2,14 @@
 
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::stream::StepPayload;
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::engine::EngineClient;
-use dandelionroad_platform::engine::EngineOrder;
-use dandelionroad_platform::engine::EngineStep;
-use dandelionroad_platform::engine::GenerateOrder;
-use dandelionroad_platform::engine::GeneratedToken;
-use dandelionroad_platform::engine::HttpEngine;
-use dandelionroad_platform::engine::StepOutput;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::engine::EngineClient;
+use dandelionroad_clients::engine::EngineOrder;
+use dandelionroad_clients::engine::EngineStep;
+use dandelionroad_clients::engine::GenerateOrder;
+use dandelionroad_clients::engine::GeneratedToken;
+use dandelionroad_clients::engine::HttpEngine;
+use dandelionroad_clients::engine::StepOutput;
 use dandelionroad_standins::engine::CacheEvent;
 use dandelionroad_standins::engine::EngineFaults;
 use dandelionroad_standins::engine::EngineOptions;
--- a/crates/standins/tests/serve.rs
+++ b/crates/standins/tests/serve.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use dandelionroad_platform::PlatformError;
-use dandelionroad_platform::service::HttpService;
-use dandelionroad_platform::service::ServiceCall;
-use dandelionroad_platform::service::ServiceClient;
-use dandelionroad_platform::table::HttpTable;
-use dandelionroad_platform::table::TableClient;
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::service::HttpService;
+use dandelionroad_clients::service::ServiceCall;
+use dandelionroad_clients::service::ServiceClient;
+use dandelionroad_clients::table::HttpTable;
+use dandelionroad_clients::table::TableClient;
 use dandelionroad_standins::serve::ServeOptions;
 use dandelionroad_standins::serve::ServedSet;
 
