--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -24,9 +24,15 @@
 /// The expected time of a hop within an availability zone, in milliseconds.
 const NEAR_HOP_MS: f64 = 0.1;
 
-/// The expected time of a hop between availability zones, in milliseconds.
+/// The expected time of a hop from the entry to another availability zone, in milliseconds.
 const FAR_HOP_MS: f64 = 0.5;
 
+/// The cost of a hop between engines of different availability zones, in milliseconds of a step.
+///
+/// All prompts that cross share one pipe between zones: 800 tokens of activations take 16 ms there,
+/// and chains that all cross filled it to the point of pauses of 300 ms between events.
+const FAR_TRANSFER_MS: f64 = 3.0;
+
 /// The factor on the time of an engine whose memory is all given out, above that of an empty one.
 ///
 /// Spreads requests before memory runs out, so that large requests still find room.
@@ -117,10 +123,17 @@
     }
 
     fn free_units(&self, entry: &EngineEntry) -> f64 {
-        let Some(kind) = entry.record.kind.as_deref().and_then(|kind| self.shape.kind(kind)) else {
+        let Some(kind) = entry
+            .record
+            .kind
+            .as_deref()
+            .and_then(|kind| self.shape.kind(kind))
+        else {
             return 0.0;
         };
-        let room = self.shape.room_units(kind.memory_mb, entry.record.layers.len());
+        let room = self
+            .shape
+            .room_units(kind.memory_mb, entry.record.layers.len());
         (room * ROOM_SHARE - entry.units()).max(0.0)
     }
 
@@ -131,7 +144,11 @@
             if is_excluded || !entry.is_usable(request.now) {
                 continue;
             }
-            let kind = entry.record.kind.as_deref().and_then(|kind| self.shape.kind(kind));
+            let kind = entry
+                .record
+                .kind
+                .as_deref()
+                .and_then(|kind| self.shape.kind(kind));
             let Some(kind) = kind else { continue };
             let free = self.free_units(entry);
             let room_layers = (free / request.tokens.max(1.0)).min(f64::from(u16::MAX)) as u16;
@@ -139,7 +156,9 @@
                 continue;
             }
             let held = f64::from(entry.record.layers.len());
-            let room = self.shape.room_units(kind.memory_mb, entry.record.layers.len());
+            let room = self
+                .shape
+                .room_units(kind.memory_mb, entry.record.layers.len());
             let used = 1.0 - (free / (room * ROOM_SHARE).max(1.0)).clamp(0.0, 1.0);
             let writers = f64::from(entry.requests());
             let writer_ms = self.shape.sequence_ms
@@ -167,7 +186,10 @@
         allows_early_end: bool,
     ) -> Option<FoundChain> {
         let layers = self.shape.layers;
-        let mut bounds: Vec<u16> = candidates.iter().map(|candidate| candidate.layers.first).collect();
+        let mut bounds: Vec<u16> = candidates
+            .iter()
+            .map(|candidate| candidate.layers.first)
+            .collect();
         bounds.push(layers);
         bounds.sort_unstable();
         bounds.dedup();
@@ -175,7 +197,15 @@
         let mut steps: Vec<Vec<Step>> = vec![Vec::new(); usize::from(layers) + 1];
         for first in 0..layers {
             for index in 0..candidates.len() {
-                self.extend(candidates, index, first, &bounds, allows_early_end, request, &mut steps);
+                self.extend(
+                    candidates,
+                    index,
+                    first,
+                    &bounds,
+                    allows_early_end,
+                    request,
+                    &mut steps,
+                );
             }
         }
         let last = steps[usize::from(layers)]
@@ -185,7 +215,10 @@
     }
 
     /// Adds the steps in which one candidate begins at layer `first`.
-    #[expect(clippy::too_many_arguments, reason = "the state of the search stays on the stack")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "the state of the search stays on the stack"
+    )]
     fn extend(
         &self,
         candidates: &[Candidate<'a>],
@@ -200,13 +233,20 @@
         if first < candidate.layers.first || first >= candidate.layers.end {
             return;
         }
-        let Some((entry_cost, previous, parts)) = self.entry_cost(candidates, index, first, request, steps)
+        let Some((entry_cost, previous, parts)) =
+            self.entry_cost(candidates, index, first, request, steps)
         else {
             return;
         };
-        let limit = candidate.layers.end.min(first.saturating_add(candidate.room_layers));
+        let limit = candidate
+            .layers
+            .end
+            .min(first.saturating_add(candidate.room_layers));
         let start = bounds.partition_point(|bound| *bound <= first);
-        let early = bounds[start..].iter().copied().take_while(|bound| *bound < candidate.layers.end);
+        let early = bounds[start..]
+            .iter()
+            .copied()
+            .take_while(|bound| *bound < candidate.layers.end);
         let ends = early
             .filter(|_| allows_early_end)
             .chain(std::iter::once(candidate.layers.end.min(self.shape.layers)));
@@ -243,7 +283,8 @@
     ) -> Option<(f64, Option<(u16, usize)>, usize)> {
         let zone = &candidates[index].entry.record.zone;
         if first == 0 {
-            let hop = hop_ms(request.zone, zone);
+            let is_near = request.zone == zone;
+            let hop = if is_near { NEAR_HOP_MS } else { FAR_HOP_MS };
             return candidates[index].may_start.then_some((hop, None, 1));
         }
         let mut best: Option<(f64, Option<(u16, usize)>, usize)> = None;
@@ -251,7 +292,13 @@
             if step.candidate == index || step.parts >= MAX_PARTS {
                 continue;
             }
-            let cost = step.cost + hop_ms(&candidates[step.candidate].entry.record.zone, zone);
+            let is_near = candidates[step.candidate].entry.record.zone == *zone;
+            let hop = if is_near {
+                NEAR_HOP_MS
+            } else {
+                FAR_TRANSFER_MS
+            };
+            let cost = step.cost + hop;
             if best.is_none_or(|(known, ..)| cost < known) {
                 best = Some((cost, Some((first, position)), step.parts + 1));
             }
@@ -260,13 +307,6 @@
     }
 }
 
-fn hop_ms(from: &str, to: &str) -> f64 {
-    match from == to {
-        true => NEAR_HOP_MS,
-        false => FAR_HOP_MS,
-    }
-}
-
 fn trace(candidates: &[Candidate<'_>], steps: &[Vec<Step>], last: Step) -> FoundChain {
     let mut parts = Vec::new();
     let mut end = (steps.len() - 1) as u16;
--- a/crates/core/src/chain/placement_group.rs
+++ b/crates/core/src/chain/placement_group.rs
@@ -12,9 +12,8 @@
     shape: &ModelShape,
     engines: &[&PlacementEngine],
 ) -> Option<Vec<PlacementOrder>> {
-    let memory = |engine: &PlacementEngine| {
-        shape.kind(&engine.kind).map_or(0.0, |kind| kind.memory_mb)
-    };
+    let memory =
+        |engine: &PlacementEngine| shape.kind(&engine.kind).map_or(0.0, |kind| kind.memory_mb);
     let total: f64 = engines.iter().map(|engine| memory(engine)).sum();
     let mut orders = Vec::new();
     let mut taken = 0.0;
--- a/crates/core/src/chain/placement_plan.rs
+++ b/crates/core/src/chain/placement_plan.rs
@@ -5,19 +5,23 @@
 use super::PlacementOrder;
 use super::placement_group::split_layers;
 
-/// The requests of usual size for which a group of engines must have room beside the weights.
+/// The requests of usual size for which a group of engines should have room beside the weights.
 ///
 /// A group with fewer holds weights in memory that would serve more requests in a larger group.
-const GROUP_REQUESTS: f64 = 50.0;
+const GROUP_REQUESTS: f64 = 60.0;
+
+/// The requests of usual size below which the last engines of a zone form no group of their own.
+const LEAST_GROUP_REQUESTS: f64 = 25.0;
 
 /// The share of an accelerator's memory that a late engine's layers take at most.
 const LATE_WEIGHT_SHARE: f64 = 0.75;
 
 /// Decides which layers engines hold.
 ///
-/// Engines of one kind form groups that cover the model once, because the slowest accelerator of a
-/// chain sets its pace. Engines that come later, or come back empty, take the layers with the least
-/// memory for requests, so that nothing that serves has to move.
+/// The engines of an availability zone form groups that cover the model once, the fastest together:
+/// the slowest accelerator of a chain sets its pace, and activations that cross zones share one
+/// pipe. Engines that are left over, come later or come back empty take the layers for which their
+/// zone has the least memory, so that nothing that serves has to move.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementPlan<'a> {
     shape: &'a ModelShape,
@@ -31,96 +35,108 @@
 
     /// Returns orders for the engines that hold nothing.
     pub fn orders(&self, engines: &[PlacementEngine]) -> Vec<PlacementOrder> {
-        let is_fresh = engines.iter().all(|engine| engine.layers.is_empty());
-        match is_fresh {
-            true => self.initial(engines),
-            false => self.fill(engines),
+        let mut placed = engines.to_vec();
+        let mut orders = Vec::new();
+        if placed.iter().all(|engine| engine.layers.is_empty()) {
+            orders = self.initial(engines);
+            for order in &orders {
+                let found = placed.iter_mut().find(|engine| engine.id == order.id);
+                found
+                    .into_iter()
+                    .for_each(|engine| engine.layers = order.layers);
+            }
         }
+        orders.extend(self.fill(&mut placed));
+        orders
     }
 
-    /// Forms groups of engines that are all empty.
+    /// Forms groups of engines that are all empty: within zones, or over all if no zone can.
     fn initial(&self, engines: &[PlacementEngine]) -> Vec<PlacementOrder> {
-        let mut kinds: Vec<_> = self.shape.kinds.iter().collect();
-        kinds.sort_by(|left, right| left.step_factor.total_cmp(&right.step_factor));
+        let mut sorted: Vec<&PlacementEngine> = engines.iter().collect();
+        sorted.sort_by(|left, right| {
+            let factors = self.step_factor(left).total_cmp(&self.step_factor(right));
+            let zones = left.zone.cmp(&right.zone).then(factors);
+            zones.then_with(|| left.id.cmp(&right.id))
+        });
         let mut orders = Vec::new();
-        let mut pool: Vec<&PlacementEngine> = Vec::new();
-        let mut last_pool: Vec<&PlacementEngine> = Vec::new();
-        for kind in kinds {
-            pool.extend(engines.iter().filter(|engine| engine.kind == kind.name));
-            let formed = self.form_groups(&pool);
-            if !formed.is_empty() {
-                orders.extend(formed);
-                last_pool = std::mem::take(&mut pool);
-            }
+        for zone in sorted.chunk_by(|left, right| left.zone == right.zone) {
+            orders.extend(self.form_groups(zone));
         }
-        if !pool.is_empty() {
-            // The slowest engines can't form a group of their own: the last group takes them.
-            let kept: Vec<&str> = last_pool.iter().map(|engine| engine.id.as_str()).collect();
-            last_pool.extend(pool);
-            let formed = self.form_groups(&last_pool);
-            if !formed.is_empty() {
-                orders.retain(|order| !kept.contains(&order.id.as_str()));
-                orders.extend(formed);
-            }
+        if orders.is_empty() {
+            orders = self.form_groups(&sorted);
         }
         orders
     }
 
-    /// Splits engines into as many groups as have enough room each.
+    /// Takes engines in order into one group after the other, as long as the rest forms a group.
     fn form_groups(&self, engines: &[&PlacementEngine]) -> Vec<PlacementOrder> {
-        let mut sorted = engines.to_vec();
-        sorted.sort_by(|left, right| (&left.zone, &left.id).cmp(&(&right.zone, &right.id)));
-        let memory = |engine: &&PlacementEngine| {
-            self.shape.kind(&engine.kind).map_or(0.0, |kind| kind.memory_mb)
-        };
-        let total: f64 = sorted.iter().map(memory).sum();
         let weights = f64::from(self.shape.layers) * self.shape.layer_mb;
         let tokens = self.shape.usual_prompt + self.shape.usual_answer;
-        let requests = GROUP_REQUESTS * tokens * self.shape.token_bytes / 1e6;
-        let mut count = ((total / (weights + requests).max(1e-9)) as usize).min(sorted.len());
-        if count == 0 && total > weights {
-            count = 1;
-        }
-        while count > 0 {
-            let groups = cut_groups(&sorted, count);
-            let formed: Option<Vec<_>> = groups
-                .iter()
-                .map(|group| split_layers(self.shape, group))
-                .collect();
-            if let Some(formed) = formed {
-                return formed.into_iter().flatten().collect();
+        let request_mb = tokens * self.shape.token_bytes / 1e6;
+        let wanted = weights + GROUP_REQUESTS * request_mb;
+        let least = weights + LEAST_GROUP_REQUESTS * request_mb;
+        let mut orders = Vec::new();
+        let mut start = 0;
+        let mut held = 0.0;
+        for end in 1..=engines.len() {
+            held += self.memory_mb(&engines[end - 1].kind);
+            let is_last = end == engines.len();
+            if held < wanted && !(is_last && held >= least) {
+                continue;
+            }
+            if let Some(group) = split_layers(self.shape, &engines[start..end]) {
+                orders.extend(group);
+                start = end;
+                held = 0.0;
             }
-            count -= 1;
         }
-        Vec::new()
+        orders
     }
 
-    /// Gives each empty engine the layers with the least room.
-    fn fill(&self, engines: &[PlacementEngine]) -> Vec<PlacementOrder> {
-        let mut room = vec![0.0; usize::from(self.shape.layers)];
-        for engine in engines {
-            self.add_room(&mut room, &engine.kind, engine.layers);
-        }
+    /// Gives each empty engine the layers for which its zone has the least room.
+    fn fill(&self, engines: &mut [PlacementEngine]) -> Vec<PlacementOrder> {
         let mut orders = Vec::new();
-        for engine in engines.iter().filter(|engine| engine.layers.is_empty()) {
-            let size = self.late_size(engines, &engine.kind);
+        for index in 0..engines.len() {
+            if !engines[index].layers.is_empty() {
+                continue;
+            }
+            let size = self.late_size(engines, &engines[index].kind);
             if size == 0 {
                 continue;
             }
-            let layers = scarcest_range(&room, size);
-            self.add_room(&mut room, &engine.kind, layers);
+            let layers = scarcest_range(&self.zone_room(engines, &engines[index].zone), size);
+            engines[index].layers = layers;
             orders.push(PlacementOrder {
-                id: engine.id.clone(),
+                id: engines[index].id.clone(),
                 layers,
             });
         }
         orders
     }
 
+    /// Returns the room of each layer in a zone; that of all zones if the zone holds nothing.
+    fn zone_room(&self, engines: &[PlacementEngine], zone: &str) -> Vec<f64> {
+        let mut room = vec![0.0; usize::from(self.shape.layers)];
+        let holds = |engine: &&PlacementEngine| engine.zone == zone && !engine.layers.is_empty();
+        let is_alone = !engines.iter().any(|engine| holds(&engine));
+        for engine in engines.iter().filter(|engine| is_alone || holds(engine)) {
+            let held = engine.layers.len().max(1);
+            let memory = self.memory_mb(&engine.kind);
+            let units = self.shape.room_units(memory, held) / f64::from(held);
+            // A fast accelerator turns its memory over sooner.
+            let weight = units / self.step_factor(engine).max(1e-9);
+            for layer in engine.layers.first..engine.layers.end.min(self.shape.layers) {
+                room[usize::from(layer)] += weight;
+            }
+        }
+        room
+    }
+
     /// Returns how many layers a late engine takes: as many as others of its kind, within memory.
     fn late_size(&self, engines: &[PlacementEngine], kind: &str) -> u16 {
-        let memory = self.shape.kind(kind).map_or(0.0, |kind| kind.memory_mb);
-        let most = self.shape.max_layers(memory * LATE_WEIGHT_SHARE);
+        let most = self
+            .shape
+            .max_layers(self.memory_mb(kind) * LATE_WEIGHT_SHARE);
         let alike = engines.iter().filter(|engine| engine.kind == kind);
         let usual = alike.map(|engine| engine.layers.len()).max().unwrap_or(0);
         match usual {
@@ -129,26 +145,14 @@
         }
     }
 
-    fn add_room(&self, room: &mut [f64], kind: &str, layers: LayerRange) {
-        let Some(kind) = self.shape.kind(kind) else {
-            return;
-        };
-        let held = layers.len().max(1);
-        let units = self.shape.room_units(kind.memory_mb, held) / f64::from(held);
-        // A fast accelerator turns its memory over sooner.
-        let weight = units / kind.step_factor.max(1e-9);
-        for layer in layers.first..layers.end.min(self.shape.layers) {
-            room[usize::from(layer)] += weight;
-        }
+    fn memory_mb(&self, kind: &str) -> f64 {
+        self.shape.kind(kind).map_or(0.0, |kind| kind.memory_mb)
     }
-}
 
-/// Cuts a list into `count` runs whose lengths differ by one at most.
-fn cut_groups<'e>(engines: &[&'e PlacementEngine], count: usize) -> Vec<Vec<&'e PlacementEngine>> {
-    let bound = |index: usize| index * engines.len() / count;
-    (0..count)
-        .map(|index| engines[bound(index)..bound(index + 1)].to_vec())
-        .collect()
+    fn step_factor(&self, engine: &PlacementEngine) -> f64 {
+        let kind = self.shape.kind(&engine.kind);
+        kind.map_or(f64::MAX, |kind| kind.step_factor)
+    }
 }
 
 /// Returns the range of `size` layers with the least room at its scarcest layer, then in sum.
--- a/crates/core/src/relay/attempt_plan.rs
+++ b/crates/core/src/relay/attempt_plan.rs
@@ -57,7 +57,8 @@
 
     /// Returns whether the request may be sent again.
     pub fn may_send(&self) -> bool {
-        self.sends < MAX_SENDS && (self.runs == 0 || self.allows_repeat && self.runs < self.max_runs)
+        self.sends < MAX_SENDS
+            && (self.runs == 0 || self.allows_repeat && self.runs < self.max_runs)
     }
 
     /// Returns whether some attempt may have run.
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -51,7 +51,9 @@
     /// Returns the engine at an address.
     pub fn at_address(&self, address: &str) -> Option<&EngineEntry> {
         let address: std::net::SocketAddr = address.parse().ok()?;
-        self.entries.iter().find(|entry| entry.record.address == address)
+        self.entries
+            .iter()
+            .find(|entry| entry.record.address == address)
     }
 
     /// Takes the end of an outage of the store, after which listings may be incomplete for a while.
@@ -60,7 +62,11 @@
     }
 
     /// Replaces the listing; returns the identifiers that were added and those that were removed.
-    pub fn replace(&mut self, records: Vec<EngineRecord>, now: MilliTime) -> (Vec<String>, Vec<String>) {
+    pub fn replace(
+        &mut self,
+        records: Vec<EngineRecord>,
+        now: MilliTime,
+    ) -> (Vec<String>, Vec<String>) {
         let mut records = records;
         records.sort_by(|left, right| left.id.cmp(&right.id));
         records.dedup_by(|left, right| left.id == right.id);
@@ -103,7 +109,9 @@
     pub fn fail(&mut self, id: &str, now: MilliTime) {
         if let Some(entry) = self.get_mut(id) {
             entry.failures += 1;
-            let avoid_ms = AVOID_MS.saturating_mul(u64::from(entry.failures)).min(MAX_AVOID_MS);
+            let avoid_ms = AVOID_MS
+                .saturating_mul(u64::from(entry.failures))
+                .min(MAX_AVOID_MS);
             entry.avoided_until = entry.avoided_until.max(now.plus(avoid_ms));
         }
     }
--- a/crates/core/src/relay/relay_route.rs
+++ b/crates/core/src/relay/relay_route.rs
@@ -36,7 +36,11 @@
 impl RelayRoute {
     /// Returns the service for a request; the same request always gets the same one.
     pub fn service(&self, request: &str) -> Option<&str> {
-        let total: u64 = self.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let total: u64 = self
+            .shares
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         if total == 0 {
             return self.shares.first().map(|share| share.service.as_str());
         }
--- a/crates/core/src/relay/route_index.rs
+++ b/crates/core/src/relay/route_index.rs
@@ -21,7 +21,11 @@
     /// Creates the index of a configuration's routes.
     pub fn new(config: &RelayConfig) -> RouteIndex {
         let route_entry = |(position, route): (usize, &RelayRoute)| {
-            (route.host.to_ascii_lowercase(), route.prefix.clone(), position)
+            (
+                route.host.to_ascii_lowercase(),
+                route.prefix.clone(),
+                position,
+            )
         };
         let mut entries: Vec<_> = config.routes.iter().enumerate().map(route_entry).collect();
         entries.sort();
@@ -38,7 +42,9 @@
         let slashes = path.rmatch_indices('/').map(|(index, _)| &path[..=index]);
         slashes.into_iter().find_map(|prefix| {
             let found = self.entries.binary_search_by(|(host, known, _)| {
-                host.as_str().cmp(&name).then_with(|| known.as_str().cmp(prefix))
+                host.as_str()
+                    .cmp(&name)
+                    .then_with(|| known.as_str().cmp(prefix))
             });
             found.ok().map(|index| self.entries[index].2)
         })
--- a/crates/core/src/relay/service_picker.rs
+++ b/crates/core/src/relay/service_picker.rs
@@ -45,8 +45,9 @@
 
     fn listed(&self) -> impl Iterator<Item = &'a EngineEntry> + use<'a> {
         let service = self.service;
-        let is_listed =
-            move |entry: &&EngineEntry| entry.record.service == service && !entry.record.is_draining;
+        let is_listed = move |entry: &&EngineEntry| {
+            entry.record.service == service && !entry.record.is_draining
+        };
         self.table.entries().iter().filter(is_listed)
     }
 }
--- a/crates/daemon/examples/stream_times/chain_star.rs
+++ b/crates/daemon/examples/stream_times/chain_star.rs
@@ -4,12 +4,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use dandelionroad_core::stream::LayerRange;
-use dandelionroad_core::stream::StepPayload;
-use dandelionroad_daemon::node::PeerPool;
 use dandelionroad_clients::engine::EngineClient;
 use dandelionroad_clients::engine::EngineStep;
 use dandelionroad_clients::engine::StepOutput;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::stream::StepPayload;
+use dandelionroad_daemon::node::PeerPool;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
--- a/crates/daemon/src/call_rows/mod.rs
+++ b/crates/daemon/src/call_rows/mod.rs
@@ -2,17 +2,17 @@
 The rows of calls that are not idempotent, as they are kept in the table service.
 */
 
-use dandelionroad_core::dispatch::CallRow;
-use dandelionroad_core::dispatch::CommitResult;
-use dandelionroad_core::dispatch::RowChange;
-use dandelionroad_core::dispatch::RowKey;
-use dandelionroad_core::dispatch::VersionedRow;
 use dandelionroad_clients::PlatformError;
 use dandelionroad_clients::table::CommitReply;
 use dandelionroad_clients::table::RowCheck;
 use dandelionroad_clients::table::RowWrite;
 use dandelionroad_clients::table::TableClient;
 use dandelionroad_clients::table::TableCommit;
+use dandelionroad_core::dispatch::CallRow;
+use dandelionroad_core::dispatch::CommitResult;
+use dandelionroad_core::dispatch::RowChange;
+use dandelionroad_core::dispatch::RowKey;
+use dandelionroad_core::dispatch::VersionedRow;
 
 /// Reads a row; `None` if it is absent.
 ///
--- a/crates/daemon/src/control/config_store.rs
+++ b/crates/daemon/src/control/config_store.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::TableClient;
 use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::config::LogRecord;
 use dandelionroad_core::config::ObjectChange;
@@ -9,8 +11,6 @@
 use dandelionroad_core::config::row_keys::OBJECT_PREFIX;
 use dandelionroad_core::config::row_keys::REVISION_KEY;
 use dandelionroad_core::config::row_keys::log_key;
-use dandelionroad_clients::PlatformError;
-use dandelionroad_clients::table::TableClient;
 use serde::de::DeserializeOwned;
 
 /// The number of rows of one scan.
--- a/crates/daemon/src/control/host_poller.rs
+++ b/crates/daemon/src/control/host_poller.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dandelionroad_clients::host::HostEntry;
 use dandelionroad_core::ident::HostName;
 use dandelionroad_core::ident::ZoneName;
 use dandelionroad_core::member::GossipEvent;
 use dandelionroad_core::member::HostListing;
 use dandelionroad_core::member::MemberRecord;
 use dandelionroad_core::member::MemberState;
-use dandelionroad_clients::host::HostEntry;
 use spdlog::warn;
 
 use crate::node::NodeContext;
--- a/crates/daemon/src/endpoint/call/plain_call.rs
+++ b/crates/daemon/src/endpoint/call/plain_call.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::service::ServiceCall;
 use dandelionroad_core::dispatch::CallOrder;
 use dandelionroad_core::dispatch::CallReply;
 use dandelionroad_core::dispatch::ServiceResult;
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
-use dandelionroad_clients::PlatformError;
-use dandelionroad_clients::service::ServiceCall;
 
 use crate::call_rows::service_key;
 use crate::node::NodeContext;
--- a/crates/daemon/src/endpoint/order/order_rows.rs
+++ b/crates/daemon/src/endpoint/order/order_rows.rs
@@ -1,5 +1,10 @@
 use std::sync::Arc;
 
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::CommitReply;
+use dandelionroad_clients::table::RowCheck;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 use dandelionroad_core::ident::EndpointName;
 use dandelionroad_core::member::MemberState;
 use dandelionroad_core::order::FenceNumber;
@@ -8,11 +13,6 @@
 use dandelionroad_core::order::ReadyEntry;
 use dandelionroad_core::order::ReadyRow;
 use dandelionroad_core::order::TurnRow;
-use dandelionroad_clients::PlatformError;
-use dandelionroad_clients::table::CommitReply;
-use dandelionroad_clients::table::RowCheck;
-use dandelionroad_clients::table::RowWrite;
-use dandelionroad_clients::table::TableCommit;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
--- a/crates/daemon/src/endpoint/order/order_task.rs
+++ b/crates/daemon/src/endpoint/order/order_task.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dandelionroad_clients::engine::EngineClient;
+use dandelionroad_clients::engine::EngineOrder;
 use dandelionroad_core::ident::EndpointName;
 use dandelionroad_core::member::HeldModel;
 use dandelionroad_core::order::EngineView;
@@ -13,8 +15,6 @@
 use dandelionroad_core::order::OrderConfig;
 use dandelionroad_core::order::OrderEvent;
 use dandelionroad_core::order::OrderMachine;
-use dandelionroad_clients::engine::EngineClient;
-use dandelionroad_clients::engine::EngineOrder;
 
 use crate::node::NodeContext;
 
--- a/crates/daemon/src/endpoint/stream/engine_runner.rs
+++ b/crates/daemon/src/endpoint/stream/engine_runner.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::engine::EngineStep;
+use dandelionroad_clients::engine::GenerateOrder;
 use dandelionroad_core::stream::FaultKind;
 use dandelionroad_core::stream::StageOutput;
 use dandelionroad_core::stream::StopReason;
 use dandelionroad_core::stream::StreamOrder;
-use dandelionroad_clients::PlatformError;
-use dandelionroad_clients::engine::EngineStep;
-use dandelionroad_clients::engine::GenerateOrder;
 use futures_util::StreamExt;
 
 use crate::telemetry::HopKind;
--- a/crates/daemon/src/endpoint/stream/stage_tasks.rs
+++ b/crates/daemon/src/endpoint/stream/stage_tasks.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dandelionroad_clients::engine::EngineStep;
 use dandelionroad_core::ident::RequestIdent;
 use dandelionroad_core::stream::FaultKind;
 use dandelionroad_core::stream::StageAction;
 use dandelionroad_core::stream::StepMessage;
 use dandelionroad_messages::TokenMessage;
 use dandelionroad_messages::stream_api::StreamApiClient;
-use dandelionroad_clients::engine::EngineStep;
 use futures_util::future::join_all;
 
 use super::engine_runner;
--- a/crates/daemon/src/entry/admin/ticket_runner.rs
+++ b/crates/daemon/src/entry/admin/ticket_runner.rs
@@ -2,6 +2,11 @@
 
 use std::time::Duration;
 
+use dandelionroad_clients::PlatformError;
+use dandelionroad_clients::table::CommitReply;
+use dandelionroad_clients::table::RowCheck;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 use dandelionroad_core::config::ChangeTicket;
 use dandelionroad_core::config::CommitPlan;
 use dandelionroad_core::config::StoredRow;
@@ -9,11 +14,6 @@
 use dandelionroad_core::config::TicketEvent;
 use dandelionroad_core::config::TicketMachine;
 use dandelionroad_core::config::TicketVerdict;
-use dandelionroad_clients::PlatformError;
-use dandelionroad_clients::table::CommitReply;
-use dandelionroad_clients::table::RowCheck;
-use dandelionroad_clients::table::RowWrite;
-use dandelionroad_clients::table::TableCommit;
 use spdlog::info;
 
 use crate::control::config_store;
--- a/crates/daemon/src/entry/crash/crash_watch.rs
+++ b/crates/daemon/src/entry/crash/crash_watch.rs
@@ -1,12 +1,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use dandelionroad_clients::table::TableClient;
 use dandelionroad_core::admit::CrashLedger;
 use dandelionroad_core::admit::CrashVerdict;
 use dandelionroad_core::member::CrashRecord;
 use dandelionroad_core::member::CrashTable;
 use dandelionroad_core::stream::StreamOrder;
-use dandelionroad_clients::table::TableClient;
 
 use super::crash_row::write_runs;
 
--- a/crates/daemon/src/entry/service/call_driver.rs
+++ b/crates/daemon/src/entry/service/call_driver.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use dandelionroad_clients::encode_segment;
 use dandelionroad_core::dispatch::CallAction;
 use dandelionroad_core::dispatch::CallEvent;
 use dandelionroad_core::dispatch::CallMachine;
@@ -13,7 +14,6 @@
 use dandelionroad_core::dispatch::ServiceResult;
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
-use dandelionroad_clients::encode_segment;
 
 use crate::call_rows::commit_row;
 use crate::call_rows::read_row;
--- a/crates/daemon/src/entry/service/row_sweeper.rs
+++ b/crates/daemon/src/entry/service/row_sweeper.rs
@@ -3,12 +3,12 @@
 use std::sync::Weak;
 use std::time::Duration;
 
-use dandelionroad_core::dispatch::CallRow;
-use dandelionroad_core::dispatch::RowSweep;
 use dandelionroad_clients::PlatformError;
 use dandelionroad_clients::table::RowCheck;
 use dandelionroad_clients::table::RowWrite;
 use dandelionroad_clients::table::TableCommit;
+use dandelionroad_core::dispatch::CallRow;
+use dandelionroad_core::dispatch::RowSweep;
 
 use crate::node::NodeContext;
 
--- a/crates/daemon/tests/calls/single.rs
+++ b/crates/daemon/tests/calls/single.rs
@@ -1,5 +1,7 @@
 //! One fault at a time, and what the caller is told.
 
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 use dandelionroad_core::dispatch::CallOrder;
 use dandelionroad_core::dispatch::CallReply;
 use dandelionroad_core::ident::AccountName;
@@ -9,8 +11,6 @@
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
 use dandelionroad_messages::call_api::CallApiClient;
-use dandelionroad_clients::table::RowWrite;
-use dandelionroad_clients::table::TableCommit;
 use dandelionroad_standins::server::ServerMode;
 
 use super::support::CallSystem;
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -8,12 +8,12 @@
 use control_support::has_live;
 use control_support::request;
 use control_support::service_ticket;
+use dandelionroad_clients::table::RowWrite;
+use dandelionroad_clients::table::TableCommit;
 use dandelionroad_core::config::ChangeTicket;
 use dandelionroad_core::config::CommitPlan;
 use dandelionroad_core::config::ConfigState;
 use dandelionroad_core::member::MemberState;
-use dandelionroad_clients::table::RowWrite;
-use dandelionroad_clients::table::TableCommit;
 use dandelionroad_standins::server::FaultPlan;
 use dandelionroad_standins::server::ServerMode;
 
--- a/crates/daemon/tests/processes/process_support/process_cluster.rs
+++ b/crates/daemon/tests/processes/process_support/process_cluster.rs
@@ -1,13 +1,13 @@
 use std::future::Future;
 use std::time::Duration;
 
+use dandelionroad_clients::host::HostEntry;
 use dandelionroad_core::member::MemberRole;
 use dandelionroad_demo::ACCOUNT_SECRET;
 use dandelionroad_demo::ADMIN_TOKEN;
 use dandelionroad_demo::DemoLayout;
 use dandelionroad_demo::MODEL;
 use dandelionroad_demo::demo_ticket;
-use dandelionroad_clients::host::HostEntry;
 use dandelionroad_standins::booking::BookingStandin;
 use dandelionroad_standins::engine::EngineOptions;
 use dandelionroad_standins::engine::EngineStandin;
--- a/crates/daemon/tests/stream_support/fake_engine.rs
+++ b/crates/daemon/tests/stream_support/fake_engine.rs
@@ -3,8 +3,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use dandelionroad_core::stream::LayerRange;
-use dandelionroad_core::stream::StepPayload;
 use dandelionroad_clients::ClientFuture;
 use dandelionroad_clients::PlatformError;
 use dandelionroad_clients::engine::EngineClient;
@@ -14,6 +12,8 @@
 use dandelionroad_clients::engine::GenerateOrder;
 use dandelionroad_clients::engine::GeneratedToken;
 use dandelionroad_clients::engine::StepOutput;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::stream::StepPayload;
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
 use sha2::Digest;
--- a/crates/demo/src/demo_cluster.rs
+++ b/crates/demo/src/demo_cluster.rs
@@ -1,9 +1,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use dandelionroad_clients::host::HostEntry;
 use dandelionroad_daemon::node::NodeClients;
 use dandelionroad_daemon::node::NodeHandle;
-use dandelionroad_clients::host::HostEntry;
 use dandelionroad_settings::EngineKind;
 use dandelionroad_settings::NodeSettings;
 use dandelionroad_standins::booking::BookingStandin;
--- a/crates/demo/src/latency_run.rs
+++ b/crates/demo/src/latency_run.rs
@@ -1,12 +1,12 @@
 use std::fmt;
 use std::time::Instant;
 
-use dandelionroad_core::stream::LayerRange;
-use dandelionroad_core::stream::StepPayload;
 use dandelionroad_clients::PlatformError;
 use dandelionroad_clients::engine::EngineClient;
 use dandelionroad_clients::engine::EngineStep;
 use dandelionroad_clients::engine::HttpEngine;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::stream::StepPayload;
 use dandelionroad_standins::load::CallOutcome;
 use dandelionroad_standins::load::CallerClient;
 use dandelionroad_standins::load::LoadKind;
--- a/crates/relay/src/ingress/admission.rs
+++ b/crates/relay/src/ingress/admission.rs
@@ -29,7 +29,10 @@
         true => kind,
         false => RefusalKind::StaleConfig,
     };
-    let route = view.routes.find(host, path).ok_or(deny(RefusalKind::NoRoute))?;
+    let route = view
+        .routes
+        .find(host, path)
+        .ok_or(deny(RefusalKind::NoRoute))?;
     let spec = &config.routes[route];
     let account = if config.accounts.is_empty() || spec.is_public {
         None
--- a/crates/relay/src/ingress/caller_body.rs
+++ b/crates/relay/src/ingress/caller_body.rs
@@ -16,12 +16,15 @@
 
 /// Returns a body of known bytes.
 pub(super) fn full_body(bytes: Bytes) -> CallerBody {
-    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// Returns a body that is written piece by piece, and where to send the pieces.
 pub(super) fn piece_body() -> (mpsc::Sender<Result<Bytes, std::io::Error>>, CallerBody) {
     let (sender, receiver) = mpsc::channel(QUEUED_PIECES);
-    let frames = ReceiverStream::new(receiver).map(|piece: Result<Bytes, _>| piece.map(Frame::data));
+    let frames =
+        ReceiverStream::new(receiver).map(|piece: Result<Bytes, _>| piece.map(Frame::data));
     (sender, StreamBody::new(frames).boxed_unsync())
 }
--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -91,7 +91,10 @@
     }
     let limits = {
         let view = state.view.borrow();
-        view.config.as_ref().map(|config| config.limits).unwrap_or_default()
+        view.config
+            .as_ref()
+            .map(|config| config.limits)
+            .unwrap_or_default()
     };
     let service = service_fn(move |request| {
         let state = Rc::clone(&state);
--- a/crates/relay/src/ingress/engine_reply.rs
+++ b/crates/relay/src/ingress/engine_reply.rs
@@ -25,7 +25,9 @@
     /// Reads the head of an answer to the request `id`.
     pub(super) fn read(state: &NodeState, id: &str, response: &Response<Incoming>) -> EngineReply {
         let status = response.status();
-        let answer: EngineAnswer = state.format.decode_answer(status.as_u16(), response.headers());
+        let answer: EngineAnswer = state
+            .format
+            .decode_answer(status.as_u16(), response.headers());
         if answer.is_not_run {
             let fault_address = answer.fault_address;
             return EngineReply::Rejected { fault_address };
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -65,7 +65,7 @@
         match attempt(&state, &relay, &id, address, left_ms).await {
             PlainEnd::Answered(response) => {
                 state.view.borrow_mut().engines.succeed(&id);
-                log.first_event();
+                log.piece();
                 log.end("served");
                 return response;
             }
@@ -100,7 +100,9 @@
         return true;
     }
     let is_allowed = state.view.borrow_mut().retries.try_retry();
-    state.metrics.count_retry(if is_allowed { "plain" } else { "budget" });
+    state
+        .metrics
+        .count_retry(if is_allowed { "plain" } else { "budget" });
     is_allowed
 }
 
@@ -135,9 +137,14 @@
     };
     let headers = state.format.encode_headers(&relay.parts.headers, &call);
     let method = &relay.parts.method;
-    let sent = state
-        .engines
-        .send(address, method, relay.path(), headers, relay.body.clone(), is_once);
+    let sent = state.engines.send(
+        address,
+        method,
+        relay.path(),
+        headers,
+        relay.body.clone(),
+        is_once,
+    );
     let wait_ms = match is_once {
         true => left_ms,
         false => left_ms / SHARE_DIVISOR,
@@ -153,7 +160,11 @@
     }
 }
 
-async fn take_answer(state: &NodeState, relay: &RelayRequest, response: Response<Incoming>) -> PlainEnd {
+async fn take_answer(
+    state: &NodeState,
+    relay: &RelayRequest,
+    response: Response<Incoming>,
+) -> PlainEnd {
     let reply = EngineReply::read(state, &relay.caller.id, &response);
     if matches!(reply, EngineReply::Rejected { .. } | EngineReply::Foreign) {
         return PlainEnd::Lost(reply.end());
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -25,7 +25,10 @@
 const SHORT_RETRY_MS: u64 = 1_000;
 
 /// Answers one request.
-pub(super) async fn handle(state: Rc<NodeState>, request: Request<Incoming>) -> Response<CallerBody> {
+pub(super) async fn handle(
+    state: Rc<NodeState>,
+    request: Request<Incoming>,
+) -> Response<CallerBody> {
     let arrived = state.clock.now();
     let (parts, body) = request.into_parts();
     let caller = match state.format.decode_caller(&parts) {
@@ -54,7 +57,9 @@
         Err(kind) => return end_refused(&state, &mut log, &caller.id, kind),
     };
     let timeout_ms = config.routes[route].timeout_ms;
-    let wait_ms = caller.deadline_ms.map_or(timeout_ms, |wait| wait.min(timeout_ms));
+    let wait_ms = caller
+        .deadline_ms
+        .map_or(timeout_ms, |wait| wait.min(timeout_ms));
     state.view.borrow_mut().retries.request();
     let relay = RelayRequest {
         caller,
@@ -111,7 +116,10 @@
 }
 
 fn host_of(parts: &hyper::http::request::Parts) -> String {
-    let header = parts.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let header = parts
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok());
     let target = parts.uri.authority().map(|authority| authority.as_str());
     header.or(target).unwrap_or_default().to_owned()
 }
--- a/crates/relay/src/ingress/stream_relay.rs
+++ b/crates/relay/src/ingress/stream_relay.rs
@@ -200,7 +200,10 @@
             last_event: last_event.as_deref(),
             chain: &chain,
         };
-        let headers = self.state.format.encode_headers(&self.relay.parts.headers, &call);
+        let headers = self
+            .state
+            .format
+            .encode_headers(&self.relay.parts.headers, &call);
         let sent = self.state.engines.send(
             chain[0].address,
             &self.relay.parts.method,
@@ -221,7 +224,8 @@
                 return Err(AttemptEnd::Broken);
             }
             Err(_) => {
-                self.excluded.extend(chain.iter().map(|part| part.id.clone()));
+                self.excluded
+                    .extend(chain.iter().map(|part| part.id.clone()));
                 return Err(AttemptEnd::Broken);
             }
         };
@@ -276,7 +280,9 @@
                 Ok(None) => return RunEnd::Complete,
                 Err(_) => return RunEnd::Broken("stalled"),
             };
-            let Ok(data) = frame.into_data() else { continue };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
             let whole = match self.splitter.push(&data) {
                 Ok(whole) => whole,
                 Err(_) => return RunEnd::Broken("event out of order"),
@@ -284,7 +290,7 @@
             if whole.is_empty() {
                 continue;
             }
-            log.first_event();
+            log.piece();
             if sender.send(Ok(Bytes::from(whole))).await.is_err() {
                 return RunEnd::CallerLeft;
             }
@@ -294,7 +300,8 @@
     /// Ends the present run; its engines are not used again for this request.
     fn end_run(&mut self) {
         if let Some(run) = self.run.take() {
-            self.excluded.extend(run.parts.into_iter().map(|part| part.id));
+            self.excluded
+                .extend(run.parts.into_iter().map(|part| part.id));
         }
     }
 
@@ -306,7 +313,9 @@
 
     /// Avoids the engine at fault, or the first of the chain if none is named.
     fn blame_address(&mut self, address: Option<&str>, chain: &[ChainPart]) {
-        let named = chain.iter().find(|part| Some(part.address.to_string().as_str()) == address);
+        let named = chain
+            .iter()
+            .find(|part| Some(part.address.to_string().as_str()) == address);
         let id = named.unwrap_or(&chain[0]).id.clone();
         self.blame(&id);
     }
--- a/crates/relay/src/node/run_node.rs
+++ b/crates/relay/src/node/run_node.rs
@@ -89,7 +89,7 @@
 }
 
 async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| format!("can't listen on {address}: {error}; free it or change the setting"))
+    TcpListener::bind(address).await.map_err(|error| {
+        format!("can't listen on {address}: {error}; free it or change the setting")
+    })
 }
--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -110,14 +110,20 @@
     };
     let mut orders = Vec::new();
     for service in &config.services {
-        let Some(shape) = &service.model else { continue };
-        let listed = view.engines.entries().iter().filter(|entry| {
-            entry.record.service == service.name && !entry.record.is_draining
-        });
+        let Some(shape) = &service.model else {
+            continue;
+        };
+        let listed = view
+            .engines
+            .entries()
+            .iter()
+            .filter(|entry| entry.record.service == service.name && !entry.record.is_draining);
         let mut engines = Vec::new();
         let mut is_settled = true;
         for entry in listed {
-            let Some(kind) = &entry.record.kind else { continue };
+            let Some(kind) = &entry.record.kind else {
+                continue;
+            };
             let ordered = pending.iter().find(|order| order.id == entry.record.id);
             let layers = ordered.map_or(entry.record.layers, |order| order.layers);
             is_settled &= now.since(entry.listed) >= SETTLE_MS;
@@ -152,7 +158,10 @@
         until: state.clock.now().plus(PENDING_MS),
     };
     let report = match ask(state, address, state.format.encode_report()).await {
-        Ok((200, body)) => state.format.decode_report(&body).map_err(|fault| fault.to_string()),
+        Ok((200, body)) => state
+            .format
+            .decode_report(&body)
+            .map_err(|fault| fault.to_string()),
         Ok((status, _)) => Err(format!("status {status}")),
         Err(error) => Err(error),
     };
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -74,7 +74,9 @@
 
     /// Returns whether no live process that reaches the store has a lower address than `own`.
     pub fn is_first(&self, own: SocketAddr, now: MilliTime) -> bool {
-        !self.live_peers(now).any(|peer| peer.reaches_store && peer.address < own)
+        !self
+            .live_peers(now)
+            .any(|peer| peer.reaches_store && peer.address < own)
     }
 
     /// Returns the loads of the live processes, as identifier of the engine, requests and units.
@@ -91,7 +93,10 @@
     }
 
     fn entry(&mut self, address: SocketAddr, now: MilliTime) -> &mut PeerState {
-        let index = match self.peers.binary_search_by_key(&address, |peer| peer.address) {
+        let index = match self
+            .peers
+            .binary_search_by_key(&address, |peer| peer.address)
+        {
             Ok(index) => index,
             Err(index) => {
                 let peer = PeerState {
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -149,7 +149,11 @@
 
 fn own_loads(state: &NodeState) -> Vec<PeerLoad> {
     let view = state.view.borrow();
-    let busy = view.engines.entries().iter().filter(|entry| entry.own_requests > 0);
+    let busy = view
+        .engines
+        .entries()
+        .iter()
+        .filter(|entry| entry.own_requests > 0);
     let load = |entry: &dandelionroad_core::relay::EngineEntry| PeerLoad {
         engine: entry.record.id.clone(),
         requests: entry.own_requests,
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -82,7 +82,10 @@
 
 /// Adopts the newest configuration among the rows and confirms the age of the held one.
 fn take_rows(state: &NodeState, rows: &[StoreRow], start: MilliTime) -> Result<(), String> {
-    let decoded = state.format.decode_config(rows).map_err(|fault| fault.to_string())?;
+    let decoded = state
+        .format
+        .decode_config(rows)
+        .map_err(|fault| fault.to_string())?;
     let mut view = state.view.borrow_mut();
     if let Some(config) = decoded {
         let version = config.version;
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -47,7 +47,9 @@
     for row in rows {
         match state.format.decode_engine(row) {
             Ok(record) => records.push(record),
-            Err(fault) => spdlog::debug!("engines: left out: {fault}", kv: { engine = row.key.as_str() }),
+            Err(fault) => {
+                spdlog::debug!("engines: left out: {fault}", kv: { engine = row.key.as_str() })
+            }
         }
     }
     let now = state.clock.now();
@@ -67,7 +69,10 @@
         spdlog::info!("engines: gone", kv: { engine = id.as_str() });
     }
     for (id, was_draining) in before {
-        let is_draining = view.engines.get(&id).is_some_and(|entry| entry.record.is_draining);
+        let is_draining = view
+            .engines
+            .get(&id)
+            .is_some_and(|entry| entry.record.is_draining);
         if is_draining && !was_draining {
             spdlog::info!("engines: draining", kv: { engine = id.as_str() });
         }
--- a/crates/relay/src/store/store_client.rs
+++ b/crates/relay/src/store/store_client.rs
@@ -60,7 +60,10 @@
         let result = answer
             .map_err(|error| error.to_string())
             .and_then(|answer| {
-                let reply = self.state.format.decode_store(call, answer.status, &answer.body);
+                let reply = self
+                    .state
+                    .format
+                    .decode_store(call, answer.status, &answer.body);
                 reply.map_err(|fault| fault.to_string())
             });
         self.state.metrics.count_store(matches!(
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -41,22 +41,45 @@
         };
         let times = |name: &str, help: &str| {
             let opts = HistogramOpts::new(name, help).buckets(TIME_BOUNDS_MS.to_vec());
-            register(&registry, Histogram::with_opts(opts).expect("the name is valid"))
+            register(
+                &registry,
+                Histogram::with_opts(opts).expect("the name is valid"),
+            )
         };
         let gauge = |name: &str, help: &str| {
-            register(&registry, Gauge::new(name, help).expect("the name is valid"))
+            register(
+                &registry,
+                Gauge::new(name, help).expect("the name is valid"),
+            )
         };
         RelayMetrics {
-            requests: counters("dandelionroad_requests_total", "Requests by outcome.", "outcome"),
-            retries: counters("dandelionroad_retries_total", "Repeated sends by cause.", "cause"),
+            requests: counters(
+                "dandelionroad_requests_total",
+                "Requests by outcome.",
+                "outcome",
+            ),
+            retries: counters(
+                "dandelionroad_retries_total",
+                "Repeated sends by cause.",
+                "cause",
+            ),
             store_calls: counters("dandelionroad_store_calls_total", "Store calls.", "result"),
             orders: counters("dandelionroad_orders_total", "Orders to engines.", "result"),
             first_event: times("dandelionroad_first_event_ms", "Time to the first event."),
-            whole_answer: times("dandelionroad_whole_answer_ms", "Time to the end of an answer."),
+            whole_answer: times(
+                "dandelionroad_whole_answer_ms",
+                "Time to the end of an answer.",
+            ),
             config_version: gauge("dandelionroad_config_version", "Version in force."),
             config_age: gauge("dandelionroad_config_age_ms", "Age of the configuration."),
-            running: gauge("dandelionroad_requests_running", "Requests that are followed."),
-            engines: gauge("dandelionroad_engines_usable", "Engines that may get requests."),
+            running: gauge(
+                "dandelionroad_requests_running",
+                "Requests that are followed.",
+            ),
+            engines: gauge(
+                "dandelionroad_engines_usable",
+                "Engines that may get requests.",
+            ),
             registry,
         }
     }
@@ -96,9 +119,14 @@
         let now = state.clock.now();
         let view = state.view.borrow();
         let age = view.config_age.age_ms(now);
-        self.config_age.set(age.map_or(f64::INFINITY, |age| age as f64));
+        self.config_age
+            .set(age.map_or(f64::INFINITY, |age| age as f64));
         self.running.set(f64::from(state.running.get()));
-        let usable = view.engines.entries().iter().filter(|entry| entry.is_usable(now));
+        let usable = view
+            .engines
+            .entries()
+            .iter()
+            .filter(|entry| entry.is_usable(now));
         self.engines.set(usable.count() as f64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/relay/src/telemetry/request_log.rs
+++ b/crates/relay/src/telemetry/request_log.rs
@@ -10,6 +10,8 @@
     id: String,
     arrived: MilliTime,
     first: Option<MilliTime>,
+    last_piece: Option<MilliTime>,
+    longest_gap_ms: u64,
     route: String,
     engines: String,
     sends: u32,
@@ -26,6 +28,8 @@
             id: id.to_owned(),
             arrived,
             first: None,
+            last_piece: None,
+            longest_gap_ms: 0,
             route: String::new(),
             engines: String::new(),
             sends: 0,
@@ -54,11 +58,13 @@
         self.engines.push_str(engines);
     }
 
-    /// Takes the first event, or the head of a whole answer.
-    pub fn first_event(&mut self) {
-        if self.first.is_none() {
-            self.first = Some(self.state.clock.now());
-        }
+    /// Takes a piece of the answer that is passed on.
+    pub fn piece(&mut self) {
+        let now = self.state.clock.now();
+        self.first.get_or_insert(now);
+        let gap_ms = self.last_piece.map_or(0, |last| now.since(last));
+        self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+        self.last_piece = Some(now);
     }
 
     /// Returns whether an event was passed on.
@@ -87,7 +93,9 @@
         let now = state.clock.now();
         let whole_ms = now.since(self.arrived);
         let first_ms = self.first.map(|first| first.since(self.arrived));
-        state.metrics.count_request(self.outcome, first_ms, whole_ms);
+        state
+            .metrics
+            .count_request(self.outcome, first_ms, whole_ms);
         let view = state.view.borrow();
         spdlog::info!("request: {}", self.outcome, kv: {
             request = self.id.as_str(),
@@ -96,6 +104,7 @@
             sends = self.sends,
             first_ms = first_ms.map_or(-1, |first| first as i64),
             whole_ms = whole_ms,
+            gap_ms = self.longest_gap_ms,
             config = view.config.as_ref().map_or(0, |config| config.version),
             config_age_ms = view.config_age.age_ms(now).unwrap_or(u64::MAX),
             cause = self.detail.as_str(),
--- a/crates/relay/src/wire/wire_format.rs
+++ b/crates/relay/src/wire/wire_format.rs
@@ -60,7 +60,12 @@
     /// # Errors
     ///
     /// Returns a fault if the body is not an answer to the call.
-    fn decode_store(&self, call: &StoreCall, status: u16, body: &[u8]) -> Result<StoreReply, WireFault>;
+    fn decode_store(
+        &self,
+        call: &StoreCall,
+        status: u16,
+        body: &[u8],
+    ) -> Result<StoreReply, WireFault>;
 
     /// Reads the operator's configuration from the rows of its table; none if it isn't there yet.
     ///
--- a/crates/standins/src/engine/engine_memory.rs
+++ b/crates/standins/src/engine/engine_memory.rs
@@ -1,6 +1,6 @@
-use dandelionroad_core::stream::LayerRange;
 use dandelionroad_clients::engine::EngineOrder;
 use dandelionroad_clients::engine::EngineState;
+use dandelionroad_core::stream::LayerRange;
 
 use super::EngineStats;
 use super::RunRecord;
--- a/crates/standins/src/engine/generate_session.rs
+++ b/crates/standins/src/engine/generate_session.rs
@@ -1,6 +1,6 @@
-use dandelionroad_core::stream::LayerRange;
 use dandelionroad_clients::engine::GenerateOrder;
 use dandelionroad_clients::engine::GeneratedToken;
+use dandelionroad_core::stream::LayerRange;
 
 use super::TokenModel;
 use super::layer_state::LayerState;
--- a/crates/standins/src/engine/layer_session.rs
+++ b/crates/standins/src/engine/layer_session.rs
@@ -1,7 +1,7 @@
-use dandelionroad_core::stream::LayerRange;
-use dandelionroad_core::stream::StepPayload;
 use dandelionroad_clients::engine::EngineStep;
 use dandelionroad_clients::engine::StepOutput;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::stream::StepPayload;
 use serde::Deserialize;
 use serde::Serialize;
 
--- a/crates/standins/tests/adapters.rs
+++ b/crates/standins/tests/adapters.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use dandelionroad_core::member::MemberRole;
 use dandelionroad_clients::PlatformError;
 use dandelionroad_clients::host::HostClient;
 use dandelionroad_clients::host::HostEntry;
@@ -20,6 +19,7 @@
 use dandelionroad_clients::table::RowWrite;
 use dandelionroad_clients::table::TableClient;
 use dandelionroad_clients::table::TableCommit;
+use dandelionroad_core::member::MemberRole;
 use dandelionroad_standins::booking::BookingStandin;
 use dandelionroad_standins::host::HostStandin;
 use dandelionroad_standins::object::ObjectStandin;
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -1,7 +1,5 @@
 //! Guards against stand-ins that hide a wrong order of steps, a doubled step or a lost answer.
 
-use dandelionroad_core::stream::LayerRange;
-use dandelionroad_core::stream::StepPayload;
 use dandelionroad_clients::PlatformError;
 use dandelionroad_clients::engine::EngineClient;
 use dandelionroad_clients::engine::EngineOrder;
@@ -10,6 +8,8 @@
 use dandelionroad_clients::engine::GeneratedToken;
 use dandelionroad_clients::engine::HttpEngine;
 use dandelionroad_clients::engine::StepOutput;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::stream::StepPayload;
 use dandelionroad_standins::engine::CacheEvent;
 use dandelionroad_standins::engine::EngineFaults;
 use dandelionroad_standins::engine::EngineOptions;
