Give out more of the engines' memory, and log why no chain is found

The margin on the estimate (1.25) and the share of memory (0.85) both held room back. A plain request now waits its whole time when no further attempt is possible.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -4,6 +4,7 @@
 use crate::stream::LayerRange;
 
 use super::ChainPart;
+use super::ChainShortage;
 use super::FinderRequest;
 use super::FoundChain;
 
@@ -14,7 +15,7 @@
 ///
 /// The rest absorbs answers that outgrow their estimates; an engine that runs out of memory preempts
 /// running streams.
-const ROOM_SHARE: f64 = 0.85;
+const ROOM_SHARE: f64 = 0.95;
 
 /// The share of an engine's slots as a first part that is given out.
 ///
@@ -112,7 +113,35 @@
         }
     }
 
-    fn engines(&self) -> impl Iterator<Item = &'a EngineEntry> {
+    /// Returns why no chain is found, at the first layer that lacks an engine.
+    pub fn shortage(&self, request: &FinderRequest<'_>) -> ChainShortage {
+        let candidates = self.candidates(request);
+        let covers = |range: LayerRange, layer: u16| range.first <= layer && layer < range.end;
+        for layer in 0..self.shape.layers {
+            let mut holders = self
+                .engines()
+                .filter(|entry| covers(entry.record.layers, layer));
+            if holders.clone().next().is_none() {
+                return ChainShortage::NotHeld(layer);
+            }
+            if !holders.any(|entry| self.may_use(entry, request)) {
+                return ChainShortage::Avoided(layer);
+            }
+            if !candidates
+                .iter()
+                .any(|candidate| covers(candidate.layers, layer))
+            {
+                return ChainShortage::Full(layer);
+            }
+        }
+        ChainShortage::NoStart
+    }
+
+    fn may_use(&self, entry: &EngineEntry, request: &FinderRequest<'_>) -> bool {
+        !request.excluded.contains(&entry.record.id) && entry.is_usable(request.now)
+    }
+
+    fn engines(&self) -> impl Iterator<Item = &'a EngineEntry> + Clone + use<'a> {
         let service = self.service;
         let entries = self.table.entries().iter();
         entries.filter(move |entry| {
@@ -140,8 +169,7 @@
     fn candidates(&self, request: &FinderRequest<'_>) -> Vec<Candidate<'a>> {
         let mut candidates = Vec::new();
         for entry in self.engines() {
-            let is_excluded = request.excluded.contains(&entry.record.id);
-            if is_excluded || !entry.is_usable(request.now) {
+            if !self.may_use(entry, request) {
                 continue;
             }
             let kind = entry
--- a/crates/core/src/relay/attempt_plan.rs
+++ b/crates/core/src/relay/attempt_plan.rs
@@ -61,6 +61,13 @@
             && (self.runs == 0 || self.allows_repeat && self.runs < self.max_runs)
     }
 
+    /// Returns whether the request may be sent again if it is sent now and may have run.
+    pub fn may_send_after_run(&self) -> bool {
+        let mut next = *self;
+        next.end(AttemptEnd::Broken);
+        next.may_send()
+    }
+
     /// Returns whether some attempt may have run.
     pub fn may_have_run(&self) -> bool {
         self.runs > 0
--- a/crates/core/src/relay/request_size.rs
+++ b/crates/core/src/relay/request_size.rs
@@ -1,7 +1,7 @@
 /// The share by which the reserved output exceeds a caller's estimate.
 ///
 /// The estimate is right at the median only; without a margin half of the requests outgrow it.
-const ESTIMATE_MARGIN: f64 = 1.25;
+const ESTIMATE_MARGIN: f64 = 1.0;
 
 /// The tokens of a model request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -62,7 +62,16 @@
         };
         log.sent(&id);
         tried.push(id.clone());
-        match attempt(&state, &relay, &id, address, left_ms).await {
+        match attempt(
+            &state,
+            &relay,
+            &id,
+            address,
+            left_ms,
+            plan.may_send_after_run(),
+        )
+        .await
+        {
             PlainEnd::Answered(response) => {
                 state.view.borrow_mut().engines.succeed(&id);
                 log.piece();
@@ -124,6 +133,7 @@
     id: &str,
     address: std::net::SocketAddr,
     left_ms: u64,
+    may_repeat: bool,
 ) -> PlainEnd {
     let _load = LoadGuard::for_endpoint(state, id);
     let is_once = relay.route().repeat == RepeatRule::AtMostOnce;
@@ -145,9 +155,9 @@
         relay.body.clone(),
         is_once,
     );
-    let wait_ms = match is_once {
-        true => left_ms,
-        false => left_ms / SHARE_DIVISOR,
+    let wait_ms = match may_repeat {
+        true => left_ms / SHARE_DIVISOR,
+        false => left_ms,
     };
     let exchange = async {
         let response = sent.await?;
--- a/crates/relay/src/ingress/stream_relay.rs
+++ b/crates/relay/src/ingress/stream_relay.rs
@@ -96,7 +96,7 @@
     pub(super) async fn open(&mut self, log: &mut RequestLog) -> StreamOpened {
         let mut failure = None;
         while self.may_send() {
-            let Some(chain) = self.find_chain() else {
+            let Some(chain) = self.find_chain(log) else {
                 break;
             };
             match self.send(chain, log).await {
@@ -166,7 +166,7 @@
         is_allowed
     }
 
-    fn find_chain(&self) -> Option<Vec<ChainPart>> {
+    fn find_chain(&self, log: &mut RequestLog) -> Option<Vec<ChainPart>> {
         let shape = self.relay.service().model.as_ref()?;
         let view = self.state.view.borrow();
         let request = FinderRequest {
@@ -176,7 +176,12 @@
             now: self.state.clock.now(),
         };
         let finder = ChainFinder::new(&view.engines, &self.relay.service().name, shape);
-        finder.find(&request).map(|chain| chain.parts)
+        let chain = finder.find(&request);
+        if chain.is_none() {
+            let shortage = finder.shortage(&request);
+            log.failed(&format!("{} ({})", shortage.as_str(), shortage.layer()));
+        }
+        chain.map(|chain| chain.parts)
     }
 
     async fn send(
