Let requests wait for room in turn, and move stalled runs only to a chain that takes over

Requests were cut after one second without a first event though nothing else could take them, which threw the engines' work away and kept them overloaded; chains that crossed zones shared a pipe of 4.4 Gbit/s (65 ms a prompt) and served nearly nothing; each of 32 processes used an eighth of the shared retries. Ruled out: processor time (0.02 of 0.09 cores) and memory at the engines. Now a run is given up only when another chain has room and a retry is left, chains cross zones within half of the pipe's rate, retries are divided among live processes, and requests wait for room in turn, for a quarter of a second at most.

--- a/crates/core/src/admit/retry_budget.rs
+++ b/crates/core/src/admit/retry_budget.rs
@@ -48,6 +48,14 @@
         }
     }
 
+    /// Sets the number of retries that are saved up at most, when what is shared among several
+    /// processes is divided anew.
+    pub fn set_burst(&mut self, burst: u32) {
+        let burst = u64::from(burst) * 100;
+        self.level = (self.level + burst.saturating_sub(self.burst)).min(burst);
+        self.burst = burst;
+    }
+
     /// Counts a first attempt.
     pub fn request(&mut self) {
         self.level = (self.level + self.percent).min(self.burst);
--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -30,9 +30,8 @@
 
 /// The cost of a hop between engines of different availability zones, in milliseconds of a step.
 ///
-/// All prompts that cross share one pipe between zones: 800 tokens of activations take 16 ms there,
-/// and chains that all cross filled it to the point of pauses of 300 ms between events.
-const FAR_TRANSFER_MS: f64 = 3.0;
+/// More than any chain within a zone takes, because prompts that cross share one pipe.
+const CROSSING_MS: f64 = 1_000.0;
 
 /// The factor on the time of an engine whose memory is all given out, above that of an empty one.
 ///
@@ -321,11 +320,10 @@
                 continue;
             }
             let is_near = candidates[step.candidate].entry.record.zone == *zone;
-            let hop = if is_near {
-                NEAR_HOP_MS
-            } else {
-                FAR_TRANSFER_MS
-            };
+            if !is_near && !request.may_cross {
+                continue;
+            }
+            let hop = if is_near { NEAR_HOP_MS } else { CROSSING_MS };
             let cost = step.cost + hop;
             if best.is_none_or(|(known, ..)| cost < known) {
                 best = Some((cost, Some((first, position)), step.parts + 1));
@@ -352,9 +350,11 @@
             .map(|(layer, position)| steps[usize::from(layer)][position]);
     }
     parts.reverse();
+    let crossings = (last.cost / CROSSING_MS) as usize;
     FoundChain {
         parts,
-        step_ms: last.cost,
+        crossings,
+        step_ms: last.cost - crossings as f64 * CROSSING_MS,
     }
 }
 
--- a/crates/core/src/chain/finder_request.rs
+++ b/crates/core/src/chain/finder_request.rs
@@ -9,6 +9,8 @@
     pub zone: &'a str,
     /// The identifiers of engines that must not take part.
     pub excluded: &'a [String],
+    /// Whether the chain may cross from one availability zone to another.
+    pub may_cross: bool,
     /// The present time.
     pub now: MilliTime,
 }
--- a/crates/core/src/chain/found_chain.rs
+++ b/crates/core/src/chain/found_chain.rs
@@ -5,6 +5,8 @@
 pub struct FoundChain {
     /// The parts in order; the first one takes the request.
     pub parts: Vec<ChainPart>,
+    /// The number of times that the chain goes from one availability zone to another.
+    pub crossings: usize,
     /// The expected time of a token step, in milliseconds.
     pub step_ms: f64,
 }
--- a/crates/core/src/chain/mod.rs
+++ b/crates/core/src/chain/mod.rs
@@ -9,6 +9,7 @@
 mod chain_finder;
 mod chain_part;
 mod chain_shortage;
+mod crossing_budget;
 mod finder_request;
 mod found_chain;
 mod placement_engine;
@@ -19,6 +20,7 @@
 pub use self::chain_finder::ChainFinder;
 pub use self::chain_part::ChainPart;
 pub use self::chain_shortage::ChainShortage;
+pub use self::crossing_budget::CrossingBudget;
 pub use self::finder_request::FinderRequest;
 pub use self::found_chain::FoundChain;
 pub use self::placement_engine::PlacementEngine;
--- a/crates/core/src/relay/engine_record.rs
+++ b/crates/core/src/relay/engine_record.rs
@@ -21,8 +21,6 @@
     pub kind: Option<String>,
     /// The layers that it holds; empty for none.
     pub layers: LayerRange,
-    /// The number of orders that it accepted since its start.
-    pub order_count: u64,
     /// The start of this incarnation, in milliseconds since the Unix epoch.
     pub started_ms: u64,
 }
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -116,11 +116,26 @@
         }
     }
 
-    /// Avoids the engine for `avoid_ms`, without a judgement on its health.
-    pub fn avoid(&mut self, id: &str, now: MilliTime, avoid_ms: u64) {
+    /// Takes the progress of a request at an engine, which clears earlier failures.
+    pub fn progress(&mut self, id: &str, now: MilliTime) {
         if let Some(entry) = self.get_mut(id) {
-            entry.avoided_until = entry.avoided_until.max(now.plus(avoid_ms));
+            entry.failures = 0;
+            entry.progressed = now;
+        }
+    }
+
+    /// Avoids an engine that a stalled request depends on, if no other request went on there within
+    /// `quiet_ms`; returns whether it is avoided.
+    ///
+    /// All engines of a chain are silent when one of them is dead; those that other chains use as
+    /// well are thereby known to be alive.
+    pub fn suspect(&mut self, id: &str, quiet_ms: u64, now: MilliTime) -> bool {
+        let entry = self.get(id);
+        let is_quiet = entry.is_some_and(|entry| now.since(entry.progressed) >= quiet_ms);
+        if is_quiet {
+            self.fail(id, now);
         }
+        is_quiet
     }
 
     /// Counts a success.
--- a/crates/core/src/relay/model_shape.rs
+++ b/crates/core/src/relay/model_shape.rs
@@ -25,6 +25,10 @@
     pub read_per_ms: f64,
     /// The time to load all layers, in milliseconds.
     pub load_ms: f64,
+    /// The bytes of one token that go from one engine of a chain to the next.
+    pub activation_bytes: f64,
+    /// The rate that all transfers between two availability zones share, in megabits a second.
+    pub pipe_mbps: f64,
     /// The mean number of prompt tokens of a request.
     pub usual_prompt: f64,
     /// The mean number of output tokens of a request.
@@ -42,6 +46,11 @@
         index.ok().map(|index| &self.kinds[index])
     }
 
+    /// Returns the tokens that may cross from one availability zone to another in a second.
+    pub fn pipe_tokens(&self) -> f64 {
+        self.pipe_mbps * 1e6 / 8.0 / self.activation_bytes.max(1.0)
+    }
+
     /// Returns the most layers that an accelerator of `memory_mb` holds.
     pub fn max_layers(&self, memory_mb: f64) -> u16 {
         let count = (memory_mb / self.layer_mb.max(1e-9)).floor();
--- /dev/null
+++ b/crates/core/tests/chain_placement.rs
@@ -0,0 +1,196 @@
+//! Guards against engines that are ordered to hold more than their memory, against orders to engines
+//! that serve, and against holes that stay when an engine comes back empty.
+
+mod chain_support;
+
+use dandelionroad_core::chain::ChainFinder;
+use dandelionroad_core::chain::FinderRequest;
+use dandelionroad_core::chain::PlacementEngine;
+use dandelionroad_core::chain::PlacementPlan;
+use dandelionroad_core::relay::EngineTable;
+use dandelionroad_core::stream::LayerRange;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::chain_support::NOW;
+use crate::chain_support::SERVICE;
+use crate::chain_support::record;
+use crate::chain_support::shape;
+use crate::chain_support::table;
+
+fn engine(number: u16, zone: &str, kind: &str) -> PlacementEngine {
+    PlacementEngine {
+        id: format!("e{number:03}"),
+        zone: zone.to_owned(),
+        kind: kind.to_owned(),
+        layers: LayerRange::new(0, 0),
+    }
+}
+
+fn fleet(counts: &[(&str, &str, u16)]) -> Vec<PlacementEngine> {
+    let mut engines = Vec::new();
+    for (zone, kind, count) in counts {
+        for _ in 0..*count {
+            engines.push(engine(engines.len() as u16, zone, kind));
+        }
+    }
+    engines
+}
+
+fn carry_out(engines: &mut [PlacementEngine]) -> usize {
+    let orders = PlacementPlan::new(&shape()).orders(engines);
+    for order in &orders {
+        let found = engines
+            .iter_mut()
+            .find(|engine| engine.id == order.id)
+            .unwrap();
+        assert!(found.layers.is_empty(), "an engine that serves is moved");
+        found.layers = order.layers;
+    }
+    orders.len()
+}
+
+fn check_memory(engines: &[PlacementEngine]) {
+    let shape = shape();
+    for engine in engines {
+        let memory = shape.kind(&engine.kind).unwrap().memory_mb;
+        assert!(
+            engine.layers.len() <= shape.max_layers(memory),
+            "{engine:?}"
+        );
+        assert!(engine.layers.end <= shape.layers);
+    }
+}
+
+fn listing(engines: &[PlacementEngine]) -> EngineTable {
+    let records = engines.iter().map(|engine| {
+        let number = engine.id[1..].parse().unwrap();
+        record(number, &engine.zone, &engine.kind, engine.layers)
+    });
+    table(records.collect())
+}
+
+/// Returns whether a request of 1,000 tokens finds a chain.
+fn serves(table: &EngineTable, zone: &str) -> bool {
+    let request = FinderRequest {
+        tokens: 1_000.0,
+        zone,
+        excluded: &[],
+        may_cross: true,
+        now: NOW,
+    };
+    ChainFinder::new(table, SERVICE, &shape())
+        .find(&request)
+        .is_some()
+}
+
+/// Returns how many requests of 1,000 tokens run at once.
+fn capacity(engines: &[PlacementEngine], zone: &str) -> u32 {
+    let mut table = listing(engines);
+    let mut count = 0;
+    loop {
+        let shape = shape();
+        let request = FinderRequest {
+            tokens: 1_000.0,
+            zone,
+            excluded: &[],
+            may_cross: true,
+            now: NOW,
+        };
+        let Some(chain) = ChainFinder::new(&table, SERVICE, &shape).find(&request) else {
+            return count;
+        };
+        for part in &chain.parts {
+            table.begin(&part.id, 1_000.0 * f64::from(part.layers.len()));
+        }
+        count += 1;
+    }
+}
+
+#[test]
+fn orders_random_fleets() {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..300 {
+        let mut engines = Vec::new();
+        for number in 0..rng.random_range(1..60) {
+            let zone = ["a", "b", "c", "d"][rng.random_range(0..4)];
+            let kind = ["large", "middle", "small"][rng.random_range(0..3)];
+            engines.push(engine(number, zone, kind));
+        }
+        carry_out(&mut engines);
+        check_memory(&engines);
+        let memory: f64 = engines
+            .iter()
+            .map(|engine| shape().kind(&engine.kind).unwrap().memory_mb)
+            .sum();
+        if memory > 2.0 * 140_000.0 {
+            assert!(serves(&listing(&engines), "a"), "{memory} MB serve nothing");
+        }
+        // A second round has nothing left to order.
+        assert_eq!(carry_out(&mut engines), 0);
+    }
+}
+
+/// Replays the traffic of a calm day: about 240 requests of 1,000 tokens at once.
+#[test]
+fn orders_three_zones_hold_calm_day() {
+    let mut engines = fleet(&[
+        ("a", "large", 1),
+        ("a", "middle", 6),
+        ("a", "small", 5),
+        ("b", "large", 2),
+        ("b", "middle", 2),
+        ("b", "small", 5),
+        ("c", "large", 1),
+        ("c", "middle", 3),
+        ("c", "small", 8),
+    ]);
+    assert_eq!(carry_out(&mut engines), 33);
+    check_memory(&engines);
+    let capacity = capacity(&engines, "a");
+    assert!(capacity >= 240, "{capacity} requests at once");
+}
+
+/// Replays the loss of any one engine, and its return without layers.
+#[test]
+fn orders_fill_hole_of_returned_engine() {
+    let mut engines = fleet(&[("a", "large", 2), ("a", "middle", 4), ("a", "small", 2)]);
+    carry_out(&mut engines);
+    for index in 0..engines.len() {
+        let mut after = engines.clone();
+        after[index].layers = LayerRange::new(0, 0);
+        assert_eq!(carry_out(&mut after), 1);
+        check_memory(&after);
+        assert!(
+            capacity(&after, "a") > 0,
+            "the loss of {index} leaves a hole"
+        );
+    }
+}
+
+/// Guards against chains that cross zones when each zone can hold the model.
+#[test]
+fn orders_groups_stay_in_zone() {
+    let mut engines = fleet(&[("a", "middle", 5), ("b", "middle", 5)]);
+    carry_out(&mut engines);
+    for zone in ["a", "b"] {
+        let own: Vec<_> = engines
+            .iter()
+            .filter(|engine| engine.zone == zone)
+            .cloned()
+            .collect();
+        assert!(
+            capacity(&own, zone) > 0,
+            "zone {zone} does not cover the model"
+        );
+    }
+}
+
+#[test]
+fn orders_zones_too_small_for_the_model() {
+    let mut engines = fleet(&[("a", "middle", 2), ("b", "middle", 2), ("c", "large", 1)]);
+    carry_out(&mut engines);
+    check_memory(&engines);
+    assert!(capacity(&engines, "a") > 0);
+}
--- /dev/null
+++ b/crates/core/tests/chain_support/mod.rs
@@ -0,0 +1,69 @@
+//! Fleets of engines for the tests of chains and placement.
+
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use dandelionroad_core::relay::AcceleratorKind;
+use dandelionroad_core::relay::EngineRecord;
+use dandelionroad_core::relay::EngineTable;
+use dandelionroad_core::relay::ModelShape;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::time::MilliTime;
+
+/// The service of all engines.
+pub(crate) const SERVICE: &str = "knots";
+
+/// A time after all engines were listed.
+pub(crate) const NOW: MilliTime = MilliTime::from_millis(60_000);
+
+/// Returns a model of 80 layers and three kinds of accelerators.
+pub(crate) fn shape() -> ModelShape {
+    let kind = |name: &str, memory_mb, step_factor, read_factor| AcceleratorKind {
+        name: name.to_owned(),
+        memory_mb,
+        step_factor,
+        read_factor,
+    };
+    ModelShape {
+        name: "knots-70b".to_owned(),
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_bytes: 918_000.0,
+        slots: 192,
+        step_ms: 1.0,
+        sequence_ms: 0.007,
+        context_ms: 0.0095,
+        read_per_ms: 105.0,
+        load_ms: 14_000.0,
+        activation_bytes: 45_900.0,
+        pipe_mbps: 18_000.0,
+        usual_prompt: 774.0,
+        usual_answer: 203.0,
+        kinds: vec![
+            kind("large", 72_000.0, 2.4, 3.2),
+            kind("middle", 43_200.0, 5.6, 2.7),
+            kind("small", 21_600.0, 16.0, 8.2),
+        ],
+    }
+}
+
+/// Returns an engine's listing.
+pub(crate) fn record(number: u16, zone: &str, kind: &str, layers: LayerRange) -> EngineRecord {
+    EngineRecord {
+        id: format!("e{number:03}"),
+        service: SERVICE.to_owned(),
+        address: format!("127.0.0.1:{}", 10_000 + number).parse().unwrap(),
+        zone: zone.to_owned(),
+        is_draining: false,
+        slots: 192,
+        kind: Some(kind.to_owned()),
+        layers,
+        started_ms: u64::from(number),
+    }
+}
+
+/// Returns a table with these listings.
+pub(crate) fn table(records: Vec<EngineRecord>) -> EngineTable {
+    let mut table = EngineTable::new();
+    table.replace(records, MilliTime::from_millis(1));
+    table
+}
--- /dev/null
+++ b/crates/core/tests/relay.rs
@@ -0,0 +1,247 @@
+//! Guards against requests that reach a service, account or engine that the configuration and the
+//! listing do not allow, and against requests that run twice.
+
+mod chain_support;
+
+use dandelionroad_core::relay::AttemptEnd;
+use dandelionroad_core::relay::AttemptPlan;
+use dandelionroad_core::relay::CallerLimits;
+use dandelionroad_core::relay::ConfigAge;
+use dandelionroad_core::relay::EventSplitter;
+use dandelionroad_core::relay::KeyIndex;
+use dandelionroad_core::relay::RelayAccount;
+use dandelionroad_core::relay::RelayConfig;
+use dandelionroad_core::relay::RelayRoute;
+use dandelionroad_core::relay::RepeatRule;
+use dandelionroad_core::relay::RequestSize;
+use dandelionroad_core::relay::RouteIndex;
+use dandelionroad_core::relay::ServicePicker;
+use dandelionroad_core::relay::ServiceShare;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::time::MilliTime;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::chain_support::NOW;
+use crate::chain_support::SERVICE;
+use crate::chain_support::record;
+use crate::chain_support::table;
+
+fn route(host: &str, prefix: &str) -> RelayRoute {
+    RelayRoute {
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        is_stream: false,
+        repeat: RepeatRule::Idempotent,
+        timeout_ms: 2_000,
+        target_ms: 300,
+        gap_target_ms: 0,
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+        shares: vec![ServiceShare {
+            service: SERVICE.to_owned(),
+            weight: 1,
+        }],
+    }
+}
+
+fn config(routes: Vec<RelayRoute>, accounts: Vec<RelayAccount>) -> RelayConfig {
+    RelayConfig {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        accounts,
+        limits: CallerLimits::default(),
+    }
+}
+
+#[test]
+fn route_index_longest_prefix() {
+    let routes = vec![
+        route("shop.example", "/"),
+        route("shop.example", "/orders/"),
+        route("shop.example", "/orders/new/"),
+        route("other.example", "/orders/"),
+    ];
+    let index = RouteIndex::new(&config(routes, Vec::new()));
+    assert_eq!(index.find("shop.example", "/orders/new/7"), Some(2));
+    assert_eq!(index.find("Shop.Example:8080", "/orders/newer"), Some(1));
+    assert_eq!(index.find("shop.example", "/stock"), Some(0));
+    assert_eq!(index.find("other.example", "/stock"), None);
+    assert_eq!(index.find("other.example", "/orders"), None);
+}
+
+#[test]
+fn relay_route_shares_by_weight() {
+    let mut route = route("shop.example", "/");
+    let share = |service: &str, weight| ServiceShare {
+        service: service.to_owned(),
+        weight,
+    };
+    route.shares = vec![share("old", 90), share("new", 10)];
+    let picks = (0..10_000).filter(|id| route.service(&format!("{id:x}")) == Some("new"));
+    let count = picks.count();
+    assert!(
+        (800..1_200).contains(&count),
+        "{count} of 10,000 at weight 10 in 100"
+    );
+}
+
+#[test]
+fn key_index_finds_account() {
+    let account = |name: &str, keys: &[&str]| RelayAccount {
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        priority: None,
+    };
+    let accounts = vec![account("rope", &["k2", "k9"]), account("pond", &["k1"])];
+    let index = KeyIndex::new(&config(Vec::new(), accounts));
+    assert_eq!(index.find("k9"), Some(0));
+    assert_eq!(index.find("k1"), Some(1));
+    assert_eq!(index.find("k3"), None);
+}
+
+/// Guards against a key that works on after it was taken away while the process was suspended.
+#[test]
+fn config_age_grows_while_suspended() {
+    let mut age = ConfigAge::new(4_700);
+    age.confirm(MilliTime::from_millis(1_000));
+    assert!(age.is_fresh(MilliTime::from_millis(5_699)));
+    assert!(!age.is_fresh(MilliTime::from_millis(5_700)));
+    // A late answer of an earlier read does not make the configuration younger or older.
+    age.confirm(MilliTime::from_millis(900));
+    assert_eq!(age.age_ms(MilliTime::from_millis(5_700)), Some(4_700));
+}
+
+#[test]
+fn attempt_plan_random_ends() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for _ in 0..10_000 {
+        let allows_repeat = rng.random();
+        let max_runs = rng.random_range(1..4);
+        let mut plan = AttemptPlan::new(allows_repeat, max_runs);
+        let mut runs = 0;
+        while plan.may_send() {
+            assert!(runs < max_runs, "runs on more endpoints than allowed");
+            assert!(runs == 0 || allows_repeat, "runs twice");
+            let end = [
+                AttemptEnd::NotSent,
+                AttemptEnd::Rejected,
+                AttemptEnd::Failed,
+                AttemptEnd::Broken,
+            ][rng.random_range(0..4)];
+            runs += u32::from(matches!(end, AttemptEnd::Failed | AttemptEnd::Broken));
+            plan.end(end);
+        }
+        assert_eq!(plan.may_have_run(), runs > 0);
+    }
+}
+
+/// Guards against pieces of events, repeated events and gaps that reach a caller.
+#[test]
+fn event_splitter_random_cuts() {
+    let events: Vec<u8> = (1..60)
+        .flat_map(|id| format!("id: {id}\ndata: token {id}\n\n").into_bytes())
+        .collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    for _ in 0..2_000 {
+        // The first run is cut anywhere; the second goes on after the last whole event.
+        let cut = rng.random_range(0..events.len());
+        let mut passed = Vec::new();
+        let mut splitter = EventSplitter::new(None);
+        let mut rest = &events[..cut];
+        while !rest.is_empty() {
+            let length = rng.random_range(1..=rest.len().min(40));
+            passed.extend(splitter.push(&rest[..length]).unwrap());
+            rest = &rest[length..];
+        }
+        let last = splitter.last_id().unwrap_or(0);
+        let tail = format!("id: {}\n", last + 1);
+        let start = events
+            .windows(tail.len())
+            .position(|window| window == tail.as_bytes());
+        let mut splitter = EventSplitter::new(splitter.last_id());
+        passed.extend(
+            splitter
+                .push(&events[start.unwrap_or(events.len())..])
+                .unwrap(),
+        );
+        assert_eq!(passed, events);
+    }
+}
+
+#[test]
+fn event_splitter_repeated_event() {
+    let mut splitter = EventSplitter::new(Some(4));
+    assert_eq!(splitter.push(b"id: 4\ndata: x\n\n"), Err(4));
+    let mut splitter = EventSplitter::new(Some(4));
+    assert_eq!(splitter.push(b"id: 6\ndata: x\n\n"), Err(6));
+}
+
+#[test]
+fn engine_table_new_incarnation_forgets() {
+    let mut table = table(vec![record(1, "a", "large", LayerRange::new(0, 40))]);
+    table.fail("e001", NOW);
+    table.begin("e001", 500.0);
+    let mut reborn = record(1, "a", "large", LayerRange::new(0, 0));
+    reborn.started_ms = 99_000;
+    let (added, removed) = table.replace(vec![reborn], NOW);
+    assert_eq!((added.len(), removed.len()), (1, 0));
+    let entry = table.get("e001").unwrap();
+    assert!(entry.is_usable(NOW));
+    assert_eq!(entry.own_requests, 0);
+}
+
+/// Guards against the loss of all engines when their entries lapse while the store is away.
+#[test]
+fn engine_table_keeps_lapsed_entries_after_outage() {
+    let listing = || vec![record(1, "a", "large", LayerRange::new(0, 40))];
+    let mut table = table(listing());
+    table.store_returned(NOW);
+    table.replace(Vec::new(), NOW.plus(1_000));
+    assert!(table.get("e001").is_some());
+    table.replace(Vec::new(), NOW.plus(2_000));
+    assert!(
+        table.get("e001").is_none(),
+        "an entry that stays away is gone"
+    );
+    let mut table = self::table(listing());
+    table.replace(Vec::new(), NOW);
+    assert!(
+        table.get("e001").is_none(),
+        "without an outage a missing entry is gone at once"
+    );
+}
+
+#[test]
+fn service_picker_avoids_failed_and_tried() {
+    let records = (1..4).map(|number| record(number, "a", "large", LayerRange::new(0, 0)));
+    let mut table = table(records.collect());
+    table.fail("e001", NOW);
+    table.begin("e002", 0.0);
+    let pick = |excluded: &[String]| {
+        let picker = ServicePicker::new(&table, SERVICE);
+        picker
+            .pick(excluded, NOW, 1)
+            .map(|entry| entry.record.id.clone())
+    };
+    assert_eq!(pick(&[]).as_deref(), Some("e003"));
+    assert_eq!(pick(&["e003".to_owned()]).as_deref(), Some("e002"));
+    // A failed endpoint is better than none.
+    assert_eq!(
+        pick(&["e003".to_owned(), "e002".to_owned()]).as_deref(),
+        Some("e001")
+    );
+}
+
+#[test]
+fn request_size_reserves_within_maximum() {
+    let size = RequestSize {
+        prompt_tokens: 700,
+        max_output_tokens: 100,
+        output_estimate: Some(400),
+    };
+    assert_eq!(size.reserved_tokens(200.0), 800.0);
+}
--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -64,7 +64,7 @@
     /// # Errors
     ///
     /// Returns [`SendFault::NotSent`] only if nothing was sent.
-    pub async fn send(
+    pub fn send(
         &self,
         address: SocketAddr,
         method: &Method,
@@ -72,26 +72,28 @@
         headers: HeaderMap,
         body: Bytes,
         is_once: bool,
-    ) -> Result<Response<Incoming>, SendFault> {
-        let mut request = Request::builder()
+    ) -> impl Future<Output = Result<Response<Incoming>, SendFault>> + use<> {
+        let request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
-            .body(Full::new(body))
-            .map_err(|error| SendFault::NotSent {
-                detail: error.to_string(),
-            })?;
-        *request.headers_mut() = headers;
+            .body(Full::new(body));
         let client = match is_once {
-            true => &self.single,
-            false => &self.pooled,
+            true => self.single.clone(),
+            false => self.pooled.clone(),
         };
-        client.request(request).await.map_err(|error| {
-            let detail = format!("{error:?}");
-            match error.is_connect() {
-                true => SendFault::NotSent { detail },
-                false => SendFault::Broken { detail },
-            }
-        })
+        async move {
+            let mut request = request.map_err(|error| SendFault::NotSent {
+                detail: error.to_string(),
+            })?;
+            *request.headers_mut() = headers;
+            client.request(request).await.map_err(|error| {
+                let detail = format!("{error:?}");
+                match error.is_connect() {
+                    true => SendFault::NotSent { detail },
+                    false => SendFault::Broken { detail },
+                }
+            })
+        }
     }
 }
 
--- a/crates/relay/src/engine/load_guard.rs
+++ b/crates/relay/src/engine/load_guard.rs
@@ -42,5 +42,10 @@
         for (id, units) in &self.loads {
             view.engines.end(id, *units);
         }
+        self.state
+            .waiting
+            .borrow_mut()
+            .freed(self.state.clock.now());
+        self.state.room.notify_waiters();
     }
 }
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -11,6 +11,7 @@
 mod refusal;
 mod relay_request;
 mod request_handler;
+mod room_wait;
 mod stream_driver;
 mod stream_relay;
 
--- a/crates/relay/src/ingress/stream_driver.rs
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -10,8 +10,9 @@
 use super::caller_body::CallerBody;
 use super::caller_body::full_body;
 use super::caller_body::piece_body;
+use super::refusal::refuse;
 use super::relay_request::RelayRequest;
-use super::request_handler::end_refused;
+use super::request_handler::retry_after_ms;
 use super::stream_relay::StreamOpened;
 use super::stream_relay::StreamRelay;
 
@@ -44,9 +45,10 @@
             *response.headers_mut() = state.format.caller_headers(&parts.headers);
             response
         }
-        StreamOpened::Refused(kind) => {
+        StreamOpened::Refused(kind, retry_ms) => {
             let id = stream.request_id().to_owned();
-            end_refused(&state, &mut log, &id, kind)
+            log.end(kind.as_str());
+            refuse(&state, &id, kind, retry_ms.or(retry_after_ms(kind)))
         }
     }
 }
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -2,6 +2,7 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
+use dandelionroad_core::relay::RoomQueue;
 use tokio::sync::Notify;
 
 use crate::engine::EngineClient;
@@ -31,8 +32,10 @@
     pub metrics: RelayMetrics,
     /// The number of requests that are being followed.
     pub running: Cell<u32>,
-    /// Wakes tasks when the process begins to stop.
-    pub stopping: Notify,
+    /// The model requests that wait for room.
+    pub waiting: RefCell<RoomQueue>,
+    /// Wakes the waiting requests when room may have become free.
+    pub room: Notify,
 }
 
 impl NodeState {
@@ -48,7 +51,8 @@
             engines: EngineClient::new(),
             metrics: RelayMetrics::new(),
             running: Cell::new(0),
-            stopping: Notify::new(),
+            waiting: RefCell::new(RoomQueue::new()),
+            room: Notify::new(),
         })
     }
 }
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use dandelionroad_core::admit::RetryBudget;
+use dandelionroad_core::chain::CrossingBudget;
 use dandelionroad_core::relay::ConfigAge;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::KeyIndex;
@@ -9,6 +10,9 @@
 
 use super::RelaySettings;
 
+/// The processes among which retries are divided before the others were heard of.
+const FIRST_PROCESSES: u32 = 32;
+
 /// What a process believes of the system around it.
 #[derive(Debug)]
 pub struct RelayView {
@@ -26,6 +30,10 @@
     pub has_listing: bool,
     /// The retries that are left to this process.
     pub retries: RetryBudget,
+    /// The requests that this process may send over chains that cross availability zones.
+    pub crossings: CrossingBudget,
+    /// The number of processes that were heard of lately, this one included.
+    pub processes: u32,
     /// Whether the process is stopping.
     pub is_stopping: bool,
 }
@@ -40,7 +48,12 @@
             config_age: ConfigAge::new(settings.key_age_ms),
             engines: EngineTable::new(),
             has_listing: false,
-            retries: RetryBudget::new(settings.retry_percent, settings.retry_slack),
+            retries: RetryBudget::new(
+                settings.retry_percent,
+                settings.retry_slack / FIRST_PROCESSES,
+            ),
+            crossings: CrossingBudget::new(),
+            processes: FIRST_PROCESSES,
             is_stopping: false,
         }
     }
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -144,7 +144,16 @@
     let mut peers = state.peers.borrow_mut();
     peers.expire(now);
     let loads = peers.loads(now);
-    state.view.borrow_mut().engines.set_peer_loads(&loads);
+    let mut view = state.view.borrow_mut();
+    view.engines.set_peer_loads(&loads);
+    state.room.notify_waiters();
+    let processes = peers.live(now) + 1;
+    if processes != view.processes {
+        view.processes = processes;
+        view.retries
+            .set_burst(state.settings.retry_slack / processes);
+        spdlog::info!("peers: live processes", kv: { processes = processes });
+    }
 }
 
 fn own_loads(state: &NodeState) -> Vec<PeerLoad> {
