--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -1,3 +1,4 @@
+use crate::route::hash_text;
 use crate::time::MilliTime;
 
 use super::EngineEntry;
@@ -22,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EngineTable {
     entries: Vec<EngineEntry>,
+    /// The digest of the newest listing.
+    digest: u64,
     /// Until when missing entries are kept, because the store has just come back.
     keeps_missing_until: MilliTime,
 }
@@ -56,6 +59,11 @@
             .find(|entry| entry.record.address == address)
     }
 
+    /// Returns a digest of the newest listing, equal in all processes that hold the same one.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Takes the end of an outage of the store, after which listings may be incomplete for a while.
     pub fn store_returned(&mut self, now: MilliTime) {
         self.keeps_missing_until = now.plus(RELIST_MS);
@@ -70,6 +78,7 @@
         let mut records = records;
         records.sort_by(|left, right| left.id.cmp(&right.id));
         records.dedup_by(|left, right| left.id == right.id);
+        self.digest = listing_digest(&records);
         let mut old = std::mem::take(&mut self.entries);
         let mut added = Vec::new();
         for record in records {
@@ -180,3 +189,24 @@
             .binary_search_by(|entry| entry.record.id.as_str().cmp(id))
     }
 }
+
+/// Returns a digest of sorted records.
+fn listing_digest(records: &[EngineRecord]) -> u64 {
+    records.iter().fold(0, |digest, record| {
+        let layers = record.layers;
+        let text = format!(
+            "{} {} {} {} {} {} {:?} {}-{} {}",
+            record.id,
+            record.service,
+            record.address,
+            record.zone,
+            record.is_draining,
+            record.slots,
+            record.kind,
+            layers.first,
+            layers.end,
+            record.started_ms,
+        );
+        hash_text(digest, &text)
+    })
+}
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -34,6 +34,12 @@
     pub running: Cell<u32>,
     /// The model requests that wait for room.
     pub waiting: RefCell<RoomQueue>,
+    /// Wakes the task that confirms to the others what they hold.
+    pub confirm: Notify,
+    /// Wakes the task that reads the configuration.
+    pub config_changed: Notify,
+    /// Wakes the task that reads the list of engines.
+    pub listing_changed: Notify,
     /// Wakes the waiting requests when room may have become free.
     pub room: Notify,
 }
@@ -52,6 +58,9 @@
             metrics: RelayMetrics::new(),
             running: Cell::new(0),
             waiting: RefCell::new(RoomQueue::new()),
+            confirm: Notify::new(),
+            config_changed: Notify::new(),
+            listing_changed: Notify::new(),
             room: Notify::new(),
         })
     }
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::relay::KeyIndex;
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::relay::RouteIndex;
+use dandelionroad_core::time::MilliTime;
 
 use super::RelaySettings;
 
@@ -26,6 +27,10 @@
     pub config_age: ConfigAge,
     /// The listed engines.
     pub engines: EngineTable,
+    /// When the list of engines was last known to be the newest.
+    pub listing_time: MilliTime,
+    /// When the store last answered this process.
+    pub store_time: MilliTime,
     /// Whether the engines were listed at least once.
     pub has_listing: bool,
     /// The retries that are left to this process.
@@ -47,6 +52,8 @@
             keys: KeyIndex::default(),
             config_age: ConfigAge::new(settings.key_age_ms),
             engines: EngineTable::new(),
+            listing_time: MilliTime::default(),
+            store_time: MilliTime::default(),
             has_listing: false,
             retries: RetryBudget::new(
                 settings.retry_percent,
--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -13,6 +13,7 @@
 use hyper::header::HeaderValue;
 
 use crate::node::NodeState;
+use crate::peer::reads_for_others;
 use crate::store::StoreClient;
 use crate::wire::EncodedCall;
 use crate::wire::EngineOrder;
@@ -54,7 +55,7 @@
     loop {
         tokio::time::sleep(Duration::from_millis(ROUND_MS)).await;
         let now = state.clock.now();
-        if now >= next_renewal && (holder.is_held(now) || is_candidate(&state, now)) {
+        if now >= next_renewal && (holder.is_held(now) || reads_for_others(&state)) {
             next_renewal = now.plus(RENEW_MS);
             let was_held = holder.is_held(now);
             if let Err(error) = step_lease(&state, &store, &mut holder).await {
@@ -71,13 +72,6 @@
     }
 }
 
-/// Returns whether this process should hold the lease: the first live one that reaches the store.
-fn is_candidate(state: &NodeState, now: MilliTime) -> bool {
-    let view = state.view.borrow();
-    let is_able = view.is_ready() && view.config_age.is_fresh(now);
-    is_able && state.peers.borrow().is_first(state.settings.peers, now)
-}
-
 async fn give_orders(state: &Rc<NodeState>, holder: &LeaseHolder, pending: &mut Vec<PendingOrder>) {
     let now = state.clock.now();
     settle_pending(state, pending, now);
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -1,15 +1,23 @@
 /*!
-What processes tell each other about the requests that they have at engines.
+What processes tell each other: the requests that they have at engines, and the age of what is known
+from the store.
 
 Each process sends its own loads to the others as datagrams; a lost one is made up for by the next.
+The first process that reaches the store reads it often and confirms to the others that what they hold
+is the newest, so that the calls of the store do not grow with the number of processes.
 */
 
+mod confirm_message;
+mod peer_datagram;
 mod peer_load;
 mod peer_message;
 mod peer_table;
 mod peer_task;
 
+pub use self::confirm_message::ConfirmMessage;
+pub use self::peer_datagram::PeerDatagram;
 pub use self::peer_load::PeerLoad;
 pub use self::peer_message::PeerMessage;
 pub use self::peer_table::PeerTable;
+pub(crate) use self::peer_task::reads_for_others;
 pub use self::peer_task::run_peers;
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -18,7 +18,11 @@
 struct PeerState {
     address: SocketAddr,
     heard: MilliTime,
-    sequence: u64,
+    stamp: u64,
+    /// The stamp at which its configuration was still the newest.
+    config_stamp: u64,
+    /// The stamp at which its list of engines was still the newest.
+    listing_stamp: u64,
     loads: Vec<PeerLoad>,
     reaches_store: bool,
     is_heard: bool,
@@ -44,14 +48,14 @@
     /// Takes a message; returns whether it was newer than those before.
     pub fn heard(&mut self, address: SocketAddr, message: PeerMessage, now: MilliTime) -> bool {
         let peer = self.entry(address, now);
-        // A restart begins with a low sequence again; a sequence far below is a new sender.
-        let is_old = message.sequence <= peer.sequence && now.since(peer.heard) < SILENT_MS;
+        // The clock of another host at the same address may be far behind.
+        let is_old = message.stamp <= peer.stamp && now.since(peer.heard) < SILENT_MS;
         if is_old {
             return false;
         }
         peer.heard = now;
         peer.is_heard = true;
-        peer.sequence = message.sequence;
+        peer.stamp = message.stamp;
         peer.loads = message.loads;
         peer.reaches_store = message.reaches_store;
         true
@@ -72,6 +76,38 @@
         self.live_peers(now).count() as u32
     }
 
+    /// Returns the newest stamp of each process, to be taken before a read of the store.
+    pub fn stamps(&self) -> Vec<(SocketAddr, u64)> {
+        self.peers
+            .iter()
+            .map(|peer| (peer.address, peer.stamp))
+            .collect()
+    }
+
+    /// Takes a read of the configuration that was begun after the stamps were taken.
+    pub fn config_read(&mut self, stamps: &[(SocketAddr, u64)]) {
+        for (address, stamp) in stamps {
+            if let Some(peer) = self.get_mut(*address) {
+                peer.config_stamp = *stamp;
+            }
+        }
+    }
+
+    /// Takes a read of the list of engines that was begun after the stamps were taken.
+    pub fn listing_read(&mut self, stamps: &[(SocketAddr, u64)]) {
+        for (address, stamp) in stamps {
+            if let Some(peer) = self.get_mut(*address) {
+                peer.listing_stamp = *stamp;
+            }
+        }
+    }
+
+    /// Returns each process with its stamps of the configuration and of the list of engines.
+    pub fn confirmations(&self) -> Vec<(SocketAddr, u64, u64)> {
+        let confirmed = |peer: &PeerState| (peer.address, peer.config_stamp, peer.listing_stamp);
+        self.peers.iter().map(confirmed).collect()
+    }
+
     /// Returns whether no live process that reaches the store has a lower address than `own`.
     pub fn is_first(&self, own: SocketAddr, now: MilliTime) -> bool {
         !self
@@ -87,6 +123,13 @@
             .collect()
     }
 
+    fn get_mut(&mut self, address: SocketAddr) -> Option<&mut PeerState> {
+        let found = self
+            .peers
+            .binary_search_by_key(&address, |peer| peer.address);
+        found.ok().map(|index| &mut self.peers[index])
+    }
+
     fn live_peers(&self, now: MilliTime) -> impl Iterator<Item = &PeerState> {
         let is_live = move |peer: &&PeerState| peer.is_heard && now.since(peer.heard) < SILENT_MS;
         self.peers.iter().filter(is_live)
@@ -102,7 +145,9 @@
                 let peer = PeerState {
                     address,
                     heard: now,
-                    sequence: 0,
+                    stamp: 0,
+                    config_stamp: 0,
+                    listing_stamp: 0,
                     loads: Vec::new(),
                     reaches_store: false,
                     is_heard: false,
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -12,6 +12,8 @@
 use crate::wire::StoreTable;
 use crate::wire::StoreWrite;
 
+use super::ConfirmMessage;
+use super::PeerDatagram;
 use super::PeerLoad;
 use super::PeerMessage;
 
@@ -24,11 +26,20 @@
 /// The time between two reads of the list of processes, in milliseconds.
 ///
 /// A process that starts tells the listed ones itself; the read finds those that could not be told.
-const LIST_INTERVAL_MS: u64 = 10_000;
+const LIST_INTERVAL_MS: u64 = 60_000;
+
+/// The time between two confirmations to each process, in milliseconds.
+///
+/// Three may be lost before a process reads the store itself.
+const CONFIRM_INTERVAL_MS: u64 = 300;
 
 /// The pause before an entry in the list of processes is tried again, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 1_000;
 
+/// How long after its last own answer a process counts as one that reaches the store, in
+/// milliseconds.
+const STORE_AGE_MS: u64 = 4_000;
+
 /// The greatest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 16_384;
 
@@ -43,46 +54,80 @@
 pub async fn run_peers(state: Rc<NodeState>, store: Rc<StoreClient>, socket: UdpSocket) {
     tokio::join!(
         send_loads(&state, &socket),
-        receive_loads(&state, &socket),
+        receive(&state, &socket),
+        send_confirmations(&state, &socket),
         follow_list(&state, &store),
     );
 }
 
 async fn send_loads(state: &NodeState, socket: &UdpSocket) {
-    // A later start of the same process goes on with a higher sequence.
-    let mut sequence = state.clock.now().as_millis();
     loop {
         tokio::time::sleep(Duration::from_millis(SEND_INTERVAL_MS)).await;
         let now = state.clock.now();
-        sequence += 1;
         refresh(state, now);
-        let message = PeerMessage {
+        let message = PeerDatagram::Load(PeerMessage {
             name: state.settings.name.clone(),
-            sequence,
-            reaches_store: state.view.borrow().config_age.is_fresh(now),
+            stamp: now.as_millis(),
+            reaches_store: reaches_store(state, now),
             loads: own_loads(state),
-        };
-        let Ok(bytes) = serde_json::to_vec(&message) else {
-            continue;
-        };
+        });
         let addresses = state.peers.borrow().addresses();
         for address in addresses {
-            if let Err(error) = socket.send_to(&bytes, address).await {
-                spdlog::debug!("peers: can't send to {address}: {error}");
-            }
+            send(socket, address, &message).await;
+        }
+    }
+}
+
+/// Tells the others how old what they hold may be, as long as this process reads the store for them.
+async fn send_confirmations(state: &NodeState, socket: &UdpSocket) {
+    loop {
+        let pause = Duration::from_millis(CONFIRM_INTERVAL_MS);
+        // A change is told at once, otherwise at the interval.
+        let _ = tokio::time::timeout(pause, state.confirm.notified()).await;
+        if !reads_for_others(state) {
+            continue;
+        }
+        let (config, listing) = {
+            let view = state.view.borrow();
+            let version = view.config.as_ref().map_or(0, |config| config.version);
+            (version, view.engines.digest())
+        };
+        let confirmations = state.peers.borrow().confirmations();
+        for (address, config_stamp, listing_stamp) in confirmations {
+            let message = PeerDatagram::Confirm(ConfirmMessage {
+                config,
+                config_stamp,
+                listing,
+                listing_stamp,
+            });
+            send(socket, address, &message).await;
         }
     }
 }
 
-async fn receive_loads(state: &NodeState, socket: &UdpSocket) {
+async fn send(socket: &UdpSocket, address: SocketAddr, message: &PeerDatagram) {
+    let bytes = match serde_json::to_vec(message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            spdlog::warn!("peers: message not written: {error}");
+            return;
+        }
+    };
+    if let Err(error) = socket.send_to(&bytes, address).await {
+        spdlog::debug!("peers: can't send to {address}: {error}");
+    }
+}
+
+async fn receive(state: &NodeState, socket: &UdpSocket) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, address)) => match serde_json::from_slice(&buffer[..length]) {
-                Ok(message) => {
+                Ok(PeerDatagram::Load(message)) => {
                     let now = state.clock.now();
                     state.peers.borrow_mut().heard(address, message, now);
                 }
+                Ok(PeerDatagram::Confirm(message)) => take_confirmation(state, &message),
                 Err(error) => spdlog::warn!("peers: datagram from {address} left out: {error}"),
             },
             Err(error) => {
@@ -93,6 +138,35 @@
     }
 }
 
+/// Makes what is held younger if it equals the newest, or has it read anew.
+fn take_confirmation(state: &NodeState, message: &ConfirmMessage) {
+    let mut view = state.view.borrow_mut();
+    let config = view.config.as_ref().map_or(0, |config| config.version);
+    if config == message.config && config > 0 {
+        let stamp = MilliTime::from_millis(message.config_stamp);
+        view.config_age.confirm(stamp);
+    } else if config < message.config {
+        state.config_changed.notify_one();
+    }
+    if view.has_listing && view.engines.digest() == message.listing {
+        let stamp = MilliTime::from_millis(message.listing_stamp);
+        view.listing_time = view.listing_time.max(stamp);
+    } else {
+        state.listing_changed.notify_one();
+    }
+}
+
+/// Returns whether this process reads the store often and confirms to the others.
+pub(crate) fn reads_for_others(state: &NodeState) -> bool {
+    let now = state.clock.now();
+    reaches_store(state, now) && state.peers.borrow().is_first(state.settings.peers, now)
+}
+
+fn reaches_store(state: &NodeState, now: MilliTime) -> bool {
+    let view = state.view.borrow();
+    view.is_ready() && now.since(view.store_time) < STORE_AGE_MS
+}
+
 /// Lists this process in the store and learns of the others.
 async fn follow_list(state: &NodeState, store: &StoreClient) {
     let row = MemberRow {
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -4,6 +4,7 @@
 use dandelionroad_core::time::MilliTime;
 
 use crate::node::NodeState;
+use crate::peer::reads_for_others;
 use crate::wire::StoreCall;
 use crate::wire::StoreReply;
 use crate::wire::StoreRow;
@@ -17,12 +18,30 @@
 /// Six processes that ask four times a second stay far below the store's rate.
 const RETRY_PAUSE_MS: u64 = 250;
 
+/// The age up to which a process relies on the confirmations of another one, in milliseconds.
+///
+/// One wait of the other one for a change, and three confirmations of which two may be lost.
+const CONFIRMED_MS: u64 = WATCH_WAIT_MS + 900;
+
+/// The time between two looks at the age of the configuration, in milliseconds.
+const CHECK_PAUSE_MS: u64 = 300;
+
 /// Follows the operator's configuration until the process ends.
 pub async fn run_config(state: Rc<NodeState>, store: Rc<StoreClient>) {
     let mut version: Option<u64> = None;
     let mut is_reached = true;
     loop {
+        if is_confirmed(&state) {
+            let pause = Duration::from_millis(CHECK_PAUSE_MS);
+            let changed = tokio::time::timeout(pause, state.config_changed.notified()).await;
+            if changed.is_err() {
+                continue;
+            }
+            // The version up to which changes were seen is old by now.
+            version = None;
+        }
         let start = state.clock.now();
+        let stamps = state.peers.borrow().stamps();
         let result = match version {
             None => read_all(&state, &store, start).await,
             Some(known) => watch(&state, &store, known, start).await,
@@ -34,6 +53,7 @@
                 }
                 is_reached = true;
                 version = next;
+                state.peers.borrow_mut().config_read(&stamps);
             }
             Err(error) => {
                 if is_reached {
@@ -49,6 +69,15 @@
     }
 }
 
+/// Returns whether another process confirms the configuration often enough.
+fn is_confirmed(state: &NodeState) -> bool {
+    if reads_for_others(state) {
+        return false;
+    }
+    let age = state.view.borrow().config_age.age_ms(state.clock.now());
+    age.is_some_and(|age| age < CONFIRMED_MS)
+}
+
 async fn read_all(
     state: &NodeState,
     store: &StoreClient,
@@ -91,6 +120,7 @@
         let version = config.version;
         if view.adopt(config) {
             spdlog::info!("config: adopted", kv: { version = version });
+            state.confirm.notify_one();
             state.metrics.set_config_version(version);
         }
     }
--- a/crates/relay/src/store/store_client.rs
+++ b/crates/relay/src/store/store_client.rs
@@ -17,8 +17,9 @@
 
 /// The longest wait for a change in one call, in milliseconds.
 ///
-/// Each answer confirms that the configuration is the newest, so the wait bounds its age.
-pub(super) const WATCH_WAIT_MS: u64 = 1_000;
+/// Each answer confirms that the configuration is the newest, so the wait bounds its age: with one
+/// call that fails after it, keys are still accepted.
+pub(super) const WATCH_WAIT_MS: u64 = 1_500;
 
 /// The client of the store.
 pub struct StoreClient {
@@ -66,10 +67,14 @@
                     .decode_store(call, answer.status, &answer.body);
                 reply.map_err(|fault| fault.to_string())
             });
-        self.state.metrics.count_store(matches!(
+        let is_done = matches!(
             result,
             Ok(StoreReply::Rows { .. } | StoreReply::Written { .. } | StoreReply::Conflict)
-        ));
+        );
+        self.state.metrics.count_store(is_done);
+        if is_done {
+            self.state.view.borrow_mut().store_time = self.state.clock.now();
+        }
         result
     }
 
