--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -25,8 +25,10 @@
 /// The expected time of a hop within an availability zone, in milliseconds.
 const NEAR_HOP_MS: f64 = 0.1;
 
-/// The expected time of a hop from the entry to another availability zone, in milliseconds.
-const FAR_HOP_MS: f64 = 0.5;
+/// The cost of a hop from the entry to another availability zone, in milliseconds of a step.
+///
+/// The hop takes half a millisecond; the rest keeps streams in their zone, whose bytes are cheaper.
+const FAR_HOP_MS: f64 = 1.5;
 
 /// The cost of a hop between engines of different availability zones, in milliseconds of a step.
 ///
--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -25,10 +25,10 @@
 /// The length of the lease, in milliseconds.
 ///
 /// Engines that come back empty wait for orders this long at most after their giver is lost.
-const LEASE_MS: u64 = 5_000;
+const LEASE_MS: u64 = 6_000;
 
 /// The time between two renewals of the lease, in milliseconds.
-const RENEW_MS: u64 = 1_500;
+const RENEW_MS: u64 = 2_000;
 
 /// The time between two looks at the list of engines, in milliseconds.
 const ROUND_MS: u64 = 250;
