Test the relay against a store and engines on loopback, in its own words

The tests drive whole processes with a wire format of this project, so that none of the platform's names is needed: streams that go on after a torn event or at another engine, calls that run once, keys taken away with and without the store, draining engines, orders to empty engines and a planned stop. Large files are split by concern.

--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -13,6 +13,7 @@
 mod request_handler;
 mod room_wait;
 mod stream_driver;
+mod stream_opened;
 mod stream_relay;
 
 pub use self::caller_server::CallerServer;
--- a/crates/relay/src/ingress/stream_driver.rs
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -13,7 +13,7 @@
 use super::refusal::refuse;
 use super::relay_request::RelayRequest;
 use super::request_handler::retry_after_ms;
-use super::stream_relay::StreamOpened;
+use super::stream_opened::StreamOpened;
 use super::stream_relay::StreamRelay;
 
 /// Runs a model request on a chain of engines and passes its events on as they come.
--- /dev/null
+++ b/crates/relay/src/ingress/stream_relay/choice.rs
@@ -0,0 +1,129 @@
+//! The choice of a chain, and whether a request may be sent once more.
+
+use std::rc::Rc;
+
+use dandelionroad_core::chain::ChainFinder;
+use dandelionroad_core::chain::ChainPart;
+use dandelionroad_core::chain::FinderRequest;
+
+use crate::telemetry::RequestLog;
+
+use super::super::room_wait::wait_for_room;
+use super::StreamRelay;
+
+/// The share of the wanted time to the first event for which a request waits for room, as a divisor.
+///
+/// The first event takes a tenth to a fifth of that time once the request is sent.
+const ROOM_WAIT_DIVISOR: u64 = 2;
+
+/// The least time that is left for a further attempt, in milliseconds.
+const LEAST_ATTEMPT_MS: u64 = 200;
+
+impl StreamRelay {
+    /// Finds a chain; a request that was not sent yet waits for room in its turn.
+    pub(super) async fn find_or_wait(
+        &mut self,
+        log: &mut RequestLog,
+    ) -> Result<Vec<ChainPart>, Option<u64>> {
+        if self.plan.sends() > 0 {
+            return self.find_chain().map_err(|shortage| {
+                log.failed(&shortage);
+                None
+            });
+        }
+        let is_first = self.state.waiting.borrow().is_empty();
+        let shortage = match is_first {
+            true => match self.find_chain() {
+                Ok(chain) => return Ok(chain),
+                Err(shortage) => shortage,
+            },
+            false => "others wait".to_owned(),
+        };
+        let wait_ms = self.relay.route().target_ms / ROOM_WAIT_DIVISOR;
+        let until = log.arrived().plus(wait_ms).min(self.relay.deadline);
+        let state = Rc::clone(&self.state);
+        let found = wait_for_room(&state, self.relay.priority(), until, || {
+            self.find_chain().ok()
+        });
+        found.await.map_err(|retry_ms| {
+            log.failed(&shortage);
+            Some(retry_ms)
+        })
+    }
+
+    pub(super) fn may_send(&mut self) -> bool {
+        let left_ms = self.relay.deadline.since(self.state.clock.now());
+        if self.plan.sends() == 0 {
+            return left_ms > 0;
+        }
+        if left_ms < LEAST_ATTEMPT_MS || !self.plan.may_send() {
+            return false;
+        }
+        self.take_retry()
+    }
+
+    /// Takes a repeated send from the budget, unless one was taken already.
+    pub(super) fn take_retry(&mut self) -> bool {
+        if std::mem::take(&mut self.has_retry) {
+            return true;
+        }
+        let is_allowed = self.state.view.borrow_mut().retries.try_retry();
+        let cause = if is_allowed { "stream" } else { "budget" };
+        self.state.metrics.count_retry(cause);
+        is_allowed
+    }
+
+    /// Returns whether a stalled run should be given up, because another chain can take over.
+    pub(super) fn may_move(&mut self, parts: &[ChainPart]) -> bool {
+        let left_ms = self.relay.deadline.since(self.state.clock.now());
+        if left_ms < LEAST_ATTEMPT_MS || !self.plan.may_send_after_run() {
+            return false;
+        }
+        let known = self.excluded.len();
+        self.excluded
+            .extend(parts.iter().map(|part| part.id.clone()));
+        let may_move = self.find_chain().is_ok() && self.take_retry();
+        if may_move {
+            self.has_retry = true;
+        } else {
+            self.excluded.truncate(known);
+        }
+        may_move
+    }
+
+    /// Finds a chain within a zone, or one that crosses zones if the rate between them allows it.
+    ///
+    /// # Errors
+    ///
+    /// Returns which layer is short of what.
+    pub(super) fn find_chain(&self) -> Result<Vec<ChainPart>, String> {
+        let Some(shape) = self.relay.service().model.as_ref() else {
+            return Err("no model".to_owned());
+        };
+        let now = self.state.clock.now();
+        let mut view = self.state.view.borrow_mut();
+        let tokens = self.relay.caller.size.reserved_tokens(shape.usual_answer);
+        let mut request = FinderRequest {
+            tokens,
+            zone: &self.state.settings.zone,
+            excluded: &self.excluded,
+            may_cross: false,
+            now,
+        };
+        let service = &self.relay.service().name;
+        let near = ChainFinder::new(&view.engines, service, shape).find(&request);
+        if let Some(chain) = near {
+            return Ok(chain.parts);
+        }
+        let processes = view.processes;
+        request.may_cross = view.crossings.is_open(shape, processes, now);
+        let finder = ChainFinder::new(&view.engines, service, shape);
+        let far = finder.find(&request).filter(|_| request.may_cross);
+        let Some(chain) = far else {
+            let shortage = finder.shortage(&request);
+            return Err(format!("{} ({})", shortage.as_str(), shortage.layer()));
+        };
+        view.crossings.take(tokens, chain.crossings);
+        Ok(chain.parts)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/ingress/stream_relay/events.rs
@@ -0,0 +1,117 @@
+//! The events of a run on their way to the caller.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use dandelionroad_core::chain::ChainPart;
+use http_body_util::BodyExt;
+use hyper::body::Frame;
+use tokio::sync::mpsc;
+
+use crate::telemetry::RequestLog;
+
+use super::RunEnd;
+use super::StreamRelay;
+
+/// How long an event may take before its engines are suspected, as a factor of the wanted pause.
+const SUSPECT_FACTOR: u64 = 2;
+
+/// How long an event may take before the stream is moved to another chain, as a factor of the time
+/// after which its engines are suspected.
+///
+/// Callers leave after two seconds without an event; the new chain has to read the prompt first.
+const MOVE_FACTOR: u64 = 2;
+
+/// The time between two notes of a stream's progress, in milliseconds.
+const PROGRESS_MS: u64 = 100;
+
+/// Bytes of a run, none at its end.
+type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+impl StreamRelay {
+    pub(super) async fn pass_events(
+        &mut self,
+        sender: &mpsc::Sender<Result<Bytes, std::io::Error>>,
+        log: &mut RequestLog,
+    ) -> RunEnd {
+        loop {
+            let frame = match self.next_frame().await {
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(_))) => return RunEnd::Broken("stream cut"),
+                Ok(None) if self.splitter.has_rest() => return RunEnd::Broken("event cut"),
+                Ok(None) => return RunEnd::Complete,
+                Err(cause) => return RunEnd::Broken(cause),
+            };
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let whole = match self.splitter.push(&data) {
+                Ok(whole) => whole,
+                Err(_) => return RunEnd::Broken("event out of order"),
+            };
+            if whole.is_empty() {
+                continue;
+            }
+            log.piece();
+            self.note_progress();
+            if sender.send(Ok(Bytes::from(whole))).await.is_err() {
+                return RunEnd::CallerLeft;
+            }
+        }
+    }
+
+    /// Waits for bytes of the run; a stalled one is given up only if another chain can take over.
+    pub(super) async fn next_frame(&mut self) -> Result<NextFrame, &'static str> {
+        let Some(mut run) = self.run.take() else {
+            return Err("no run");
+        };
+        let suspect_ms = self.relay.route().gap_target_ms * SUSPECT_FACTOR;
+        let move_ms = suspect_ms * (MOVE_FACTOR - 1);
+        let mut waits = [suspect_ms, move_ms, u64::MAX].into_iter();
+        let result = loop {
+            let left_ms = self.relay.deadline.since(self.state.clock.now());
+            let wait_ms = waits.next().unwrap_or(u64::MAX).min(left_ms);
+            let frame = tokio::time::timeout(Duration::from_millis(wait_ms), run.body.frame());
+            match frame.await {
+                Ok(frame) => break Ok(frame),
+                Err(_) if wait_ms >= left_ms => break Err("out of time"),
+                Err(_) => {
+                    self.suspect(&run.parts, suspect_ms);
+                    if waits.len() == 1 && self.may_move(&run.parts) {
+                        break Err("stalled");
+                    }
+                }
+            }
+        };
+        self.run = Some(run);
+        result
+    }
+
+    /// Avoids the engines of a stalled run that show no progress with other requests either.
+    pub(super) fn suspect(&self, parts: &[ChainPart], quiet_ms: u64) {
+        let now = self.state.clock.now();
+        let mut view = self.state.view.borrow_mut();
+        for part in parts {
+            if view.engines.suspect(&part.id, quiet_ms, now) {
+                spdlog::info!("engines: avoided, stalled", kv: {
+                    engine = part.id.as_str(),
+                    request = self.relay.caller.id.as_str(),
+                    quiet_ms = quiet_ms,
+                });
+            }
+        }
+    }
+
+    /// Notes that the run's engines go on.
+    pub(super) fn note_progress(&mut self) {
+        let now = self.state.clock.now();
+        if now.since(self.noted) < PROGRESS_MS {
+            return;
+        }
+        self.noted = now;
+        let mut view = self.state.view.borrow_mut();
+        for part in self.run.iter().flat_map(|run| &run.parts) {
+            view.engines.progress(&part.id, now);
+        }
+    }
+}
--- a/crates/relay/src/node/mod.rs
+++ b/crates/relay/src/node/mod.rs
@@ -7,9 +7,11 @@
 mod relay_settings;
 mod relay_view;
 mod run_node;
+mod running_node;
 
 pub use self::boot_clock::BootClock;
 pub use self::node_state::NodeState;
 pub use self::relay_settings::RelaySettings;
 pub use self::relay_view::RelayView;
 pub use self::run_node::run_node;
+pub use self::running_node::RunningNode;
--- /dev/null
+++ b/crates/relay/src/node/running_node.rs
@@ -0,0 +1,113 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::task::JoinSet;
+
+use crate::ingress::CallerServer;
+use crate::ingress::serve_readiness;
+use crate::order::run_orders;
+use crate::peer::run_peers;
+use crate::store::StoreClient;
+use crate::store::run_config;
+use crate::store::run_listing;
+use crate::telemetry::serve_metrics;
+use crate::wire::WireFormat;
+
+use super::NodeState;
+use super::RelaySettings;
+
+/// How long a stopping process keeps accepting after it has reported that it isn't ready, in
+/// milliseconds.
+///
+/// The balancer asks each second and needs two answers before it sends no new connections.
+const UNREADY_MS: u64 = 2_500;
+
+/// The part of the time to stop that is left when the last connections are cut, in milliseconds.
+const STOP_MARGIN_MS: u64 = 300;
+
+/// A process whose tasks run on the present thread; they end when the value is dropped.
+pub struct RunningNode {
+    state: Rc<NodeState>,
+    server: CallerServer,
+    tasks: JoinSet<()>,
+}
+
+impl RunningNode {
+    /// Binds the addresses and starts the tasks; port 0 picks a free port.
+    ///
+    /// Must be called within a [`LocalSet`](tokio::task::LocalSet).
+    ///
+    /// # Errors
+    ///
+    /// Returns a text that names an address that can't be used.
+    pub async fn start(
+        settings: RelaySettings,
+        format: Box<dyn WireFormat>,
+    ) -> Result<RunningNode, String> {
+        let mut settings = settings;
+        let callers = bind(&mut settings.callers).await?;
+        let readiness = bind(&mut settings.readiness).await?;
+        let metrics = bind(&mut settings.metrics).await?;
+        let peers = UdpSocket::bind(settings.peers).await;
+        let peers = peers.map_err(|error| bind_fault(settings.peers, &error))?;
+        settings.peers = peers.local_addr().map_err(|error| error.to_string())?;
+        let state = NodeState::new(settings, format);
+        let store = Rc::new(StoreClient::new(Rc::clone(&state)));
+        spdlog::info!("node: started", kv: {
+            name = state.settings.name.as_str(),
+            zone = state.settings.zone.as_str(),
+            version = env!("CARGO_PKG_VERSION"),
+        });
+        let mut tasks = JoinSet::new();
+        tasks.spawn_local(serve_readiness(Rc::clone(&state), readiness));
+        tasks.spawn_local(serve_metrics(Rc::clone(&state), metrics));
+        tasks.spawn_local(run_config(Rc::clone(&state), Rc::clone(&store)));
+        tasks.spawn_local(run_listing(Rc::clone(&state), Rc::clone(&store)));
+        tasks.spawn_local(run_peers(Rc::clone(&state), Rc::clone(&store), peers));
+        tasks.spawn_local(run_orders(Rc::clone(&state), store));
+        let server = CallerServer::start(Rc::clone(&state), callers);
+        Ok(RunningNode {
+            state,
+            server,
+            tasks,
+        })
+    }
+
+    /// Returns the settings with the bound addresses.
+    pub fn settings(&self) -> &RelaySettings {
+        &self.state.settings
+    }
+
+    /// Reports that the process isn't ready, ends the running requests and returns.
+    pub async fn stop(mut self) {
+        let state = &self.state;
+        let started = state.clock.now();
+        state.view.borrow_mut().is_stopping = true;
+        spdlog::info!("node: stopping", kv: { running = state.running.get() });
+        let limit_ms = state.settings.grace_ms.saturating_sub(STOP_MARGIN_MS);
+        tokio::time::sleep(Duration::from_millis(UNREADY_MS.min(limit_ms))).await;
+        self.server.close();
+        let left_ms = limit_ms.saturating_sub(state.clock.now().since(started));
+        let drained = self.server.drained();
+        let is_drained = tokio::time::timeout(Duration::from_millis(left_ms), drained).await;
+        spdlog::info!("node: stopped", kv: {
+            running = state.running.get(),
+            drained = is_drained.is_ok(),
+        });
+        self.tasks.abort_all();
+    }
+}
+
+async fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
+    let listener = TcpListener::bind(*address).await;
+    let listener = listener.map_err(|error| bind_fault(*address, &error))?;
+    *address = listener.local_addr().map_err(|error| error.to_string())?;
+    Ok(listener)
+}
+
+fn bind_fault(address: SocketAddr, error: &std::io::Error) -> String {
+    format!("can't listen on {address}: {error}; free it or change the setting")
+}
--- /dev/null
+++ b/crates/relay/tests/freshness.rs
@@ -0,0 +1,129 @@
+//! Guards against keys and engines that are used after they were taken away, also while the store
+//! can't be reached, and against calls of the store that grow with the number of processes.
+
+mod relay_support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::relay_support::KEY_AGE_MS;
+use crate::relay_support::World;
+use crate::relay_support::run;
+use crate::relay_support::wait_for;
+
+#[test]
+fn key_taken_away_stops_working() {
+    run(async {
+        let world = World::start().await;
+        let engine = world.plain("p1").await;
+        let nodes = [world.node("n1").await, world.node("n2").await];
+        for node in &nodes {
+            assert_eq!(world.ask(node, "/any/stock", "r1").await.status, 200);
+        }
+        world.configure(7, &["k2"]);
+        for node in &nodes {
+            wait_for("the key is refused", async || {
+                world.ask(node, "/any/stock", "r2").await.status == 401
+            })
+            .await;
+        }
+        let runs = engine.runs.borrow().len();
+        // An older configuration that turns up later changes nothing.
+        world.configure(3, &["k1"]);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(world.ask(&nodes[0], "/any/stock", "r3").await.status, 401);
+        assert_eq!(engine.runs.borrow().len(), runs);
+    });
+}
+
+#[test]
+fn key_is_refused_when_store_is_silent() {
+    run(async {
+        let world = World::start().await;
+        let engine = world.plain("p1").await;
+        let node = world.node("n1").await;
+        assert_eq!(world.ask(&node, "/any/stock", "r1").await.status, 200);
+        world.store.is_silent.set(true);
+        let silent = Instant::now();
+        wait_for("keys are refused", async || {
+            world.ask(&node, "/any/stock", "r2").await.status == 503
+        })
+        .await;
+        assert!(silent.elapsed() <= Duration::from_millis(KEY_AGE_MS + 200));
+        let runs = engine.runs.borrow().len();
+        let answer = world.ask(&node, "/any/stock", "r3").await;
+        assert!(answer.headers.contains_key("retry-after"));
+        // While the configuration may be old, nothing is denied by it either.
+        assert_eq!(world.ask(&node, "/no/x", "r4").await.status, 503);
+        assert_eq!(engine.runs.borrow().len(), runs);
+        world.store.is_silent.set(false);
+        wait_for("keys work again", async || {
+            world.ask(&node, "/any/stock", "r5").await.status == 200
+        })
+        .await;
+    });
+}
+
+#[test]
+fn engine_that_drains_gets_nothing_new() {
+    run(async {
+        let world = World::start().await;
+        let leaving = world.plain("p1").await;
+        let staying = world.plain("p2").await;
+        let node = world.node("n1").await;
+        leaving.list(true);
+        wait_for("the change is known", async || {
+            let before = leaving.runs.borrow().len();
+            for request in 0..4 {
+                world.ask(&node, "/any/stock", &format!("r{request}")).await;
+            }
+            leaving.runs.borrow().len() == before
+        })
+        .await;
+        world.store.remove("engines", "p2");
+        staying.runs.borrow_mut().clear();
+        wait_for("nobody is left", async || {
+            world.ask(&node, "/any/stock", "r9").await.status == 503
+        })
+        .await;
+    });
+}
+
+/// Replays several processes on a calm day: one reads the list, the others hear that it is the newest.
+#[test]
+fn listing_is_read_by_one_process() {
+    run(async {
+        let world = World::start().await;
+        let _engine = world.plain("p1").await;
+        let mut nodes = Vec::new();
+        for index in 0..6 {
+            nodes.push(world.node_at_interval(&format!("n{index}"), 660).await);
+        }
+        // The processes learn of each other through the store first.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let before = world.store.listing_reads.get();
+        tokio::time::sleep(Duration::from_millis(4_000)).await;
+        let reads = world.store.listing_reads.get() - before;
+        // One process alone reads six times in four seconds; six that each read for themselves 36.
+        assert!(reads <= 12, "{reads} reads in four seconds");
+    });
+}
+
+#[test]
+fn metrics_are_served() {
+    run(async {
+        let world = World::start().await;
+        let _engine = world.plain("p1").await;
+        let node = world.node("n1").await;
+        world.ask(&node, "/any/stock", "r1").await;
+        let answer = world.get(node.settings().metrics, "/metrics", &[]).await;
+        let text = String::from_utf8(answer.body).unwrap();
+        for line in [
+            "dandelionroad_requests_total{outcome=\"served\"} 1",
+            "dandelionroad_config_version 1",
+            "dandelionroad_whole_answer_ms_count 1",
+        ] {
+            assert!(text.contains(line), "{line} is missing in\n{text}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/relay/tests/plain_relay.rs
@@ -0,0 +1,127 @@
+//! Guards against calls that run twice, answers of other requests and refusals that are not true.
+
+mod relay_support;
+
+use crate::relay_support::World;
+use crate::relay_support::fake_engine::EngineFault;
+use crate::relay_support::run;
+
+#[test]
+fn call_at_most_once_is_not_repeated() {
+    for fault in [EngineFault::LostAnswer, EngineFault::Foreign] {
+        run(async {
+            let world = World::start().await;
+            let engines = [world.plain("p1").await, world.plain("p2").await];
+            for engine in &engines {
+                engine.fault.set(fault);
+            }
+            let node = world.node("n1").await;
+            let answer = world.ask(&node, "/once/book", "r1").await;
+            // 502 promises nothing; 503 would say that it has not run.
+            assert_eq!(answer.status, 502, "{fault:?}");
+            let runs: usize = engines
+                .iter()
+                .map(|engine| engine.runs.borrow().len())
+                .sum();
+            assert_eq!(runs, 1, "{fault:?}");
+        });
+    }
+}
+
+#[test]
+fn call_at_most_once_refused_is_sent_elsewhere() {
+    run(async {
+        let world = World::start().await;
+        let engines = [world.plain("p1").await, world.plain("p2").await];
+        engines[0].fault.set(EngineFault::Full);
+        let node = world.node("n1").await;
+        for request in 0..4 {
+            let answer = world.ask(&node, "/once/book", &format!("r{request}")).await;
+            assert_eq!(
+                (answer.status, answer.body.as_slice()),
+                (200, b"done".as_slice())
+            );
+        }
+        assert!(engines[0].runs.borrow().is_empty());
+    });
+}
+
+#[test]
+fn call_at_most_once_failure_is_passed_on() {
+    run(async {
+        let world = World::start().await;
+        let engine = world.plain("p1").await;
+        engine.fault.set(EngineFault::Failing);
+        let node = world.node("n1").await;
+        let answer = world.ask(&node, "/once/book", "r1").await;
+        assert_eq!(
+            (answer.status, answer.body.as_slice()),
+            (500, b"failed".as_slice())
+        );
+        assert_eq!(answer.headers["signature"], "p1");
+    });
+}
+
+#[test]
+fn call_idempotent_is_repeated_elsewhere() {
+    for fault in [
+        EngineFault::LostAnswer,
+        EngineFault::Foreign,
+        EngineFault::Failing,
+        EngineFault::Full,
+        EngineFault::Silent,
+    ] {
+        run(async {
+            let world = World::start().await;
+            let engines = [world.plain("p1").await, world.plain("p2").await];
+            engines[0].fault.set(fault);
+            let node = world.node("n1").await;
+            for request in 0..3 {
+                let answer = world.ask(&node, "/any/stock", &format!("r{request}")).await;
+                assert_eq!(answer.status, 200, "{fault:?}");
+                assert_eq!(answer.headers["signature"], "p2", "{fault:?}");
+            }
+        });
+    }
+}
+
+#[test]
+fn call_without_endpoint_is_refused_at_once() {
+    run(async {
+        let world = World::start().await;
+        let node = world.node("n1").await;
+        let answer = world.ask(&node, "/any/stock", "r1").await;
+        assert_eq!(answer.status, 503);
+        assert!(answer.headers.contains_key("retry-after"));
+    });
+}
+
+#[test]
+fn call_denied_by_configuration() {
+    run(async {
+        let world = World::start().await;
+        let engine = world.plain("p1").await;
+        let node = world.node("n1").await;
+        let callers = node.settings().callers;
+        let host = ("host", "shop.example");
+        let status = async |path: &str, headers: &[(&str, &str)]| {
+            world.get(callers, path, headers).await.status
+        };
+        assert_eq!(status("/any/x", &[host, ("key", "k1")]).await, 400);
+        assert_eq!(status("/any/x", &[host, ("request", "r1")]).await, 401);
+        assert_eq!(
+            status("/any/x", &[host, ("request", "r1"), ("key", "k2")]).await,
+            401
+        );
+        assert_eq!(
+            status("/no/x", &[host, ("request", "r1"), ("key", "k1")]).await,
+            404
+        );
+        let other = ("host", "other.example");
+        assert_eq!(
+            status("/any/x", &[other, ("request", "r1"), ("key", "k1")]).await,
+            404
+        );
+        assert!(engine.runs.borrow().is_empty());
+    });
+}
--- /dev/null
+++ b/crates/relay/tests/relay_support/fake_store.rs
@@ -0,0 +1,121 @@
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
+
+use super::http_fake::FakeAnswer;
+
+/// A row: table, key, value and version.
+type FakeRow = (String, String, String, u64);
+
+/// A store in memory, with a switch that silences it.
+pub(crate) struct FakeStore {
+    rows: RefCell<Vec<FakeRow>>,
+    version: Cell<u64>,
+    started: Instant,
+    changed: Notify,
+    /// Whether calls hang.
+    pub(crate) is_silent: Cell<bool>,
+    /// The number of reads of the list of engines.
+    pub(crate) listing_reads: Cell<u32>,
+}
+
+impl FakeStore {
+    pub(crate) fn new() -> Rc<FakeStore> {
+        Rc::new(FakeStore {
+            rows: RefCell::default(),
+            version: Cell::new(0),
+            started: Instant::now(),
+            changed: Notify::new(),
+            is_silent: Cell::new(false),
+            listing_reads: Cell::new(0),
+        })
+    }
+
+    /// Writes a row as the operator or an engine would.
+    pub(crate) fn put(&self, table: &str, key: &str, value: &Value) {
+        self.write(table, key, &value.to_string());
+    }
+
+    /// Removes a row.
+    pub(crate) fn remove(&self, table: &str, key: &str) {
+        self.rows
+            .borrow_mut()
+            .retain(|row| row.0 != table || row.1 != key);
+        self.changed.notify_waiters();
+    }
+
+    pub(crate) async fn answer(&self, method: &str, path: &str, body: &[u8]) -> FakeAnswer {
+        while self.is_silent.get() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let words: Vec<&str> = path.split('/').skip(1).collect();
+        if method == "POST" {
+            let doc: Value = serde_json::from_slice(body).unwrap();
+            let key = doc["key"].as_str().unwrap();
+            let held = self.version_of(words[0], key);
+            if doc["expected"]
+                .as_u64()
+                .is_some_and(|expected| expected != held)
+            {
+                return FakeAnswer::new(409, "{}");
+            }
+            self.write(words[0], key, doc["value"].as_str().unwrap());
+            return FakeAnswer::new(200, &json!({ "now": self.now() }).to_string());
+        }
+        if words[0] == "engines" {
+            self.listing_reads.set(self.listing_reads.get() + 1);
+        }
+        let after: u64 = words.get(1).map_or(0, |text| text.parse().unwrap());
+        if let Some(wait) = words.get(2) {
+            let wait = Duration::from_millis(wait.parse().unwrap());
+            if self.newest(words[0]) <= after {
+                let _ = tokio::time::timeout(wait, self.changed.notified()).await;
+            }
+        }
+        let rows: Vec<Value> = self
+            .rows
+            .borrow()
+            .iter()
+            .filter(|row| row.0 == words[0] && row.3 > after)
+            .map(|row| json!({ "key": row.1, "value": row.2, "version": row.3 }))
+            .collect();
+        let doc = json!({ "rows": rows, "version": self.version.get(), "now": self.now() });
+        FakeAnswer::new(200, &doc.to_string())
+    }
+
+    fn write(&self, table: &str, key: &str, value: &str) {
+        self.version.set(self.version.get() + 1);
+        let mut rows = self.rows.borrow_mut();
+        rows.retain(|row| row.0 != table || row.1 != key);
+        rows.push((
+            table.to_owned(),
+            key.to_owned(),
+            value.to_owned(),
+            self.version.get(),
+        ));
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    fn version_of(&self, table: &str, key: &str) -> u64 {
+        let rows = self.rows.borrow();
+        let row = rows.iter().find(|row| row.0 == table && row.1 == key);
+        row.map_or(0, |row| row.3)
+    }
+
+    fn newest(&self, table: &str) -> u64 {
+        let rows = self.rows.borrow();
+        let versions = rows.iter().filter(|row| row.0 == table).map(|row| row.3);
+        versions.max().unwrap_or(0)
+    }
+
+    fn now(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -0,0 +1,323 @@
+use bytes::Bytes;
+use dandelionroad_core::relay::AcceleratorKind;
+use dandelionroad_core::relay::CallerLimits;
+use dandelionroad_core::relay::EngineRecord;
+use dandelionroad_core::relay::ModelShape;
+use dandelionroad_core::relay::RelayAccount;
+use dandelionroad_core::relay::RelayConfig;
+use dandelionroad_core::relay::RelayRoute;
+use dandelionroad_core::relay::RelayService;
+use dandelionroad_core::relay::RepeatRule;
+use dandelionroad_core::relay::RequestSize;
+use dandelionroad_core::relay::ServiceShare;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_relay::wire::CallerRequest;
+use dandelionroad_relay::wire::EncodedCall;
+use dandelionroad_relay::wire::EngineAnswer;
+use dandelionroad_relay::wire::EngineCall;
+use dandelionroad_relay::wire::EngineOrder;
+use dandelionroad_relay::wire::EngineReport;
+use dandelionroad_relay::wire::OrderAnswer;
+use dandelionroad_relay::wire::StoreCall;
+use dandelionroad_relay::wire::StoreReply;
+use dandelionroad_relay::wire::StoreRow;
+use dandelionroad_relay::wire::StoreTable;
+use dandelionroad_relay::wire::WireFault;
+use dandelionroad_relay::wire::WireFormat;
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use serde_json::Value;
+use serde_json::json;
+
+/// The service of the model engines.
+pub(crate) const MODEL_SERVICE: &str = "knots";
+
+/// The service of the plain endpoints.
+pub(crate) const PLAIN_SERVICE: &str = "orders";
+
+/// A wire in this project's own words, for tests.
+pub(crate) struct TestWire;
+
+impl WireFormat for TestWire {
+    fn decode_caller(&self, parts: &Parts) -> Result<CallerRequest, WireFault> {
+        let text = |name: &str| {
+            parts
+                .headers
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+        };
+        let Some(id) = text("request") else {
+            return Err(WireFault::new("request", "no identifier"));
+        };
+        Ok(CallerRequest {
+            id: id.to_owned(),
+            deadline_ms: text("wait").and_then(|text| text.parse().ok()),
+            key: text("key").map(str::to_owned),
+            last_event: text("after").map(str::to_owned),
+            size: RequestSize {
+                prompt_tokens: 100,
+                max_output_tokens: 100,
+                output_estimate: None,
+            },
+        })
+    }
+
+    fn encode_headers(&self, headers: &HeaderMap, call: &EngineCall<'_>) -> HeaderMap {
+        let mut passed = headers.clone();
+        for name in ["key", "content-length", "connection"] {
+            passed.remove(name);
+        }
+        let mut set = |name: &'static str, value: String| {
+            let value = HeaderValue::from_str(&value).unwrap();
+            passed.insert(HeaderName::from_static(name), value);
+        };
+        set("expected", call.expected_id.to_owned());
+        if let Some(account) = call.account {
+            set("account", account.to_owned());
+        }
+        if let Some(event) = call.last_event {
+            set("after", event.to_owned());
+        }
+        let ids: Vec<&str> = call.chain.iter().map(|part| part.id.as_str()).collect();
+        set("chain", ids.join(","));
+        passed
+    }
+
+    fn decode_answer(&self, _status: u16, headers: &HeaderMap) -> EngineAnswer {
+        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+        EngineAnswer {
+            request: text("request").map(str::to_owned),
+            is_not_run: headers.contains_key("not-run"),
+            is_signed: headers.contains_key("signature"),
+            fault_address: None,
+        }
+    }
+
+    fn caller_headers(&self, headers: &HeaderMap) -> HeaderMap {
+        let mut passed = headers.clone();
+        passed.remove("transfer-encoding");
+        passed.remove("connection");
+        passed
+    }
+
+    fn refusal_headers(&self, _request: &str, retry_after_ms: Option<u64>) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        if let Some(millis) = retry_after_ms {
+            headers.insert("retry-after", HeaderValue::from(millis));
+        }
+        headers
+    }
+
+    fn encode_report(&self) -> EncodedCall {
+        call("GET", "/state".to_owned(), Bytes::new())
+    }
+
+    fn decode_report(&self, body: &[u8]) -> Result<EngineReport, WireFault> {
+        let doc = parse(body)?;
+        Ok(EngineReport {
+            layers: range(&doc),
+            is_busy: false,
+            order_count: doc["orders"].as_u64().unwrap_or(0),
+            requests: 0,
+            used_units: 0.0,
+            slowness: 1.0,
+            stalled_on: Vec::new(),
+        })
+    }
+
+    fn encode_order(&self, order: &EngineOrder) -> EncodedCall {
+        let body = json!({
+            "first": order.layers.first,
+            "end": order.layers.end,
+            "orders": order.expected_count,
+        });
+        call("POST", "/hold".to_owned(), body.to_string().into())
+    }
+
+    fn decode_order(&self, status: u16) -> OrderAnswer {
+        match status {
+            202 => OrderAnswer::Begun,
+            409 => OrderAnswer::Conflict,
+            _ => OrderAnswer::Refused,
+        }
+    }
+
+    fn encode_store(&self, store_call: &StoreCall) -> EncodedCall {
+        match store_call {
+            StoreCall::Read { table, .. } => {
+                call("GET", format!("/{}", table_name(*table)), Bytes::new())
+            }
+            StoreCall::Watch {
+                table,
+                version,
+                wait_ms,
+            } => {
+                let path = format!("/{}/{version}/{wait_ms}", table_name(*table));
+                call("GET", path, Bytes::new())
+            }
+            StoreCall::Write(write) => {
+                let value = String::from_utf8_lossy(&write.value).into_owned();
+                let body = json!({
+                    "key": write.key, "value": value, "expected": write.expected,
+                });
+                let path = format!("/{}", table_name(write.table));
+                call("POST", path, body.to_string().into())
+            }
+        }
+    }
+
+    fn decode_store(
+        &self,
+        store_call: &StoreCall,
+        status: u16,
+        body: &[u8],
+    ) -> Result<StoreReply, WireFault> {
+        if status == 409 {
+            return Ok(StoreReply::Conflict);
+        }
+        if status != 200 {
+            return Ok(StoreReply::Unavailable { status });
+        }
+        let doc = parse(body)?;
+        let store_ms = doc["now"].as_u64().unwrap_or(0);
+        if matches!(store_call, StoreCall::Write(_)) {
+            return Ok(StoreReply::Written { store_ms });
+        }
+        let rows = doc["rows"].as_array().cloned().unwrap_or_default();
+        let row = |row: &Value| StoreRow {
+            key: row["key"].as_str().unwrap_or_default().to_owned(),
+            value: row["value"].as_str().map(|text| text.as_bytes().to_vec()),
+            version: row["version"].as_u64().unwrap_or(0),
+        };
+        Ok(StoreReply::Rows {
+            rows: rows.iter().map(row).collect(),
+            has_more: false,
+            version: doc["version"].as_u64().unwrap_or(0),
+            store_ms,
+        })
+    }
+
+    fn decode_config(&self, rows: &[StoreRow]) -> Result<Option<RelayConfig>, WireFault> {
+        let Some(value) = rows.last().and_then(|row| row.value.as_deref()) else {
+            return Ok(None);
+        };
+        let doc = parse(value)?;
+        let keys = doc["keys"].as_array().cloned().unwrap_or_default();
+        let keys = keys
+            .iter()
+            .filter_map(|key| key.as_str().map(str::to_owned));
+        Ok(Some(RelayConfig {
+            version: doc["version"].as_u64().unwrap_or(0),
+            routes: vec![
+                route("/model/", MODEL_SERVICE, RepeatRule::Resumable),
+                route("/once/", PLAIN_SERVICE, RepeatRule::AtMostOnce),
+                route("/any/", PLAIN_SERVICE, RepeatRule::Idempotent),
+            ],
+            services: vec![
+                service(MODEL_SERVICE, Some(shape())),
+                service(PLAIN_SERVICE, None),
+            ],
+            accounts: vec![RelayAccount {
+                name: "rope".to_owned(),
+                keys: keys.collect(),
+                priority: None,
+            }],
+            limits: CallerLimits::default(),
+        }))
+    }
+
+    fn decode_engine(&self, row: &StoreRow) -> Result<EngineRecord, WireFault> {
+        let doc = parse(row.value.as_deref().unwrap_or_default())?;
+        let text = |name: &str| doc[name].as_str().unwrap_or_default().to_owned();
+        Ok(EngineRecord {
+            id: row.key.clone(),
+            service: text("service"),
+            address: text("address")
+                .parse()
+                .map_err(|error| WireFault::new("listing", error))?,
+            zone: "a".to_owned(),
+            is_draining: doc["draining"].as_bool().unwrap_or(false),
+            slots: 8,
+            kind: Some("large".to_owned()),
+            layers: range(&doc),
+            started_ms: 1,
+        })
+    }
+}
+
+fn call(method: &'static str, path: String, body: Bytes) -> EncodedCall {
+    EncodedCall { method, path, body }
+}
+
+fn parse(body: &[u8]) -> Result<Value, WireFault> {
+    serde_json::from_slice(body).map_err(|error| WireFault::new("document", error))
+}
+
+fn range(doc: &Value) -> LayerRange {
+    let layer = |name: &str| doc[name].as_u64().unwrap_or(0) as u16;
+    LayerRange::new(layer("first"), layer("end"))
+}
+
+fn table_name(table: StoreTable) -> &'static str {
+    match table {
+        StoreTable::Config => "config",
+        StoreTable::Engines => "engines",
+        StoreTable::Members => "members",
+        StoreTable::Leases => "leases",
+        StoreTable::Crashes => "crashes",
+    }
+}
+
+fn route(prefix: &str, service: &str, repeat: RepeatRule) -> RelayRoute {
+    RelayRoute {
+        host: "shop.example".to_owned(),
+        prefix: prefix.to_owned(),
+        is_stream: repeat == RepeatRule::Resumable,
+        repeat,
+        timeout_ms: 8_000,
+        target_ms: 300,
+        gap_target_ms: 100,
+        priority: 1,
+        max_attempts: 2,
+        is_public: false,
+        shares: vec![ServiceShare {
+            service: service.to_owned(),
+            weight: 1,
+        }],
+    }
+}
+
+fn service(name: &str, model: Option<ModelShape>) -> RelayService {
+    RelayService {
+        name: name.to_owned(),
+        max_connections: 100,
+        model,
+    }
+}
+
+fn shape() -> ModelShape {
+    ModelShape {
+        name: "knots-70b".to_owned(),
+        layers: 40,
+        layer_mb: 1_000.0,
+        token_bytes: 900_000.0,
+        slots: 8,
+        step_ms: 1.0,
+        sequence_ms: 0.01,
+        context_ms: 0.01,
+        read_per_ms: 100.0,
+        load_ms: 100.0,
+        activation_bytes: 40_000.0,
+        pipe_mbps: 10_000.0,
+        usual_prompt: 100.0,
+        usual_answer: 100.0,
+        kinds: vec![AcceleratorKind {
+            name: "large".to_owned(),
+            memory_mb: 50_000.0,
+            step_factor: 1.0,
+            read_factor: 1.0,
+        }],
+    }
+}
