--- a/crates/core/src/relay/room_queue.rs
+++ b/crates/core/src/relay/room_queue.rs
@@ -7,10 +7,18 @@
 const FIRST_INTERVAL_MS: f64 = 50.0;
 
 /// The least time after which a refused caller is asked to return, in milliseconds.
-const LEAST_RETRY_MS: u64 = 250;
+const LEAST_RETRY_MS: u64 = 500;
 
 /// The greatest time after which a refused caller is asked to return, in milliseconds.
-const MOST_RETRY_MS: u64 = 5_000;
+///
+/// Callers that wait 20 s in all follow a request to return within a third of that.
+const MOST_RETRY_MS: u64 = 6_000;
+
+/// The time between the returns of two refused callers, as a factor of the time between two frees.
+///
+/// Callers that return take a quarter of the room that becomes free; the rest is for new ones. If all
+/// returned after the same time, most of them would be refused again.
+const RETURN_FACTOR: f64 = 4.0;
 
 /// A request that waits.
 #[derive(Clone, Copy, Debug)]
@@ -42,7 +50,9 @@
 /// for step in 0..50 {
 ///     queue.freed(now.plus(step * 200));
 /// }
-/// assert!(queue.offer(1, 300).is_err_and(|retry_ms| retry_ms >= 250));
+/// assert_eq!(queue.offer(1, 300), None);
+/// // Callers are asked to return one after the other.
+/// assert!(queue.retry_after_ms(now) < queue.retry_after_ms(now));
 /// ```
 #[derive(Clone, Debug)]
 pub struct RoomQueue {
@@ -51,6 +61,8 @@
     next_number: u64,
     interval_ms: f64,
     last_freed: Option<MilliTime>,
+    /// When the next refused caller is asked to return.
+    next_return: MilliTime,
 }
 
 impl RoomQueue {
@@ -61,34 +73,36 @@
             next_number: 0,
             interval_ms: FIRST_INTERVAL_MS,
             last_freed: None,
+            next_return: MilliTime::default(),
         }
     }
 
-    /// Adds a request that can wait for `most_ms`; returns its number.
-    ///
-    /// # Errors
-    ///
-    /// Returns the time after which its caller should return, in milliseconds, if its turn is
+    /// Adds a request that can wait for `most_ms`; returns its number, or none if its turn is
     /// expected later.
-    pub fn offer(&mut self, priority: u8, most_ms: u64) -> Result<u64, u64> {
+    pub fn offer(&mut self, priority: u8, most_ms: u64) -> Option<u64> {
         let position = self
             .waiting
             .partition_point(|ticket| ticket.priority <= priority);
-        let expected_ms = self.expected_ms(position);
-        if expected_ms > most_ms {
-            return Err(expected_ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS));
+        let expected_ms = (position + 1) as f64 * self.interval_ms;
+        if expected_ms > most_ms as f64 {
+            return None;
         }
         let number = self.next_number;
         self.next_number += 1;
         self.waiting
             .insert(position, RoomTicket { priority, number });
-        Ok(number)
+        Some(number)
     }
 
-    /// Returns when a caller should return that gave up waiting, in milliseconds.
-    pub fn retry_after_ms(&self) -> u64 {
-        self.expected_ms(self.waiting.len())
-            .clamp(LEAST_RETRY_MS, MOST_RETRY_MS)
+    /// Returns when a refused caller should return, in milliseconds; each one later than the one
+    /// before, by the pace at which room becomes free.
+    pub fn retry_after_ms(&mut self, now: MilliTime) -> u64 {
+        let earliest = now.plus(LEAST_RETRY_MS);
+        let latest = now.plus(MOST_RETRY_MS);
+        let time = self.next_return.clamp(earliest, latest);
+        let step_ms = (self.interval_ms * RETURN_FACTOR).max(1.0);
+        self.next_return = time.plus(step_ms as u64).min(latest);
+        time.since(now)
     }
 
     /// Removes a request that has found room or gives up.
@@ -114,10 +128,6 @@
         }
         self.last_freed = Some(now);
     }
-
-    fn expected_ms(&self, position: usize) -> u64 {
-        ((position + 1) as f64 * self.interval_ms) as u64
-    }
 }
 
 impl Default for RoomQueue {
--- a/crates/relay/src/ingress/room_wait.rs
+++ b/crates/relay/src/ingress/room_wait.rs
@@ -32,7 +32,10 @@
     mut find: impl FnMut() -> Option<T>,
 ) -> Result<T, u64> {
     let most_ms = until.since(state.clock.now());
-    let number = state.waiting.borrow_mut().offer(priority, most_ms)?;
+    let offered = state.waiting.borrow_mut().offer(priority, most_ms);
+    let Some(number) = offered else {
+        return Err(retry_after_ms(state));
+    };
     let place = RoomPlace { state, number };
     loop {
         let woken = state.room.notified();
@@ -44,7 +47,12 @@
         let left_ms = until.since(state.clock.now());
         let is_woken = tokio::time::timeout(Duration::from_millis(left_ms), woken).await;
         if is_woken.is_err() {
-            return Err(state.waiting.borrow().retry_after_ms());
+            return Err(retry_after_ms(state));
         }
     }
 }
+
+fn retry_after_ms(state: &NodeState) -> u64 {
+    let now = state.clock.now();
+    state.waiting.borrow_mut().retry_after_ms(now)
+}
