Ask a stalled chain what it waits for before engines are avoided

After a restart, a burst of long prompts delayed first events by half a second; all engines of such chains were avoided for up to six seconds, and the load went to the rest. Now the first engine is asked, at most each 400 ms, and only engines that it names or that don't answer are avoided.

--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -13,8 +13,8 @@
     pub avoided_until: MilliTime,
     /// Failures since the last success.
     pub failures: u32,
-    /// When a request of this process was last seen to go on there.
-    pub progressed: MilliTime,
+    /// When it was last asked for its state because of a stall.
+    pub probed: Option<MilliTime>,
     /// The requests of this process that it runs.
     pub own_requests: u32,
     /// The memory that the requests of this process take there, in tokens times layers.
@@ -34,7 +34,7 @@
             listed: now,
             avoided_until: MilliTime::default(),
             failures: 0,
-            progressed: now,
+            probed: None,
             own_requests: 0,
             own_units: 0.0,
             peer_requests: 0,
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -125,26 +125,29 @@
         }
     }
 
-    /// Takes the progress of a request at an engine, which clears earlier failures.
-    pub fn progress(&mut self, id: &str, now: MilliTime) {
-        if let Some(entry) = self.get_mut(id) {
-            entry.failures = 0;
-            entry.progressed = now;
-        }
-    }
-
-    /// Avoids an engine that a stalled request depends on, if no other request went on there within
-    /// `quiet_ms`; returns whether it is avoided.
+    /// Avoids an engine that is said to be dead; returns whether it was in use until now.
     ///
-    /// All engines of a chain are silent when one of them is dead; those that other chains use as
-    /// well are thereby known to be alive.
-    pub fn suspect(&mut self, id: &str, quiet_ms: u64, now: MilliTime) -> bool {
-        let entry = self.get(id);
-        let is_quiet = entry.is_some_and(|entry| now.since(entry.progressed) >= quiet_ms);
-        if is_quiet {
+    /// Several requests find the same engine dead, which counts once.
+    pub fn suspect(&mut self, id: &str, now: MilliTime) -> bool {
+        let is_new = self.get(id).is_some_and(|entry| entry.avoided_until <= now);
+        if is_new {
             self.fail(id, now);
         }
-        is_quiet
+        is_new
+    }
+
+    /// Returns whether an engine may be asked for its state, at most once in `interval_ms`.
+    pub fn take_probe(&mut self, id: &str, interval_ms: u64, now: MilliTime) -> bool {
+        let Some(entry) = self.get_mut(id) else {
+            return false;
+        };
+        let is_due = entry
+            .probed
+            .is_none_or(|probed| now.since(probed) >= interval_ms);
+        if is_due {
+            entry.probed = Some(now);
+        }
+        is_due
     }
 
     /// Counts a success.
--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -2,17 +2,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 
+use crate::wire::EncodedCall;
+
 use super::SendFault;
 
 /// The longest time to open a connection, in milliseconds.
@@ -95,6 +100,37 @@
             })
         }
     }
+
+    /// Sends a call of dandelionroad itself and reads the whole answer: its status and body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a text if there is no whole answer within `wait_ms`; an order may have been taken.
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        call: EncodedCall,
+        wait_ms: u64,
+    ) -> Result<(u16, Bytes), String> {
+        let mut headers = HeaderMap::new();
+        if !call.body.is_empty() {
+            headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        }
+        let method =
+            Method::from_bytes(call.method.as_bytes()).map_err(|error| error.to_string())?;
+        let sent = self.send(address, &method, &call.path, headers, call.body, true);
+        let exchange = async {
+            let response = sent.await.map_err(|fault| fault.to_string())?;
+            let status = response.status().as_u16();
+            let body = response.into_body().collect().await;
+            let body = body.map_err(|error| error.to_string())?;
+            Ok((status, body.to_bytes()))
+        };
+        match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
+            Ok(result) => result,
+            Err(_) => Err("no answer in time".to_owned()),
+        }
+    }
 }
 
 impl Default for EngineClient {
--- a/crates/relay/src/engine/mod.rs
+++ b/crates/relay/src/engine/mod.rs
@@ -5,7 +5,9 @@
 mod engine_client;
 mod load_guard;
 mod send_fault;
+mod stall_probe;
 
 pub use self::engine_client::EngineClient;
 pub use self::load_guard::LoadGuard;
 pub use self::send_fault::SendFault;
+pub use self::stall_probe::probe_stall;
--- /dev/null
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -0,0 +1,62 @@
+use std::rc::Rc;
+
+use dandelionroad_core::chain::ChainPart;
+
+use crate::node::NodeState;
+
+/// The longest wait for the report of an engine that may be dead, in milliseconds.
+///
+/// A live one answers within a few milliseconds, also under load.
+const ANSWER_MS: u64 = 250;
+
+/// The least time between two questions of the same engine, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 400;
+
+/// Asks the first engine of a stalled chain what it waits for, and avoids the engines that are dead.
+///
+/// A stall alone says little: a burst of long prompts stalls live engines as well, and avoiding those
+/// sends the burst to the next ones.
+pub async fn probe_stall(state: Rc<NodeState>, parts: Vec<ChainPart>, request: String) {
+    let Some(first) = parts.first() else { return };
+    let now = state.clock.now();
+    let may_probe = state
+        .view
+        .borrow_mut()
+        .engines
+        .take_probe(&first.id, PROBE_INTERVAL_MS, now);
+    if !may_probe {
+        return;
+    }
+    let answer = state
+        .engines
+        .ask(first.address, state.format.encode_report(), ANSWER_MS)
+        .await;
+    let report = match answer {
+        Ok((200, body)) => state
+            .format
+            .decode_report(&body)
+            .map_err(|fault| fault.to_string()),
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(error) => Err(error),
+    };
+    let now = state.clock.now();
+    let mut view = state.view.borrow_mut();
+    let (dead, cause) = match report {
+        Ok(report) => {
+            let at = |address: &String| view.engines.at_address(address);
+            let found = report.stalled_on.iter().filter_map(at);
+            let ids: Vec<String> = found.map(|entry| entry.record.id.clone()).collect();
+            (ids, "reported as stalled".to_owned())
+        }
+        Err(error) => (vec![first.id.clone()], error),
+    };
+    for id in dead {
+        if view.engines.suspect(&id, now) {
+            spdlog::info!("engines: avoided: {cause}", kv: {
+                engine = id.as_str(),
+                asked = first.id.as_str(),
+                request = request.as_str(),
+            });
+        }
+    }
+}
--- a/crates/relay/src/ingress/stream_relay/events.rs
+++ b/crates/relay/src/ingress/stream_relay/events.rs
@@ -1,5 +1,6 @@
 //! The events of a run on their way to the caller.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -7,7 +8,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::sync::mpsc;
+use tokio::task::spawn_local;
 
+use crate::engine::probe_stall;
 use crate::telemetry::RequestLog;
 
 use super::RunEnd;
@@ -22,9 +25,6 @@
 /// Callers leave after two seconds without an event; the new chain has to read the prompt first.
 const MOVE_FACTOR: u64 = 2;
 
-/// The time between two notes of a stream's progress, in milliseconds.
-const PROGRESS_MS: u64 = 100;
-
 /// Bytes of a run, none at its end.
 type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
 
@@ -53,7 +53,6 @@
                 continue;
             }
             log.piece();
-            self.note_progress();
             if sender.send(Ok(Bytes::from(whole))).await.is_err() {
                 return RunEnd::CallerLeft;
             }
@@ -76,7 +75,7 @@
                 Ok(frame) => break Ok(frame),
                 Err(_) if wait_ms >= left_ms => break Err("out of time"),
                 Err(_) => {
-                    self.suspect(&run.parts, suspect_ms);
+                    self.suspect(&run.parts);
                     if waits.len() == 1 && self.may_move(&run.parts) {
                         break Err("stalled");
                     }
@@ -87,31 +86,10 @@
         result
     }
 
-    /// Avoids the engines of a stalled run that show no progress with other requests either.
-    pub(super) fn suspect(&self, parts: &[ChainPart], quiet_ms: u64) {
-        let now = self.state.clock.now();
-        let mut view = self.state.view.borrow_mut();
-        for part in parts {
-            if view.engines.suspect(&part.id, quiet_ms, now) {
-                spdlog::info!("engines: avoided, stalled", kv: {
-                    engine = part.id.as_str(),
-                    request = self.relay.caller.id.as_str(),
-                    quiet_ms = quiet_ms,
-                });
-            }
-        }
-    }
-
-    /// Notes that the run's engines go on.
-    pub(super) fn note_progress(&mut self) {
-        let now = self.state.clock.now();
-        if now.since(self.noted) < PROGRESS_MS {
-            return;
-        }
-        self.noted = now;
-        let mut view = self.state.view.borrow_mut();
-        for part in self.run.iter().flat_map(|run| &run.parts) {
-            view.engines.progress(&part.id, now);
-        }
+    /// Has the first engine of a stalled run asked what it waits for.
+    pub(super) fn suspect(&self, parts: &[ChainPart]) {
+        let state = Rc::clone(&self.state);
+        let request = self.relay.caller.id.clone();
+        spawn_local(probe_stall(state, parts.to_vec(), request));
     }
 }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -11,7 +11,6 @@
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::EventSplitter;
-use dandelionroad_core::time::MilliTime;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -54,8 +53,6 @@
     run: Option<ChainRun>,
     /// Whether a repeated send was taken from the budget already.
     has_retry: bool,
-    /// When the progress of the run was last noted.
-    noted: MilliTime,
 }
 
 impl StreamRelay {
@@ -72,7 +69,6 @@
             splitter: EventSplitter::new(last_id),
             run: None,
             has_retry: false,
-            noted: MilliTime::default(),
         }
     }
 
@@ -202,7 +198,7 @@
                 }
                 Err(_) if wait_ms >= left_ms => return Err(AttemptEnd::Broken),
                 Err(_) => {
-                    self.suspect(&chain, target_ms);
+                    self.suspect(&chain);
                     // The last wait is for what is left: nobody else could take over.
                     if waits.len() == 1 && self.may_move(&chain) {
                         return Err(AttemptEnd::Broken);
--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -6,16 +6,10 @@
 use dandelionroad_core::chain::PlacementPlan;
 use dandelionroad_core::lease::LeaseHolder;
 use dandelionroad_core::time::MilliTime;
-use http_body_util::BodyExt;
-use hyper::HeaderMap;
-use hyper::Method;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::HeaderValue;
 
 use crate::node::NodeState;
 use crate::peer::reads_for_others;
 use crate::store::StoreClient;
-use crate::wire::EncodedCall;
 use crate::wire::EngineOrder;
 use crate::wire::OrderAnswer;
 
@@ -151,7 +145,11 @@
         layers: order.layers,
         until: state.clock.now().plus(PENDING_MS),
     };
-    let report = match ask(state, address, state.format.encode_report()).await {
+    let report = match state
+        .engines
+        .ask(address, state.format.encode_report(), ANSWER_MS)
+        .await
+    {
         Ok((200, body)) => state
             .format
             .decode_report(&body)
@@ -173,7 +171,10 @@
         layers: order.layers,
         expected_count: report.order_count,
     };
-    let result = ask(state, address, state.format.encode_order(&message)).await;
+    let result = state
+        .engines
+        .ask(address, state.format.encode_order(&message), ANSWER_MS)
+        .await;
     let answer = match &result {
         Ok((status, _)) => Some(state.format.decode_order(*status)),
         Err(_) => None,
@@ -198,30 +199,3 @@
         Some(OrderAnswer::Begun | OrderAnswer::Done) | None => Some(pending),
     }
 }
-
-async fn ask(
-    state: &NodeState,
-    address: std::net::SocketAddr,
-    call: EncodedCall,
-) -> Result<(u16, bytes::Bytes), String> {
-    let mut headers = HeaderMap::new();
-    if !call.body.is_empty() {
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    }
-    let method = Method::from_bytes(call.method.as_bytes()).map_err(|error| error.to_string())?;
-    let exchange = async {
-        let sent = state
-            .engines
-            .send(address, &method, &call.path, headers, call.body, true)
-            .await;
-        let response = sent.map_err(|fault| fault.to_string())?;
-        let status = response.status().as_u16();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|error| error.to_string())?;
-        Ok((status, body.to_bytes()))
-    };
-    match tokio::time::timeout(Duration::from_millis(ANSWER_MS), exchange).await {
-        Ok(result) => result,
-        Err(_) => Err("no answer in time".to_owned()),
-    }
-}
