--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -44,13 +44,8 @@
         let open = Rc::clone(&server.open);
         let ended = Rc::clone(&server.ended);
         spawn_local(async move {
-            let mut stop = closed.clone();
             loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    _ = stop.changed() => return,
-                };
-                match accepted {
+                match listener.accept().await {
                     Ok((stream, _)) => {
                         open.set(open.get() + 1);
                         let (open, ended) = (Rc::clone(&open), Rc::clone(&ended));
@@ -71,7 +66,10 @@
         server
     }
 
-    /// Accepts no more connections, and closes each open one after the request that it carries.
+    /// Closes each open connection after the request that it carries; new ones carry one request.
+    ///
+    /// While all processes of a zone are replaced, the balancer still sends connections to those that
+    /// are leaving.
     pub fn close(&self) {
         // No receiver is left only if all connections have ended.
         self.closing.send_replace(true);
@@ -100,8 +98,10 @@
         let state = Rc::clone(&state);
         async move { Ok::<_, Infallible>(handle(state, request).await) }
     });
+    let is_closing = *closed.borrow();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
+        .keep_alive(!is_closing)
         // The library's time for a request's head also runs while a connection is idle.
         .header_read_timeout(Duration::from_millis(
             limits.idle_timeout_ms.max(limits.header_timeout_ms),
@@ -110,6 +110,9 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = loop {
+        if is_closing {
+            break connection.await;
+        }
         if *closed.borrow() {
             connection.as_mut().graceful_shutdown();
             break connection.await;
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -24,6 +24,9 @@
 /// milliseconds.
 const SHORT_RETRY_MS: u64 = 1_000;
 
+/// When a caller refused by a stopping process should come back, to another one, in milliseconds.
+const OTHER_PROCESS_MS: u64 = 100;
+
 /// Answers one request.
 pub(super) async fn handle(
     state: Rc<NodeState>,
@@ -39,6 +42,9 @@
         }
     };
     let mut log = RequestLog::new(&state, &caller.id, arrived);
+    if arrived > state.admits_until.get() {
+        return end_refused(&state, &mut log, &caller.id, RefusalKind::Leaving);
+    }
     let Some(config) = state.view.borrow().config.clone() else {
         return end_refused(&state, &mut log, &caller.id, RefusalKind::StaleConfig);
     };
@@ -80,6 +86,7 @@
 /// Returns when a caller refused for `kind` should come back, in milliseconds.
 pub(super) fn retry_after_ms(kind: RefusalKind) -> Option<u64> {
     match kind {
+        RefusalKind::Leaving => Some(OTHER_PROCESS_MS),
         RefusalKind::StaleConfig
         | RefusalKind::NoEngine
         | RefusalKind::Overloaded
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use dandelionroad_core::relay::RoomQueue;
+use dandelionroad_core::time::MilliTime;
 use tokio::sync::Notify;
 
 use crate::engine::EngineClient;
@@ -34,6 +35,8 @@
     pub running: Cell<u32>,
     /// The model requests that wait for room.
     pub waiting: RefCell<RoomQueue>,
+    /// Until when requests are admitted; far away unless the process is stopping.
+    pub admits_until: Cell<MilliTime>,
     /// Wakes the task that confirms to the others what they hold.
     pub confirm: Notify,
     /// Wakes the task that reads the configuration.
@@ -58,6 +61,7 @@
             metrics: RelayMetrics::new(),
             running: Cell::new(0),
             waiting: RefCell::new(RoomQueue::new()),
+            admits_until: Cell::new(MilliTime::MAX),
             confirm: Notify::new(),
             config_changed: Notify::new(),
             listing_changed: Notify::new(),
--- a/crates/relay/src/wire/refusal_kind.rs
+++ b/crates/relay/src/wire/refusal_kind.rs
@@ -11,6 +11,8 @@
     TooLarge,
     /// No configuration is known yet, or it may be out of date.
     StaleConfig,
+    /// The process is stopping.
+    Leaving,
     /// No engine can run the request now.
     NoEngine,
     /// All engines are full.
@@ -32,6 +34,7 @@
             RefusalKind::NoRoute => "no-route",
             RefusalKind::TooLarge => "too-large",
             RefusalKind::StaleConfig => "stale-config",
+            RefusalKind::Leaving => "leaving",
             RefusalKind::NoEngine => "no-engine",
             RefusalKind::Overloaded => "overloaded",
             RefusalKind::RetryBudget => "retry-budget",
@@ -48,6 +51,7 @@
             RefusalKind::NoRoute => 404,
             RefusalKind::TooLarge => 413,
             RefusalKind::StaleConfig
+            | RefusalKind::Leaving
             | RefusalKind::NoEngine
             | RefusalKind::Overloaded
             | RefusalKind::RetryBudget => 503,
