Bind confirmations to the run of a process

The host had lost power before; its steady clock began anew, and the reader of the store confirmed with stamps of the time before, which lay in the future. Ruled out: an answer of the store without changes (its calls failed with 429) and late datagrams. Messages now name the run of the process, stamps of another run or of the future are left out, and lost history confirms nothing. The tests fail without the check. Engines that answer questions but hang with requests are avoided after three stalled runs.

--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -13,6 +13,8 @@
     pub avoided_until: MilliTime,
     /// Failures since the last success.
     pub failures: u32,
+    /// Runs that were given up there as stalled since the last first event.
+    pub stalls: u32,
     /// When it was last asked for its state because of a stall.
     pub probed: Option<MilliTime>,
     /// The requests of this process that it runs.
@@ -34,6 +36,7 @@
             listed: now,
             avoided_until: MilliTime::default(),
             failures: 0,
+            stalls: 0,
             probed: None,
             own_requests: 0,
             own_units: 0.0,
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -13,6 +13,11 @@
 /// The longest time that an engine is avoided, in milliseconds.
 const MAX_AVOID_MS: u64 = 6_000;
 
+/// The stalled runs, with no first event between them, after which an engine is avoided.
+///
+/// Under a burst, other requests of the engine get their first events meanwhile.
+const STALL_LIMIT: u32 = 3;
+
 /// How long an entry that is missing after an outage of the store is still believed, in
 /// milliseconds.
 ///
@@ -136,6 +141,21 @@
         is_new
     }
 
+    /// Counts a stalled run that was given up; returns whether the engine is avoided from now on.
+    ///
+    /// An engine may hang with requests and answer questions about its state.
+    pub fn stall(&mut self, id: &str, now: MilliTime) -> bool {
+        let Some(entry) = self.get_mut(id) else {
+            return false;
+        };
+        entry.stalls += 1;
+        if entry.stalls < STALL_LIMIT {
+            return false;
+        }
+        entry.stalls = 0;
+        self.suspect(id, now)
+    }
+
     /// Returns whether an engine may be asked for its state, at most once in `interval_ms`.
     pub fn take_probe(&mut self, id: &str, interval_ms: u64, now: MilliTime) -> bool {
         let Some(entry) = self.get_mut(id) else {
@@ -154,6 +174,7 @@
     pub fn succeed(&mut self, id: &str) {
         if let Some(entry) = self.get_mut(id) {
             entry.failures = 0;
+            entry.stalls = 0;
         }
     }
 
--- a/crates/relay/src/ingress/stream_relay/events.rs
+++ b/crates/relay/src/ingress/stream_relay/events.rs
@@ -77,6 +77,7 @@
                 Err(_) => {
                     self.suspect(&run.parts);
                     if waits.len() == 1 && self.may_move(&run.parts) {
+                        self.count_stall(&run.parts);
                         break Err("stalled");
                     }
                 }
@@ -92,4 +93,18 @@
         let request = self.relay.caller.id.clone();
         spawn_local(probe_stall(state, parts.to_vec(), request));
     }
+
+    /// Counts a run that was given up as stalled at its engines.
+    pub(super) fn count_stall(&self, parts: &[ChainPart]) {
+        let now = self.state.clock.now();
+        let mut view = self.state.view.borrow_mut();
+        for part in parts {
+            if view.engines.stall(&part.id, now) {
+                spdlog::info!("engines: avoided: runs stall", kv: {
+                    engine = part.id.as_str(),
+                    request = self.relay.caller.id.as_str(),
+                });
+            }
+        }
+    }
 }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -201,6 +201,7 @@
                     self.suspect(&chain);
                     // The last wait is for what is left: nobody else could take over.
                     if waits.len() == 1 && self.may_move(&chain) {
+                        self.count_stall(&chain);
                         return Err(AttemptEnd::Broken);
                     }
                 }
@@ -219,6 +220,9 @@
         let (parts, body) = response.into_parts();
         match reply {
             EngineReply::Served => {
+                let mut view = self.state.view.borrow_mut();
+                chain.iter().for_each(|part| view.engines.succeed(&part.id));
+                drop(view);
                 self.run = Some(ChainRun {
                     parts: chain,
                     body,
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -1,8 +1,11 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use dandelionroad_core::relay::RoomQueue;
+use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
 use tokio::sync::Notify;
 
@@ -23,6 +26,8 @@
     pub format: Box<dyn WireFormat>,
     /// The clock.
     pub clock: BootClock,
+    /// Tells this run of the process from earlier ones of the same name.
+    pub run: u64,
     /// What the process believes.
     pub view: RefCell<RelayView>,
     /// The other processes.
@@ -52,6 +57,7 @@
     pub fn new(settings: RelaySettings, format: Box<dyn WireFormat>) -> Rc<NodeState> {
         let view = RefCell::new(RelayView::new(&settings));
         Rc::new(NodeState {
+            run: new_run(&settings.name),
             settings,
             format,
             clock: BootClock,
@@ -69,3 +75,11 @@
         })
     }
 }
+
+/// Returns a number that no earlier run of the process had: the time of day alone may be set back.
+fn new_run(name: &str) -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let nanos = since_epoch.map_or(0, |time| time.as_nanos() as u64);
+    let boot_ms = BootClock.now().as_millis();
+    hash_text(nanos ^ boot_ms.rotate_left(32), name)
+}
--- a/crates/relay/src/peer/confirm_message.rs
+++ b/crates/relay/src/peer/confirm_message.rs
@@ -8,6 +8,9 @@
 /// makes anything look younger than it is.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfirmMessage {
+    /// The run of the receiver that sent the stamps; they mean nothing to another one.
+    #[serde(rename = "n")]
+    pub run: u64,
     /// The version of the newest configuration.
     #[serde(rename = "c")]
     pub config: u64,
--- a/crates/relay/src/peer/peer_message.rs
+++ b/crates/relay/src/peer/peer_message.rs
@@ -9,6 +9,10 @@
     /// The name of the sender.
     #[serde(rename = "n")]
     pub name: String,
+    /// A number that tells this run of the process from earlier ones: the steady clock starts anew
+    /// with the host.
+    #[serde(rename = "i")]
+    pub run: u64,
     /// The sender's clock in milliseconds; an older message that comes late is dropped.
     #[serde(rename = "s")]
     pub stamp: u64,
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -18,6 +18,8 @@
 struct PeerState {
     address: SocketAddr,
     heard: MilliTime,
+    /// The run of the process that sent the stamps.
+    run: u64,
     stamp: u64,
     /// The stamp at which its configuration was still the newest.
     config_stamp: u64,
@@ -48,9 +50,13 @@
     /// Takes a message; returns whether it was newer than those before.
     pub fn heard(&mut self, address: SocketAddr, message: PeerMessage, now: MilliTime) -> bool {
         let peer = self.entry(address, now);
-        // The clock of another host at the same address may be far behind.
-        let is_old = message.stamp <= peer.stamp && now.since(peer.heard) < SILENT_MS;
-        if is_old {
+        if message.run != peer.run {
+            peer.run = message.run;
+            peer.stamp = 0;
+            peer.config_stamp = 0;
+            peer.listing_stamp = 0;
+        }
+        if message.stamp <= peer.stamp {
             return false;
         }
         peer.heard = now;
@@ -76,35 +82,36 @@
         self.live_peers(now).count() as u32
     }
 
-    /// Returns the newest stamp of each process, to be taken before a read of the store.
-    pub fn stamps(&self) -> Vec<(SocketAddr, u64)> {
-        self.peers
-            .iter()
-            .map(|peer| (peer.address, peer.stamp))
-            .collect()
+    /// Returns the run and newest stamp of each process, to be taken before a read of the store.
+    pub fn stamps(&self) -> Vec<(SocketAddr, u64, u64)> {
+        let stamp = |peer: &PeerState| (peer.address, peer.run, peer.stamp);
+        self.peers.iter().map(stamp).collect()
     }
 
     /// Takes a read of the configuration that was begun after the stamps were taken.
-    pub fn config_read(&mut self, stamps: &[(SocketAddr, u64)]) {
-        for (address, stamp) in stamps {
-            if let Some(peer) = self.get_mut(*address) {
+    pub fn config_read(&mut self, stamps: &[(SocketAddr, u64, u64)]) {
+        for (address, run, stamp) in stamps {
+            if let Some(peer) = self.get_mut(*address, *run) {
                 peer.config_stamp = *stamp;
             }
         }
     }
 
     /// Takes a read of the list of engines that was begun after the stamps were taken.
-    pub fn listing_read(&mut self, stamps: &[(SocketAddr, u64)]) {
-        for (address, stamp) in stamps {
-            if let Some(peer) = self.get_mut(*address) {
+    pub fn listing_read(&mut self, stamps: &[(SocketAddr, u64, u64)]) {
+        for (address, run, stamp) in stamps {
+            if let Some(peer) = self.get_mut(*address, *run) {
                 peer.listing_stamp = *stamp;
             }
         }
     }
 
-    /// Returns each process with its stamps of the configuration and of the list of engines.
-    pub fn confirmations(&self) -> Vec<(SocketAddr, u64, u64)> {
-        let confirmed = |peer: &PeerState| (peer.address, peer.config_stamp, peer.listing_stamp);
+    /// Returns each process with its run and its stamps of the configuration and of the list of engines.
+    pub fn confirmations(&self) -> Vec<(SocketAddr, u64, u64, u64)> {
+        let confirmed = |peer: &PeerState| {
+            let (config, listing) = (peer.config_stamp, peer.listing_stamp);
+            (peer.address, peer.run, config, listing)
+        };
         self.peers.iter().map(confirmed).collect()
     }
 
@@ -123,11 +130,12 @@
             .collect()
     }
 
-    fn get_mut(&mut self, address: SocketAddr) -> Option<&mut PeerState> {
+    fn get_mut(&mut self, address: SocketAddr, run: u64) -> Option<&mut PeerState> {
         let found = self
             .peers
             .binary_search_by_key(&address, |peer| peer.address);
-        found.ok().map(|index| &mut self.peers[index])
+        let peer = &mut self.peers[found.ok()?];
+        (peer.run == run).then_some(peer)
     }
 
     fn live_peers(&self, now: MilliTime) -> impl Iterator<Item = &PeerState> {
@@ -145,6 +153,7 @@
                 let peer = PeerState {
                     address,
                     heard: now,
+                    run: 0,
                     stamp: 0,
                     config_stamp: 0,
                     listing_stamp: 0,
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -67,6 +67,7 @@
         refresh(state, now);
         let message = PeerDatagram::Load(PeerMessage {
             name: state.settings.name.clone(),
+            run: state.run,
             stamp: now.as_millis(),
             reaches_store: reaches_store(state, now),
             loads: own_loads(state),
@@ -93,8 +94,9 @@
             (version, view.engines.digest())
         };
         let confirmations = state.peers.borrow().confirmations();
-        for (address, config_stamp, listing_stamp) in confirmations {
+        for (address, run, config_stamp, listing_stamp) in confirmations {
             let message = PeerDatagram::Confirm(ConfirmMessage {
+                run,
                 config,
                 config_stamp,
                 listing,
@@ -140,6 +142,12 @@
 
 /// Makes what is held younger if it equals the newest, or has it read anew.
 fn take_confirmation(state: &NodeState, message: &ConfirmMessage) {
+    let now = state.clock.now().as_millis();
+    let latest = message.config_stamp.max(message.listing_stamp);
+    if message.run != state.run || latest > now {
+        spdlog::debug!("peers: confirmation for another run left out");
+        return;
+    }
     let mut view = state.view.borrow_mut();
     let config = view.config.as_ref().map_or(0, |config| config.version);
     if config == message.config && config > 0 {
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -53,7 +53,10 @@
                 }
                 is_reached = true;
                 version = next;
-                state.peers.borrow_mut().config_read(&stamps);
+                // Without a version, the changes were not to be had and nothing is confirmed.
+                if next.is_some() {
+                    state.peers.borrow_mut().config_read(&stamps);
+                }
             }
             Err(error) => {
                 if is_reached {
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -6,6 +6,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dandelionroad_relay::peer::ConfirmMessage;
+use dandelionroad_relay::peer::PeerDatagram;
+use tokio::net::UdpSocket;
+
 use crate::relay_support::KEY_AGE_MS;
 use crate::relay_support::World;
 use crate::relay_support::run;
@@ -127,3 +131,33 @@
         }
     });
 }
+
+/// Replays a host that lost power: its steady clock starts anew, and another process confirms with
+/// stamps of the time before. They lie in the future, and kept a withdrawn key in use for 6.4 s.
+#[test]
+fn key_is_refused_despite_stamps_of_earlier_run() {
+    run(async {
+        let world = World::start().await;
+        let engine = world.plain("p1").await;
+        let node = world.node("n1").await;
+        assert_eq!(world.ask(&node, "/any/stock", "r1").await.status, 200);
+        world.store.is_silent.set(true);
+        let silent = Instant::now();
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let message = PeerDatagram::Confirm(ConfirmMessage {
+            run: 7,
+            config: 1,
+            config_stamp: u64::MAX / 2,
+            listing: 0,
+            listing_stamp: u64::MAX / 2,
+        });
+        let bytes = serde_json::to_vec(&message).unwrap();
+        wait_for("keys are refused", async || {
+            socket.send_to(&bytes, node.settings().peers).await.unwrap();
+            world.ask(&node, "/any/stock", "r2").await.status == 503
+        })
+        .await;
+        assert!(silent.elapsed() <= Duration::from_millis(KEY_AGE_MS + 200));
+        drop(engine);
+    });
+}
