--- a/crates/core/src/chain/mod.rs
+++ b/crates/core/src/chain/mod.rs
@@ -6,8 +6,10 @@
 time, among those with enough memory.
 */
 
+mod chain_candidate;
 mod chain_finder;
 mod chain_part;
+mod chain_search;
 mod chain_shortage;
 mod crossing_budget;
 mod finder_request;
--- a/tests/house_rules.rs
+++ b/tests/house_rules.rs
@@ -12,7 +12,7 @@
 #[test]
 fn sources_follow_house_rules() {
     let mut files = Vec::new();
-    for folder in ["src", "crates", "tests"] {
+    for folder in ["src", "crates", "platform", "tests"] {
         collect_sources(
             &Path::new(env!("CARGO_MANIFEST_DIR")).join(folder),
             &mut files,
@@ -27,6 +27,55 @@
     assert!(findings.is_empty(), "{}", findings.join("\n"));
 }
 
+/// Names of the platform's wire that stand for nothing else.
+const PLATFORM_WORDS: [&str; 22] = [
+    "x-deadline-ms",
+    "x-token-counts",
+    "x-prefix-hash",
+    "x-length-hint",
+    "x-expect-instance",
+    "x-expect-version",
+    "x-tenant",
+    "x-request-priority",
+    "x-hop-count",
+    "x-not-executed",
+    "x-response-signature",
+    "x-weight-versions",
+    "at-server",
+    "rows-get",
+    "rows-feed",
+    "rows-tx",
+    "apikeys",
+    "kvtokenbytes",
+    "gapaimms",
+    "readx",
+    "dandelionroad_boot",
+    "revokewhenpartitioned",
+];
+
+/// Guards against names of the platform in the product, which has its own words for what they hold.
+#[test]
+fn product_without_platform_words() {
+    let mut files = Vec::new();
+    for folder in ["src", "crates"] {
+        collect_sources(
+            &Path::new(env!("CARGO_MANIFEST_DIR")).join(folder),
+            &mut files,
+        );
+    }
+    let mut findings = Vec::new();
+    for file in &files {
+        let text = fs::read_to_string(file).expect("source files are readable");
+        let text = text.to_ascii_lowercase();
+        for word in PLATFORM_WORDS {
+            if text.contains(word) {
+                findings.push(format!("{} names {word}", file.display()));
+            }
+        }
+    }
+    assert!(findings.is_empty(), "{}", findings.join("\n"));
+}
+
 fn collect_sources(folder: &Path, files: &mut Vec<PathBuf>) {
     for entry in fs::read_dir(folder).expect("source folders are readable") {
         let path = entry.expect("folder entries are readable").path();
