--- a/crates/core/src/relay/room_queue.rs
+++ b/crates/core/src/relay/room_queue.rs
@@ -50,7 +50,7 @@
 /// for step in 0..50 {
 ///     queue.freed(now.plus(step * 200));
 /// }
-/// assert_eq!(queue.offer(1, 300), None);
+/// assert_eq!(queue.offer(2, 300), None);
 /// // Callers are asked to return one after the other.
 /// assert!(queue.retry_after_ms(now) < queue.retry_after_ms(now));
 /// ```
--- a/crates/settings/tests/operations_page.rs
+++ b/crates/settings/tests/operations_page.rs
@@ -6,7 +6,7 @@
 
 #[test]
 fn operations_page_lists_every_flag_with_its_default() {
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/operations.md");
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
     let page = std::fs::read_to_string(path).unwrap();
     let entry = EntryFlags::from_args(&["entry"], &["--help"])
         .unwrap_err()
