Find slow engines by the pace of their events

A chain with an engine five times as slow was taken like any other. The pace of events over that of a lone request is now noted for all engines of a chain; the best pace of an engine counts, so that those which other chains use as well are cleared.

--- a/crates/core/src/chain/chain_candidate.rs
+++ b/crates/core/src/chain/chain_candidate.rs
@@ -8,6 +8,8 @@
     pub(super) layers: LayerRange,
     /// The expected time of a token step for each layer, in milliseconds.
     pub(super) layer_ms: f64,
+    /// The time of a token step of a lone request for each layer, in milliseconds.
+    pub(super) base_ms: f64,
     /// The most layers for which it has room for the request's tokens.
     pub(super) room_layers: u16,
     /// Whether it takes another request as the first of a chain.
--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -163,6 +163,8 @@
                 entry,
                 layers: entry.record.layers,
                 layer_ms,
+                base_ms: self.shape.step_ms * kind.step_factor
+                    / f64::from(self.shape.layers.max(1)),
                 room_layers: room_layers.min(held as u16),
                 may_start: writers < slots,
             });
--- a/crates/core/src/chain/chain_search.rs
+++ b/crates/core/src/chain/chain_search.rs
@@ -165,10 +165,13 @@
     /// Returns the chain that ends with a step.
     fn trace(&self, last: ChainStep) -> FoundChain {
         let mut parts = Vec::new();
+        let mut base_ms = 0.0;
         let mut end = self.layers;
         let mut step = Some(last);
         while let Some(current) = step {
-            let record = &self.candidates[current.candidate].entry.record;
+            let candidate = &self.candidates[current.candidate];
+            let record = &candidate.entry.record;
+            base_ms += candidate.base_ms * f64::from(end - current.first);
             parts.push(ChainPart {
                 id: record.id.clone(),
                 address: record.address,
@@ -185,6 +188,7 @@
             parts,
             crossings,
             step_ms: last.cost - crossings as f64 * CROSSING_MS,
+            base_ms,
         }
     }
 
--- a/crates/core/src/chain/found_chain.rs
+++ b/crates/core/src/chain/found_chain.rs
@@ -9,4 +9,6 @@
     pub crossings: usize,
     /// The expected time of a token step, in milliseconds.
     pub step_ms: f64,
+    /// The time of a token step of a lone request, in milliseconds.
+    pub base_ms: f64,
 }
--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -25,8 +25,12 @@
     pub peer_requests: u32,
     /// The memory that the requests of other processes take, in tokens times layers.
     pub peer_units: f64,
-    /// The factor on its usual times that was seen last; 1 is usual.
+    /// The factor on the times of the other engines; 1 unless it is slow.
     pub slowness: f64,
+    /// The least time of events over that of a lone request that was seen lately.
+    pub(super) pace: f64,
+    /// When that was seen last.
+    pub(super) paced: MilliTime,
 }
 
 impl EngineEntry {
@@ -43,6 +47,8 @@
             peer_requests: 0,
             peer_units: 0.0,
             slowness: 1.0,
+            pace: 0.0,
+            paced: now,
         }
     }
 
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -18,6 +18,20 @@
 /// Under a burst, other requests of the engine get their first events meanwhile.
 const STALL_LIMIT: u32 = 3;
 
+/// The factor on the usual pace from which on an engine counts as slow.
+///
+/// Load alone changes the pace of chains within a factor of two.
+const SLOW_FACTOR: f64 = 2.5;
+
+/// The weight of a run's pace in the usual one.
+const USUAL_WEIGHT: f64 = 0.02;
+
+/// The weight of a pace that is worse than the best one seen lately.
+const RISE_WEIGHT: f64 = 0.3;
+
+/// How long a pace is believed, in milliseconds.
+const PACE_AGE_MS: u64 = 3_000;
+
 /// How long an entry that is missing after an outage of the store is still believed, in
 /// milliseconds.
 ///
@@ -30,6 +44,8 @@
     entries: Vec<EngineEntry>,
     /// The digest of the newest listing.
     digest: u64,
+    /// The moving average of the pace of all runs.
+    usual_pace: f64,
     /// Until when missing entries are kept, because the store has just come back.
     keeps_missing_until: MilliTime,
 }
@@ -170,6 +186,45 @@
         is_due
     }
 
+    /// Takes the pace of a run: the time of its events over that of a lone request on its chain.
+    ///
+    /// All engines of a chain with a slow one show its pace; those that other chains use as well show
+    /// a better one there, which counts.
+    pub fn observe_pace<'i>(
+        &mut self,
+        ids: impl Iterator<Item = &'i str>,
+        pace: f64,
+        now: MilliTime,
+    ) {
+        let usual = match self.usual_pace > 0.0 {
+            true => self.usual_pace + (pace - self.usual_pace) * USUAL_WEIGHT,
+            false => pace,
+        };
+        self.usual_pace = usual;
+        for id in ids {
+            let Some(entry) = self.get_mut(id) else {
+                continue;
+            };
+            let is_new = now.since(entry.paced) >= PACE_AGE_MS;
+            entry.pace = match is_new || pace < entry.pace {
+                true => pace,
+                false => entry.pace + (pace - entry.pace) * RISE_WEIGHT,
+            };
+            entry.paced = now;
+            let factor = entry.pace / usual.max(1e-9);
+            entry.slowness = if factor >= SLOW_FACTOR { factor } else { 1.0 };
+        }
+    }
+
+    /// Forgets the slowness of engines whose pace was not seen lately, so that they are tried again.
+    pub fn forget_pace(&mut self, now: MilliTime) {
+        for entry in &mut self.entries {
+            if now.since(entry.paced) >= PACE_AGE_MS {
+                entry.slowness = 1.0;
+            }
+        }
+    }
+
     /// Counts a success.
     pub fn succeed(&mut self, id: &str) {
         if let Some(entry) = self.get_mut(id) {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::CallerLimits;
 use dandelionroad_core::relay::ConfigAge;
+use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::EventSplitter;
 use dandelionroad_core::relay::KeyIndex;
 use dandelionroad_core::relay::RelayAccount;
@@ -215,6 +216,29 @@
     );
 }
 
+/// Replays a slow engine in one of two chains that share their other engine.
+#[test]
+fn engine_table_finds_slow_engine() {
+    let records = (1..5).map(|number| record(number, "a", "large", LayerRange::new(0, 40)));
+    let mut table = table(records.collect());
+    for step in 0..60 {
+        let now = NOW.plus(step * 100);
+        table.observe_pace(["e001", "e002"].into_iter(), 9.0, now);
+        for _ in 0..4 {
+            table.observe_pace(["e001", "e003"].into_iter(), 2.5, now);
+            table.observe_pace(["e004"].into_iter(), 3.0, now);
+        }
+    }
+    let slowness = |table: &EngineTable, id: &str| table.get(id).unwrap().slowness;
+    assert!(slowness(&table, "e002") > 2.0);
+    for id in ["e001", "e003", "e004"] {
+        assert_eq!(slowness(&table, id), 1.0, "{id}");
+    }
+    // It is tried again when nothing was seen of it for a while.
+    table.forget_pace(NOW.plus(10_000));
+    assert_eq!(slowness(&table, "e002"), 1.0);
+}
+
 #[test]
 fn service_picker_avoids_failed_and_tried() {
     let records = (1..4).map(|number| record(number, "a", "large", LayerRange::new(0, 0)));
--- a/crates/relay/src/ingress/stream_relay/choice.rs
+++ b/crates/relay/src/ingress/stream_relay/choice.rs
@@ -5,6 +5,7 @@
 use dandelionroad_core::chain::ChainFinder;
 use dandelionroad_core::chain::ChainPart;
 use dandelionroad_core::chain::FinderRequest;
+use dandelionroad_core::chain::FoundChain;
 
 use crate::telemetry::RequestLog;
 
@@ -24,7 +25,7 @@
     pub(super) async fn find_or_wait(
         &mut self,
         log: &mut RequestLog,
-    ) -> Result<Vec<ChainPart>, Option<u64>> {
+    ) -> Result<FoundChain, Option<u64>> {
         if self.plan.sends() > 0 {
             return self.find_chain().map_err(|shortage| {
                 log.failed(&shortage);
@@ -96,7 +97,7 @@
     /// # Errors
     ///
     /// Returns which layer is short of what.
-    pub(super) fn find_chain(&self) -> Result<Vec<ChainPart>, String> {
+    pub(super) fn find_chain(&self) -> Result<FoundChain, String> {
         let Some(shape) = self.relay.service().model.as_ref() else {
             return Err("no model".to_owned());
         };
@@ -113,7 +114,7 @@
         let service = &self.relay.service().name;
         let near = ChainFinder::new(&view.engines, service, shape).find(&request);
         if let Some(chain) = near {
-            return Ok(chain.parts);
+            return Ok(chain);
         }
         let processes = view.processes;
         request.may_cross = view.crossings.is_open(shape, processes, now);
@@ -124,6 +125,6 @@
             return Err(format!("{} ({})", shortage.as_str(), shortage.layer()));
         };
         view.crossings.take(tokens, chain.crossings);
-        Ok(chain.parts)
+        Ok(chain)
     }
 }
--- a/crates/relay/src/ingress/stream_relay/events.rs
+++ b/crates/relay/src/ingress/stream_relay/events.rs
@@ -25,6 +25,9 @@
 /// Callers leave after two seconds without an event; the new chain has to read the prompt first.
 const MOVE_FACTOR: u64 = 2;
 
+/// The events between two notes of a run's pace.
+const PACE_EVENTS: u64 = 8;
+
 /// Bytes of a run, none at its end.
 type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
 
@@ -53,12 +56,34 @@
                 continue;
             }
             log.piece();
+            self.observe_pace();
             if sender.send(Ok(Bytes::from(whole))).await.is_err() {
                 return RunEnd::CallerLeft;
             }
         }
     }
 
+    /// Notes the pace of the run every few events.
+    fn observe_pace(&mut self) {
+        let now = self.state.clock.now();
+        let events = self.splitter.events();
+        let Some(run) = self.run.as_mut() else { return };
+        let Some((since, counted)) = run.paced else {
+            run.paced = Some((now, events));
+            return;
+        };
+        let passed = events.saturating_sub(counted);
+        if passed < PACE_EVENTS {
+            return;
+        }
+        run.paced = Some((now, events));
+        let event_ms = now.since(since) as f64 / passed as f64;
+        let pace = event_ms / run.base_ms.max(1e-9);
+        let ids = run.parts.iter().map(|part| part.id.as_str());
+        let mut view = self.state.view.borrow_mut();
+        view.engines.observe_pace(ids, pace, now);
+    }
+
     /// Waits for bytes of the run; a stalled one is given up only if another chain can take over.
     pub(super) async fn next_frame(&mut self) -> Result<NextFrame, &'static str> {
         let Some(mut run) = self.run.take() else {
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -8,9 +8,11 @@
 
 use bytes::Bytes;
 use dandelionroad_core::chain::ChainPart;
+use dandelionroad_core::chain::FoundChain;
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::EventSplitter;
+use dandelionroad_core::time::MilliTime;
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -32,6 +34,10 @@
 /// A run of the request on one chain.
 struct ChainRun {
     parts: Vec<ChainPart>,
+    /// The time of a token step of a lone request, in milliseconds.
+    base_ms: f64,
+    /// When the events were counted last from which the pace is taken, and their number then.
+    paced: Option<(MilliTime, u64)>,
     body: Incoming,
     _load: LoadGuard,
 }
@@ -150,9 +156,11 @@
 
     async fn send(
         &mut self,
-        chain: Vec<ChainPart>,
+        chain: FoundChain,
         log: &mut RequestLog,
     ) -> Result<StreamOpened, AttemptEnd> {
+        let base_ms = chain.base_ms;
+        let chain = chain.parts;
         let ids: Vec<&str> = chain.iter().map(|part| part.id.as_str()).collect();
         log.sent(&ids.join("+"));
         let shape = self.relay.service().model.as_ref();
@@ -207,12 +215,13 @@
                 }
             }
         };
-        self.take_head(chain, response, load).await
+        self.take_head(chain, base_ms, response, load).await
     }
 
     async fn take_head(
         &mut self,
         chain: Vec<ChainPart>,
+        base_ms: f64,
         response: Response<Incoming>,
         load: LoadGuard,
     ) -> Result<StreamOpened, AttemptEnd> {
@@ -225,6 +234,8 @@
                 drop(view);
                 self.run = Some(ChainRun {
                     parts: chain,
+                    base_ms,
+                    paced: None,
                     body,
                     _load: load,
                 });
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -242,6 +242,7 @@
     let loads = peers.loads(now);
     let mut view = state.view.borrow_mut();
     view.engines.set_peer_loads(&loads);
+    view.engines.forget_pace(now);
     state.room.notify_waiters();
     let processes = peers.live(now) + 1;
     if processes != view.processes {
