--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -15,6 +15,8 @@
     pub failures: u32,
     /// Runs that were given up there as stalled since the last first event.
     pub stalls: u32,
+    /// When one was counted last.
+    pub stalled: Option<MilliTime>,
     /// When it was last asked for its state because of a stall.
     pub probed: Option<MilliTime>,
     /// The requests of this process that it runs.
@@ -41,6 +43,7 @@
             avoided_until: MilliTime::default(),
             failures: 0,
             stalls: 0,
+            stalled: None,
             probed: None,
             own_requests: 0,
             own_units: 0.0,
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -18,6 +18,9 @@
 /// Under a burst, other requests of the engine get their first events meanwhile.
 const STALL_LIMIT: u32 = 3;
 
+/// The time within which stalled runs of an engine count once, in milliseconds.
+const STALL_SPAN_MS: u64 = 300;
+
 /// The factor on the usual pace from which on an engine counts as slow.
 ///
 /// Load alone changes the pace of chains within a factor of two.
@@ -157,19 +160,36 @@
         is_new
     }
 
-    /// Counts a stalled run that was given up; returns whether the engine is avoided from now on.
+    /// Counts a stalled run that was given up; returns the engines that are avoided from now on.
     ///
-    /// An engine may hang with requests and answer questions about its state.
-    pub fn stall(&mut self, id: &str, now: MilliTime) -> bool {
-        let Some(entry) = self.get_mut(id) else {
-            return false;
-        };
-        entry.stalls += 1;
-        if entry.stalls < STALL_LIMIT {
-            return false;
+    /// An engine may hang with requests and answer questions about its state. Nothing is counted if an
+    /// engine of the run is avoided already, as it explains the stall, and runs that stall together
+    /// count once.
+    pub fn stall(&mut self, ids: &[&str], now: MilliTime) -> Vec<String> {
+        let is_avoided = |id: &&str| self.get(id).is_some_and(|entry| entry.avoided_until > now);
+        if ids.iter().any(is_avoided) {
+            return Vec::new();
+        }
+        let mut avoided = Vec::new();
+        for id in ids {
+            let Some(entry) = self.get_mut(id) else {
+                continue;
+            };
+            let is_new = entry
+                .stalled
+                .is_none_or(|stalled| now.since(stalled) >= STALL_SPAN_MS);
+            if !is_new {
+                continue;
+            }
+            entry.stalled = Some(now);
+            entry.stalls += 1;
+            if entry.stalls >= STALL_LIMIT {
+                entry.stalls = 0;
+                self.fail(id, now);
+                avoided.push((*id).to_owned());
+            }
         }
-        entry.stalls = 0;
-        self.suspect(id, now)
+        avoided
     }
 
     /// Returns whether an engine may be asked for its state, at most once in `interval_ms`.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -216,6 +216,31 @@
     );
 }
 
+/// Replays the loss of one engine: its runs stall together, and the others of its chain stay in use.
+#[test]
+fn engine_table_stall_spares_others() {
+    let records = (1..4).map(|number| record(number, "a", "large", LayerRange::new(0, 40)));
+    let mut table = table(records.collect());
+    let chain = ["e001", "e002", "e003"];
+    for _ in 0..20 {
+        assert!(
+            table.stall(&chain, NOW).is_empty(),
+            "runs that stall together count once"
+        );
+    }
+    assert!(table.suspect("e003", NOW));
+    for step in 1..4 {
+        assert!(
+            table.stall(&chain, NOW.plus(step * 400)).is_empty(),
+            "the cause is known"
+        );
+    }
+    // Without a known cause, an engine that stalls run after run is avoided.
+    let later = NOW.plus(10_000);
+    assert!(table.stall(&["e001"], later).is_empty());
+    assert_eq!(table.stall(&["e001"], later.plus(400)), ["e001"]);
+}
+
 /// Replays a slow engine in one of two chains that share their other engine.
 #[test]
 fn engine_table_finds_slow_engine() {
--- a/crates/relay/src/ingress/stream_relay/events.rs
+++ b/crates/relay/src/ingress/stream_relay/events.rs
@@ -122,14 +122,13 @@
     /// Counts a run that was given up as stalled at its engines.
     pub(super) fn count_stall(&self, parts: &[ChainPart]) {
         let now = self.state.clock.now();
-        let mut view = self.state.view.borrow_mut();
-        for part in parts {
-            if view.engines.stall(&part.id, now) {
-                spdlog::info!("engines: avoided: runs stall", kv: {
-                    engine = part.id.as_str(),
-                    request = self.relay.caller.id.as_str(),
-                });
-            }
+        let ids: Vec<&str> = parts.iter().map(|part| part.id.as_str()).collect();
+        let avoided = self.state.view.borrow_mut().engines.stall(&ids, now);
+        for id in avoided {
+            spdlog::info!("engines: avoided: runs stall", kv: {
+                engine = id.as_str(),
+                request = self.relay.caller.id.as_str(),
+            });
         }
     }
 }
