--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -11,6 +11,7 @@
 
 use crate::engine::EngineClient;
 use crate::peer::PeerTable;
+use crate::peer::RowCopies;
 use crate::telemetry::RelayMetrics;
 use crate::wire::WireFormat;
 
@@ -48,6 +49,10 @@
     pub config_changed: Notify,
     /// Wakes the task that reads the list of engines.
     pub listing_changed: Notify,
+    /// Whether another process is known to hold a newer list of engines.
+    pub is_listing_behind: Cell<bool>,
+    /// The rows that were read last, for other processes.
+    pub copies: RefCell<RowCopies>,
     /// Wakes the waiting requests when room may have become free.
     pub room: Notify,
 }
@@ -71,6 +76,8 @@
             confirm: Notify::new(),
             config_changed: Notify::new(),
             listing_changed: Notify::new(),
+            is_listing_behind: Cell::new(false),
+            copies: RefCell::new(RowCopies::default()),
             room: Notify::new(),
         })
     }
--- /dev/null
+++ b/crates/relay/src/peer/fetch_rows.rs
@@ -0,0 +1,36 @@
+use bytes::Bytes;
+
+use crate::node::NodeState;
+use crate::wire::EncodedCall;
+use crate::wire::StoreRow;
+use crate::wire::StoreTable;
+
+use super::RowCopies;
+
+/// The longest wait for rows of another process, in milliseconds.
+const ANSWER_MS: u64 = 500;
+
+/// Asks the process that reads the store for the rows of a table.
+///
+/// Returns none, with a log line, if there is no such process or it doesn't answer with rows.
+pub(crate) async fn fetch_rows(state: &NodeState, table: StoreTable) -> Option<Vec<StoreRow>> {
+    let path = RowCopies::path(table)?;
+    let reader = state.peers.borrow().reader(state.clock.now())?;
+    let call = EncodedCall {
+        method: "GET",
+        path: path.to_owned(),
+        body: Bytes::new(),
+    };
+    let rows = match state.engines.ask(reader, call, ANSWER_MS).await {
+        Ok((200, body)) => serde_json::from_slice(&body).map_err(|error| error.to_string()),
+        Ok((status, _)) => Err(format!("status {status}")),
+        Err(error) => Err(error),
+    };
+    match rows {
+        Ok(rows) => Some(rows),
+        Err(error) => {
+            spdlog::warn!("peers: no rows from {reader}: {error}");
+            None
+        }
+    }
+}
--- a/crates/relay/src/peer/peer_message.rs
+++ b/crates/relay/src/peer/peer_message.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -9,6 +11,9 @@
     /// The name of the sender.
     #[serde(rename = "n")]
     pub name: String,
+    /// Where the sender serves metrics and copies of rows.
+    #[serde(rename = "h")]
+    pub internal: SocketAddr,
     /// The availability zone of the sender.
     #[serde(rename = "z")]
     pub zone: String,
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -19,6 +19,7 @@
 struct PeerState {
     address: SocketAddr,
     zone: String,
+    internal: Option<SocketAddr>,
     heard: MilliTime,
     /// The run of the process that sent the stamps.
     run: u64,
@@ -65,6 +66,7 @@
         peer.is_heard = true;
         peer.stamp = message.stamp;
         peer.zone = message.zone;
+        peer.internal = Some(message.internal);
         peer.loads = message.loads;
         peer.reaches_store = message.reaches_store;
         true
@@ -91,6 +93,12 @@
         near.map(|peer| peer.address).collect()
     }
 
+    /// Returns where the process that reads the store for the others serves copies of rows.
+    pub fn reader(&self, now: MilliTime) -> Option<SocketAddr> {
+        let mut reaching = self.live_peers(now).filter(|peer| peer.reaches_store);
+        reaching.next()?.internal
+    }
+
     /// Returns the number of processes that were heard of lately.
     pub fn live(&self, now: MilliTime) -> u32 {
         self.live_peers(now).count() as u32
@@ -167,6 +175,7 @@
                 let peer = PeerState {
                     address,
                     zone: String::new(),
+                    internal: None,
                     heard: now,
                     run: 0,
                     stamp: 0,
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -74,6 +74,7 @@
         refresh(state, now);
         let message = PeerDatagram::Load(PeerMessage {
             name: state.settings.name.clone(),
+            internal: state.settings.metrics,
             zone: state.settings.zone.clone(),
             run: state.run,
             stamp: now.as_millis(),
@@ -174,6 +175,9 @@
         let stamp = MilliTime::from_millis(message.listing_stamp);
         view.listing_time = view.listing_time.max(stamp);
     } else {
+        // Older than the own list, the other one would bring back engines that have left.
+        let stamp = MilliTime::from_millis(message.listing_stamp);
+        state.is_listing_behind.set(stamp > view.listing_time);
         state.listing_changed.notify_one();
     }
 }
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -4,6 +4,7 @@
 use dandelionroad_core::time::MilliTime;
 
 use crate::node::NodeState;
+use crate::peer::fetch_rows;
 use crate::peer::reads_for_others;
 use crate::wire::StoreCall;
 use crate::wire::StoreReply;
@@ -66,6 +67,7 @@
                     });
                 }
                 is_reached = false;
+                adopt_copy(&state).await;
                 tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
             }
         }
@@ -112,23 +114,37 @@
     }
 }
 
+/// Adopts a newer configuration from another process; only its confirmations make it fresh.
+async fn adopt_copy(state: &NodeState) {
+    let Some(rows) = fetch_rows(state, StoreTable::Config).await else {
+        return;
+    };
+    if let Err(error) = adopt_rows(state, &rows) {
+        spdlog::warn!("config: copy left out: {error}");
+    }
+}
+
 /// Adopts the newest configuration among the rows and confirms the age of the held one.
 fn take_rows(state: &NodeState, rows: &[StoreRow], start: MilliTime) -> Result<(), String> {
-    let decoded = state
-        .format
-        .decode_config(rows)
-        .map_err(|fault| fault.to_string())?;
+    adopt_rows(state, rows)?;
     let mut view = state.view.borrow_mut();
-    if let Some(config) = decoded {
-        let version = config.version;
-        if view.adopt(config) {
-            spdlog::info!("config: adopted", kv: { version = version });
-            state.confirm.notify_one();
-            state.metrics.set_config_version(version);
-        }
-    }
     if view.config.is_some() {
         view.config_age.confirm(start);
     }
     Ok(())
 }
+
+fn adopt_rows(state: &NodeState, rows: &[StoreRow]) -> Result<(), String> {
+    let decoded = state.format.decode_config(rows);
+    let Some(config) = decoded.map_err(|fault| fault.to_string())? else {
+        return Ok(());
+    };
+    let version = config.version;
+    if state.view.borrow_mut().adopt(config) {
+        spdlog::info!("config: adopted", kv: { version = version });
+        state.copies.borrow_mut().config = rows.to_vec();
+        state.confirm.notify_one();
+        state.metrics.set_config_version(version);
+    }
+    Ok(())
+}
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use crate::node::NodeState;
+use crate::peer::fetch_rows;
 use crate::peer::reads_for_others;
 use crate::wire::StoreRow;
 use crate::wire::StoreTable;
@@ -48,6 +49,11 @@
                     spdlog::warn!("store: lost for the list of engines: {error}");
                 }
                 is_reached = false;
+                if state.is_listing_behind.take()
+                    && let Some(rows) = fetch_rows(&state, StoreTable::Engines).await
+                {
+                    take_listing(&state, &rows);
+                }
             }
         }
         pause(&state).await;
@@ -96,6 +102,7 @@
         state.confirm.notify_one();
     }
     view.has_listing = true;
+    state.copies.borrow_mut().engines = rows.to_vec();
     for id in added {
         spdlog::info!("engines: listed", kv: { engine = id.as_str() });
     }
--- a/crates/relay/src/telemetry/metrics_server.rs
+++ b/crates/relay/src/telemetry/metrics_server.rs
@@ -15,7 +15,7 @@
 
 use crate::node::NodeState;
 
-/// Serves the metrics of the process until it ends.
+/// Serves metrics to scrapers and copies of rows to other processes, until the process ends.
 pub async fn serve_metrics(state: Rc<NodeState>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
@@ -27,9 +27,9 @@
         };
         let state = Rc::clone(&state);
         spawn_local(async move {
-            let service = service_fn(move |_: Request<Incoming>| {
+            let service = service_fn(move |request: Request<Incoming>| {
                 let state = Rc::clone(&state);
-                async move { Ok::<_, Infallible>(answer(&state)) }
+                async move { Ok::<_, Infallible>(answer(&state, request.uri().path())) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
@@ -39,10 +39,20 @@
     }
 }
 
-fn answer(state: &NodeState) -> Response<Full<Bytes>> {
-    let text = state.metrics.render(state);
-    let mut response = Response::new(Full::new(Bytes::from(text)));
-    let kind = hyper::header::HeaderValue::from_static("text/plain; version=0.0.4");
+fn answer(state: &NodeState, path: &str) -> Response<Full<Bytes>> {
+    let copies = state.copies.borrow();
+    let (kind, body) = match copies.at_path(path) {
+        Some(rows) => match serde_json::to_vec(rows) {
+            Ok(body) => ("application/json", body),
+            Err(error) => {
+                spdlog::warn!("metrics: rows not written: {error}");
+                ("application/json", Vec::new())
+            }
+        },
+        None => ("text/plain; version=0.0.4", state.metrics.render(state)),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let kind = hyper::header::HeaderValue::from_static(kind);
     response.headers_mut().insert(CONTENT_TYPE, kind);
     response
 }
--- a/crates/relay/src/wire/store_row.rs
+++ b/crates/relay/src/wire/store_row.rs
@@ -1,5 +1,8 @@
+use serde::Deserialize;
+use serde::Serialize;
+
 /// A row of the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoreRow {
     /// The key within its table.
     pub key: String,
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -93,6 +93,41 @@
     });
 }
 
+/// Replays a store that turns one host away while the configuration and the engines change: the
+/// process goes on with what another one hands it, and withdrawn keys stop working all the same.
+#[test]
+fn process_turned_away_follows_another() {
+    run(async {
+        let world = World::start().await;
+        let old = world.plain("p1").await;
+        let _reader = world.node("n1").await;
+        let (node, is_refused) = world.node_turned_away("n2").await;
+        // The processes learn of each other through the store first.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        is_refused.set(true);
+        let refused = Instant::now();
+        world.configure(5, &["k1", "k3"]);
+        let new = world.plain("p2").await;
+        old.list(true);
+        wait_for("the new engine alone is used", async || {
+            let before = old.runs.borrow().len();
+            let status = world.ask(&node, "/any/stock", "r1").await.status;
+            status == 200 && old.runs.borrow().len() == before && !new.runs.borrow().is_empty()
+        })
+        .await;
+        let patience = Duration::from_millis(2 * KEY_AGE_MS);
+        while refused.elapsed() < patience {
+            assert_eq!(world.ask(&node, "/any/stock", "r2").await.status, 200);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        world.configure(6, &["k3"]);
+        wait_for("the key is refused", async || {
+            world.ask(&node, "/any/stock", "r3").await.status == 401
+        })
+        .await;
+    });
+}
+
 /// Replays several processes on a calm day: one reads the list, the others hear that it is the newest.
 #[test]
 fn listing_is_read_by_one_process() {
--- a/crates/relay/tests/peer_table.rs
+++ b/crates/relay/tests/peer_table.rs
@@ -9,6 +9,7 @@
 fn message(run: u64, stamp: u64) -> PeerMessage {
     PeerMessage {
         name: "n2".to_owned(),
+        internal: "127.0.0.1:9001".parse().unwrap(),
         zone: "b".to_owned(),
         run,
         stamp,
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod http_fake;
 pub(crate) mod test_wire;
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +28,7 @@
 
 use self::fake_engine::FakeEngine;
 use self::fake_store::FakeStore;
+use self::http_fake::FakeAnswer;
 use self::http_fake::serve_fake;
 use self::test_wire::MODEL_SERVICE;
 use self::test_wire::PLAIN_SERVICE;
@@ -99,6 +101,36 @@
 
     /// Starts a process that reads the list of engines at an interval in milliseconds.
     pub(crate) async fn node_at_interval(&self, name: &str, list_interval_ms: u64) -> RunningNode {
+        self.start_node(name, list_interval_ms, self.store_address)
+            .await
+    }
+
+    /// Starts a process that the store turns away while the returned switch is set.
+    pub(crate) async fn node_turned_away(&self, name: &str) -> (RunningNode, Rc<Cell<bool>>) {
+        let is_refused = Rc::new(Cell::new(false));
+        let (store, switch) = (Rc::clone(&self.store), Rc::clone(&is_refused));
+        let address = serve_fake(move |parts, body| {
+            let (store, switch) = (Rc::clone(&store), Rc::clone(&switch));
+            async move {
+                match switch.get() {
+                    true => FakeAnswer::new(503, ""),
+                    false => {
+                        store
+                            .answer(parts.method.as_str(), parts.uri.path(), &body)
+                            .await
+                    }
+                }
+            }
+        });
+        (self.start_node(name, 100, address.await).await, is_refused)
+    }
+
+    async fn start_node(
+        &self,
+        name: &str,
+        list_interval_ms: u64,
+        store: SocketAddr,
+    ) -> RunningNode {
         let free: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let settings = RelaySettings {
             name: name.to_owned(),
@@ -107,7 +139,7 @@
             readiness: free,
             peers: free,
             metrics: free,
-            store: self.store_address,
+            store,
             key_age_ms: KEY_AGE_MS,
             list_interval_ms,
             retry_percent: 100,
