Resume no stream whose events can't be told apart, and send once on a connection of its own

Found by reading: a stream without identifiers would have been repeated from its start after a break, and a stream that may run once was sent over kept connections. The test of the first failed before: two runs, and ten events instead of five.

--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -12,6 +12,7 @@
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::EventSplitter;
+use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::time::MilliTime;
 use http_body_util::BodyExt;
 use hyper::Response;
@@ -140,7 +141,9 @@
             self.plan.end(AttemptEnd::Broken);
             self.end_run();
             self.splitter = EventSplitter::new(self.splitter.last_id());
-            if !self.resume(log).await {
+            // Without identifiers, another run would repeat what the caller has.
+            let may_resume = self.splitter.last_id().is_some() || !log.has_event();
+            if !may_resume || !self.resume(log).await {
                 log.end("cut");
                 let error = std::io::Error::other("the stream broke off");
                 // The caller may have left meanwhile, which ends the stream as well.
@@ -187,7 +190,7 @@
             self.relay.path(),
             headers,
             self.relay.body.clone(),
-            false,
+            self.relay.route().repeat == RepeatRule::AtMostOnce,
         );
         let target_ms = self.relay.route().target_ms;
         let mut sent = std::pin::pin!(sent);
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -25,9 +25,8 @@
 
 /// The rounds of messages of which one goes to the processes of other zones as well.
 ///
-/// With one in four, processes of several zones crowded the same engines (8 in 1,000 late on a calm day).
-///
-/// Chains stay within a zone and mostly serve its own callers, and bytes between zones are dear.
+/// Chains stay within a zone and mostly serve its own callers, and bytes between zones are dear. With
+/// one round in four, processes of several zones crowded the same engines.
 const FAR_ROUNDS: u64 = 2;
 
 /// The time between two reads of the list of processes, in milliseconds.
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -27,6 +27,8 @@
     None,
     /// Cuts the stream in the middle of the fifth event.
     CutEvent,
+    /// Sends events without identifiers and cuts the stream after the fifth.
+    CutUnnumbered,
     /// Falls silent after the fourth event.
     SilentStream,
     /// Takes requests and questions and never answers.
@@ -183,12 +185,16 @@
                 if fault == EngineFault::CutEvent && event == 5 {
                     piece.truncate(7);
                 }
+                if fault == EngineFault::CutUnnumbered {
+                    piece = b"data: token\n\n".to_vec();
+                }
                 if sender.send(Ok(Bytes::from(piece))).await.is_err() {
                     engine.left.set(engine.left.get() + 1);
                     return;
                 }
                 tokio::time::sleep(EVENT_PAUSE).await;
-                if fault == EngineFault::CutEvent && event == 5 {
+                let is_cut = matches!(fault, EngineFault::CutEvent | EngineFault::CutUnnumbered);
+                if is_cut && event == 5 {
                     // The caller may have closed the connection first.
                     let _ = sender.send(Err(std::io::Error::other("cut"))).await;
                     return;
--- a/crates/relay/tests/stream_relay.rs
+++ b/crates/relay/tests/stream_relay.rs
@@ -83,6 +83,30 @@
     });
 }
 
+/// Guards against a second run that repeats events which can't be told apart.
+#[test]
+fn stream_without_identifiers_is_not_resumed() {
+    run(async {
+        let world = World::start().await;
+        let engines = [
+            world.model("e1", (0, 40)).await,
+            world.model("e2", (0, 40)).await,
+        ];
+        for engine in &engines {
+            engine.fault.set(EngineFault::CutUnnumbered);
+        }
+        let node = world.node("n1").await;
+        let answer = world.ask(&node, "/model/a", "r1").await;
+        assert!(!answer.is_whole);
+        let runs: usize = engines
+            .iter()
+            .map(|engine| engine.runs.borrow().len())
+            .sum();
+        assert_eq!(runs, 1);
+        assert_eq!(answer.body, b"data: token\n\n".repeat(5));
+    });
+}
+
 /// Replays an engine that takes requests and never answers, and one that reports to be well as it does.
 #[test]
 fn stream_leaves_silent_engine() {
