--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -57,25 +57,6 @@
         Some(chain)
     }
 
-    /// Returns the requests with `tokens` of context that fit beside those that run, counted at the
-    /// layer with the least room.
-    pub fn room(&self, tokens: f64) -> u32 {
-        let layers = usize::from(self.shape.layers);
-        let mut room = vec![0.0; layers];
-        for entry in self.engines() {
-            let held = entry.record.layers;
-            let free = self.free_units(entry) / f64::from(held.len().max(1));
-            for layer in held.first..held.end.min(self.shape.layers) {
-                room[usize::from(layer)] += free;
-            }
-        }
-        let least = room.into_iter().fold(f64::INFINITY, f64::min);
-        match least.is_finite() {
-            true => (least / tokens.max(1.0)) as u32,
-            false => 0,
-        }
-    }
-
     /// Returns why no chain is found, at the first layer that lacks an engine.
     pub fn shortage(&self, request: &FinderRequest<'_>) -> ChainShortage {
         let candidates = self.candidates(request);
--- a/crates/core/src/relay/key_index.rs
+++ b/crates/core/src/relay/key_index.rs
@@ -18,11 +18,6 @@
         KeyIndex { entries }
     }
 
-    /// Returns whether requests need a key at all.
-    pub fn is_open(&self, config: &RelayConfig) -> bool {
-        config.accounts.is_empty()
-    }
-
     /// Returns the position of the account that holds `key`.
     pub fn find(&self, key: &str) -> Option<usize> {
         let index = self
--- a/crates/core/src/relay/service_picker.rs
+++ b/crates/core/src/relay/service_picker.rs
@@ -4,11 +4,6 @@
 use super::EngineEntry;
 use super::EngineTable;
 
-/// The waiting requests that an endpoint of a plain service takes beyond its slots, as a factor.
-///
-/// Beyond it, the queue at the endpoint outlasts the callers' short deadlines.
-const QUEUE_FACTOR: u32 = 2;
-
 /// Chooses an endpoint of a plain service for a request: few slots, short deadlines.
 #[derive(Clone, Copy, Debug)]
 pub struct ServicePicker<'a> {
@@ -37,12 +32,6 @@
             .or_else(|| listed().min_by_key(|entry| (entry.avoided_until, load_key(entry, seed))))
     }
 
-    /// Returns whether some endpoint has room.
-    pub fn has_room(&self) -> bool {
-        self.listed()
-            .any(|entry| entry.requests() < entry.record.slots.max(1) * QUEUE_FACTOR)
-    }
-
     fn listed(&self) -> impl Iterator<Item = &'a EngineEntry> + use<'a> {
         let service = self.service;
         let is_listed = move |entry: &&EngineEntry| {
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -87,10 +87,9 @@
 pub(super) fn retry_after_ms(kind: RefusalKind) -> Option<u64> {
     match kind {
         RefusalKind::Leaving => Some(OTHER_PROCESS_MS),
-        RefusalKind::StaleConfig
-        | RefusalKind::NoEngine
-        | RefusalKind::Overloaded
-        | RefusalKind::RetryBudget => Some(SHORT_RETRY_MS),
+        RefusalKind::StaleConfig | RefusalKind::NoEngine | RefusalKind::Overloaded => {
+            Some(SHORT_RETRY_MS)
+        }
         RefusalKind::BadRequest
         | RefusalKind::UnknownKey
         | RefusalKind::NoRoute
--- a/crates/relay/src/peer/row_copies.rs
+++ b/crates/relay/src/peer/row_copies.rs
@@ -16,7 +16,7 @@
         match table {
             StoreTable::Config => Some("/rows/config"),
             StoreTable::Engines => Some("/rows/engines"),
-            StoreTable::Members | StoreTable::Leases | StoreTable::Crashes => None,
+            StoreTable::Members | StoreTable::Leases => None,
         }
     }
 
--- a/crates/relay/src/wire/refusal_kind.rs
+++ b/crates/relay/src/wire/refusal_kind.rs
@@ -17,8 +17,6 @@
     NoEngine,
     /// All engines are full.
     Overloaded,
-    /// The retries of all requests together are used up.
-    RetryBudget,
     /// The request may have run, and its answer is lost.
     LostAnswer,
     /// The time is up, and the request may have run.
@@ -37,7 +35,6 @@
             RefusalKind::Leaving => "leaving",
             RefusalKind::NoEngine => "no-engine",
             RefusalKind::Overloaded => "overloaded",
-            RefusalKind::RetryBudget => "retry-budget",
             RefusalKind::LostAnswer => "lost-answer",
             RefusalKind::TimedOut => "timed-out",
         }
@@ -53,8 +50,7 @@
             RefusalKind::StaleConfig
             | RefusalKind::Leaving
             | RefusalKind::NoEngine
-            | RefusalKind::Overloaded
-            | RefusalKind::RetryBudget => 503,
+            | RefusalKind::Overloaded => 503,
             RefusalKind::LostAnswer => 502,
             RefusalKind::TimedOut => 504,
         }
--- a/crates/relay/src/wire/store_table.rs
+++ b/crates/relay/src/wire/store_table.rs
@@ -9,6 +9,4 @@
     Members,
     /// The leases of tasks that one process does at a time.
     Leases,
-    /// The crashes of requests.
-    Crashes,
 }
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -266,7 +266,6 @@
         StoreTable::Engines => "engines",
         StoreTable::Members => "members",
         StoreTable::Leases => "leases",
-        StoreTable::Crashes => "crashes",
     }
 }
 
