Notice within two seconds that the reader of the store is turned away

Ruled out: a lost datagram and slow reads (4 ms). The reader now waits 0.6 s for a change, others rely on it for 1.5 s, and a process whose read failed is no reader. The test fails before with the old figures.

--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -31,6 +31,8 @@
     pub listing_time: MilliTime,
     /// When the store last answered this process.
     pub store_time: MilliTime,
+    /// Whether the last read of the configuration failed.
+    pub is_store_lost: bool,
     /// Whether the engines were listed at least once.
     pub has_listing: bool,
     /// The retries that are left to this process.
@@ -54,6 +56,7 @@
             engines: EngineTable::new(),
             listing_time: MilliTime::default(),
             store_time: MilliTime::default(),
+            is_store_lost: false,
             has_listing: false,
             retries: RetryBudget::new(
                 settings.retry_percent,
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -189,7 +189,7 @@
 
 fn reaches_store(state: &NodeState, now: MilliTime) -> bool {
     let view = state.view.borrow();
-    view.is_ready() && now.since(view.store_time) < STORE_AGE_MS
+    view.is_ready() && !view.is_store_lost && now.since(view.store_time) < STORE_AGE_MS
 }
 
 /// Lists this process in the store and learns of the others.
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -21,11 +21,12 @@
 
 /// The age up to which a process relies on the confirmations of another one, in milliseconds.
 ///
-/// One wait of the other one for a change, and three confirmations of which two may be lost.
+/// One wait of the other one for a change, the age of the stamps and three confirmations of which two may
+/// be lost.
 const CONFIRMED_MS: u64 = WATCH_WAIT_MS + 900;
 
 /// The time between two looks at the age of the configuration, in milliseconds.
-const CHECK_PAUSE_MS: u64 = 300;
+const CHECK_PAUSE_MS: u64 = 150;
 
 /// Follows the operator's configuration until the process ends.
 pub async fn run_config(state: Rc<NodeState>, store: Rc<StoreClient>) {
@@ -53,6 +54,7 @@
                     spdlog::info!("store: regained for the configuration");
                 }
                 is_reached = true;
+                state.view.borrow_mut().is_store_lost = false;
                 version = next;
                 // Without a version, the changes were not to be had and nothing is confirmed.
                 if next.is_some() {
@@ -67,6 +69,8 @@
                     });
                 }
                 is_reached = false;
+                // Another process reads the store for the others from now on.
+                state.view.borrow_mut().is_store_lost = true;
                 adopt_copy(&state).await;
                 tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
             }
--- a/crates/relay/src/store/store_client.rs
+++ b/crates/relay/src/store/store_client.rs
@@ -17,9 +17,9 @@
 
 /// The longest wait for a change in one call, in milliseconds.
 ///
-/// Each answer confirms that the configuration is the newest, so the wait bounds its age: with one
-/// call that fails after it, keys are still accepted.
-pub(super) const WATCH_WAIT_MS: u64 = 1_500;
+/// Each answer confirms that the configuration is the newest. The others rely on that for twice as long
+/// and a little more, which has to stay below the two seconds in which a change is to be in force.
+pub(super) const WATCH_WAIT_MS: u64 = 600;
 
 /// The client of the store.
 pub struct StoreClient {
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -128,6 +128,46 @@
     });
 }
 
+/// Replays a store that turns away the very process that reads it for the others, right before a key is
+/// taken away: the others have to notice by themselves. A change is to be in force after two seconds.
+#[test]
+fn change_is_in_force_when_reader_is_turned_away() {
+    const IN_FORCE: Duration = Duration::from_millis(2_000);
+    run(async {
+        let world = World::start().await;
+        let _engine = world.plain("p1").await;
+        let (left, left_switch) = world.node_turned_away("n1").await;
+        let (right, right_switch) = world.node_turned_away("n2").await;
+        let is_left_first = left.settings().peers < right.settings().peers;
+        let (switch, other) = match is_left_first {
+            true => (left_switch, &right),
+            false => (right_switch, &left),
+        };
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let mut slowest = Duration::ZERO;
+        for round in 0..5_u64 {
+            world.configure(2 * round + 10, &["k1"]);
+            wait_for("the key works", async || {
+                world.ask(other, "/any/stock", "r1").await.status == 200
+            })
+            .await;
+            tokio::time::sleep(Duration::from_millis(250 + 40 * round)).await;
+            switch.set(true);
+            // The reader's wait for a change may still be answered.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            world.configure(2 * round + 11, &["k2"]);
+            let changed = Instant::now();
+            wait_for("the key is refused", async || {
+                world.ask(other, "/any/stock", "r2").await.status != 200
+            })
+            .await;
+            slowest = slowest.max(changed.elapsed());
+            switch.set(false);
+        }
+        assert!(slowest <= IN_FORCE, "in force after {slowest:?}");
+    });
+}
+
 /// Replays several processes on a calm day: one reads the list, the others hear that it is the newest.
 #[test]
 fn listing_is_read_by_one_process() {
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -112,13 +112,17 @@
         let address = serve_fake(move |parts, body| {
             let (store, switch) = (Rc::clone(&store), Rc::clone(&switch));
             async move {
-                match switch.get() {
-                    true => FakeAnswer::new(503, ""),
-                    false => {
-                        store
-                            .answer(parts.method.as_str(), parts.uri.path(), &body)
-                            .await
+                // Calls that wait for a change are cut off as well.
+                let cut = async {
+                    while !switch.get() {
+                        tokio::time::sleep(Duration::from_millis(5)).await;
                     }
+                };
+                let path = parts.uri.path();
+                tokio::select! {
+                    biased;
+                    () = cut => FakeAnswer::new(503, ""),
+                    answer = store.answer(parts.method.as_str(), path, &body) => answer,
                 }
             }
         });
