Give no retries when the number of processes changes

Each time that a process was lost from sight and came back, the others' shares of the slack grew and the growth was given at once. Ruled out: sends that reached nobody, which are no arrivals.

--- a/crates/core/src/admit/retry_budget.rs
+++ b/crates/core/src/admit/retry_budget.rs
@@ -50,10 +50,12 @@
 
     /// Sets the number of retries that are saved up at most, when what is shared among several
     /// processes is divided anew.
+    ///
+    /// A larger number gives no retries at once: it would give them again each time that a process is
+    /// lost from sight and comes back.
     pub fn set_burst(&mut self, burst: u32) {
-        let burst = u64::from(burst) * 100;
-        self.level = (self.level + burst.saturating_sub(self.burst)).min(burst);
-        self.burst = burst;
+        self.burst = u64::from(burst) * 100;
+        self.level = self.level.min(self.burst);
     }
 
     /// Counts a first attempt.
--- a/crates/core/tests/admit_limits.rs
+++ b/crates/core/tests/admit_limits.rs
@@ -153,3 +153,18 @@
     ledger.merge("aa", &["r1/0"], true);
     assert_eq!(ledger.verdict("aa"), CrashVerdict::Suspect);
 }
+
+/// Guards against retries that are given anew each time that the number of processes changes.
+#[test]
+fn retry_budget_set_burst_gives_nothing() {
+    let mut budget = RetryBudget::new(20, 30);
+    let mut retries = 0;
+    for _ in 0..50 {
+        budget.set_burst(6);
+        budget.set_burst(60);
+        while budget.try_retry() {
+            retries += 1;
+        }
+    }
+    assert!(retries <= 30, "{retries} retries without a request");
+}
