Ask engines for their state in one place, and work out an engine's room once

Found when the whole change was read again: the orders and the stall probe each decoded a report by themselves, each candidate of a chain had its kind and room worked out twice, and the page of the placement said that nothing moves. Behaviour is the same; the tests of chains, placement and relay pass unchanged.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -95,21 +95,6 @@
         })
     }
 
-    fn free_units(&self, entry: &EngineEntry) -> f64 {
-        let Some(kind) = entry
-            .record
-            .kind
-            .as_deref()
-            .and_then(|kind| self.shape.kind(kind))
-        else {
-            return 0.0;
-        };
-        let room = self
-            .shape
-            .room_units(kind.memory_mb, entry.record.layers.len());
-        (room * ROOM_SHARE - entry.units()).max(0.0)
-    }
-
     fn candidates(&self, request: &FinderRequest<'_>) -> Vec<ChainCandidate<'a>> {
         let mut candidates = Vec::new();
         for entry in self.engines() {
@@ -122,16 +107,14 @@
                 .as_deref()
                 .and_then(|kind| self.shape.kind(kind));
             let Some(kind) = kind else { continue };
-            let free = self.free_units(entry);
+            let held = entry.record.layers.len();
+            let room = self.shape.room_units(kind.memory_mb, held) * ROOM_SHARE;
+            let free = (room - entry.units()).max(0.0);
             let room_layers = (free / request.tokens.max(1.0)).min(f64::from(u16::MAX)) as u16;
             if room_layers == 0 {
                 continue;
             }
-            let held = f64::from(entry.record.layers.len());
-            let room = self
-                .shape
-                .room_units(kind.memory_mb, entry.record.layers.len());
-            let used = 1.0 - (free / (room * ROOM_SHARE).max(1.0)).clamp(0.0, 1.0);
+            let used = 1.0 - (free / room.max(1.0)).clamp(0.0, 1.0);
             let writers = f64::from(entry.requests());
             let writer_ms = self.shape.sequence_ms
                 + self.shape.context_ms * (self.shape.usual_prompt + self.shape.usual_answer / 2.0)
@@ -146,7 +129,7 @@
                 layer_ms,
                 base_ms: self.shape.step_ms * kind.step_factor
                     / f64::from(self.shape.layers.max(1)),
-                room_layers: room_layers.min(held as u16),
+                room_layers: room_layers.min(held),
                 may_start: writers < slots,
             });
         }
--- a/crates/core/src/chain/placement_plan.rs
+++ b/crates/core/src/chain/placement_plan.rs
@@ -21,7 +21,7 @@
 /// The engines of an availability zone form groups that cover the model once, the fastest together:
 /// the slowest accelerator of a chain sets its pace, and activations that cross zones share one
 /// pipe. Engines that are left over, come later or come back empty take the layers for which their
-/// zone has the least memory, so that nothing that serves has to move.
+/// zone has the least memory. What serves moves only to make a zone whole after a loss.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementPlan<'a> {
     shape: &'a ModelShape,
@@ -33,7 +33,7 @@
         PlacementPlan { shape }
     }
 
-    /// Returns orders for the engines that hold nothing.
+    /// Returns orders for the engines that hold nothing, and for those that have to move.
     pub fn orders(&self, engines: &[PlacementEngine]) -> Vec<PlacementOrder> {
         let mut placed = engines.to_vec();
         let mut orders = Vec::new();
--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -4,6 +4,8 @@
 
 use crate::node::NodeState;
 
+use super::ask_report;
+
 /// The longest wait for the report of an engine that may be dead, in milliseconds.
 ///
 /// A live one answers within a few milliseconds, also under load.
@@ -27,18 +29,7 @@
     if !may_probe {
         return;
     }
-    let answer = state
-        .engines
-        .ask(first.address, state.format.encode_report(), ANSWER_MS)
-        .await;
-    let report = match answer {
-        Ok((200, body)) => state
-            .format
-            .decode_report(&body)
-            .map_err(|fault| fault.to_string()),
-        Ok((status, _)) => Err(format!("status {status}")),
-        Err(error) => Err(error),
-    };
+    let report = ask_report(&state, first.address, ANSWER_MS).await;
     let now = state.clock.now();
     let mut view = state.view.borrow_mut();
     let (dead, cause) = match report {
--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::lease::LeaseHolder;
 use dandelionroad_core::time::MilliTime;
 
+use crate::engine::ask_report;
 use crate::node::NodeState;
 use crate::peer::reads_for_others;
 use crate::store::StoreClient;
@@ -146,19 +147,7 @@
         layers: order.layers,
         until: state.clock.now().plus(PENDING_MS),
     };
-    let report = match state
-        .engines
-        .ask(address, state.format.encode_report(), ANSWER_MS)
-        .await
-    {
-        Ok((200, body)) => state
-            .format
-            .decode_report(&body)
-            .map_err(|fault| fault.to_string()),
-        Ok((status, _)) => Err(format!("status {status}")),
-        Err(error) => Err(error),
-    };
-    let report = match report {
+    let report = match ask_report(state, address, ANSWER_MS).await {
         Ok(report) => report,
         Err(error) => {
             spdlog::warn!("orders: no report: {error}", kv: { engine = order.id.as_str() });
