Say in the log why each zone has no chain, how long a request waited and when no retry was left

The line of a request now has waited_ms, the shortage of each availability zone, and "no retry left"; the line of a listed engine has its zone, kind and layers.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -6,6 +6,7 @@
 use super::ChainShortage;
 use super::FinderRequest;
 use super::FoundChain;
+use super::ZoneShortage;
 use super::chain_candidate::ChainCandidate;
 use super::chain_search::ChainSearch;
 
@@ -57,24 +58,39 @@
         Some(chain)
     }
 
-    /// Returns why no chain is found, at the first layer that lacks an engine.
-    pub fn shortage(&self, request: &FinderRequest<'_>) -> ChainShortage {
+    /// Returns for each availability zone why it has no chain, at the first layer that lacks an engine.
+    pub fn shortages(&self, request: &FinderRequest<'_>) -> Vec<ZoneShortage<'a>> {
         let candidates = self.candidates(request);
+        let mut zones: Vec<&str> = self.engines().map(|entry| zone_of(entry)).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let shortage = |zone| ZoneShortage {
+            zone,
+            shortage: self.zone_shortage(zone, &candidates, request),
+        };
+        zones.into_iter().map(shortage).collect()
+    }
+
+    fn zone_shortage(
+        &self,
+        zone: &str,
+        candidates: &[ChainCandidate<'_>],
+        request: &FinderRequest<'_>,
+    ) -> ChainShortage {
         let covers = |range: LayerRange, layer: u16| range.first <= layer && layer < range.end;
         for layer in 0..self.shape.layers {
             let mut holders = self
                 .engines()
-                .filter(|entry| covers(entry.record.layers, layer));
+                .filter(|entry| zone_of(entry) == zone && covers(entry.record.layers, layer));
             if holders.clone().next().is_none() {
                 return ChainShortage::NotHeld(layer);
             }
             if !holders.any(|entry| self.may_use(entry, request)) {
                 return ChainShortage::Avoided(layer);
             }
-            if !candidates
-                .iter()
-                .any(|candidate| covers(candidate.layers, layer))
-            {
+            if !candidates.iter().any(|candidate| {
+                zone_of(candidate.entry) == zone && covers(candidate.layers, layer)
+            }) {
                 return ChainShortage::Full(layer);
             }
         }
@@ -137,6 +153,10 @@
     }
 }
 
+fn zone_of(entry: &EngineEntry) -> &str {
+    &entry.record.zone
+}
+
 fn has_repeats(chain: &FoundChain) -> bool {
     let mut ids: Vec<&str> = chain.parts.iter().map(|part| part.id.as_str()).collect();
     ids.sort_unstable();
--- a/crates/core/src/chain/chain_shortage.rs
+++ b/crates/core/src/chain/chain_shortage.rs
@@ -1,11 +1,11 @@
-/// Why no chain covers the model for a request.
+/// Why the engines of an availability zone form no chain for a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ChainShortage {
-    /// No listed engine holds this layer.
+    /// No listed engine of the zone holds this layer.
     NotHeld(u16),
-    /// Each engine that holds this layer failed lately, or failed this request.
+    /// Each engine of the zone that holds this layer failed lately, or failed this request.
     Avoided(u16),
-    /// Each engine that holds this layer lacks memory for the request.
+    /// Each engine of the zone that holds this layer lacks memory for the request.
     Full(u16),
     /// Layers and memory would do, but no engine takes another request as the first of a chain.
     NoStart,
--- a/crates/core/src/chain/mod.rs
+++ b/crates/core/src/chain/mod.rs
@@ -18,6 +18,7 @@
 mod placement_group;
 mod placement_order;
 mod placement_plan;
+mod zone_shortage;
 
 pub use self::chain_finder::ChainFinder;
 pub use self::chain_part::ChainPart;
@@ -28,3 +29,4 @@
 pub use self::placement_engine::PlacementEngine;
 pub use self::placement_order::PlacementOrder;
 pub use self::placement_plan::PlacementPlan;
+pub use self::zone_shortage::ZoneShortage;
--- a/crates/core/tests/chain_finder.rs
+++ b/crates/core/tests/chain_finder.rs
@@ -229,7 +229,9 @@
     ]);
     let shape = shape();
     let shortage = |table: &EngineTable| {
-        ChainFinder::new(table, SERVICE, &shape).shortage(&request(1_000.0, &[]))
+        let shortages = ChainFinder::new(table, SERVICE, &shape).shortages(&request(1_000.0, &[]));
+        assert_eq!(shortages.len(), 1);
+        shortages[0].shortage
     };
     assert_eq!(shortage(&table), ChainShortage::NotHeld(40));
     table.begin("e001", 1e12);
@@ -237,3 +239,24 @@
     table.fail("e001", NOW);
     assert_eq!(shortage(&table), ChainShortage::Avoided(0));
 }
+
+/// Guards against a log line that names no layer when each zone lacks another one.
+#[test]
+fn shortages_named_by_zone() {
+    let table = table(vec![
+        record(1, "a", "large", LayerRange::new(0, 40)),
+        record(2, "b", "large", LayerRange::new(40, 80)),
+    ]);
+    let shape = shape();
+    let finder = ChainFinder::new(&table, SERVICE, &shape);
+    let shortages = finder.shortages(&request(100.0, &[]));
+    let found: Vec<(&str, ChainShortage)> = shortages
+        .iter()
+        .map(|shortage| (shortage.zone, shortage.shortage))
+        .collect();
+    let expected = vec![
+        ("a", ChainShortage::NotHeld(40)),
+        ("b", ChainShortage::NotHeld(0)),
+    ];
+    assert_eq!(found, expected);
+}
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -54,7 +54,11 @@
         let now = state.clock.now();
         let left_ms = relay.deadline.since(now);
         let may_go_on = plan.sends() == 0 || left_ms >= LEAST_ATTEMPT_MS;
-        if !may_go_on || !plan.may_send() || !takes_retry(&state, &plan) {
+        if !may_go_on || !plan.may_send() {
+            break;
+        }
+        if !takes_retry(&state, &plan) {
+            log.failed("no retry left");
             break;
         }
         let Some((id, address)) = pick(&state, &relay, &tried) else {
--- a/crates/relay/src/ingress/stream_relay/choice.rs
+++ b/crates/relay/src/ingress/stream_relay/choice.rs
@@ -6,6 +6,7 @@
 use dandelionroad_core::chain::ChainPart;
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
+use dandelionroad_core::chain::ZoneShortage;
 
 use crate::telemetry::RequestLog;
 
@@ -43,16 +44,19 @@
         let wait_ms = self.relay.route().target_ms / ROOM_WAIT_DIVISOR;
         let until = log.arrived().plus(wait_ms).min(self.relay.deadline);
         let state = Rc::clone(&self.state);
+        let begun = state.clock.now();
         let found = wait_for_room(&state, self.relay.priority(), until, || {
             self.find_chain().ok()
         });
-        found.await.map_err(|retry_ms| {
+        let found = found.await;
+        log.waited(state.clock.now().since(begun));
+        found.map_err(|retry_ms| {
             log.failed(&shortage);
             Some(retry_ms)
         })
     }
 
-    pub(super) fn may_send(&mut self) -> bool {
+    pub(super) fn may_send(&mut self, log: &mut RequestLog) -> bool {
         let left_ms = self.relay.deadline.since(self.state.clock.now());
         if self.plan.sends() == 0 {
             return left_ms > 0;
@@ -60,7 +64,11 @@
         if left_ms < LEAST_ATTEMPT_MS || !self.plan.may_send() {
             return false;
         }
-        self.plan.is_last_unsent() || self.take_retry()
+        let is_allowed = self.plan.is_last_unsent() || self.take_retry();
+        if !is_allowed {
+            log.failed("no retry left");
+        }
+        is_allowed
     }
 
     /// Takes a repeated send from the budget, unless one was taken already.
@@ -96,7 +104,7 @@
     ///
     /// # Errors
     ///
-    /// Returns which layer is short of what.
+    /// Returns what each availability zone lacks.
     pub(super) fn find_chain(&self) -> Result<FoundChain, String> {
         let Some(shape) = self.relay.service().model.as_ref() else {
             return Err("no model".to_owned());
@@ -121,10 +129,24 @@
         let finder = ChainFinder::new(&view.engines, service, shape);
         let far = finder.find(&request).filter(|_| request.may_cross);
         let Some(chain) = far else {
-            let shortage = finder.shortage(&request);
-            return Err(format!("{} ({})", shortage.as_str(), shortage.layer()));
+            return Err(shortage_text(&finder.shortages(&request)));
         };
         view.crossings.take(tokens, chain.crossings);
         Ok(chain)
     }
 }
+
+/// Returns what each availability zone lacks, as it appears in logs.
+fn shortage_text(shortages: &[ZoneShortage<'_>]) -> String {
+    let text = |zone: &ZoneShortage<'_>| {
+        let shortage = zone.shortage;
+        format!(
+            "{}: {} ({})",
+            zone.zone,
+            shortage.as_str(),
+            shortage.layer()
+        )
+    };
+    let texts: Vec<String> = shortages.iter().map(text).collect();
+    texts.join(", ")
+}
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -88,7 +88,7 @@
     pub(super) async fn open(&mut self, log: &mut RequestLog) -> StreamOpened {
         let mut failure = None;
         let mut retry_after_ms = None;
-        while self.may_send() {
+        while self.may_send(log) {
             let chain = match self.find_or_wait(log).await {
                 Ok(chain) => chain,
                 Err(retry_ms) => {
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -104,7 +104,16 @@
     view.has_listing = true;
     state.copies.borrow_mut().engines = rows.to_vec();
     for id in added {
-        spdlog::info!("engines: listed", kv: { engine = id.as_str() });
+        let Some(entry) = view.engines.get(&id) else {
+            continue;
+        };
+        spdlog::info!("engines: listed", kv: {
+            engine = id.as_str(),
+            zone = entry.record.zone.as_str(),
+            kind = entry.record.kind.as_deref().unwrap_or("none"),
+            first = entry.record.layers.first,
+            end = entry.record.layers.end,
+        });
     }
     for id in removed {
         spdlog::info!("engines: gone", kv: { engine = id.as_str() });
--- a/crates/relay/src/telemetry/request_log.rs
+++ b/crates/relay/src/telemetry/request_log.rs
@@ -12,6 +12,7 @@
     first: Option<MilliTime>,
     last_piece: Option<MilliTime>,
     longest_gap_ms: u64,
+    waited_ms: u64,
     route: String,
     engines: String,
     sends: u32,
@@ -30,6 +31,7 @@
             first: None,
             last_piece: None,
             longest_gap_ms: 0,
+            waited_ms: 0,
             route: String::new(),
             engines: String::new(),
             sends: 0,
@@ -49,6 +51,11 @@
         self.route = prefix.to_owned();
     }
 
+    /// Takes a wait for room at the engines.
+    pub fn waited(&mut self, wait_ms: u64) {
+        self.waited_ms += wait_ms;
+    }
+
     /// Takes a send to the engines named by `engines`.
     pub fn sent(&mut self, engines: &str) {
         self.sends += 1;
@@ -105,6 +112,7 @@
             first_ms = first_ms.map_or(-1, |first| first as i64),
             whole_ms = whole_ms,
             gap_ms = self.longest_gap_ms,
+            waited_ms = self.waited_ms,
             config = view.config.as_ref().map_or(0, |config| config.version),
             config_age_ms = view.config_age.age_ms(now).unwrap_or(u64::MAX),
             cause = self.detail.as_str(),
