Divide the free room of an engine among the processes that use it

Cause: 32 entries see the same free memory in reports that are 0.2 to 0.4 s old, and all fill it before they hear of each other. Ruled out: reserved tokens that are too few (a request reserves its whole estimated answer, above what a mean one holds at any time); a smaller share of the memory that is given out (the excess is that of ten processes, not of a few per cent).

At each report an entry now notes the free room of each engine and gives out its own share until the next one; less than a whole request is drawn by lot, with the same number for all engines so that a chain is drawn as one. What its own requests free is its own at once.

room_division: ten processes over four chains at a third above their memory. 22 in 100 of the sent requests exceeded it, under 5 do with the division, with 85 in 100 of the memory in use or more.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -127,7 +127,8 @@
             let room = self.shape.room_units(kind.memory_mb, held) * ROOM_SHARE;
             let free = (room - entry.units()).max(0.0);
             let room_layers = (free / request.tokens.max(1.0)).min(f64::from(u16::MAX)) as u16;
-            if room_layers == 0 {
+            let usual = (self.shape.usual_prompt + self.shape.usual_answer) * f64::from(held);
+            if room_layers == 0 || entry.share_left(room, usual) <= 0.0 {
                 continue;
             }
             let used = 1.0 - (free / room.max(1.0)).clamp(0.0, 1.0);
--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -27,6 +27,13 @@
     pub peer_requests: u32,
     /// The memory that the requests of other processes take, in tokens times layers.
     pub peer_units: f64,
+    /// The processes that send requests to it.
+    pub sharers: u32,
+    /// Which of the shares of this engine's room that are no whole request falls to this process;
+    /// from 0 to below 1.
+    pub draw: f64,
+    /// The memory that the requests of this process took when the room was last divided.
+    pub base_units: f64,
     /// The factor on the times of the other engines; 1 unless it is slow.
     pub slowness: f64,
     /// The least time of events over that of a lone request that was seen lately.
@@ -49,6 +56,9 @@
             own_units: 0.0,
             peer_requests: 0,
             peer_units: 0.0,
+            sharers: 1,
+            draw: 0.0,
+            base_units: 0.0,
             slowness: 1.0,
             pace: 0.0,
             paced: now,
@@ -69,4 +79,19 @@
     pub fn units(&self) -> f64 {
         self.own_units + self.peer_units
     }
+
+    /// Returns the memory that this process may give out until the room is divided again, of `room` in
+    /// all and `usual` for a usual request.
+    ///
+    /// Without division, all processes fill the same free room before they hear of each other. Where
+    /// less than a request is free for each, chance decides whose turn it is; the last request may
+    /// exceed the share, so that large ones are served as well.
+    pub fn share_left(&self, room: f64, usual: f64) -> f64 {
+        if self.sharers <= 1 {
+            return f64::MAX;
+        }
+        let free = room - self.base_units - self.peer_units;
+        let share = free / usual.max(1e-9) / f64::from(self.sharers);
+        (share + self.draw).floor() * usual - (self.own_units - self.base_units)
+    }
 }
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -283,6 +283,16 @@
         }
     }
 
+    /// Divides the free room of each engine among the processes that send to it, as `sharers` tells for
+    /// an availability zone, until the next division.
+    pub fn divide_room(&mut self, sharers: impl Fn(&str) -> u32, draw: f64) {
+        for entry in &mut self.entries {
+            entry.sharers = sharers(&entry.record.zone);
+            entry.draw = draw;
+            entry.base_units = entry.own_units;
+        }
+    }
+
     fn position(&self, id: &str) -> Result<usize, usize> {
         self.entries
             .binary_search_by(|entry| entry.record.id.as_str().cmp(id))
--- /dev/null
+++ b/crates/core/tests/room_division.rs
@@ -0,0 +1,200 @@
+//! Guards against processes that all fill the same free room before they hear of each other.
+
+mod chain_support;
+
+use dandelionroad_core::chain::ChainFinder;
+use dandelionroad_core::chain::FinderRequest;
+use dandelionroad_core::chain::FoundChain;
+use dandelionroad_core::relay::EngineTable;
+use dandelionroad_core::relay::ModelShape;
+use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::time::MilliTime;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::chain_support::SERVICE;
+use crate::chain_support::record;
+use crate::chain_support::shape;
+use crate::chain_support::table;
+
+/// The processes of the availability zone.
+const PROCESSES: usize = 10;
+
+/// The time between two reports of a process, in milliseconds.
+const REPORT_MS: u64 = 200;
+
+/// How long a request runs, in milliseconds.
+const RUN_MS: u64 = 2_000;
+
+/// The tokens of a request.
+const TOKENS: f64 = 1_000.0;
+
+/// A running request: its process, its chain and its end.
+struct RunningRequest {
+    process: usize,
+    chain: FoundChain,
+    end: u64,
+}
+
+/// Processes that send requests over the same engines.
+struct ZoneWorld {
+    shape: ModelShape,
+    tables: Vec<EngineTable>,
+    running: Vec<RunningRequest>,
+    is_divided: bool,
+    sent: u64,
+    exceeding: u64,
+    refused: u64,
+}
+
+impl ZoneWorld {
+    fn new(is_divided: bool) -> ZoneWorld {
+        let records = || {
+            let group = |copy: u16| {
+                let number = 10 * copy;
+                [
+                    record(number, "a", "middle", LayerRange::new(0, 18)),
+                    record(number + 1, "a", "large", LayerRange::new(18, 49)),
+                    record(number + 2, "a", "large", LayerRange::new(49, 80)),
+                ]
+            };
+            (0..4).flat_map(group).collect()
+        };
+        ZoneWorld {
+            shape: shape(),
+            tables: (0..PROCESSES).map(|_| table(records())).collect(),
+            running: Vec::new(),
+            is_divided,
+            sent: 0,
+            exceeding: 0,
+            refused: 0,
+        }
+    }
+
+    /// Returns the memory that requests take at an engine, and all that it has for them.
+    fn memory(&self, id: &str) -> (f64, f64) {
+        let parts = self.running.iter().flat_map(|run| &run.chain.parts);
+        let own = parts.filter(|part| part.id == id);
+        let units: f64 = own.map(|part| TOKENS * f64::from(part.layers.len())).sum();
+        let record = &self.tables[0].get(id).unwrap().record;
+        let kind = self.shape.kind(record.kind.as_deref().unwrap()).unwrap();
+        let room = self.shape.room_units(kind.memory_mb, record.layers.len());
+        (units, room)
+    }
+
+    fn report(&mut self, process: usize, draw: f64) {
+        let mut loads: Vec<(String, u32, f64)> = Vec::new();
+        for (number, table) in self.tables.iter().enumerate() {
+            let busy = table.entries().iter().filter(|_| number != process);
+            loads.extend(
+                busy.map(|entry| (entry.record.id.clone(), entry.own_requests, entry.own_units)),
+            );
+        }
+        let loads: Vec<(&str, u32, f64)> = loads
+            .iter()
+            .map(|(id, requests, units)| (id.as_str(), *requests, *units))
+            .collect();
+        let table = &mut self.tables[process];
+        table.set_peer_loads(&loads);
+        if self.is_divided {
+            table.divide_room(|_| PROCESSES as u32, draw);
+        }
+    }
+
+    fn arrive(&mut self, process: usize, now: u64) {
+        let request = FinderRequest {
+            tokens: TOKENS,
+            zone: "a",
+            excluded: &[],
+            may_cross: false,
+            now: MilliTime::from_millis(now),
+        };
+        let table = &self.tables[process];
+        let found = ChainFinder::new(table, SERVICE, &self.shape).find(&request);
+        let Some(chain) = found else {
+            self.refused += 1;
+            return;
+        };
+        self.sent += 1;
+        let table = &mut self.tables[process];
+        for part in &chain.parts {
+            table.begin(&part.id, TOKENS * f64::from(part.layers.len()));
+        }
+        let ids: Vec<String> = chain.parts.iter().map(|part| part.id.clone()).collect();
+        self.running.push(RunningRequest {
+            process,
+            chain,
+            end: now + RUN_MS,
+        });
+        let is_over = ids.iter().any(|id| {
+            let (units, room) = self.memory(id);
+            units > room
+        });
+        self.exceeding += u64::from(is_over);
+    }
+
+    fn end_runs(&mut self, now: u64) {
+        let (ended, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|run| run.end <= now);
+        self.running = running;
+        let ended: Vec<RunningRequest> = ended;
+        for run in ended {
+            for part in &run.chain.parts {
+                let units = TOKENS * f64::from(part.layers.len());
+                self.tables[run.process].end(&part.id, units);
+            }
+        }
+    }
+}
+
+/// Plays requests at a third more than the engines hold; returns the share of the sent ones that
+/// exceeded the memory, and the mean share of the memory that was in use.
+fn play(is_divided: bool) -> (f64, f64) {
+    let mut world = ZoneWorld::new(is_divided);
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    // Four chains of 50 requests and more, each for two seconds.
+    let per_ms = 4.0 * 50.0 / RUN_MS as f64 * 4.0 / 3.0;
+    let mut used = 0.0;
+    let mut samples = 0.0;
+    for now in 0..20_000_u64 {
+        world.end_runs(now);
+        for process in 0..PROCESSES {
+            // Processes report at different moments.
+            if (now + 20 * process as u64).is_multiple_of(REPORT_MS) {
+                world.report(process, rng.random());
+            }
+        }
+        if rng.random_bool(per_ms) {
+            world.arrive(rng.random_range(0..PROCESSES), now);
+        }
+        if now > 5_000 {
+            let (units, room) = world.memory("e001");
+            used += units / room;
+            samples += 1.0;
+        }
+    }
+    assert!(world.refused > 0, "the load does not fill the memory");
+    (world.exceeding as f64 / world.sent as f64, used / samples)
+}
+
+/// Replays a load above the memory of a zone: ten processes with reports 200 ms old sent one request in
+/// three to engines that were full by then, which preempted running streams.
+#[test]
+fn divide_room_keeps_memory() {
+    let (divided, used) = play(true);
+    assert!(
+        divided < 0.05,
+        "{divided} of the requests exceed the memory"
+    );
+    assert!(used > 0.85, "{used} of the memory is used");
+}
+
+/// Guards the test above: without division the fault shows.
+#[test]
+fn divide_room_left_out_exceeds_memory() {
+    let (undivided, _) = play(false);
+
+    assert!(undivided > 0.1, "{undivided}");
+}
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -104,6 +104,12 @@
         self.live_peers(now).count() as u32
     }
 
+    /// Returns the number of processes of an availability zone that were heard of lately.
+    pub fn zone_live(&self, zone: &str, now: MilliTime) -> u32 {
+        let of_zone = self.live_peers(now).filter(|peer| peer.zone == zone);
+        of_zone.count() as u32
+    }
+
     /// Returns the run and newest stamp of each process, to be taken before a read of the store.
     pub fn stamps(&self) -> Vec<(SocketAddr, u64, u64)> {
         let stamp = |peer: &PeerState| (peer.address, peer.run, peer.stamp);
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::route::mix_seed;
 use dandelionroad_core::time::MilliTime;
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,6 +47,9 @@
 /// milliseconds.
 const STORE_AGE_MS: u64 = 4_000;
 
+/// The steps of the number that decides whose turn it is when less than a request is free for each.
+const DRAWS: u64 = 1_024;
+
 /// The greatest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 16_384;
 
@@ -245,6 +249,9 @@
     let loads = peers.loads(now);
     let mut view = state.view.borrow_mut();
     view.engines.set_peer_loads(&loads);
+    let draw = (mix_seed(state.run ^ now.as_millis()) % DRAWS) as f64 / DRAWS as f64;
+    view.engines
+        .divide_room(|zone| peers.zone_live(zone, now) + 1, draw);
     view.engines.forget_pace(now);
     state.room.notify_waiters();
     let processes = peers.live(now) + 1;
