Write the datagrams between entries in binary, with short tags for engines

Ruled out: messages less often (they are what keeps entries from crowding engines) and deltas, which need acknowledgements.

postcard writes the same types in a tenth of a kilobyte; an engine is named by 32 bits of the hash of its identifier. A version byte sets the encoding apart from the former one.

load_datagram_is_small: 52 engines in at most 580 bytes (failed with JSON: not representable there).

--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -1,3 +1,4 @@
+use crate::route::hash_text;
 use crate::time::MilliTime;
 
 use super::EngineRecord;
@@ -7,6 +8,11 @@
 pub struct EngineEntry {
     /// The newest listing.
     pub record: EngineRecord,
+    /// A short number for the identifier, the same in all processes.
+    ///
+    /// Among a few thousand engines, two share one in a thousand fleets at most; their loads are then
+    /// counted for one of them.
+    pub tag: u32,
     /// When it was first listed in this incarnation.
     pub listed: MilliTime,
     /// Until when no new work is sent to it after a failure.
@@ -47,6 +53,7 @@
         EngineEntry {
             record,
             listed: now,
+            tag: hash_text(0, &record.id) as u32,
             avoided_until: MilliTime::default(),
             failures: 0,
             stalls: 0,
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -269,14 +269,19 @@
         }
     }
 
-    /// Replaces what other processes run, as pairs of identifier, requests and units.
-    pub fn set_peer_loads(&mut self, loads: &[(&str, u32, f64)]) {
+    /// Replaces what other processes run, as tag of the engine, requests and units.
+    pub fn set_peer_loads(&mut self, loads: &[(u32, u32, f64)]) {
         for entry in &mut self.entries {
             entry.peer_requests = 0;
             entry.peer_units = 0.0;
         }
-        for (id, requests, units) in loads {
-            if let Some(entry) = self.get_mut(id) {
+        let tags = self.entries.iter().map(|entry| entry.tag);
+        let mut positions: Vec<(u32, usize)> = tags.zip(0..).collect();
+        positions.sort_unstable();
+        for (tag, requests, units) in loads {
+            let found = positions.binary_search_by_key(tag, |position| position.0);
+            if let Ok(index) = found {
+                let entry = &mut self.entries[positions[index].1];
                 entry.peer_requests += requests;
                 entry.peer_units += units;
             }
--- a/crates/core/tests/room_division.rs
+++ b/crates/core/tests/room_division.rs
@@ -84,17 +84,11 @@
     }
 
     fn report(&mut self, process: usize, draw: f64) {
-        let mut loads: Vec<(String, u32, f64)> = Vec::new();
+        let mut loads = Vec::new();
         for (number, table) in self.tables.iter().enumerate() {
             let busy = table.entries().iter().filter(|_| number != process);
-            loads.extend(
-                busy.map(|entry| (entry.record.id.clone(), entry.own_requests, entry.own_units)),
-            );
+            loads.extend(busy.map(|entry| (entry.tag, entry.own_requests, entry.own_units)));
         }
-        let loads: Vec<(&str, u32, f64)> = loads
-            .iter()
-            .map(|(id, requests, units)| (id.as_str(), *requests, *units))
-            .collect();
         let table = &mut self.tables[process];
         table.set_peer_loads(&loads);
         if self.is_divided {
--- a/crates/relay/src/peer/confirm_message.rs
+++ b/crates/relay/src/peer/confirm_message.rs
@@ -9,18 +9,13 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfirmMessage {
     /// The run of the receiver that sent the stamps; they mean nothing to another one.
-    #[serde(rename = "n")]
     pub run: u64,
     /// The version of the newest configuration.
-    #[serde(rename = "c")]
     pub config: u64,
     /// The receiver's stamp at which the configuration was still the newest, in milliseconds.
-    #[serde(rename = "ca")]
     pub config_stamp: u64,
     /// The digest of the newest list of engines.
-    #[serde(rename = "e")]
     pub listing: u64,
     /// The receiver's stamp at which the list was still the newest, in milliseconds.
-    #[serde(rename = "ea")]
     pub listing_stamp: u64,
 }
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -20,6 +20,7 @@
 pub use self::confirm_message::ConfirmMessage;
 pub(crate) use self::fetch_rows::fetch_rows;
 pub use self::peer_datagram::PeerDatagram;
+pub use self::peer_datagram::DatagramError;
 pub use self::peer_load::PeerLoad;
 pub use self::peer_message::PeerMessage;
 pub use self::peer_table::PeerTable;
--- a/crates/relay/src/peer/peer_load.rs
+++ b/crates/relay/src/peer/peer_load.rs
@@ -2,15 +2,12 @@
 use serde::Serialize;
 
 /// The requests of one process at one engine.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerLoad {
-    /// The identifier of the engine.
-    #[serde(rename = "e")]
-    pub engine: String,
+    /// The tag of the engine; see [`EngineEntry::tag`](dandelionroad_core::relay::EngineEntry::tag).
+    pub engine: u32,
     /// The number of requests.
-    #[serde(rename = "r")]
     pub requests: u32,
     /// The memory that they take, in tokens times layers.
-    #[serde(rename = "u")]
     pub units: u64,
 }
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -150,11 +150,11 @@
             .any(|peer| peer.reaches_store && peer.address < own)
     }
 
-    /// Returns the loads of the live processes, as identifier of the engine, requests and units.
-    pub fn loads(&self, now: MilliTime) -> Vec<(&str, u32, f64)> {
+    /// Returns the loads of the live processes, as tag of the engine, requests and units.
+    pub fn loads(&self, now: MilliTime) -> Vec<(u32, u32, f64)> {
         let loads = self.live_peers(now).flat_map(|peer| &peer.loads);
         loads
-            .map(|load| (load.engine.as_str(), load.requests, load.units as f64))
+            .map(|load| (load.engine, load.requests, load.units as f64))
             .collect()
     }
 
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -76,7 +76,6 @@
         let now = state.clock.now();
         refresh(state, now);
         let message = PeerDatagram::Load(PeerMessage {
-            name: state.settings.name.clone(),
             internal: state.settings.metrics,
             zone: state.settings.zone.clone(),
             run: state.run,
@@ -126,7 +125,7 @@
 }
 
 async fn send(socket: &UdpSocket, address: SocketAddr, message: &PeerDatagram) {
-    let bytes = match serde_json::to_vec(message) {
+    let bytes = match message.encode() {
         Ok(bytes) => bytes,
         Err(error) => {
             spdlog::warn!("peers: message not written: {error}");
@@ -142,7 +141,7 @@
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
-            Ok((length, address)) => match serde_json::from_slice(&buffer[..length]) {
+            Ok((length, address)) => match PeerDatagram::decode(&buffer[..length]) {
                 Ok(PeerDatagram::Load(message)) => {
                     let now = state.clock.now();
                     state.peers.borrow_mut().heard(address, message, now);
@@ -271,7 +270,7 @@
         .iter()
         .filter(|entry| entry.own_requests > 0);
     let load = |entry: &dandelionroad_core::relay::EngineEntry| PeerLoad {
-        engine: entry.record.id.clone(),
+        engine: entry.tag,
         requests: entry.own_requests,
         units: entry.own_units as u64,
     };
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -226,7 +226,7 @@
             listing: 0,
             listing_stamp: u64::MAX / 2,
         });
-        let bytes = serde_json::to_vec(&message).unwrap();
+        let bytes = message.encode().unwrap();
         wait_for("keys are refused", async || {
             socket.send_to(&bytes, node.settings().peers).await.unwrap();
             world.ask(&node, "/any/stock", "r2").await.status == 503
--- a/crates/relay/tests/peer_table.rs
+++ b/crates/relay/tests/peer_table.rs
@@ -3,12 +3,13 @@
 use std::net::SocketAddr;
 
 use dandelionroad_core::time::MilliTime;
+use dandelionroad_relay::peer::PeerDatagram;
+use dandelionroad_relay::peer::PeerLoad;
 use dandelionroad_relay::peer::PeerMessage;
 use dandelionroad_relay::peer::PeerTable;
 
 fn message(run: u64, stamp: u64) -> PeerMessage {
     PeerMessage {
-        name: "n2".to_owned(),
         internal: "127.0.0.1:9001".parse().unwrap(),
         zone: "b".to_owned(),
         run,
@@ -67,3 +68,19 @@
     assert_eq!(near, [address(1), address(3), address(5)]);
     assert_eq!(table.addresses().len(), 5);
 }
+
+/// Guards against datagrams whose bytes between zones cost more than the requests that they save.
+#[test]
+fn load_datagram_is_small() {
+    let load = |number: u64| PeerLoad {
+        engine: (number * 80_000_003) as u32,
+        requests: 20,
+        units: 400_000,
+    };
+    let mut message = message(u64::MAX, 86_400_000);
+    message.loads = (0..52).map(load).collect();
+    let datagram = PeerDatagram::Load(message);
+    let bytes = datagram.encode().unwrap();
+    assert!(bytes.len() <= 52 * 10 + 60, "{} bytes", bytes.len());
+    assert_eq!(PeerDatagram::decode(&bytes).unwrap(), datagram);
+}
