Read a changed row once for each availability zone, and try an absent store less often

A log line for each call (scratch copy) shows two sources: each of 32 entries read every change of the list of engines (two calls, as it has two pages) and of the configuration; and while the store was away each of them tried both tables again four to six times a second. Ruled out: the interval of the reader (3 calls a second in all) and the lease (1 a second).

On a change, an entry now asks the first entry of its zone that reaches the store for its copy and reads the store only if that does not have the change within three tries. After a failed call the entries wait 250 ms times their rank, 2 s at most, or until another one tells of a change.

--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -93,15 +93,18 @@
         self.keeps_missing_until = now.plus(RELIST_MS);
     }
 
+    /// Returns the digest that a listing would have.
+    pub fn digest_of(records: Vec<EngineRecord>) -> u64 {
+        listing_digest(&in_order(records))
+    }
+
     /// Replaces the listing; returns the identifiers that were added and those that were removed.
     pub fn replace(
         &mut self,
         records: Vec<EngineRecord>,
         now: MilliTime,
     ) -> (Vec<String>, Vec<String>) {
-        let mut records = records;
-        records.sort_by(|left, right| left.id.cmp(&right.id));
-        records.dedup_by(|left, right| left.id == right.id);
+        let records = in_order(records);
         self.digest = listing_digest(&records);
         let mut old = std::mem::take(&mut self.entries);
         let mut added = Vec::new();
@@ -307,6 +310,13 @@
 /// Returns a digest of sorted records.
 fn listing_digest(records: &[EngineRecord]) -> u64 {
     records.iter().fold(0, |digest, record| {
+/// Returns the records sorted by identifier, each of these once.
+fn in_order(mut records: Vec<EngineRecord>) -> Vec<EngineRecord> {
+    records.sort_by(|left, right| left.id.cmp(&right.id));
+    records.dedup_by(|left, right| left.id == right.id);
+    records
+}
+
         let layers = record.layers;
         let text = format!(
             "{} {} {} {} {} {} {:?} {}-{} {}",
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -51,6 +51,12 @@
     pub listing_changed: Notify,
     /// Whether another process is known to hold a newer list of engines.
     pub is_listing_behind: Cell<bool>,
+    /// Told when an engine is found dead.
+    pub engine_lost: Notify,
+    /// The newest version of the configuration that another process told of.
+    pub newest_config: Cell<u64>,
+    /// The digest of the list of engines that another process told of last.
+    pub newest_listing: Cell<u64>,
     /// The rows that were read last, for other processes.
     pub copies: RefCell<RowCopies>,
     /// Wakes the waiting requests when room may have become free.
@@ -77,6 +83,9 @@
             config_changed: Notify::new(),
             listing_changed: Notify::new(),
             is_listing_behind: Cell::new(false),
+            engine_lost: Notify::new(),
+            newest_config: Cell::new(0),
+            newest_listing: Cell::new(0),
             copies: RefCell::new(RowCopies::default()),
             room: Notify::new(),
         })
--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -1,10 +1,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::ResultExt;
-use snafu::Snafu;
 
 use super::ConfirmMessage;
+use super::DatagramError;
 use super::PeerMessage;
+use super::datagram_error::MalformedSnafu;
+use super::datagram_error::UnknownVersionSnafu;
 
 /// The version of the encoding; processes of another one are not understood.
 ///
@@ -41,21 +43,6 @@
     Confirm(ConfirmMessage),
 }
 
-/// Why a datagram can't be written or read.
-#[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
-pub enum DatagramError {
-    /// It is of another version of the encoding, or empty.
-    #[snafu(display("unknown version of the encoding"))]
-    UnknownVersion,
-    /// The fields are not as expected.
-    #[snafu(display("malformed: {source}"))]
-    Malformed {
-        /// What is wrong.
-        source: postcard::Error,
-    },
-}
-
 impl PeerDatagram {
     /// Returns the bytes of the datagram.
     ///
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -99,11 +99,26 @@
         reaching.next()?.internal
     }
 
+    /// Returns how many live processes have a lower address than `own`.
+    pub fn rank(&self, own: SocketAddr, now: MilliTime) -> u32 {
+        let lower = self.live_peers(now).filter(|peer| peer.address < own);
+        lower.count() as u32
+    }
+
     /// Returns the number of processes that were heard of lately.
     pub fn live(&self, now: MilliTime) -> u32 {
         self.live_peers(now).count() as u32
     }
 
+    /// Returns where the process serves copies of rows that reads the store for an availability zone;
+    /// none if that is the process at `own`.
+    pub fn zone_reader(&self, zone: &str, own: SocketAddr, now: MilliTime) -> Option<SocketAddr> {
+        let mut reaching = self
+            .live_peers(now)
+            .filter(|peer| peer.reaches_store && peer.zone == zone && peer.address < own);
+        reaching.next()?.internal
+    }
+
     /// Returns the number of processes of an availability zone that were heard of lately.
     pub fn zone_live(&self, zone: &str, now: MilliTime) -> u32 {
         let of_zone = self.live_peers(now).filter(|peer| peer.zone == zone);
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -171,6 +171,7 @@
         let stamp = MilliTime::from_millis(message.config_stamp);
         view.config_age.confirm(stamp);
     } else if config < message.config {
+        state.newest_config.set(message.config);
         state.config_changed.notify_one();
     }
     if view.has_listing && view.engines.digest() == message.listing {
@@ -180,6 +181,7 @@
         // Older than the own list, the other one would bring back engines that have left.
         let stamp = MilliTime::from_millis(message.listing_stamp);
         state.is_listing_behind.set(stamp > view.listing_time);
+        state.newest_listing.set(message.listing);
         state.listing_changed.notify_one();
     }
 }
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -6,19 +6,16 @@
 use crate::node::NodeState;
 use crate::peer::fetch_rows;
 use crate::peer::reads_for_others;
+use crate::peer::take_zone_copy;
 use crate::wire::StoreCall;
 use crate::wire::StoreReply;
 use crate::wire::StoreRow;
 use crate::wire::StoreTable;
 
 use super::StoreClient;
+use super::retry_pause::pause_after_failure;
 use super::store_client::WATCH_WAIT_MS;
 
-/// The pause after a call that failed, in milliseconds.
-///
-/// Six processes that ask four times a second stay far below the store's rate.
-const RETRY_PAUSE_MS: u64 = 250;
-
 /// The age up to which a process relies on the confirmations of another one, in milliseconds.
 ///
 /// One wait of the other one for a change, the age of the stamps and three confirmations of which two may
@@ -41,6 +38,9 @@
             }
             // The version up to which changes were seen is old by now.
             version = None;
+            if take_copy(&state).await {
+                continue;
+            }
         }
         let start = state.clock.now();
         let stamps = state.peers.borrow().stamps();
@@ -72,7 +72,7 @@
                 // Another process reads the store for the others from now on.
                 state.view.borrow_mut().is_store_lost = true;
                 adopt_copy(&state).await;
-                tokio::time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+                pause_after_failure(&state, &state.config_changed).await;
             }
         }
     }
@@ -118,6 +118,19 @@
     }
 }
 
+/// Adopts the changed configuration from the process that reads the store for the availability zone.
+async fn take_copy(state: &NodeState) -> bool {
+    let take = |rows: &[StoreRow]| {
+        if let Err(error) = adopt_rows(state, rows) {
+            spdlog::warn!("config: copy left out: {error}");
+        }
+        let view = state.view.borrow();
+        let held = view.config.as_ref().map_or(0, |config| config.version);
+        held >= state.newest_config.get()
+    };
+    take_zone_copy(state, StoreTable::Config, take).await
+}
+
 /// Adopts a newer configuration from another process; only its confirmations make it fresh.
 async fn adopt_copy(state: &NodeState) {
     let Some(rows) = fetch_rows(state, StoreTable::Config).await else {
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -1,13 +1,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::relay::EngineRecord;
+use dandelionroad_core::relay::EngineTable;
+
 use crate::node::NodeState;
 use crate::peer::fetch_rows;
 use crate::peer::reads_for_others;
+use crate::peer::take_zone_copy;
 use crate::wire::StoreRow;
 use crate::wire::StoreTable;
 
 use super::StoreClient;
+use super::retry_pause::pause_after_failure;
 
 /// How long the store must have been away before listings after it count as incomplete, in
 /// milliseconds.
@@ -54,31 +59,64 @@
                 {
                     take_listing(&state, &rows);
                 }
+                pause_after_failure(&state, &state.listing_changed).await;
             }
         }
-        pause(&state).await;
+        while pause(&state).await == ListingPause::Changed && take_copy(&state).await {}
     }
 }
 
+/// Why the list has to be read again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ListingPause {
+    /// Its time has come, or no other process confirms it any more.
+    Due,
+    /// Another process tells of another list.
+    Changed,
+}
+
+/// Takes the changed list from the process that reads the store for the availability zone; only
+/// confirmations make it fresh.
+async fn take_copy(state: &NodeState) -> bool {
+    if !state.is_listing_behind.get() {
+        return false;
+    }
+    let take = |rows: &[StoreRow]| {
+        let is_newest = listing_digest_of(state, rows) == state.newest_listing.get();
+        if is_newest {
+            take_listing(state, rows);
+        }
+        is_newest
+    };
+    take_zone_copy(state, StoreTable::Engines, take).await
+}
+
 /// Waits until the list has to be read again: at the interval, when another process no longer
 /// confirms it, or when it has changed.
-async fn pause(state: &NodeState) {
+async fn pause(state: &NodeState) -> ListingPause {
     let interval_ms = state.settings.list_interval_ms;
     if reads_for_others(state) {
         tokio::time::sleep(Duration::from_millis(interval_ms)).await;
-        return;
+        return ListingPause::Due;
     }
     loop {
         let pause = Duration::from_millis(CHECK_PAUSE_MS);
         let changed = tokio::time::timeout(pause, state.listing_changed.notified()).await;
         let age_ms = state.clock.now().since(state.view.borrow().listing_time);
-        if changed.is_ok() || age_ms >= interval_ms * CONFIRMED_FACTOR {
-            return;
+        if age_ms >= interval_ms * CONFIRMED_FACTOR {
+            return ListingPause::Due;
+        }
+        if changed.is_ok() {
+            return ListingPause::Changed;
         }
     }
 }
 
-fn take_listing(state: &NodeState, rows: &[StoreRow]) {
+fn listing_digest_of(state: &NodeState, rows: &[StoreRow]) -> u64 {
+    EngineTable::digest_of(decode_records(state, rows))
+}
+
+fn decode_records(state: &NodeState, rows: &[StoreRow]) -> Vec<EngineRecord> {
     let mut records = Vec::new();
     for row in rows {
         match state.format.decode_engine(row) {
@@ -88,6 +126,11 @@
             }
         }
     }
+    records
+}
+
+fn take_listing(state: &NodeState, rows: &[StoreRow]) {
+    let records = decode_records(state, rows);
     let now = state.clock.now();
     let mut view = state.view.borrow_mut();
     let before: Vec<(String, bool)> = view
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -4,6 +4,7 @@
 
 mod config_task;
 mod listing_task;
+mod retry_pause;
 mod store_client;
 
 pub use self::config_task::run_config;
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -188,6 +188,67 @@
     });
 }
 
+/// Replays engines that come and go: each change of the list was read by all processes, a call or two
+/// for each.
+#[test]
+fn changes_are_read_once_for_zone() {
+    run(async {
+        let world = World::start().await;
+        let _engine = world.plain("p1").await;
+        let mut nodes = Vec::new();
+        for index in 0..6 {
+            nodes.push(world.node_at_interval(&format!("n{index}"), 660).await);
+        }
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let before = world.store.listing_reads.get();
+        for change in 0..4 {
+            let id = format!("q{change}");
+            let _added = world.plain(&id).await;
+            for node in &nodes {
+                wait_for("the change is known", async || {
+                    world.knows_engines(node, change + 2).await
+                })
+                .await;
+            }
+        }
+        let reads = world.store.listing_reads.get() - before;
+        // One process reads at its interval; six that each read every change take 20 reads more.
+        assert!(reads <= 14, "{reads} reads for four changes");
+    });
+}
+
+/// Replays an outage of the store: all processes tried it again several times a second.
+#[test]
+fn outage_is_tried_by_few_processes() {
+    run(async {
+        let world = World::start().await;
+        let _engine = world.plain("p1").await;
+        let mut nodes = Vec::new();
+        let mut switches = Vec::new();
+        for index in 0..6 {
+            let (node, switch) = world.node_turned_away(&format!("n{index}")).await;
+            nodes.push(node);
+            switches.push(switch);
+        }
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        switches.iter().for_each(|switch| switch.set(true));
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        let before = world.turned_away.get();
+        tokio::time::sleep(Duration::from_millis(4_000)).await;
+        let calls = world.turned_away.get() - before;
+        // Two tables: 32 tries by the first process, 16 by the second and so on make 78 in all; six that
+        // all try like the first make 192.
+        assert!(calls <= 100, "{calls} calls in four seconds");
+        switches.iter().for_each(|switch| switch.set(false));
+        for node in &nodes {
+            wait_for("the key works again", async || {
+                world.ask(node, "/any/stock", "r1").await.status == 200
+            })
+            .await;
+        }
+    });
+}
+
 #[test]
 fn metrics_are_served() {
     run(async {
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -52,6 +52,8 @@
 /// A store with a configuration, and engines.
 pub(crate) struct World {
     pub(crate) store: Rc<FakeStore>,
+    /// The calls that the store turned away.
+    pub(crate) turned_away: Rc<Cell<u32>>,
     store_address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
 }
@@ -72,6 +74,7 @@
         let world = World {
             store_address: store_address.await,
             store,
+            turned_away: Rc::default(),
             client: Client::builder(TokioExecutor::new()).build_http(),
         };
         world.configure(1, &["k1"]);
@@ -109,8 +112,10 @@
     pub(crate) async fn node_turned_away(&self, name: &str) -> (RunningNode, Rc<Cell<bool>>) {
         let is_refused = Rc::new(Cell::new(false));
         let (store, switch) = (Rc::clone(&self.store), Rc::clone(&is_refused));
+        let count = Rc::clone(&self.turned_away);
         let address = serve_fake(move |parts, body| {
             let (store, switch) = (Rc::clone(&store), Rc::clone(&switch));
+            let count = Rc::clone(&count);
             async move {
                 // Calls that wait for a change are cut off as well.
                 let cut = async {
@@ -121,7 +126,10 @@
                 let path = parts.uri.path();
                 tokio::select! {
                     biased;
-                    () = cut => FakeAnswer::new(503, ""),
+                    () = cut => {
+                        count.set(count.get() + 1);
+                        FakeAnswer::new(503, "")
+                    }
                     answer = store.answer(parts.method.as_str(), path, &body) => answer,
                 }
             }
@@ -129,6 +137,13 @@
         (self.start_node(name, 100, address.await).await, is_refused)
     }
 
+    /// Returns whether a process knows of this number of usable engines.
+    pub(crate) async fn knows_engines(&self, node: &RunningNode, count: usize) -> bool {
+        let answer = self.get(node.settings().metrics, "/metrics", &[]).await;
+        let text = String::from_utf8(answer.body).unwrap();
+        text.contains(&format!("dandelionroad_engines_usable {count}\n"))
+    }
+
     async fn start_node(
         &self,
         name: &str,
