Let all engines of a zone take part in its groups, and have neighbors close a hole

Cause: memory for requests. Groups were cut as soon as they had room for 60 requests; the engines that were left over doubled a few layers, and layers in rounded shares of the memory left an accelerator of 21.6 GB with ten layers of 1.75 GB where nine would have served a third more. A zone without a spare engine stayed broken until the lost one came back. Ruled out: one group for each zone (most room, but the loss of any engine stops the zone's streams).

If no spare engine can take a hole's layers, the engines before and after it take them and go on serving what they hold; if their memory does not do, the zone divides the model anew.

orders_three_zones_hold_twice_calm_day: 293 requests at once before, at least 480 now. orders_close_hole_without_spare_engine: the hole stayed before.

--- a/crates/core/src/chain/placement_plan.rs
+++ b/crates/core/src/chain/placement_plan.rs
@@ -10,7 +10,7 @@
 /// A group with fewer holds weights in memory that would serve more requests in a larger group.
 const GROUP_REQUESTS: f64 = 60.0;
 
-/// The requests of usual size below which the last engines of a zone form no group of their own.
+/// The requests of usual size below which engines form no group of their own.
 const LEAST_GROUP_REQUESTS: f64 = 25.0;
 
 /// The share of an accelerator's memory that a late engine's layers take at most.
@@ -72,22 +72,112 @@
         let mut orders = Vec::new();
         loop {
             let holders = self.zone_holders(&moved, zone);
-            if holders.iter().all(|count| *count > 0) {
+            let Some(hole) = first_hole(&holders) else {
                 break;
-            }
-            let Some(order) = self.next_move(&moved, zone, &holders) else {
-                return Vec::new();
             };
-            for engine in moved.iter_mut().filter(|engine| engine.id == order.id) {
-                engine.layers = order.layers;
-                engine.is_fixed = true;
+            let spare = self.next_move(&moved, zone, hole, &holders);
+            let found = match spare {
+                Some(order) => vec![order],
+                None => self.extend_neighbors(&moved, zone, hole),
+            };
+            if found.is_empty() {
+                return self.split_zone(engines, zone);
             }
-            orders.push(order);
+            for order in &found {
+                for engine in moved.iter_mut().filter(|engine| engine.id == order.id) {
+                    engine.layers = order.layers;
+                    engine.is_fixed = true;
+                }
+            }
+            orders.extend(found);
         }
         engines.clone_from_slice(&moved);
         orders
     }
 
+    /// Divides the model anew among all engines of a zone that has no chain; none if their memory does
+    /// not hold it or an order is under way there.
+    fn split_zone(&self, engines: &mut [PlacementEngine], zone: &str) -> Vec<PlacementOrder> {
+        let own = engines.iter().filter(|engine| engine.zone == zone);
+        let mut own: Vec<&PlacementEngine> = own.collect();
+        if own.iter().any(|engine| engine.is_fixed) {
+            return Vec::new();
+        }
+        // Each engine stays near the layers that it holds, so that it loads few.
+        own.sort_by_key(|engine| (engine.layers.first, engine.layers.end));
+        let orders = split_layers(self.shape, &own).unwrap_or_default();
+        let mut moved = Vec::new();
+        for order in orders {
+            let found = engines.iter_mut().find(|engine| engine.id == order.id);
+            let Some(engine) = found else { continue };
+            if engine.layers != order.layers {
+                engine.layers = order.layers;
+                engine.is_fixed = true;
+                moved.push(order);
+            }
+        }
+        moved
+    }
+
+    /// Returns the orders with which the engines before and after a hole close it together; none if
+    /// their memory does not hold it.
+    ///
+    /// What they hold already goes on serving while they load. Each further layer goes to the side
+    /// that keeps more room for requests.
+    fn extend_neighbors(
+        &self,
+        engines: &[PlacementEngine],
+        zone: &str,
+        hole: LayerRange,
+    ) -> Vec<PlacementOrder> {
+        let own = || {
+            engines.iter().filter(|engine| {
+                engine.zone == zone && !engine.is_fixed && !engine.layers.is_empty()
+            })
+        };
+        let room = |engine: &&PlacementEngine| self.request_room(engine, engine.layers.len());
+        let before = own().filter(|engine| engine.layers.end == hole.first);
+        let before = before.max_by(|left, right| room(left).total_cmp(&room(right)));
+        let after = own().filter(|engine| engine.layers.first == hole.end);
+        let after = after.max_by(|left, right| room(left).total_cmp(&room(right)));
+        let mut rest = hole;
+        while !rest.is_empty() {
+            let grown = |engine: Option<&PlacementEngine>, taken: u16| {
+                engine.map_or(0.0, |engine| {
+                    self.request_room(engine, engine.layers.len() + taken + 1)
+                })
+            };
+            let first = grown(before, rest.first - hole.first);
+            let last = grown(after, hole.end - rest.end);
+            if first.max(last) < LEAST_GROUP_REQUESTS {
+                return Vec::new();
+            }
+            match first >= last {
+                true => rest.first += 1,
+                false => rest.end -= 1,
+            }
+        }
+        let order = |engine: &PlacementEngine, layers| PlacementOrder {
+            id: engine.id.clone(),
+            layers,
+        };
+        let first = before
+            .filter(|_| rest.first > hole.first)
+            .map(|engine| order(engine, LayerRange::new(engine.layers.first, rest.first)));
+        let last = after
+            .filter(|_| rest.first < hole.end)
+            .map(|engine| order(engine, LayerRange::new(rest.first, engine.layers.end)));
+        first.into_iter().chain(last).collect()
+    }
+
+    /// Returns for how many usual requests an engine has room beside `held` layers.
+    fn request_room(&self, engine: &PlacementEngine, held: u16) -> f64 {
+        let tokens = self.shape.usual_prompt + self.shape.usual_answer;
+        let memory = self.memory_mb(&engine.kind);
+        let units = self.shape.room_units(memory, held);
+        units / (tokens * f64::from(held)).max(1e-9)
+    }
+
     /// Returns the number of engines of a zone that hold each layer.
     fn zone_holders(&self, engines: &[PlacementEngine], zone: &str) -> Vec<u32> {
         let mut holders = vec![0; usize::from(self.shape.layers)];
@@ -99,16 +189,14 @@
         holders
     }
 
-    /// Returns a move of a spare engine to the first layers that no engine of the zone holds.
+    /// Returns a move of a spare engine to layers that no engine of the zone holds.
     fn next_move(
         &self,
         engines: &[PlacementEngine],
         zone: &str,
+        hole: LayerRange,
         holders: &[u32],
     ) -> Option<PlacementOrder> {
-        let first = holders.iter().position(|count| *count == 0)?;
-        let rest = holders[first..].iter();
-        let length = rest.take_while(|count| **count == 0).count() as u16;
         let is_spare = |engine: &&PlacementEngine| {
             let held = usize::from(engine.layers.first)..usize::from(engine.layers.end);
             let is_own = engine.zone == zone && !engine.is_fixed && !held.is_empty();
@@ -119,10 +207,10 @@
             let factors = self.step_factor(left).total_cmp(&self.step_factor(right));
             factors.then_with(|| left.id.cmp(&right.id))
         })?;
-        let size = spare.layers.len().min(length);
+        let size = spare.layers.len().min(hole.len());
         Some(PlacementOrder {
             id: spare.id.clone(),
-            layers: LayerRange::new(first as u16, first as u16 + size),
+            layers: LayerRange::new(hole.first, hole.first + size),
         })
     }
 
@@ -144,29 +232,52 @@
         orders
     }
 
-    /// Takes engines in order into one group after the other, as long as the rest forms a group.
+    /// Divides engines, in order, into as many groups as have room for enough requests each.
+    ///
+    /// All engines take part: what a group has beyond its weights serves requests, whereas an engine
+    /// that is left over adds room to a few layers only.
     fn form_groups(&self, engines: &[&PlacementEngine]) -> Vec<PlacementOrder> {
         let weights = f64::from(self.shape.layers) * self.shape.layer_mb;
         let tokens = self.shape.usual_prompt + self.shape.usual_answer;
         let request_mb = tokens * self.shape.token_bytes / 1e6;
         let wanted = weights + GROUP_REQUESTS * request_mb;
         let least = weights + LEAST_GROUP_REQUESTS * request_mb;
+        let memories = engines.iter().map(|engine| self.memory_mb(&engine.kind));
+        let total: f64 = memories.sum();
+        let most = (total / wanted).floor().max(1.0) as usize;
+        let mut counts = (1..=most).rev();
+        counts
+            .find_map(|count| self.cut_groups(engines, count, least))
+            .unwrap_or_default()
+    }
+
+    /// Cuts engines, in order, into `count` groups of about the same memory; none if one of them has
+    /// less than `least` or can't hold the model.
+    fn cut_groups(
+        &self,
+        engines: &[&PlacementEngine],
+        count: usize,
+        least: f64,
+    ) -> Option<Vec<PlacementOrder>> {
+        let memory = |engine: &&PlacementEngine| self.memory_mb(&engine.kind);
+        let total: f64 = engines.iter().map(memory).sum();
+        let mut groups = vec![Vec::new(); count];
+        let mut taken = 0.0;
+        for engine in engines {
+            let middle = taken + memory(engine) / 2.0;
+            let group = (middle / total.max(1e-9) * count as f64) as usize;
+            groups[group.min(count - 1)].push(*engine);
+            taken += memory(engine);
+        }
         let mut orders = Vec::new();
-        let mut start = 0;
-        let mut held = 0.0;
-        for end in 1..=engines.len() {
-            held += self.memory_mb(&engines[end - 1].kind);
-            let is_last = end == engines.len();
-            if held < wanted && !(is_last && held >= least) {
-                continue;
-            }
-            if let Some(group) = split_layers(self.shape, &engines[start..end]) {
-                orders.extend(group);
-                start = end;
-                held = 0.0;
+        for group in groups {
+            let held: f64 = group.iter().map(memory).sum();
+            if held < least {
+                return None;
             }
+            orders.extend(split_layers(self.shape, &group)?);
         }
-        orders
+        Some(orders)
     }
 
     /// Gives each empty engine the layers for which its zone has the least room.
@@ -231,6 +342,14 @@
     }
 }
 
+/// Returns the first layers that no engine holds.
+fn first_hole(holders: &[u32]) -> Option<LayerRange> {
+    let first = holders.iter().position(|count| *count == 0)?;
+    let length = holders[first..].iter().take_while(|count| **count == 0);
+    let length = length.count();
+    Some(LayerRange::new(first as u16, (first + length) as u16))
+}
+
 /// Returns the range of `size` layers with the least room at its scarcest layer, then in sum.
 fn scarcest_range(room: &[f64], size: u16) -> LayerRange {
     let size = size.min(room.len() as u16);
--- a/crates/core/tests/chain_placement.rs
+++ b/crates/core/tests/chain_placement.rs
@@ -260,3 +260,48 @@
         }
     }
 }
+
+/// Replays twice the traffic of a calm day on 33 engines: engines that were left over from the groups
+/// of their zone, and rounded shares of the layers, left half of the memory unused.
+#[test]
+fn orders_three_zones_hold_twice_calm_day() {
+    let mut engines = fleet(&[
+        ("a", "large", 1),
+        ("a", "middle", 6),
+        ("a", "small", 5),
+        ("b", "large", 2),
+        ("b", "middle", 2),
+        ("b", "small", 5),
+        ("c", "large", 1),
+        ("c", "middle", 3),
+        ("c", "small", 8),
+    ]);
+    carry_out(&mut engines);
+    check_memory(&engines);
+    let capacity = capacity(&engines, "a");
+    assert!(capacity >= 2 * 240, "{capacity} requests at once");
+}
+
+/// Replays the loss of an engine whose zone has no spare one: its neighbors take its layers and go on
+/// serving what they hold, or all engines of the zone divide the model anew.
+#[test]
+fn orders_close_hole_without_spare_engine() {
+    let mut whole = fleet(&[("a", "large", 1), ("a", "middle", 4), ("a", "small", 2)]);
+    carry_out(&mut whole);
+    for index in 0..whole.len() {
+        let mut engines = whole.clone();
+        let lost = engines.remove(index);
+        let before = engines.clone();
+        carry_out(&mut engines);
+        check_memory(&engines);
+        assert!(covers(&engines, "a"), "the loss of {index} leaves a hole");
+        let is_kept = engines.iter().zip(&before).all(|(after, before)| {
+            after.layers.first <= before.layers.first && before.layers.end <= after.layers.end
+        });
+        assert!(
+            is_kept || lost.kind != "middle",
+            "{index}: served layers move"
+        );
+        assert_eq!(carry_out(&mut engines), 0);
+    }
+}
