Ask a silent chain early, and move a request as soon as an engine of it is known to be dead

Cause: a request that was sent just before an engine of its chain was lost was asked after at 500 ms and moved after a second; first events were late by the time of the question alone. Ruled out: moving without an answer of the first engine (a burst of prompts is silent as well).

The first engine is asked after half of the wanted time, or after one wanted pause in mid-stream. When the answer to this or another request's question names an engine of the chain, the request moves at once if another chain has room and a retry is left; otherwise it goes on waiting as before.

stream_first_event_in_time_despite_lost_engine fails without it.

--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -17,6 +17,8 @@
     pub listed: MilliTime,
     /// Until when no new work is sent to it after a failure.
     pub avoided_until: MilliTime,
+    /// Until when it counts as dead, because it or another engine said so.
+    pub suspected_until: MilliTime,
     /// Failures since the last success.
     pub failures: u32,
     /// Runs that were given up there as stalled since the last first event.
@@ -59,6 +61,7 @@
             stalls: 0,
             stalled: None,
             probed: None,
+            suspected_until: MilliTime::default(),
             own_requests: 0,
             own_units: 0.0,
             peer_requests: 0,
@@ -83,6 +86,16 @@
     }
 
     /// Returns the memory of the requests of all processes, in tokens times layers.
+    /// Returns the prompt tokens that it has to read before a new prompt, as far as known.
+    pub fn reading(&self) -> f64 {
+        self.own_reading + self.peer_reading
+    }
+
+    /// Returns whether it was found dead lately.
+    pub fn is_suspected(&self, now: MilliTime) -> bool {
+        self.suspected_until > now
+    }
+
     pub fn units(&self) -> f64 {
         self.own_units + self.peer_units
     }
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -156,10 +156,13 @@
     ///
     /// Several requests find the same engine dead, which counts once.
     pub fn suspect(&mut self, id: &str, now: MilliTime) -> bool {
-        let is_new = self.get(id).is_some_and(|entry| entry.avoided_until <= now);
+        let is_new = self.get(id).is_some_and(|entry| !entry.is_suspected(now));
         if is_new {
             self.fail(id, now);
         }
+            if let Some(entry) = self.get_mut(id) {
+                entry.suspected_until = entry.avoided_until;
+            }
         is_new
     }
 
--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -48,6 +48,7 @@
                 asked = first.id.as_str(),
                 request = request.as_str(),
             });
+            state.engine_lost.notify_waiters();
         }
     }
 }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -2,9 +2,11 @@
 
 mod choice;
 mod events;
+mod stall_end;
+mod stall_waits;
+mod stall_watch;
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use dandelionroad_core::chain::ChainPart;
@@ -32,6 +34,18 @@
 use super::stream_driver::refusal_kind;
 use super::stream_opened::StreamOpened;
 
+use self::stall_waits::StallWaits;
+
+/// The share of the wanted time to the first event after which a silent chain is asked what it waits
+/// for, as a divisor.
+///
+/// A sound chain answers within a fifth of that time, and a second one after half of it is in time.
+const ASK_DIVISOR: u64 = 2;
+
+/// How long the first event may take before the request is moved to another chain though its engines
+/// say that they are well, as a factor of the wanted time.
+const MOVE_FACTOR: u64 = 2;
+
 /// A run of the request on one chain.
 struct ChainRun {
     parts: Vec<ChainPart>,
@@ -194,30 +208,21 @@
         );
         let target_ms = self.relay.route().target_ms;
         let mut sent = std::pin::pin!(sent);
-        let mut waits = [target_ms, target_ms, u64::MAX].into_iter();
-        let response = loop {
-            let left_ms = self.relay.deadline.since(self.state.clock.now());
-            let wait_ms = waits.next().unwrap_or(u64::MAX).min(left_ms);
-            match tokio::time::timeout(Duration::from_millis(wait_ms), sent.as_mut()).await {
-                Ok(Ok(response)) => break response,
-                Ok(Err(fault)) => {
-                    self.blame(&chain[0].id);
-                    return Err(match fault {
-                        SendFault::NotSent { .. } => AttemptEnd::NotSent,
-                        SendFault::Broken { .. } => AttemptEnd::Broken,
-                    });
-                }
-                Err(_) if wait_ms >= left_ms => return Err(AttemptEnd::Broken),
-                Err(_) => {
-                    self.suspect(&chain);
-                    // The last wait is for what is left: nobody else could take over.
-                    if waits.len() == 1 && self.may_move(&chain) {
-                        self.count_stall(&chain);
-                        return Err(AttemptEnd::Broken);
-                    }
-                }
+        let waits = StallWaits {
+            ask_ms: target_ms / ASK_DIVISOR,
+            move_ms: target_ms * MOVE_FACTOR,
+        };
+        let response = match self.watch_run(&chain, waits, sent.as_mut()).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(fault)) => {
+                self.blame(&chain[0].id);
+                return Err(match fault {
+                    SendFault::NotSent { .. } => AttemptEnd::NotSent,
+                    SendFault::Broken { .. } => AttemptEnd::Broken,
+                });
             }
         };
+            Err(_) => return Err(AttemptEnd::Broken),
         self.take_head(chain, base_ms, response, load).await
     }
 
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -55,6 +55,8 @@
     orders: Cell<u64>,
     /// What it does with requests.
     pub(crate) fault: Cell<EngineFault>,
+    /// The address of an engine for which it says that its requests wait.
+    pub(crate) waits_for: Cell<Option<SocketAddr>>,
     /// The identifiers of the requests that began to run.
     pub(crate) runs: RefCell<Vec<String>>,
     /// The requests whose caller left.
@@ -79,6 +81,7 @@
             layers: Cell::new(layers),
             orders: Cell::new(0),
             fault: Cell::new(EngineFault::None),
+            waits_for: Cell::new(None),
             runs: RefCell::default(),
             left: Cell::new(0),
             seen: RefCell::default(),
@@ -104,6 +107,11 @@
         self.store.put("engines", &self.id, &doc);
     }
 
+    /// Returns where it listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address.get().unwrap()
+    }
+
     /// Returns the layers that it holds.
     pub(crate) fn layers(&self) -> (u64, u64) {
         self.layers.get()
@@ -116,7 +124,10 @@
         match parts.uri.path() {
             "/state" => {
                 let (first, end) = self.layers.get();
-                let doc = json!({ "first": first, "end": end, "orders": self.orders.get() });
+                let stalled: Vec<SocketAddr> = self.waits_for.get().into_iter().collect();
+                let doc = json!({
+                    "first": first, "end": end, "orders": self.orders.get(), "stalled": stalled,
+                });
                 FakeAnswer::new(200, &doc.to_string())
             }
             "/hold" => self.hold(&serde_json::from_slice(&body).unwrap()),
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -31,6 +31,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+/// The wanted time to the first event of a route, in milliseconds.
+pub(crate) const TARGET_MS: u64 = 300;
+
 /// The service of the model engines.
 pub(crate) const MODEL_SERVICE: &str = "knots";
 
@@ -123,7 +126,7 @@
             requests: 0,
             used_units: 0.0,
             slowness: 1.0,
-            stalled_on: Vec::new(),
+            stalled_on: serde_json::from_value(doc["stalled"].clone()).unwrap_or_default(),
         })
     }
 
@@ -276,7 +279,7 @@
         is_stream: repeat == RepeatRule::Resumable,
         repeat,
         timeout_ms: 8_000,
-        target_ms: 300,
+        target_ms: TARGET_MS,
         gap_target_ms: 100,
         priority: 1,
         max_attempts: 2,
--- a/crates/relay/tests/stream_relay.rs
+++ b/crates/relay/tests/stream_relay.rs
@@ -3,6 +3,9 @@
 
 mod relay_support;
 
+use std::time::Duration;
+use std::time::Instant;
+
 use http_body_util::BodyExt;
 
 use crate::relay_support::World;
@@ -11,6 +14,7 @@
 use crate::relay_support::fake_engine::event_bytes;
 use crate::relay_support::read;
 use crate::relay_support::run;
+use crate::relay_support::test_wire::TARGET_MS;
 use crate::relay_support::wait_for;
 
 fn all_events() -> Vec<u8> {
@@ -131,6 +135,26 @@
     }
 }
 
+/// Replays a request that was sent just before an engine of its chain was lost: its first event came a
+/// second late, though the first engine said at once what it waited for and another chain was free.
+#[test]
+fn stream_first_event_in_time_despite_lost_engine() {
+    run(async {
+        let world = World::start().await;
+        let stalled = world.model("e1", (0, 40)).await;
+        let sound = world.model("e2", (0, 40)).await;
+        stalled.fault.set(EngineFault::Hanging);
+        stalled.waits_for.set(Some(stalled.address()));
+        let node = world.node("n1").await;
+        let begun = Instant::now();
+        let mut response = world.open(&node, "/model/a", "r1").await;
+        assert!(response.body_mut().frame().await.unwrap().is_ok());
+        assert!(begun.elapsed() <= Duration::from_millis(TARGET_MS));
+        assert_eq!(stalled.runs.borrow().len(), 1);
+        assert_eq!(sound.runs.borrow().len(), 1);
+    });
+}
+
 /// Guards against work that is thrown away: with nobody to take over, the request goes on waiting.
 #[test]
 fn stream_waits_when_nobody_takes_over() {
