Let client accounts take turns while they wait, and requests that broke off wait for room

Waiting requests of one priority are served in rounds of one request for each account. A request that did not run waits as a new one does; one whose run broke off waits for 600 ms at most and goes first, since its caller has a part of the answer.

room_queue (offer_small_account_in_surge, offer_accounts_take_turns) and stream_waits_for_room_after_break fail without it.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -63,7 +63,7 @@
     /// Returns for each availability zone why it has no chain, at the first layer that lacks an engine.
     pub fn shortages(&self, request: &FinderRequest<'_>) -> Vec<ZoneShortage<'a>> {
         let candidates = self.candidates(request);
-        let mut zones: Vec<&str> = self.engines().map(|entry| zone_of(entry)).collect();
+        let mut zones: Vec<&str> = self.engines().map(zone_of).collect();
         zones.sort_unstable();
         zones.dedup();
         let shortage = |zone| ZoneShortage {
--- a/crates/core/src/relay/room_queue.rs
+++ b/crates/core/src/relay/room_queue.rs
@@ -24,14 +24,24 @@
 #[derive(Clone, Copy, Debug)]
 struct RoomTicket {
     priority: u8,
+    /// The round of turns in which it is served, if each account has one request in each.
+    turn: u64,
     number: u64,
 }
 
+/// An account that waited lately, and the turn of its newest request.
+#[derive(Clone, Copy, Debug)]
+struct AccountTurn {
+    account: u64,
+    turn: u64,
+}
+
 /// Requests that wait for room at the engines: a short burst, or the loss of an engine.
 ///
 /// A request waits only if its turn is expected before the first event would be late; otherwise it is
-/// refused at once with the time at which room is expected. The more urgent go first, then the
-/// earlier. A large request at the head is not overtaken, or small ones would starve it.
+/// refused at once with the time at which room is expected. The more urgent go first; among these,
+/// client accounts take turns, so that the surge of a large account does not make the small ones wait
+/// behind all of it. A large request at the head is not overtaken, or small ones would starve it.
 ///
 /// # Example
 ///
@@ -41,23 +51,30 @@
 ///
 /// let mut queue = RoomQueue::new();
 /// let now = MilliTime::from_millis(0);
-/// let late = queue.offer(2, 300).unwrap();
-/// let urgent = queue.offer(1, 300).unwrap();
-/// assert_eq!(queue.first(), Some(urgent));
-/// queue.leave(urgent);
-/// assert_eq!(queue.first(), Some(late));
+/// let late = queue.offer(2, 7, 300).unwrap();
+/// let later = queue.offer(2, 7, 300).unwrap();
+/// let other = queue.offer(2, 8, 300).unwrap();
+/// let urgent = queue.offer(1, 7, 300).unwrap();
+/// for number in [urgent, late, other, later] {
+///     assert_eq!(queue.first(), Some(number));
+///     queue.leave(number);
+/// }
 /// // With room freed each 200 ms, a second one would wait for too long.
 /// for step in 0..50 {
 ///     queue.freed(now.plus(step * 200));
 /// }
-/// assert_eq!(queue.offer(2, 300), None);
+/// assert_eq!(queue.offer(2, 7, 300), None);
 /// // Callers are asked to return one after the other.
 /// assert!(queue.retry_after_ms(now) < queue.retry_after_ms(now));
 /// ```
 #[derive(Clone, Debug)]
 pub struct RoomQueue {
-    /// Sorted by priority and number.
+    /// Sorted by priority, turn and number.
     waiting: Vec<RoomTicket>,
+    /// The accounts whose newest turn lies ahead, sorted by account.
+    turns: Vec<AccountTurn>,
+    /// The turn that is served now.
+    turn: u64,
     next_number: u64,
     interval_ms: f64,
     last_freed: Option<MilliTime>,
@@ -70,6 +87,8 @@
     pub fn new() -> RoomQueue {
         RoomQueue {
             waiting: Vec::new(),
+            turns: Vec::new(),
+            turn: 0,
             next_number: 0,
             interval_ms: FIRST_INTERVAL_MS,
             last_freed: None,
@@ -77,20 +96,33 @@
         }
     }
 
-    /// Adds a request that can wait for `most_ms`; returns its number, or none if its turn is
-    /// expected later.
-    pub fn offer(&mut self, priority: u8, most_ms: u64) -> Option<u64> {
+    /// Adds a request of a client account that can wait for `most_ms`; returns its number, or none if
+    /// its turn is expected later.
+    pub fn offer(&mut self, priority: u8, account: u64, most_ms: u64) -> Option<u64> {
+        let known = self
+            .turns
+            .binary_search_by_key(&account, |turn| turn.account);
+        let newest = known.map_or(self.turn, |index| self.turns[index].turn);
+        let turn = newest.max(self.turn) + 1;
         let position = self
             .waiting
-            .partition_point(|ticket| ticket.priority <= priority);
+            .partition_point(|ticket| (ticket.priority, ticket.turn) <= (priority, turn));
         let expected_ms = (position + 1) as f64 * self.interval_ms;
         if expected_ms > most_ms as f64 {
             return None;
         }
         let number = self.next_number;
         self.next_number += 1;
-        self.waiting
-            .insert(position, RoomTicket { priority, number });
+        let ticket = RoomTicket {
+            priority,
+            turn,
+            number,
+        };
+        self.waiting.insert(position, ticket);
+        match known {
+            Ok(index) => self.turns[index].turn = turn,
+            Err(index) => self.turns.insert(index, AccountTurn { account, turn }),
+        }
         Some(number)
     }
 
@@ -108,6 +140,16 @@
     /// Removes a request that has found room or gives up.
     pub fn leave(&mut self, number: u64) {
         self.waiting.retain(|ticket| ticket.number != number);
+        let least = self.waiting.iter().map(|ticket| ticket.turn).min();
+        match least {
+            Some(least) => {
+                self.turn = self.turn.max(least - 1);
+                let served = self.turn;
+                self.turns.retain(|turn| turn.turn > served);
+            }
+            // Nobody waits: what accounts used before counts no longer.
+            None => self.turns.clear(),
+        }
     }
 
     /// Returns the number of the request whose turn it is.
--- /dev/null
+++ b/crates/core/tests/room_queue.rs
@@ -0,0 +1,76 @@
+//! Guards against accounts that wait behind the surge of another one, and against turns that are owed
+//! for long.
+
+use dandelionroad_core::relay::RoomQueue;
+use dandelionroad_core::time::MilliTime;
+
+/// The accounts of the tests.
+const LARGE: u64 = 1;
+const SMALL: u64 = 2;
+
+fn quick_queue() -> RoomQueue {
+    let mut queue = RoomQueue::new();
+    for millis in 0..200 {
+        queue.freed(MilliTime::from_millis(millis));
+    }
+    queue
+}
+
+/// Takes the request whose turn it is.
+fn serve(queue: &mut RoomQueue) -> u64 {
+    let number = queue.first().unwrap();
+    queue.leave(number);
+    number
+}
+
+/// Replays the surge of a large account: a small one waited behind all of its requests.
+#[test]
+fn offer_small_account_in_surge() {
+    let mut queue = quick_queue();
+    for _ in 0..40 {
+        queue.offer(1, LARGE, 250).unwrap();
+    }
+    let small = queue.offer(1, SMALL, 250).unwrap();
+    let served: Vec<u64> = (0..3).map(|_| serve(&mut queue)).collect();
+    assert!(served.contains(&small), "{served:?}");
+}
+
+/// Guards against a small account that floods the queue once it has the first turns.
+#[test]
+fn offer_accounts_take_turns() {
+    let mut queue = quick_queue();
+    let large: Vec<u64> = (0..10)
+        .map(|_| queue.offer(1, LARGE, 250).unwrap())
+        .collect();
+    let small: Vec<u64> = (0..10)
+        .map(|_| queue.offer(1, SMALL, 250).unwrap())
+        .collect();
+    for turn in 0..10 {
+        let served = [serve(&mut queue), serve(&mut queue)];
+        assert!(served.contains(&large[turn]) && served.contains(&small[turn]));
+    }
+}
+
+/// Guards against an account that pays for requests of a time when nobody else waited.
+#[test]
+fn offer_after_empty_queue() {
+    let mut queue = quick_queue();
+    for _ in 0..30 {
+        queue.offer(1, LARGE, 250).unwrap();
+    }
+    while queue.first().is_some() {
+        serve(&mut queue);
+    }
+    let large = queue.offer(1, LARGE, 250).unwrap();
+    queue.offer(1, SMALL, 250).unwrap();
+    assert_eq!(queue.first(), Some(large));
+}
+
+#[test]
+fn offer_urgent_first() {
+    let mut queue = quick_queue();
+    queue.offer(2, SMALL, 250).unwrap();
+    queue.offer(1, LARGE, 250).unwrap();
+    let urgent = queue.offer(0, LARGE, 250).unwrap();
+    assert_eq!(serve(&mut queue), urgent);
+}
--- a/crates/relay/src/ingress/room_wait.rs
+++ b/crates/relay/src/ingress/room_wait.rs
@@ -28,11 +28,12 @@
 pub(super) async fn wait_for_room<T>(
     state: &Rc<NodeState>,
     priority: u8,
+    account: u64,
     until: MilliTime,
     mut find: impl FnMut() -> Option<T>,
 ) -> Result<T, u64> {
     let most_ms = until.since(state.clock.now());
-    let offered = state.waiting.borrow_mut().offer(priority, most_ms);
+    let offered = state.waiting.borrow_mut().offer(priority, account, most_ms);
     let Some(number) = offered else {
         return Err(retry_after_ms(state));
     };
--- a/crates/relay/src/ingress/stream_relay/choice.rs
+++ b/crates/relay/src/ingress/stream_relay/choice.rs
@@ -19,6 +19,14 @@
 /// The first event takes a tenth to a fifth of that time once the request is sent.
 const ROOM_WAIT_DIVISOR: u64 = 2;
 
+/// How long a request waits for room whose run broke off, in milliseconds.
+///
+/// Callers leave after two seconds without an event; detection and the new run take the rest.
+const RESUME_WAIT_MS: u64 = 600;
+
+/// The priority of a request whose run broke off.
+const RESUME_PRIORITY: u8 = 0;
+
 /// The share of the wanted time to the first event that a prompt may wait at one engine, as a divisor.
 ///
 /// Beyond it all further prompts of the chain are late; in simulation at one and a half times the load,
@@ -29,18 +37,16 @@
 const LEAST_ATTEMPT_MS: u64 = 200;
 
 impl StreamRelay {
-    /// Finds a chain; a request that was not sent yet waits for room in its turn.
+    /// Finds a chain, or waits for room in turn.
+    ///
+    /// A request that was not run waits until the first event would be late; a stream that broke off
+    /// waits before the others, as its caller has a part of the answer.
     pub(super) async fn find_or_wait(
         &mut self,
         log: &mut RequestLog,
     ) -> Result<FoundChain, Option<u64>> {
-        if self.plan.sends() > 0 {
-            return self.find_chain().map_err(|shortage| {
-                log.failed(&shortage);
-                None
-            });
-        }
-        let is_first = self.state.waiting.borrow().is_empty();
+        let has_run = self.plan.may_have_run();
+        let is_first = has_run || self.state.waiting.borrow().is_empty();
         let shortage = match is_first {
             true => match self.find_chain() {
                 Ok(chain) => return Ok(chain),
@@ -51,10 +57,14 @@
         let wait_ms = self.relay.route().target_ms / ROOM_WAIT_DIVISOR;
         let state = Rc::clone(&self.state);
         let begun = state.clock.now();
-        let until = log.arrived().plus(wait_ms).min(self.relay.deadline);
-        let found = wait_for_room(&state, self.relay.priority(), until, || {
-            self.find_chain().ok()
-        });
+        let (until, priority) = match has_run {
+            true => (begun.plus(RESUME_WAIT_MS), RESUME_PRIORITY),
+            false => (log.arrived().plus(wait_ms), self.relay.priority()),
+        };
+        let until = until.min(self.relay.deadline);
+        // All requests without an account take turns as one.
+        let account = self.relay.account.map_or(0, |index| index as u64 + 1);
+        let found = wait_for_room(&state, priority, account, until, || self.find_chain().ok());
         let found = found.await;
         log.waited(state.clock.now().since(begun));
         found.map_err(|retry_ms| {
--- a/crates/relay/tests/stream_relay.rs
+++ b/crates/relay/tests/stream_relay.rs
@@ -146,11 +146,35 @@
         stalled.fault.set(EngineFault::Hanging);
         stalled.waits_for.set(Some(stalled.address()));
         let node = world.node("n1").await;
-        let begun = Instant::now();
-        let mut response = world.open(&node, "/model/a", "r1").await;
-        assert!(response.body_mut().frame().await.unwrap().is_ok());
-        assert!(begun.elapsed() <= Duration::from_millis(TARGET_MS));
+        // Chance decides between like chains; the first request at the stalled one is moved.
+        let mut requests = 0;
+        while stalled.runs.borrow().is_empty() {
+            let begun = Instant::now();
+            let id = format!("r{requests}");
+            let mut response = world.open(&node, "/model/a", &id).await;
+            assert!(response.body_mut().frame().await.unwrap().is_ok());
+            assert!(begun.elapsed() <= Duration::from_millis(TARGET_MS));
+            requests += 1;
+        }
         assert_eq!(stalled.runs.borrow().len(), 1);
+        assert_eq!(sound.runs.borrow().len(), requests);
+    });
+}
+
+/// Replays a stream that broke off while all other engines were full: it was cut at once, though there
+/// was room again long before its caller left.
+#[test]
+fn stream_waits_for_room_after_break() {
+    run(async {
+        let world = World::start().await;
+        let broken = world.model("e1", (0, 40)).await;
+        broken.fault.set(EngineFault::CutEvent);
+        let node = world.node("n1").await;
+        let response = world.open(&node, "/model/a", "r1").await;
+        let sound = world.model("e2", (0, 40)).await;
+        let answer = read(response).await;
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, all_events());
         assert_eq!(sound.runs.borrow().len(), 1);
     });
 }
