--- /dev/null
+++ b/crates/bench/src/chain/fleet_file.rs
@@ -0,0 +1,121 @@
+use std::path::Path;
+
+use dandelionroad_core::chain::BoundDemand;
+use dandelionroad_core::chain::PlacementEngine;
+use dandelionroad_core::relay::AcceleratorKind;
+use dandelionroad_core::relay::ModelShape;
+use dandelionroad_core::stream::LayerRange;
+use serde::Deserialize;
+use snafu::ResultExt;
+
+use super::FleetCount;
+use super::FleetError;
+use super::FleetKind;
+use super::FleetModel;
+use super::LoadClass;
+use super::fleet_error::MalformedSnafu;
+use super::fleet_error::UnreadableSnafu;
+
+/// A fleet of engines and entries with its load, as written in a file.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetFile {
+    /// The model and the cost of running it.
+    pub model: FleetModel,
+    /// The kinds of accelerators.
+    pub kinds: Vec<FleetKind>,
+    /// The engines, as counts.
+    pub engines: Vec<FleetCount>,
+    /// The entries, as counts.
+    pub entries: Vec<FleetCount>,
+    /// The kinds of requests.
+    pub classes: Vec<LoadClass>,
+    /// The shares of the accounts in the load.
+    pub account_shares: Vec<f64>,
+}
+
+impl FleetFile {
+    /// Reads a fleet.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read or has other fields.
+    pub fn read(path: &Path) -> Result<FleetFile, FleetError> {
+        let text = std::fs::read_to_string(path).context(UnreadableSnafu { path })?;
+        toml::from_str(&text).context(MalformedSnafu { path })
+    }
+
+    /// Returns the model as the product's decisions take it.
+    pub fn shape(&self) -> ModelShape {
+        let mean = self.mean_request();
+        let model = &self.model;
+        let mut kinds: Vec<AcceleratorKind> = Vec::new();
+        for kind in &self.kinds {
+            kinds.push(AcceleratorKind {
+                name: kind.name.clone(),
+                memory_mb: kind.memory_mb,
+                step_factor: kind.step_factor,
+                read_factor: kind.read_factor,
+            });
+        }
+        kinds.sort_by(|left, right| left.name.cmp(&right.name));
+        ModelShape {
+            name: "model".to_owned(),
+            layers: model.layers,
+            layer_mb: model.layer_mb,
+            token_bytes: model.token_bytes,
+            slots: model.slots,
+            step_ms: model.step_ms,
+            sequence_ms: model.sequence_ms,
+            context_ms: model.context_ms,
+            read_per_ms: model.read_per_ms,
+            chunk_tokens: model.chunk_tokens,
+            pass_steps: model.pass_steps,
+            load_ms: model.load_ms,
+            activation_bytes: model.activation_bytes,
+            pipe_mbps: model.pipe_mbps,
+            usual_prompt: mean.prompt_tokens,
+            usual_answer: mean.answer_tokens,
+            kinds,
+        }
+    }
+
+    /// Returns the engines, `scale` times as many, without layers.
+    pub fn placement_engines(&self, scale: u16) -> Vec<PlacementEngine> {
+        let mut engines = Vec::new();
+        for line in &self.engines {
+            for _ in 0..line.count * scale {
+                engines.push(PlacementEngine {
+                    id: format!("e{:05}", engines.len()),
+                    zone: line.zone.clone(),
+                    kind: line.kind.clone().unwrap_or_default(),
+                    layers: LayerRange::new(0, 0),
+                    is_fixed: false,
+                });
+            }
+        }
+        engines
+    }
+
+    /// Returns the requests of all kinds a second.
+    pub fn per_second(&self) -> f64 {
+        self.classes.iter().map(|class| class.per_second).sum()
+    }
+
+    /// Returns the mean request.
+    pub fn mean_request(&self) -> BoundDemand {
+        let total = self.per_second().max(1e-9);
+        let mean = |value: fn(&LoadClass) -> f64| {
+            let parts = self.classes.iter();
+            parts
+                .map(|class| class.per_second * value(class))
+                .sum::<f64>()
+                / total
+        };
+        BoundDemand {
+            prompt_tokens: mean(|class| class.prompt_tokens),
+            answer_tokens: mean(|class| class.answer_tokens),
+            gap_ms: mean(|class| class.gap_ms as f64),
+        }
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,5 +5,6 @@
 link is only a delay and a rate. Equal seeds give equal results.
 */
 
+pub mod chain;
 pub mod cost;
 pub mod sim;
--- /dev/null
+++ b/crates/core/src/chain/chain_bound.rs
@@ -0,0 +1,207 @@
+use crate::relay::AcceleratorKind;
+use crate::relay::ModelShape;
+use crate::route::FlowSolver;
+
+use super::BoundDemand;
+use super::PlacementEngine;
+
+/// The halvings of the interval in which the greatest rate is sought.
+const RATE_STEPS: u32 = 30;
+
+/// The parts of a request and second in which capacities are counted, as the flow is in whole numbers.
+const RATE_UNIT: f64 = 1_000.0;
+
+/// An upper bound on the requests that chains serve in time, for engines with given layers.
+///
+/// It is the maximum flow through the layers. Each layer takes the whole flow of its availability zone,
+/// from the engines that hold it; an engine gives each layer a share of what its time and its memory
+/// allow. Time counts the reading of prompts and the writing of tokens in the largest batches that
+/// keep the wanted pause; memory counts a request for no longer than the fastest chain of the zone
+/// takes for it. What crosses zones is bounded by their pipe. Waiting, whole requests and old reports
+/// are left out, so that no policy reaches it.
+///
+/// # Example
+///
+/// ```
+/// use dandelionroad_core::chain::BoundDemand;
+/// use dandelionroad_core::chain::ChainBound;
+/// use dandelionroad_core::chain::PlacementEngine;
+/// use dandelionroad_core::relay::AcceleratorKind;
+/// use dandelionroad_core::relay::ModelShape;
+/// use dandelionroad_core::stream::LayerRange;
+///
+/// let shape = ModelShape {
+///     layers: 10,
+///     token_bytes: 1_000_000.0,
+///     step_ms: 1.0,
+///     read_per_ms: 100.0,
+///     slots: 100,
+///     pass_steps: 1.0,
+///     kinds: vec![AcceleratorKind {
+///         name: "card".to_owned(),
+///         memory_mb: 10_000.0,
+///         step_factor: 1.0,
+///         read_factor: 1.0,
+///     }],
+///     ..ModelShape::default()
+/// };
+/// let engine = |id: &str, first, end| PlacementEngine {
+///     id: id.to_owned(),
+///     zone: "a".to_owned(),
+///     kind: "card".to_owned(),
+///     layers: LayerRange::new(first, end),
+///     is_fixed: false,
+/// };
+/// let demand = BoundDemand { prompt_tokens: 900.0, answer_tokens: 100.0, gap_ms: 200.0 };
+/// let bound = ChainBound::new(&shape);
+/// let halves = [engine("e1", 0, 5), engine("e2", 5, 10)];
+/// // Twice the memory for each layer.
+/// assert!(bound.fleet(&halves, &demand) > bound.fleet(&[engine("e1", 0, 10)], &demand));
+/// // A layer without an engine stops all.
+/// assert_eq!(bound.fleet(&halves[..1], &demand), 0.0);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct ChainBound<'a> {
+    shape: &'a ModelShape,
+}
+
+impl<'a> ChainBound<'a> {
+    /// Creates a bound for a model.
+    pub fn new(shape: &'a ModelShape) -> ChainBound<'a> {
+        ChainBound { shape }
+    }
+
+    /// Returns the bound of all availability zones together, in requests a second.
+    pub fn fleet(&self, engines: &[PlacementEngine], demand: &BoundDemand) -> f64 {
+        let mut zones: Vec<&str> = engines.iter().map(|engine| engine.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let own: f64 = zones
+            .iter()
+            .map(|zone| self.zone(engines, zone, demand))
+            .sum();
+        let crossing = match zones.len() > 1 {
+            true => self.shape.pipe_tokens() / demand.tokens().max(1.0),
+            false => 0.0,
+        };
+        let all: Vec<&PlacementEngine> = engines.iter().collect();
+        (own + crossing).min(self.rate(&all, demand))
+    }
+
+    /// Returns the bound of chains within one availability zone, in requests a second.
+    pub fn zone(&self, engines: &[PlacementEngine], zone: &str, demand: &BoundDemand) -> f64 {
+        let own = engines.iter().filter(|engine| engine.zone == zone);
+        let own: Vec<&PlacementEngine> = own.collect();
+        self.rate(&own, demand)
+    }
+
+    fn rate(&self, engines: &[&PlacementEngine], demand: &BoundDemand) -> f64 {
+        let Some(run_ms) = self.least_run_ms(engines, demand) else {
+            return 0.0;
+        };
+        let capacities: Vec<f64> = engines
+            .iter()
+            .map(|engine| self.capacity(engine, demand, run_ms))
+            .collect();
+        let segments = self.segments(engines);
+        let total: f64 = capacities.iter().sum();
+        let (mut low, mut high) = (0.0, total / f64::from(self.shape.layers.max(1)));
+        for _ in 0..RATE_STEPS {
+            let middle = (low + high) / 2.0;
+            match carries(engines, &capacities, &segments, middle) {
+                true => low = middle,
+                false => high = middle,
+            }
+        }
+        low
+    }
+
+    /// Returns the time of a lone request on the fastest engine of each layer; none if a layer has no
+    /// engine.
+    fn least_run_ms(&self, engines: &[&PlacementEngine], demand: &BoundDemand) -> Option<f64> {
+        let layers = f64::from(self.shape.layers.max(1));
+        let mut run_ms = 0.0;
+        for layer in 0..self.shape.layers {
+            let holders = engines
+                .iter()
+                .filter(|engine| engine.layers.first <= layer && layer < engine.layers.end);
+            let times = holders.filter_map(|engine| {
+                let kind = self.shape.kind(&engine.kind)?;
+                let read_ms =
+                    demand.prompt_tokens / self.shape.read_per_ms.max(1e-9) * kind.read_factor;
+                Some(read_ms + demand.answer_tokens * self.shape.step_ms * kind.step_factor)
+            });
+            run_ms += times.min_by(f64::total_cmp)? / layers;
+        }
+        Some(run_ms)
+    }
+
+    /// Returns the requests a second for which an engine runs one layer, by time and by memory.
+    fn capacity(&self, engine: &PlacementEngine, demand: &BoundDemand, run_ms: f64) -> f64 {
+        let Some(kind) = self.shape.kind(&engine.kind) else {
+            return 0.0;
+        };
+        let held = engine.layers.len();
+        let room = self.shape.room_units(kind.memory_mb, held);
+        let most = room / (demand.tokens() * f64::from(held)).max(1.0);
+        let by_memory = room / demand.tokens().max(1.0) / run_ms.max(1e-9) * 1_000.0;
+        let layer_ms = self.layer_ms(kind, held, most, demand);
+        (1_000.0 / layer_ms.max(1e-9)).min(by_memory)
+    }
+
+    /// Returns the least time that one layer of one request takes, with at most `most` requests.
+    fn layer_ms(&self, kind: &AcceleratorKind, held: u16, most: f64, demand: &BoundDemand) -> f64 {
+        let shape = self.shape;
+        let layers = f64::from(shape.layers.max(1));
+        let context = demand.prompt_tokens + demand.answer_tokens / 2.0;
+        let writer_ms = shape.sequence_ms + shape.context_ms * context / 1_000.0;
+        let share = f64::from(held) / layers;
+        let pass_ms = demand.gap_ms / (shape.pass_steps * kind.step_factor * share).max(1e-9);
+        let by_gap = (pass_ms - shape.step_ms) / writer_ms.max(1e-9);
+        let writers = by_gap.min(f64::from(shape.slots)).min(most).max(1.0);
+        let token_ms = (shape.step_ms / writers + writer_ms) * kind.step_factor;
+        let read_ms = demand.prompt_tokens / shape.read_per_ms.max(1e-9) * kind.read_factor;
+        (read_ms + demand.answer_tokens * token_ms) / layers
+    }
+
+    /// Returns the ends of the runs of layers between which the holders do not change.
+    fn segments(&self, engines: &[&PlacementEngine]) -> Vec<(u16, u16)> {
+        let bounds = engines
+            .iter()
+            .flat_map(|engine| [engine.layers.first, engine.layers.end]);
+        let mut bounds: Vec<u16> = bounds.filter(|bound| *bound < self.shape.layers).collect();
+        bounds.extend([0, self.shape.layers]);
+        bounds.sort_unstable();
+        bounds.dedup();
+        bounds.windows(2).map(|pair| (pair[0], pair[1])).collect()
+    }
+}
+
+/// Returns whether engines of these capacities run `rate` requests a second through all segments.
+fn carries(
+    engines: &[&PlacementEngine],
+    capacities: &[f64],
+    segments: &[(u16, u16)],
+    rate: f64,
+) -> bool {
+    let units = |value: f64| (value * RATE_UNIT) as u64;
+    let sink = 1 + engines.len() + segments.len();
+    let mut solver = FlowSolver::new(sink + 1);
+    for (index, (engine, capacity)) in engines.iter().zip(capacities).enumerate() {
+        solver.add_edge(0, 1 + index, units(*capacity));
+        for (number, (first, end)) in segments.iter().enumerate() {
+            if engine.layers.first <= *first && *end <= engine.layers.end {
+                // No request is run twice by an engine.
+                let most = units(rate * f64::from(end - first));
+                solver.add_edge(1 + index, 1 + engines.len() + number, most);
+            }
+        }
+    }
+    let mut wanted = 0;
+    for (number, (first, end)) in segments.iter().enumerate() {
+        let units = units(rate * f64::from(end - first));
+        wanted += units;
+        solver.add_edge(1 + engines.len() + number, sink, units);
+    }
+    solver.maximize(0, sink) == wanted
+}
--- a/crates/core/src/chain/mod.rs
+++ b/crates/core/src/chain/mod.rs
@@ -6,6 +6,8 @@
 time, among those with enough memory.
 */
 
+mod bound_demand;
+mod chain_bound;
 mod chain_candidate;
 mod chain_finder;
 mod chain_part;
@@ -20,6 +22,8 @@
 mod placement_plan;
 mod zone_shortage;
 
+pub use self::bound_demand::BoundDemand;
+pub use self::chain_bound::ChainBound;
 pub use self::chain_finder::ChainFinder;
 pub use self::chain_part::ChainPart;
 pub use self::chain_shortage::ChainShortage;
--- a/crates/core/src/route/flow_solver.rs
+++ b/crates/core/src/route/flow_solver.rs
@@ -7,13 +7,13 @@
 }
 
 /// A network of vertices and directed edges with capacities.
-pub(super) struct FlowSolver {
+pub(crate) struct FlowSolver {
     edges: Vec<FlowEdge>,
     outgoing: Vec<Vec<usize>>,
 }
 
 impl FlowSolver {
-    pub(super) fn new(vertices: usize) -> FlowSolver {
+    pub(crate) fn new(vertices: usize) -> FlowSolver {
         FlowSolver {
             edges: Vec::new(),
             outgoing: vec![Vec::new(); vertices],
@@ -21,7 +21,7 @@
     }
 
     /// Adds an edge and returns its index.
-    pub(super) fn add_edge(&mut self, source: usize, target: usize, capacity: u64) -> usize {
+    pub(crate) fn add_edge(&mut self, source: usize, target: usize, capacity: u64) -> usize {
         let index = self.edges.len();
         self.edges.push(FlowEdge {
             target,
@@ -37,17 +37,17 @@
     }
 
     /// Returns the flow through the edge `index`.
-    pub(super) fn flow(&self, index: usize) -> u64 {
+    pub(crate) fn flow(&self, index: usize) -> u64 {
         self.edges[index ^ 1].residual
     }
 
     /// Returns the vertex that the edge `index` leads to.
-    pub(super) fn target(&self, index: usize) -> usize {
+    pub(crate) fn target(&self, index: usize) -> usize {
         self.edges[index].target
     }
 
     /// Sends as much flow as fits and returns its amount.
-    pub(super) fn maximize(&mut self, source: usize, sink: usize) -> u64 {
+    pub(crate) fn maximize(&mut self, source: usize, sink: usize) -> u64 {
         let mut total = 0;
         while let Some(levels) = self.levels(source, sink) {
             let mut cursors = vec![0; self.outgoing.len()];
@@ -63,7 +63,7 @@
     }
 
     /// Takes one path of positive flow out of an acyclic flow: its edges and its amount.
-    pub(super) fn take_path(&mut self, source: usize, sink: usize) -> Option<(Vec<usize>, u64)> {
+    pub(crate) fn take_path(&mut self, source: usize, sink: usize) -> Option<(Vec<usize>, u64)> {
         let mut path = Vec::new();
         let mut vertex = source;
         while vertex != sink {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -29,6 +29,7 @@
 pub use self::flow_link::FlowLink;
 pub use self::flow_node::FlowNode;
 pub use self::flow_path::FlowPath;
+pub(crate) use self::flow_solver::FlowSolver;
 pub use self::load_report::LoadReport;
 pub use self::prefix_index::PrefixIndex;
 pub use self::route_chooser::RouteChooser;
