Follow a request through the logs with dandelionctl, and count log lines that are left out

dandelionctl explain ID reads logs from files or standard input and prints the lines of the request and those about its engines, in order of time; it asks no entry and needs no token. Lines that are dropped because nobody reads the output are counted (dandelionroad_log_lines_dropped) and told in the log once it is read again.

--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -3,6 +3,7 @@
 mod apply_command;
 mod bound_command;
 mod endpoints_command;
+mod explain_command;
 mod history_command;
 mod list_command;
 mod members_command;
@@ -18,6 +19,7 @@
 use self::apply_command::ApplyCommand;
 use self::bound_command::BoundCommand;
 use self::endpoints_command::EndpointsCommand;
+use self::explain_command::ExplainCommand;
 use self::history_command::HistoryCommand;
 use self::list_command::ListCommand;
 use self::members_command::MembersCommand;
@@ -31,6 +33,7 @@
     Apply(ApplyCommand),
     Bound(BoundCommand),
     Endpoints(EndpointsCommand),
+    Explain(ExplainCommand),
     History(HistoryCommand),
     List(ListCommand),
     Members(MembersCommand),
@@ -39,13 +42,19 @@
 }
 
 impl ControlAction {
-    /// Runs the subcommand.
+    /// Returns whether the subcommand asks an entry.
+    pub(crate) fn needs_entry(&self) -> bool {
+        !matches!(self, ControlAction::Explain(_))
+    }
+
+    /// Runs the subcommand; `client` is used only if it asks an entry.
     pub(crate) async fn run(
         &self,
         client: &AdminClient,
         is_json: bool,
     ) -> Result<ExitStatus, CliError> {
         match self {
+            ControlAction::Explain(command) => command.run(is_json),
             ControlAction::Apply(command) => command.run(client, is_json).await,
             ControlAction::Bound(command) => command.run(client, is_json).await,
             ControlAction::Endpoints(command) => command.run(client, is_json).await,
--- a/crates/cli/src/control_command.rs
+++ b/crates/cli/src/control_command.rs
@@ -20,6 +20,8 @@
         {command_name} show service booking\n  {command_name} list model\n  \
         {command_name} history --after 40",
     example = "See which processes lag behind revision 41:\n  {command_name} wait 41",
+    example = "Follow one request through the logs of all entries:\n  \
+        {command_name} explain 12f54d51d27f4802 entry-*.log",
     note = "The token comes from DANDELIONROAD_ADMIN_TOKEN only. --address takes precedence over \
         DANDELIONROAD_ADMIN_ADDRESS.",
     note = "A ticket carries the whole new state of the objects it touches. Applying the same \
@@ -57,7 +59,7 @@
             return Err(CliError::Address { detail });
         }
         let token = std::env::var("DANDELIONROAD_ADMIN_TOKEN").unwrap_or_default();
-        if token.is_empty() {
+        if token.is_empty() && self.action.needs_entry() {
             return Err(CliError::Token);
         }
         let client = AdminClient::new(address, token);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,7 @@
 mod command;
 mod control_command;
 mod exit_status;
+mod log_line;
 mod output;
 
 use std::process::ExitCode;
--- a/crates/cli/tests/dandelionctl.rs
+++ b/crates/cli/tests/dandelionctl.rs
@@ -118,3 +118,45 @@
     let (code, text) = run(&address, TOKEN, "apply", &service_ticket(11, "east")).await;
     assert_eq!(code, 4, "{text}");
 }
+
+/// Replays the question of an engineer on call: what happened to this request, from the logs of two
+/// entries, without an entry to ask.
+#[tokio::test]
+async fn explain_follows_request_through_logs() {
+    let line = |millis: u64, payload: &str, kv: &str| {
+        format!(r#"{{"level":"info","timestamp":{millis},"payload":"{payload}","kv":{kv}}}"#)
+    };
+    let log = [
+        line(
+            9_000,
+            "request: served",
+            r#"{"request":"r1","engines":"e1+e2;e3","whole_ms":3000,"cause":"engine lost"}"#,
+        ),
+        // Text that a collector puts before the line.
+        format!(
+            "front-1 {}",
+            line(
+                6_400,
+                "engines: avoided: reported as stalled",
+                r#"{"engine":"e2"}"#
+            )
+        ),
+        line(6_300, "engines: gone", r#"{"engine":"e9"}"#),
+        line(1_000, "engines: listed", r#"{"engine":"e1"}"#),
+        line(
+            8_000,
+            "request: served",
+            r#"{"request":"r2","engines":"e1"}"#,
+        ),
+        "no log line".to_owned(),
+    ]
+    .join("\n");
+    let (status, output) = run("127.0.0.1:9", "", "explain r1", &log).await;
+    assert_eq!(status, 0, "{output}");
+    let lines: Vec<&str> = output.lines().collect();
+    assert_eq!(lines.len(), 2, "{output}");
+    assert!(lines[0].starts_with("6400 ") && lines[0].contains("engine=\"e2\""));
+    assert!(lines[1].starts_with("9000 ") && lines[1].contains("cause=\"engine lost\""));
+    let (status, _) = run("127.0.0.1:9", "", "explain r3", &log).await;
+    assert_eq!(status, 8);
+}
--- a/crates/relay/src/node/run_node.rs
+++ b/crates/relay/src/node/run_node.rs
@@ -2,6 +2,7 @@
 use tokio::signal::unix::signal;
 use tokio::task::LocalSet;
 
+use crate::telemetry::report_dropped_lines;
 use crate::wire::WireFormat;
 
 use super::RelaySettings;
@@ -22,6 +23,7 @@
     let mut interrupt = signal(SignalKind::interrupt()).map_err(text)?;
     let mut reload = signal(SignalKind::hangup()).map_err(text)?;
     let node = RunningNode::start(settings, format).await?;
+    tokio::task::spawn_local(report_dropped_lines());
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -10,6 +10,8 @@
 
 use crate::node::NodeState;
 
+use super::dropped_lines;
+
 /// The bounds of the histograms of times, in milliseconds.
 const TIME_BOUNDS_MS: [f64; 12] = [
     5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 300.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 20_000.0,
@@ -29,6 +31,7 @@
     config_age: Gauge,
     running: Gauge,
     engines: Gauge,
+    dropped: Gauge,
 }
 
 impl RelayMetrics {
@@ -80,6 +83,10 @@
                 "dandelionroad_engines_usable",
                 "Engines that may get requests.",
             ),
+            dropped: gauge(
+                "dandelionroad_log_lines_dropped",
+                "Log lines left out since the start.",
+            ),
             registry,
         }
     }
@@ -128,6 +135,7 @@
             .iter()
             .filter(|entry| entry.is_usable(now));
         self.engines.set(usable.count() as f64);
+        self.dropped.set(dropped_lines() as f64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
             spdlog::warn!("metrics: can't be written: {error}");
