Send no retry-after with answers that ask to correct the request

An answer 400, 401, 404, 405 or 422 carried retry-after: 1, which tells clients to send the same request again. Only refusals that pass with time (409, 429, 503, 504) name a time now; chat_and_refusals checks both.

--- a/crates/daemon/src/entry/caller_error.rs
+++ b/crates/daemon/src/entry/caller_error.rs
@@ -56,6 +56,17 @@
         }
     }
 
+    /// Returns whether the same request can succeed at a later time.
+    fn may_succeed_later(&self) -> bool {
+        matches!(
+            self.status(),
+            StatusCode::CONFLICT
+                | StatusCode::GATEWAY_TIMEOUT
+                | StatusCode::SERVICE_UNAVAILABLE
+                | StatusCode::TOO_MANY_REQUESTS
+        )
+    }
+
     /// Returns the JSON body.
     pub(super) fn body(&self) -> Value {
         json!({"error": {
@@ -99,7 +110,7 @@
         if let Ok(request) = HeaderValue::from_str(self.request.as_str()) {
             headers.insert(REQUEST_ID_HEADER, request);
         }
-        if self.outcome == RequestOutcome::NotRun {
+        if self.outcome == RequestOutcome::NotRun && self.may_succeed_later() {
             let seconds = self.retry_after_ms.div_ceil(1_000).max(1);
             headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
         }
--- a/crates/daemon/tests/stream_chain.rs
+++ b/crates/daemon/tests/stream_chain.rs
@@ -83,10 +83,13 @@
         assert_eq!(response.status(), status);
         assert_eq!(response.headers()["x-dandelionroad-outcome"], "not-run");
         assert!(response.headers().contains_key("x-request-id"));
+        // A request that has to be corrected must not be sent again as it is.
+        assert!(!response.headers().contains_key("retry-after"));
     }
     for stage in &cluster.stages {
         stage.kill();
     }
     let response = cluster.complete("knot", 3, true).await;
     assert_eq!(response.status(), 503);
+    assert!(response.headers().contains_key("retry-after"));
 }
