Tell the progress of a load, and report what was done when it is interrupted

The load tool printed nothing before its end, and nothing at all when it was stopped. It writes a line each 5 s to the standard error and prints its report on an interrupt as well (run_load_until_reports_what_was_done).

--- a/crates/standins/src/load/load_command.rs
+++ b/crates/standins/src/load/load_command.rs
@@ -2,7 +2,7 @@
 
 use super::LoadKind;
 use super::LoadPlan;
-use super::run_load;
+use super::run_load_until;
 
 /// The greatest number of requests of one load.
 const MAX_REQUESTS: usize = 100_000;
@@ -58,7 +58,8 @@
 }
 
 impl LoadCommand {
-    /// Runs the load and prints its report; returns whether every request was answered.
+    /// Runs the load and prints its report, also when it is interrupted; returns whether every request
+    /// was answered.
     pub async fn run(self) -> bool {
         let Ok(secret) = std::env::var(SECRET_VARIABLE) else {
             eprintln!("load: {SECRET_VARIABLE} is missing; set it to the client account's secret");
@@ -74,7 +75,7 @@
             true => vec![LoadKind::Chat],
             false => self.kind,
         };
-        let report = run_load(LoadPlan {
+        let plan = LoadPlan {
             entries: self.entry,
             secret,
             kinds,
@@ -87,8 +88,14 @@
             prompt_words: self.prompt_words,
             tokens: self.tokens,
             label: self.label,
-        })
-        .await;
+        };
+        let interrupted = async {
+            if let Err(error) = tokio::signal::ctrl_c().await {
+                eprintln!("load: can't wait for an interrupt: {error}");
+                std::future::pending::<()>().await;
+            }
+        };
+        let report = run_load_until(plan, interrupted).await;
         print!("{report}");
         report.failures().is_empty()
     }
--- a/crates/standins/src/load/load_run.rs
+++ b/crates/standins/src/load/load_run.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
+use tokio::sync::Mutex;
 use tokio::task::JoinSet;
 
 use crate::engine::TokenModel;
@@ -12,27 +14,58 @@
 use super::LoadPlan;
 use super::LoadReport;
 
+/// The time between two lines about the progress of a load, in milliseconds.
+const PROGRESS_MS: u64 = 5_000;
+
 /// Runs a load: `concurrency` callers send one request after the other until all were sent.
 pub async fn run_load(plan: LoadPlan) -> LoadReport {
+    run_load_until(plan, std::future::pending()).await
+}
+
+/// Runs a load until all requests were sent or `stop` is done, and tells its progress on the standard
+/// error.
+///
+/// Requests that run when it is stopped are left out of the report.
+pub async fn run_load_until(plan: LoadPlan, stop: impl Future<Output = ()>) -> LoadReport {
     let plan = Arc::new(plan);
     let client = CallerClient::new(&plan.secret);
     let next = Arc::new(AtomicUsize::new(0));
+    let results: Arc<Mutex<Vec<CallResult>>> = Arc::default();
     let mut callers = JoinSet::new();
     for _ in 0..plan.concurrency.clamp(1, plan.requests.max(1)) {
         let (plan, client, next) = (plan.clone(), client.clone(), next.clone());
+        let results = Arc::clone(&results);
         callers.spawn(async move {
-            let mut results = Vec::new();
             loop {
                 let index = next.fetch_add(1, Ordering::Relaxed);
                 if index >= plan.requests {
-                    return results;
+                    return;
                 }
-                results.push(send_one(&plan, &client, index).await);
+                let result = send_one(&plan, &client, index).await;
+                results.lock().await.push(result);
             }
         });
     }
-    let results = callers.join_all().await;
-    LoadReport::new(results.into_iter().flatten().collect())
+    let mut stop = std::pin::pin!(stop);
+    loop {
+        tokio::select! {
+            ended = callers.join_next() => {
+                if ended.is_none() {
+                    break;
+                }
+            }
+            () = stop.as_mut() => {
+                callers.shutdown().await;
+                break;
+            }
+            () = tokio::time::sleep(Duration::from_millis(PROGRESS_MS)) => {
+                let done = results.lock().await.len();
+                eprintln!("load: {done} of {} requests", plan.requests);
+            }
+        }
+    }
+    let results = std::mem::take(&mut *results.lock().await);
+    LoadReport::new(results)
 }
 
 async fn send_one(plan: &LoadPlan, client: &CallerClient, index: usize) -> CallResult {
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -22,4 +22,5 @@
 pub use self::load_plan::LoadPlan;
 pub use self::load_report::LoadReport;
 pub use self::load_run::run_load;
+pub use self::load_run::run_load_until;
 pub use self::time_sample::TimeSample;
--- a/crates/standins/tests/load.rs
+++ b/crates/standins/tests/load.rs
@@ -1,5 +1,7 @@
 //! Guards against a load report that counts a broken or wrong answer as a good one.
 
+use std::time::Duration;
+
 use axum::Router;
 use axum::routing::post;
 use dandelionroad_standins::engine::TokenModel;
@@ -8,6 +10,7 @@
 use dandelionroad_standins::load::LoadPlan;
 use dandelionroad_standins::load::TimeSample;
 use dandelionroad_standins::load::run_load;
+use dandelionroad_standins::load::run_load_until;
 use tokio::net::TcpListener;
 
 #[tokio::test]
@@ -56,6 +59,39 @@
     }
 }
 
+/// Guards against a load that is interrupted and tells nothing of what it did.
+#[tokio::test]
+async fn run_load_until_reports_what_was_done() {
+    let router = Router::new().route(
+        "/v1/completions",
+        post(async || {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            "data: [DONE]\n\n"
+        }),
+    );
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move { axum::serve(listener, router).await });
+    let plan = LoadPlan {
+        entries: vec![format!("http://{address}")],
+        secret: "secret".to_owned(),
+        kinds: vec![LoadKind::Completion],
+        requests: 10_000,
+        concurrency: 2,
+        model: "knots".to_owned(),
+        layers: 0,
+        version: 1,
+        service: String::new(),
+        prompt_words: 0,
+        tokens: 0,
+        label: "t".to_owned(),
+    };
+    let stop = tokio::time::sleep(Duration::from_millis(400));
+    let report = run_load_until(plan, stop).await;
+    assert!(!report.results.is_empty());
+    assert!(report.results.len() < 10_000);
+}
+
 #[test]
 fn percentile_ranks_are_of_the_sample() {
     let sample = TimeSample::new((1..=100).rev().map(f64::from).collect());
