Give the first layers only once no engine was listed for two seconds

Cause: engines that start together appear in the list in batches 1.01 s apart, and the first placement waited for one second without a new one. When a batch came a little late, the first ones got layers alone; the later ones filled in, which left layers with a third less room than the plan for all has (273 requests at the scarcest layer of two zones, 449 with the whole plan). Ruled out: the order of the listing (the plan sorts) and lost orders (all were begun).

orders_wait_for_engines_listed_later: the first engine had its layers before the second was known.

--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -30,8 +30,9 @@
 
 /// How long no engine must have been added before the first placement, in milliseconds.
 ///
-/// All engines start together; the plan for all of them differs from that for the first ones.
-const SETTLE_MS: u64 = 1_000;
+/// All engines start together; the plan for all of them differs from that for the first ones. They
+/// appear in the list in batches about a second apart.
+const SETTLE_MS: u64 = 2_000;
 
 /// How long an order may take until the engine lists its layers, in milliseconds.
 ///
--- a/crates/relay/tests/stream_relay.rs
+++ b/crates/relay/tests/stream_relay.rs
@@ -246,6 +246,29 @@
 }
 
 /// Replays engines that start empty, as they do together with the processes.
+/// Replays engines that appear in the list in batches a second apart: the first ones got layers before
+/// the others were known, and the plan for all of them was missed.
+#[test]
+fn orders_wait_for_engines_listed_later() {
+    run(async {
+        let world = World::start().await;
+        let first = world.model("e1", (0, 0)).await;
+        let node = world.node("n1").await;
+        tokio::time::sleep(Duration::from_millis(1_400)).await;
+        let second = world.model("e2", (0, 0)).await;
+        wait_for("the second engine is listed", async || {
+            world.knows_engines(&node, 2).await
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        assert_eq!([first.layers(), second.layers()], [(0, 0), (0, 0)]);
+        wait_for("both hold layers", async || {
+            first.layers().1 > 0 && second.layers().1 > 0
+        })
+        .await;
+    });
+}
+
 #[test]
 fn orders_give_layers_to_empty_engines() {
     run(async {
