Avoid a first engine after four lost answers in a row, not after one

Each entry avoided each engine that lost one for two seconds and more, until no engine was left to start at ("layer at failed engines (0)", 61 requests, and 505 behind them in two seconds). Ruled out: the engines themselves (they served the rest) and memory (it was not short then).

An engine that is gone takes no further connection, which still avoids it at once. break_off_lossy_engine_stays_in_use: with one lost answer in place of four it is in use less than four times in five.

--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -21,6 +21,8 @@
     pub suspected_until: MilliTime,
     /// Failures since the last success.
     pub failures: u32,
+    /// Answers that broke off before their heads came since the last success.
+    pub breaks: u32,
     /// Runs that were given up there as stalled since the last first event.
     pub stalls: u32,
     /// When one was counted last.
@@ -63,6 +65,7 @@
             avoided_until: MilliTime::default(),
             suspected_until: MilliTime::default(),
             failures: 0,
+            breaks: 0,
             stalls: 0,
             stalled: None,
             probed: None,
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -14,6 +14,11 @@
 /// The longest time that an engine is avoided, in milliseconds.
 const MAX_AVOID_MS: u64 = 6_000;
 
+/// The answers in a row that break off before an engine is avoided.
+///
+/// One that loses two answers in five gets there after 65 answers in the mean.
+const BREAK_LIMIT: u32 = 4;
+
 /// The stalled runs, with no first event between them, after which an engine is avoided.
 ///
 /// Under a burst, other requests of the engine get their first events meanwhile.
@@ -153,6 +158,23 @@
         }
     }
 
+    /// Counts an answer of a first engine that broke off before its head came; avoids the engine after
+    /// some in a row.
+    ///
+    /// An engine that is gone takes no further connection, which avoids it at once. One that loses a
+    /// part of its answers still serves the rest: if each loss avoided it, a fault of many engines would
+    /// leave none to start at.
+    pub fn break_off(&mut self, id: &str, now: MilliTime) {
+        let Some(entry) = self.get_mut(id) else {
+            return;
+        };
+        entry.breaks += 1;
+        if entry.breaks >= BREAK_LIMIT {
+            entry.breaks = 0;
+            self.fail(id, now);
+        }
+    }
+
     /// Avoids an engine that is said to be dead; returns whether that was not known.
     ///
     /// Several requests find the same engine dead, which counts once.
@@ -256,6 +278,7 @@
     pub fn succeed(&mut self, id: &str) {
         if let Some(entry) = self.get_mut(id) {
             entry.failures = 0;
+            entry.breaks = 0;
             entry.stalls = 0;
         }
     }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -294,3 +294,37 @@
     };
     assert_eq!(size.reserved_tokens(200.0), 800.0);
 }
+
+/// Replays engines that run requests and lose two answers in five: each loss avoided the engine for two
+/// seconds and more, so that no engine was left to start at.
+#[test]
+fn break_off_lossy_engine_stays_in_use() {
+    let mut table = table(vec![record(1, "a", "large", LayerRange::new(0, 80))]);
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut usable = 0;
+    let answers = 3_000;
+    for answer in 0..answers {
+        // Three requests a second.
+        let now = MilliTime::from_millis(answer * 333);
+        usable += u64::from(table.get("e001").unwrap().is_usable(now));
+        match rng.random_bool(0.4) {
+            true => table.break_off("e001", now),
+            false => table.succeed("e001"),
+        }
+    }
+    assert!(
+        usable * 10 >= answers * 8,
+        "in use {usable} of {answers} times"
+    );
+}
+
+/// Guards against an engine that loses every answer and is used on.
+#[test]
+fn break_off_avoids_engine_without_success() {
+    let mut table = table(vec![record(1, "a", "large", LayerRange::new(0, 80))]);
+    for _ in 0..4 {
+        assert!(table.get("e001").unwrap().is_usable(NOW));
+        table.break_off("e001", NOW);
+    }
+    assert!(!table.get("e001").unwrap().is_usable(NOW));
+}
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -215,12 +215,16 @@
         let mut sent = std::pin::pin!(sent);
         let response = match self.watch_run(&chain, waits, sent.as_mut()).await {
             Ok(Ok(response)) => response,
-            Ok(Err(fault)) => {
+            Ok(Err(SendFault::NotSent { .. })) => {
                 self.blame(&chain[0].id);
-                return Err(match fault {
-                    SendFault::NotSent { .. } => AttemptEnd::NotSent,
-                    SendFault::Broken { .. } => AttemptEnd::Broken,
-                });
+                return Err(AttemptEnd::NotSent);
+            }
+            Ok(Err(SendFault::Broken { .. })) => {
+                let now = self.state.clock.now();
+                let id = &chain[0].id;
+                self.state.view.borrow_mut().engines.break_off(id, now);
+                self.excluded.push(id.clone());
+                return Err(AttemptEnd::Broken);
             }
             Err(_) => return Err(AttemptEnd::Broken),
         };
