Form two groups a zone unless more have room, with several first engines, and refill scarce layers

Cause: (a) three groups in a zone of 52 engines spend 420 GB of some 580 on weights and have room for 403 requests at the scarcest layer; two have 772, but their two first engines take 192 each.

A zone forms two groups, and more only if each has room for as many requests as an engine takes. An empty engine takes the range, of any size, that fills holes first, then raises the scarcest layer, then the room of all up to the median. The first engine of a silent chain is asked again after 150 ms, since its report is 200 ms old.

--- a/crates/bench/src/chain/placement_way.rs
+++ b/crates/bench/src/chain/placement_way.rs
@@ -105,19 +105,31 @@
     let mut order: Vec<usize> = (0..placed.len()).collect();
     order.sort_by(|left, right| plan[*left].zone.cmp(&plan[*right].zone));
     let mut group: Vec<usize> = Vec::new();
+    let mut twins: Vec<(usize, usize)> = Vec::new();
     for index in order {
         let layers = plan[index].layers;
         if layers.is_empty() {
             continue;
         }
         if layers.first == 0 {
+            if let [head] = group[..]
+                && plan[head].layers == layers
+            {
+                // Several engines hold the first layers of the group.
+                twins.push((index, head));
+                continue;
+            }
             group.clear();
         }
         group.push(index);
         if layers.end == shape.layers {
             split_group(shape, &mut placed, &group, &weight);
+            group.clear();
         }
     }
+    for (twin, head) in twins {
+        placed[twin].layers = placed[head].layers;
+    }
     placed
 }
 
--- a/crates/core/src/chain/placement_plan.rs
+++ b/crates/core/src/chain/placement_plan.rs
@@ -4,18 +4,31 @@
 use super::PlacementEngine;
 use super::PlacementOrder;
 use super::placement_group::split_layers;
+use super::range_gain::RangeGain;
 
 /// The requests of usual size for which a group of engines should have room beside the weights.
 ///
 /// A group with fewer holds weights in memory that would serve more requests in a larger group.
 const GROUP_REQUESTS: f64 = 60.0;
 
+/// The groups of a zone that need no more room than for `GROUP_REQUESTS` each.
+///
+/// A second group serves while an engine of the first is lost. Each further one takes the memory of
+/// another copy of the weights, and is formed only if it has room for as many requests as an engine
+/// takes.
+const SPARE_GROUPS: f64 = 2.0;
+
 /// The requests of usual size below which engines form no group of their own.
 const LEAST_GROUP_REQUESTS: f64 = 25.0;
 
 /// The share of an accelerator's memory that a late engine's layers take at most.
 const LATE_WEIGHT_SHARE: f64 = 0.75;
 
+/// The share of the median room below which a layer counts as scarce.
+///
+/// Rounding to whole layers alone leaves nine tenths.
+const SCARCE_SHARE: f64 = 0.8;
+
 /// Decides which layers engines hold.
 ///
 /// The engines of an availability zone form groups that cover the model once, the fastest together:
@@ -244,7 +257,9 @@
         let least = weights + LEAST_GROUP_REQUESTS * request_mb;
         let memories = engines.iter().map(|engine| self.memory_mb(&engine.kind));
         let total: f64 = memories.sum();
-        let most = (total / wanted).floor().max(1.0) as usize;
+        let full = weights + f64::from(self.shape.slots) * request_mb;
+        let spare = (total / wanted).floor().min(SPARE_GROUPS);
+        let most = (total / full).floor().max(spare).max(1.0) as usize;
         let mut counts = (1..=most).rev();
         counts
             .find_map(|count| self.cut_groups(engines, count, least))
@@ -280,18 +295,17 @@
         Some(orders)
     }
 
-    /// Gives each empty engine the layers for which its zone has the least room.
+    /// Gives each empty engine the layers with which it raises the room of its zone most.
     fn fill(&self, engines: &mut [PlacementEngine]) -> Vec<PlacementOrder> {
         let mut orders = Vec::new();
         for index in 0..engines.len() {
             if !engines[index].layers.is_empty() {
                 continue;
             }
-            let size = self.late_size(engines, &engines[index].kind);
-            if size == 0 {
+            let room = self.zone_room(engines, &engines[index].zone);
+            let Some(layers) = self.best_range(&engines[index].kind, &room) else {
                 continue;
-            }
-            let layers = scarcest_range(&self.zone_room(engines, &engines[index].zone), size);
+            };
             engines[index].layers = layers;
             orders.push(PlacementOrder {
                 id: engines[index].id.clone(),
@@ -301,7 +315,7 @@
         orders
     }
 
-    /// Returns the room of each layer in a zone; that of all zones if the zone holds nothing.
+    /// Returns the tokens for which each layer has room in a zone; in all zones if the zone holds nothing.
     fn zone_room(&self, engines: &[PlacementEngine], zone: &str) -> Vec<f64> {
         let mut room = vec![0.0; usize::from(self.shape.layers)];
         let holds = |engine: &&PlacementEngine| engine.zone == zone && !engine.layers.is_empty();
@@ -309,27 +323,41 @@
         for engine in engines.iter().filter(|engine| is_alone || holds(engine)) {
             let held = engine.layers.len().max(1);
             let memory = self.memory_mb(&engine.kind);
-            let units = self.shape.room_units(memory, held) / f64::from(held);
-            // A fast accelerator turns its memory over sooner.
-            let weight = units / self.step_factor(engine).max(1e-9);
+            let tokens = self.shape.room_units(memory, held) / f64::from(held);
             for layer in engine.layers.first..engine.layers.end.min(self.shape.layers) {
-                room[usize::from(layer)] += weight;
+                room[usize::from(layer)] += tokens;
             }
         }
         room
     }
 
-    /// Returns how many layers a late engine takes: as many as others of its kind, within memory.
-    fn late_size(&self, engines: &[PlacementEngine], kind: &str) -> u16 {
-        let most = self
-            .shape
-            .max_layers(self.memory_mb(kind) * LATE_WEIGHT_SHARE);
-        let alike = engines.iter().filter(|engine| engine.kind == kind);
-        let usual = alike.map(|engine| engine.layers.len()).max().unwrap_or(0);
-        match usual {
-            0 => most,
-            usual => usual.min(most),
+    /// Returns the layers with which an engine raises the room of its zone most; none if it holds no
+    /// layer.
+    ///
+    /// The range begins or ends where scarce layers do, so that it does not divide them in two.
+    fn best_range(&self, kind: &str, room: &[f64]) -> Option<LayerRange> {
+        let memory = self.memory_mb(kind);
+        let most = self.shape.max_layers(memory * LATE_WEIGHT_SHARE);
+        let mut sorted = room.to_vec();
+        sorted.sort_by(f64::total_cmp);
+        let median = sorted.get(sorted.len() / 2).copied().unwrap_or(0.0);
+        let target = if median > 0.0 { median } else { f64::MAX };
+        let edges = scarce_edges(room, target);
+        let mut best: Option<(RangeGain, LayerRange)> = None;
+        for size in 1..=most {
+            let own = self.shape.room_units(memory, size) / f64::from(size);
+            for first in 0..=(self.shape.layers - size) {
+                let range = LayerRange::new(first, first + size);
+                if !edges.contains(&range.first) && !edges.contains(&range.end) {
+                    continue;
+                }
+                let gain = RangeGain::new(room, range, own, target);
+                if best.as_ref().is_none_or(|(known, _)| gain.exceeds(known)) {
+                    best = Some((gain, range));
+                }
+            }
         }
+        best.map(|(_, range)| range)
     }
 
     fn memory_mb(&self, kind: &str) -> f64 {
@@ -350,19 +378,14 @@
     Some(LayerRange::new(first as u16, (first + length) as u16))
 }
 
-/// Returns the range of `size` layers with the least room at its scarcest layer, then in sum.
-fn scarcest_range(room: &[f64], size: u16) -> LayerRange {
-    let size = size.min(room.len() as u16);
-    let key = |first: &u16| {
-        let window = &room[usize::from(*first)..usize::from(*first + size)];
-        let least = window.iter().copied().fold(f64::INFINITY, f64::min);
-        (least, window.iter().sum::<f64>())
-    };
-    let last = room.len() as u16 - size;
-    let best = (0..=last).min_by(|left, right| {
-        let (left, right) = (key(left), key(right));
-        left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1))
-    });
-    let first = best.unwrap_or(0);
-    LayerRange::new(first, first + size)
+/// Returns the layers at which holes or runs of scarce layers begin or end, and the ends of the model.
+fn scarce_edges(room: &[f64], target: f64) -> Vec<u16> {
+    let class = |room: &f64| (*room <= 0.0, *room < SCARCE_SHARE * target);
+    let mut edges = vec![0, room.len() as u16];
+    for layer in 1..room.len() {
+        if class(&room[layer]) != class(&room[layer - 1]) {
+            edges.push(layer as u16);
+        }
+    }
+    edges
 }
--- a/crates/core/tests/chain_placement.rs
+++ b/crates/core/tests/chain_placement.rs
@@ -309,3 +309,58 @@
         assert_eq!(carry_out(&mut engines), 0);
     }
 }
+
+/// Returns the tokens for which the scarcest layer of a zone has room.
+fn least_room(engines: &[PlacementEngine], zone: &str) -> f64 {
+    let shape = shape();
+    let mut room = vec![0.0; usize::from(shape.layers)];
+    for engine in engines.iter().filter(|engine| engine.zone == zone) {
+        let memory = shape.kind(&engine.kind).unwrap().memory_mb;
+        let held = engine.layers.len().max(1);
+        for layer in engine.layers.first..engine.layers.end {
+            room[usize::from(layer)] += shape.room_units(memory, held) / f64::from(held);
+        }
+    }
+    room.into_iter().fold(f64::INFINITY, f64::min)
+}
+
+/// Replays the loss of two neighbors in a chain that come back empty, one after the other: their ranges of fixed sizes left a layer or two
+/// between them with half of the room, which limited the zone for the rest of the day.
+#[test]
+fn orders_refill_lost_neighbors() {
+    let mut whole = fleet(&[("a", "large", 1), ("a", "middle", 6), ("a", "small", 6)]);
+    carry_out(&mut whole);
+    let before = least_room(&whole, "a");
+    let numbers = 0..whole.len();
+    let pairs = numbers
+        .clone()
+        .flat_map(|left| numbers.clone().map(move |right| (left, right)));
+    let is_joined = |pair: &(usize, usize)| whole[pair.0].layers.end == whole[pair.1].layers.first;
+    let pairs: Vec<(usize, usize)> = pairs.filter(is_joined).collect();
+    assert!(pairs.len() >= 10);
+    for (left, right) in pairs {
+        for pair in [[left, right], [right, left]] {
+            let mut engines = whole.clone();
+            for index in pair {
+                engines[index].layers = LayerRange::new(0, 0);
+            }
+            // One comes back after the other.
+            let mut first = engines.clone();
+            first.remove(pair[1]);
+            carry_out(&mut first);
+            for engine in &mut engines {
+                let placed = first.iter().find(|placed| placed.id == engine.id);
+                placed
+                    .into_iter()
+                    .for_each(|placed| engine.layers = placed.layers);
+            }
+            carry_out(&mut engines);
+            check_memory(&engines);
+            let after = least_room(&engines, "a");
+            assert!(
+                after >= 0.8 * before,
+                "{pair:?}: {after} of {before} tokens"
+            );
+        }
+    }
+}
--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -12,7 +12,9 @@
 const ANSWER_MS: u64 = 250;
 
 /// The least time between two questions of the same engine, in milliseconds.
-const PROBE_INTERVAL_MS: u64 = 400;
+///
+/// A report is some hundred milliseconds old, so that the first answer may not know of a loss yet.
+const PROBE_INTERVAL_MS: u64 = 150;
 
 /// Asks the first engine of a stalled chain what it waits for, and avoids the engines that are dead.
 ///
--- a/crates/relay/src/ingress/stream_relay/stall_watch.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_watch.rs
@@ -13,6 +13,9 @@
 use super::stall_end::StallEnd;
 use super::stall_waits::StallWaits;
 
+/// The time after which the first engine is asked again, in milliseconds.
+const ASK_AGAIN_MS: u64 = 150;
+
 impl StreamRelay {
     /// Waits for a sign of a run; one that stalls is given up only if another chain can take over.
     ///
@@ -49,7 +52,7 @@
             let now = state.clock.now();
             if now >= ask_at {
                 is_asked = true;
-                ask_at = now.plus(waits.ask_ms);
+                ask_at = now.plus(ASK_AGAIN_MS);
                 self.ask_first(parts);
             }
             if is_asked && self.has_lost_engine(parts) && self.may_move(parts) {
