Choose the layers of an engine that comes back in a type of its own

No change of behavior. Checked on it: orders_spare_engines_hold_ranges fails if the range that raises the scarcest layer is taken where none is scarce.

--- a/crates/core/src/chain/mod.rs
+++ b/crates/core/src/chain/mod.rs
@@ -20,6 +20,7 @@
 mod placement_group;
 mod placement_order;
 mod placement_plan;
+mod range_finder;
 mod range_gain;
 mod zone_shortage;
 
--- a/crates/core/src/chain/placement_plan.rs
+++ b/crates/core/src/chain/placement_plan.rs
@@ -4,7 +4,7 @@
 use super::PlacementEngine;
 use super::PlacementOrder;
 use super::placement_group::split_layers;
-use super::range_gain::RangeGain;
+use super::range_finder::RangeFinder;
 
 /// The requests of usual size for which a group of engines should have room beside the weights.
 ///
@@ -14,14 +14,6 @@
 /// The requests of usual size below which engines form no group of their own.
 const LEAST_GROUP_REQUESTS: f64 = 25.0;
 
-/// The share of an accelerator's memory that a late engine's layers take at most.
-const LATE_WEIGHT_SHARE: f64 = 0.75;
-
-/// The share of the median room below which a layer counts as scarce.
-///
-/// Rounding to whole layers alone leaves nine tenths.
-const SCARCE_SHARE: f64 = 0.8;
-
 /// Decides which layers engines hold.
 ///
 /// The engines of an availability zone form groups that cover the model once, the fastest together:
@@ -314,11 +306,10 @@
             }
             let room = self.zone_room(engines, &engines[index].zone);
             let kind = &engines[index].kind;
-            let layers = match is_even(&room) {
-                true => self.usual_range(engines, kind, &room),
-                false => self.best_range(kind, &room),
-            };
-            let Some(layers) = layers else {
+            let alike = engines.iter().filter(|engine| engine.kind == *kind);
+            let usual = alike.map(|engine| engine.layers.len()).max().unwrap_or(0);
+            let finder = RangeFinder::new(self.shape, &room, self.memory_mb(kind));
+            let Some(layers) = finder.find(usual) else {
                 continue;
             };
             engines[index].layers = layers;
@@ -346,55 +337,6 @@
         room
     }
 
-    /// Returns the range of an engine that stands in for others: as many layers as others of its kind
-    /// have, where there is least room; none if it holds no layer.
-    fn usual_range(
-        &self,
-        engines: &[PlacementEngine],
-        kind: &str,
-        room: &[f64],
-    ) -> Option<LayerRange> {
-        let most = self
-            .shape
-            .max_layers(self.memory_mb(kind) * LATE_WEIGHT_SHARE);
-        let alike = engines.iter().filter(|engine| engine.kind == kind);
-        let usual = alike.map(|engine| engine.layers.len()).max().unwrap_or(0);
-        let size = match usual {
-            0 => most,
-            usual => usual.min(most),
-        };
-        (size > 0).then(|| scarcest_range(room, size))
-    }
-
-    /// Returns the layers with which an engine raises the room of its zone most; none if it holds no
-    /// layer.
-    ///
-    /// The range begins or ends where scarce layers do, so that it does not divide them in two.
-    fn best_range(&self, kind: &str, room: &[f64]) -> Option<LayerRange> {
-        let memory = self.memory_mb(kind);
-        let most = self.shape.max_layers(memory * LATE_WEIGHT_SHARE);
-        let target = match median(room) {
-            target if target > 0.0 => target,
-            _ => f64::MAX,
-        };
-        let edges = scarce_edges(room, target);
-        let mut best: Option<(RangeGain, LayerRange)> = None;
-        for size in 1..=most {
-            let own = self.shape.room_units(memory, size) / f64::from(size);
-            for first in 0..=(self.shape.layers - size) {
-                let range = LayerRange::new(first, first + size);
-                if !edges.contains(&range.first) && !edges.contains(&range.end) {
-                    continue;
-                }
-                let gain = RangeGain::new(room, range, own, target);
-                if best.as_ref().is_none_or(|(known, _)| gain.exceeds(known)) {
-                    best = Some((gain, range));
-                }
-            }
-        }
-        best.map(|(_, range)| range)
-    }
-
     fn memory_mb(&self, kind: &str) -> f64 {
         self.shape.kind(kind).map_or(0.0, |kind| kind.memory_mb)
     }
@@ -412,45 +354,3 @@
     let length = length.count();
     Some(LayerRange::new(first as u16, (first + length) as u16))
 }
-
-/// Returns whether no layer is scarce.
-fn is_even(room: &[f64]) -> bool {
-    let target = median(room);
-    target > 0.0 && room.iter().all(|room| *room >= SCARCE_SHARE * target)
-}
-
-/// Returns the median room; 0 if there are no layers.
-fn median(room: &[f64]) -> f64 {
-    let mut sorted = room.to_vec();
-    sorted.sort_by(f64::total_cmp);
-    sorted.get(sorted.len() / 2).copied().unwrap_or(0.0)
-}
-
-/// Returns the range of `size` layers with the least room at its scarcest layer, then in sum.
-fn scarcest_range(room: &[f64], size: u16) -> LayerRange {
-    let size = size.min(room.len() as u16);
-    let key = |first: &u16| {
-        let window = &room[usize::from(*first)..usize::from(*first + size)];
-        let least = window.iter().copied().fold(f64::INFINITY, f64::min);
-        (least, window.iter().sum::<f64>())
-    };
-    let last = room.len() as u16 - size;
-    let best = (0..=last).min_by(|left, right| {
-        let (left, right) = (key(left), key(right));
-        left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1))
-    });
-    let first = best.unwrap_or(0);
-    LayerRange::new(first, first + size)
-}
-
-/// Returns the layers at which holes or runs of scarce layers begin or end, and the ends of the model.
-fn scarce_edges(room: &[f64], target: f64) -> Vec<u16> {
-    let class = |room: &f64| (*room <= 0.0, *room < SCARCE_SHARE * target);
-    let mut edges = vec![0, room.len() as u16];
-    for layer in 1..room.len() {
-        if class(&room[layer]) != class(&room[layer - 1]) {
-            edges.push(layer as u16);
-        }
-    }
-    edges
-}
