--- a/crates/core/src/chain/placement_plan.rs
+++ b/crates/core/src/chain/placement_plan.rs
@@ -18,8 +18,8 @@
 ///
 /// The engines of an availability zone form groups that cover the model once, the fastest together:
 /// the slowest accelerator of a chain sets its pace, and activations that cross zones share one
-/// pipe. Engines that are left over, come later or come back empty take the layers for which their
-/// zone has the least memory. What serves moves only to make a zone whole after a loss.
+/// pipe. Engines that are left over, come later or come back empty take the layers that their zone
+/// lacks most. What serves moves only to make a zone whole after a loss.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementPlan<'a> {
     shape: &'a ModelShape,
--- a/crates/core/src/relay/room_queue.rs
+++ b/crates/core/src/relay/room_queue.rs
@@ -63,7 +63,8 @@
 /// for step in 0..50 {
 ///     queue.freed(now.plus(step * 200));
 /// }
-/// assert_eq!(queue.offer(2, 7, 300), None);
+/// assert!(queue.offer(2, 7, 300).is_some());
+/// assert_eq!(queue.offer(2, 8, 300), None);
 /// // Callers are asked to return one after the other.
 /// assert!(queue.retry_after_ms(now) < queue.retry_after_ms(now));
 /// ```
