Give an engine that comes to a zone no fewer layers than others of its kind hold

Ruled out: the outage of the store before it (requests without a confirmed key are not owed).

orders_added_engine_holds_range failed: the range was 69 to 70.

--- a/crates/core/src/chain/range_finder.rs
+++ b/crates/core/src/chain/range_finder.rs
@@ -35,7 +35,7 @@
     pub(super) fn find(&self, usual: u16) -> Option<LayerRange> {
         match is_even(self.room) {
             true => self.usual_range(usual),
-            false => self.best_range(),
+            false => self.best_range(usual),
         }
     }
 
@@ -53,15 +53,17 @@
     /// Returns the layers with which an engine raises the room of its zone most; none if it holds no
     /// layer.
     ///
-    /// The range begins or ends where scarce layers do, so that it does not divide them in two.
-    fn best_range(&self) -> Option<LayerRange> {
+    /// The range has at least `usual` layers, so that a single scarce layer does not get all the memory of an
+    /// engine, and begins or ends where scarce layers do, so that it does not divide them in two.
+    fn best_range(&self, usual: u16) -> Option<LayerRange> {
         let target = match median(self.room) {
             target if target > 0.0 => target,
             _ => f64::MAX,
         };
         let edges = scarce_edges(self.room, target);
         let mut best: Option<(RangeGain, LayerRange)> = None;
-        for size in 1..=self.most_layers() {
+        let most = self.most_layers();
+        for size in usual.clamp(1, most.max(1))..=most {
             let own = self.shape.room_units(self.memory_mb, size) / f64::from(size);
             for first in 0..=(self.shape.layers - size) {
                 let range = LayerRange::new(first, first + size);
--- a/crates/core/tests/chain_placement.rs
+++ b/crates/core/tests/chain_placement.rs
@@ -390,3 +390,31 @@
         assert!(engine.layers.len() >= 8, "{engine:?}");
     }
 }
+
+/// Replays an engine that is added to a zone whose spare ones double all layers but one: it got that
+/// layer alone, and its memory was idle (drawn day fresh-9fce of Lilypad, second 26.5).
+#[test]
+fn orders_added_engine_holds_range() {
+    let mut engines = fleet(&[("a", "large", 1), ("a", "middle", 3), ("a", "small", 8)]);
+    let ranges = [
+        (0, 29),
+        (29, 46),
+        (46, 63),
+        (63, 80),
+        (0, 10),
+        (10, 20),
+        (20, 30),
+        (30, 40),
+        (40, 50),
+        (50, 60),
+        (60, 69),
+        (70, 80),
+    ];
+    for (engine, (first, end)) in engines.iter_mut().zip(ranges) {
+        engine.layers = LayerRange::new(first, end);
+    }
+    engines.push(engine(99, "a", "middle"));
+    carry_out(&mut engines);
+    let added = engines.last().unwrap();
+    assert!(added.layers.len() >= 8, "{added:?}");
+}
