--- a/crates/core/tests/chain_support/mod.rs
+++ b/crates/core/tests/chain_support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
+use dandelionroad_core::chain::PlacementEngine;
+use dandelionroad_core::chain::PlacementPlan;
 use dandelionroad_core::relay::AcceleratorKind;
 use dandelionroad_core::relay::EngineRecord;
 use dandelionroad_core::relay::EngineTable;
@@ -69,3 +71,64 @@
     table.replace(records, MilliTime::from_millis(1));
     table
 }
+
+/// Returns an engine that holds nothing.
+pub(crate) fn engine(number: u16, zone: &str, kind: &str) -> PlacementEngine {
+    PlacementEngine {
+        id: format!("e{number:03}"),
+        zone: zone.to_owned(),
+        kind: kind.to_owned(),
+        layers: LayerRange::new(0, 0),
+        is_fixed: false,
+    }
+}
+
+/// Returns engines that hold nothing, by availability zone, kind and count.
+pub(crate) fn fleet(counts: &[(&str, &str, u16)]) -> Vec<PlacementEngine> {
+    let mut engines = Vec::new();
+    for (zone, kind, count) in counts {
+        for _ in 0..*count {
+            engines.push(engine(engines.len() as u16, zone, kind));
+        }
+    }
+    engines
+}
+
+/// Returns the model with less memory for each token, for which zones have room for several groups.
+pub(crate) fn roomy_shape() -> ModelShape {
+    ModelShape {
+        token_bytes: 393_000.0,
+        ..shape()
+    }
+}
+
+/// Carries the plan's orders out at once; returns their number.
+pub(crate) fn carry_out(engines: &mut [PlacementEngine]) -> usize {
+    carry_out_for(&shape(), engines)
+}
+
+/// Carries the plan's orders for a model out at once; returns their number.
+pub(crate) fn carry_out_for(shape: &ModelShape, engines: &mut [PlacementEngine]) -> usize {
+    let orders = PlacementPlan::new(shape).orders(engines);
+    for order in &orders {
+        let found = engines
+            .iter_mut()
+            .find(|engine| engine.id == order.id)
+            .unwrap();
+        found.layers = order.layers;
+    }
+    orders.len()
+}
+
+/// Guards against orders for more layers than an engine's memory holds.
+pub(crate) fn check_memory(engines: &[PlacementEngine]) {
+    let shape = shape();
+    for engine in engines {
+        let memory = shape.kind(&engine.kind).unwrap().memory_mb;
+        assert!(
+            engine.layers.len() <= shape.max_layers(memory),
+            "{engine:?}"
+        );
+        assert!(engine.layers.end <= shape.layers);
+    }
+}
