Forget an endpoint that left while the list counted as incomplete, without waiting for another change

Ruled out: copies within the zone (they were had within 100 ms), the pause after a failed call, a slow store.

What the newest list lacks is now removed when the window ends. engine_table_removes_missing_without_new_listing; endpoint_gone_after_outage_is_forgotten fails without the removal.

--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -15,6 +15,8 @@
     pub tag: u32,
     /// When it was first listed in this incarnation.
     pub listed: MilliTime,
+    /// Whether the newest listing lacks it, which may be incomplete.
+    pub(super) is_missing: bool,
     /// Until when no new work is sent to it after a failure.
     pub avoided_until: MilliTime,
     /// Until when it counts as dead, because it or another engine said so.
@@ -62,6 +64,7 @@
             tag: hash_text(0, &record.id) as u32,
             record,
             listed: now,
+            is_missing: false,
             avoided_until: MilliTime::default(),
             suspected_until: MilliTime::default(),
             failures: 0,
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -120,6 +120,7 @@
                 Ok(index) if old[index].record.started_ms == record.started_ms => {
                     let mut entry = old.remove(index);
                     entry.record = record;
+                    entry.is_missing = false;
                     self.entries.push(entry);
                 }
                 Ok(index) => {
@@ -135,8 +136,9 @@
             }
         }
         let mut removed = Vec::new();
-        for entry in old {
+        for mut entry in old {
             if now < self.keeps_missing_until && !entry.record.is_draining {
+                entry.is_missing = true;
                 self.entries.push(entry);
             } else {
                 removed.push(entry.record.id);
@@ -147,6 +149,19 @@
         (added, removed)
     }
 
+    /// Removes the engines that the newest listing lacks, once it counts as complete; returns their
+    /// identifiers.
+    ///
+    /// A process that hears that its list is the newest reads no other one until there is a change, which
+    /// may be long after the engine has left.
+    pub fn remove_missing(&mut self, now: MilliTime) -> Vec<String> {
+        if now < self.keeps_missing_until {
+            return Vec::new();
+        }
+        let missing = self.entries.extract_if(.., |entry| entry.is_missing);
+        missing.map(|entry| entry.record.id).collect()
+    }
+
     /// Counts a failure and avoids the engine for a time that grows with failures in a row.
     pub fn fail(&mut self, id: &str, now: MilliTime) {
         if let Some(entry) = self.get_mut(id) {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -216,6 +216,24 @@
     );
 }
 
+/// Replays an engine that leaves while listings count as incomplete, with no change of the list after it.
+#[test]
+fn engine_table_removes_missing_without_new_listing() {
+    let listing =
+        |count| (1..=count).map(|number| record(number, "a", "large", LayerRange::new(0, 40)));
+    let mut table = table(listing(2).collect());
+    table.store_returned(NOW);
+    table.replace(listing(1).collect(), NOW.plus(1_000));
+    assert!(table.remove_missing(NOW.plus(1_900)).is_empty());
+    assert_eq!(table.remove_missing(NOW.plus(2_000)), ["e002"]);
+    assert!(table.get("e002").is_none() && table.get("e001").is_some());
+    // One that is listed again is not missing.
+    table.store_returned(NOW.plus(3_000));
+    table.replace(Vec::new(), NOW.plus(3_500));
+    table.replace(listing(1).collect(), NOW.plus(4_000));
+    assert!(table.remove_missing(NOW.plus(9_000)).is_empty());
+}
+
 /// Replays the loss of one engine: its runs stall together, and the others of its chain stay in use.
 #[test]
 fn engine_table_stall_spares_others() {
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -168,6 +168,9 @@
     });
 }
 
+/// The time in which an endpoint that has left must be forgotten: the shortest of the users' sites.
+const DRAINED: Duration = Duration::from_millis(2_000);
+
 /// Replays several processes on a calm day: one reads the list, the others hear that it is the newest.
 #[test]
 fn listing_is_read_by_one_process() {
@@ -249,6 +252,39 @@
     });
 }
 
+/// Replays processes that the store turned away for seconds, and an endpoint that leaves right after: those
+/// that do not read for the others kept it until the next change of the list, and sent requests to it.
+#[test]
+fn endpoint_gone_after_outage_is_forgotten() {
+    run(async {
+        let world = World::start().await;
+        let _kept = world.plain("p1").await;
+        let _gone = world.plain("p2").await;
+        let (first, first_switch) = world.node_turned_away("n1").await;
+        let (second, second_switch) = world.node_turned_away("n2").await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        first_switch.set(true);
+        second_switch.set(true);
+        tokio::time::sleep(Duration::from_millis(2_000)).await;
+        first_switch.set(false);
+        second_switch.set(false);
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        world.store.remove("engines", "p2");
+        let removed = Instant::now();
+        for node in [&first, &second] {
+            wait_for("the endpoint is forgotten", async || {
+                world.knows_engines(node, 1).await
+            })
+            .await;
+        }
+        assert!(
+            removed.elapsed() <= DRAINED,
+            "after {:?}",
+            removed.elapsed()
+        );
+    });
+}
+
 #[test]
 fn metrics_are_served() {
     run(async {
