Make the test of the forgotten endpoint fail without the removal

With 660 ms, as in the other tests of several processes, it waits in vain without the removal and passes with it.

--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -260,8 +260,8 @@
         let world = World::start().await;
         let _kept = world.plain("p1").await;
         let _gone = world.plain("p2").await;
-        let (first, first_switch) = world.node_turned_away("n1").await;
-        let (second, second_switch) = world.node_turned_away("n2").await;
+        let (first, first_switch) = world.node_turned_away_at_interval("n1", 660).await;
+        let (second, second_switch) = world.node_turned_away_at_interval("n2", 660).await;
         tokio::time::sleep(Duration::from_millis(500)).await;
         first_switch.set(true);
         second_switch.set(true);
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -110,6 +110,15 @@
 
     /// Starts a process that the store turns away while the returned switch is set.
     pub(crate) async fn node_turned_away(&self, name: &str) -> (RunningNode, Rc<Cell<bool>>) {
+        self.node_turned_away_at_interval(name, 100).await
+    }
+
+    /// Starts such a process that reads the list of engines at an interval in milliseconds.
+    pub(crate) async fn node_turned_away_at_interval(
+        &self,
+        name: &str,
+        list_interval_ms: u64,
+    ) -> (RunningNode, Rc<Cell<bool>>) {
         let is_refused = Rc::new(Cell::new(false));
         let (store, switch) = (Rc::clone(&self.store), Rc::clone(&is_refused));
         let count = Rc::clone(&self.turned_away);
@@ -134,7 +143,8 @@
                 }
             }
         });
-        (self.start_node(name, 100, address.await).await, is_refused)
+        let node = self.start_node(name, list_interval_ms, address.await);
+        (node.await, is_refused)
     }
 
     /// Returns whether a process knows of this number of usable engines.
