Work out memory, room and writing time of a model in one place

The memory of a kind, the room of a layer, the tokens of a usual request and the time of a writer were worked out in up to four places each; they are methods of ModelShape now. The bench's fleet files read ModelShape itself in place of two types with the same fields; the kinds stand below the model for that.

--- a/crates/bench/src/chain/chain_engine.rs
+++ b/crates/bench/src/chain/chain_engine.rs
@@ -67,7 +67,7 @@
         let read_ms =
             (shape.chunk_tokens - chunk) / shape.read_per_ms.max(1e-9) * self.kind.read_factor;
         let context = shape.usual_prompt + shape.usual_answer / 2.0;
-        let writer_ms = shape.sequence_ms + shape.context_ms * context / 1_000.0;
+        let writer_ms = shape.writer_ms(context);
         let writers = pass.written.len() as f64;
         let step_ms = (shape.step_ms + writer_ms * writers) * self.kind.step_factor;
         let steps_ms = match pass.written.is_empty() {
--- a/crates/bench/src/chain/fleet_file.rs
+++ b/crates/bench/src/chain/fleet_file.rs
@@ -2,7 +2,6 @@
 
 use dandelionroad_core::chain::BoundDemand;
 use dandelionroad_core::chain::PlacementEngine;
-use dandelionroad_core::relay::AcceleratorKind;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::stream::LayerRange;
 use serde::Deserialize;
@@ -10,8 +9,6 @@
 
 use super::FleetCount;
 use super::FleetError;
-use super::FleetKind;
-use super::FleetModel;
 use super::LoadClass;
 use super::fleet_error::MalformedSnafu;
 use super::fleet_error::UnreadableSnafu;
@@ -20,10 +17,8 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FleetFile {
-    /// The model and the cost of running it.
-    pub model: FleetModel,
-    /// The kinds of accelerators.
-    pub kinds: Vec<FleetKind>,
+    /// The model, the cost of running it and the kinds of accelerators.
+    pub model: ModelShape,
     /// The engines, as counts.
     pub engines: Vec<FleetCount>,
     /// The entries, as counts.
@@ -45,39 +40,16 @@
         toml::from_str(&text).context(MalformedSnafu { path })
     }
 
-    /// Returns the model as the product's decisions take it.
+    /// Returns the model with the mean request of the load as the usual one.
     pub fn shape(&self) -> ModelShape {
         let mean = self.mean_request();
-        let model = &self.model;
-        let mut kinds: Vec<AcceleratorKind> = Vec::new();
-        for kind in &self.kinds {
-            kinds.push(AcceleratorKind {
-                name: kind.name.clone(),
-                memory_mb: kind.memory_mb,
-                step_factor: kind.step_factor,
-                read_factor: kind.read_factor,
-            });
-        }
-        kinds.sort_by(|left, right| left.name.cmp(&right.name));
-        ModelShape {
-            name: "model".to_owned(),
-            layers: model.layers,
-            layer_mb: model.layer_mb,
-            token_bytes: model.token_bytes,
-            slots: model.slots,
-            step_ms: model.step_ms,
-            sequence_ms: model.sequence_ms,
-            context_ms: model.context_ms,
-            read_per_ms: model.read_per_ms,
-            chunk_tokens: model.chunk_tokens,
-            pass_steps: model.pass_steps,
-            load_ms: model.load_ms,
-            activation_bytes: model.activation_bytes,
-            pipe_mbps: model.pipe_mbps,
-            usual_prompt: mean.prompt_tokens,
-            usual_answer: mean.answer_tokens,
-            kinds,
-        }
+        let mut shape = self.model.clone();
+        shape.usual_prompt = mean.prompt_tokens;
+        shape.usual_answer = mean.answer_tokens;
+        shape
+            .kinds
+            .sort_by(|left, right| left.name.cmp(&right.name));
+        shape
     }
 
     /// Returns the engines, `scale` times as many, without layers.
--- a/crates/bench/src/chain/placement_way.rs
+++ b/crates/bench/src/chain/placement_way.rs
@@ -90,7 +90,7 @@
 }
 
 fn most_layers(shape: &ModelShape, engine: &PlacementEngine) -> u16 {
-    let memory_mb = shape.kind(&engine.kind).map_or(0.0, |kind| kind.memory_mb);
+    let memory_mb = shape.memory_mb(&engine.kind);
     // The last layer that fits leaves hardly any room for requests.
     shape.max_layers(memory_mb).saturating_sub(1)
 }
@@ -161,10 +161,7 @@
 fn greedy(shape: &ModelShape, engines: &[PlacementEngine]) -> Vec<PlacementEngine> {
     let mut placed = engines.to_vec();
     let mut order: Vec<usize> = (0..placed.len()).collect();
-    let memory = |index: &usize| {
-        let kind = shape.kind(&engines[*index].kind);
-        kind.map_or(0.0, |kind| kind.memory_mb)
-    };
+    let memory = |index: &usize| shape.memory_mb(&engines[*index].kind);
     order.sort_by(|left, right| memory(right).total_cmp(&memory(left)));
     for index in order {
         let zone = placed[index].zone.clone();
@@ -172,11 +169,9 @@
         let mut room = vec![0.0; usize::from(shape.layers)];
         for engine in placed.iter().filter(|engine| engine.zone == zone) {
             let held = engine.layers.len().max(1);
-            let kind = shape.kind(&engine.kind);
-            let memory_mb = kind.map_or(0.0, |kind| kind.memory_mb);
-            let units = shape.room_units(memory_mb, held) / f64::from(held);
+            let tokens = shape.room_tokens(shape.memory_mb(&engine.kind), held);
             for layer in engine.layers.first..engine.layers.end {
-                room[usize::from(layer)] += units;
+                room[usize::from(layer)] += tokens;
             }
         }
         let sum = |first: &u16| -> f64 {
--- a/crates/core/src/chain/chain_bound.rs
+++ b/crates/core/src/chain/chain_bound.rs
@@ -154,7 +154,7 @@
         let shape = self.shape;
         let layers = f64::from(shape.layers.max(1));
         let context = demand.prompt_tokens + demand.answer_tokens / 2.0;
-        let writer_ms = shape.sequence_ms + shape.context_ms * context / 1_000.0;
+        let writer_ms = shape.writer_ms(context);
         let share = f64::from(held) / layers;
         let pass_ms = demand.gap_ms / (shape.pass_steps * kind.step_factor * share).max(1e-9);
         let by_gap = (pass_ms - shape.step_ms) / writer_ms.max(1e-9);
--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -137,15 +137,14 @@
             let room = self.shape.room_units(kind.memory_mb, held) * ROOM_SHARE;
             let free = (room - entry.units()).max(0.0);
             let room_layers = (free / request.tokens.max(1.0)).min(f64::from(u16::MAX)) as u16;
-            let usual = (self.shape.usual_prompt + self.shape.usual_answer) * f64::from(held);
+            let usual = self.shape.usual_tokens() * f64::from(held);
             if room_layers == 0 || entry.share_left(room, usual) <= 0.0 {
                 continue;
             }
             let used = 1.0 - (free / room.max(1.0)).clamp(0.0, 1.0);
             let writers = f64::from(entry.requests());
-            let writer_ms = self.shape.sequence_ms
-                + self.shape.context_ms * (self.shape.usual_prompt + self.shape.usual_answer / 2.0)
-                    / 1_000.0;
+            let context = self.shape.usual_prompt + self.shape.usual_answer / 2.0;
+            let writer_ms = self.shape.writer_ms(context);
             let full_ms = (self.shape.step_ms + writer_ms * writers) * kind.step_factor;
             let spread = f64::from(mix_seed(request.seed ^ u64::from(entry.tag)) as u32);
             let spread = 1.0 + SPREAD_FACTOR * spread / f64::from(u32::MAX);
--- a/crates/core/src/chain/placement_plan.rs
+++ b/crates/core/src/chain/placement_plan.rs
@@ -170,10 +170,8 @@
 
     /// Returns for how many usual requests an engine has room beside `held` layers.
     fn request_room(&self, engine: &PlacementEngine, held: u16) -> f64 {
-        let tokens = self.shape.usual_prompt + self.shape.usual_answer;
-        let memory = self.memory_mb(&engine.kind);
-        let units = self.shape.room_units(memory, held);
-        units / (tokens * f64::from(held)).max(1e-9)
+        let memory = self.shape.memory_mb(&engine.kind);
+        self.shape.room_tokens(memory, held) / self.shape.usual_tokens().max(1e-9)
     }
 
     /// Returns the number of engines of a zone that hold each layer.
@@ -238,12 +236,11 @@
     /// group make its requests take longer, and a zone with little room has no other for a lost part.
     fn form_groups(&self, engines: &[&PlacementEngine]) -> Vec<PlacementOrder> {
         let weights = f64::from(self.shape.layers) * self.shape.layer_mb;
-        let tokens = self.shape.usual_prompt + self.shape.usual_answer;
-        let request_mb = tokens * self.shape.token_bytes / 1e6;
+        let request_mb = self.shape.usual_tokens() * self.shape.token_bytes / 1e6;
         let wanted = weights + GROUP_REQUESTS * request_mb;
         let least = weights + LEAST_GROUP_REQUESTS * request_mb;
         let full = weights + f64::from(self.shape.slots) * request_mb;
-        let memory = |engine: &PlacementEngine| self.memory_mb(&engine.kind);
+        let memory = |engine: &PlacementEngine| self.shape.memory_mb(&engine.kind);
         let total: f64 = engines.iter().map(|engine| memory(engine)).sum();
         let most = (total / full).floor() as usize;
         let mut counts = (2..=most).rev();
@@ -276,7 +273,7 @@
         count: usize,
         least: f64,
     ) -> Option<Vec<PlacementOrder>> {
-        let memory = |engine: &&PlacementEngine| self.memory_mb(&engine.kind);
+        let memory = |engine: &&PlacementEngine| self.shape.memory_mb(&engine.kind);
         let total: f64 = engines.iter().map(memory).sum();
         let mut groups = vec![Vec::new(); count];
         let mut taken = 0.0;
@@ -308,7 +305,7 @@
             let kind = &engines[index].kind;
             let alike = engines.iter().filter(|engine| engine.kind == *kind);
             let usual = alike.map(|engine| engine.layers.len()).max().unwrap_or(0);
-            let finder = RangeFinder::new(self.shape, &room, self.memory_mb(kind));
+            let finder = RangeFinder::new(self.shape, &room, self.shape.memory_mb(kind));
             let Some(layers) = finder.find(usual) else {
                 continue;
             };
@@ -328,8 +325,8 @@
         let is_alone = !engines.iter().any(|engine| holds(&engine));
         for engine in engines.iter().filter(|engine| is_alone || holds(engine)) {
             let held = engine.layers.len().max(1);
-            let memory = self.memory_mb(&engine.kind);
-            let tokens = self.shape.room_units(memory, held) / f64::from(held);
+            let memory = self.shape.memory_mb(&engine.kind);
+            let tokens = self.shape.room_tokens(memory, held);
             for layer in engine.layers.first..engine.layers.end.min(self.shape.layers) {
                 room[usize::from(layer)] += tokens;
             }
@@ -337,10 +334,6 @@
         room
     }
 
-    fn memory_mb(&self, kind: &str) -> f64 {
-        self.shape.kind(kind).map_or(0.0, |kind| kind.memory_mb)
-    }
-
     fn step_factor(&self, engine: &PlacementEngine) -> f64 {
         let kind = self.shape.kind(&engine.kind);
         kind.map_or(f64::MAX, |kind| kind.step_factor)
--- a/crates/core/src/relay/accelerator_kind.rs
+++ b/crates/core/src/relay/accelerator_kind.rs
@@ -1,5 +1,8 @@
+use serde::Deserialize;
+
 /// The memory and speed of one kind of accelerator.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
 pub struct AcceleratorKind {
     /// The name of the kind.
     pub name: String,
--- a/crates/core/src/relay/model_shape.rs
+++ b/crates/core/src/relay/model_shape.rs
@@ -1,11 +1,15 @@
+use serde::Deserialize;
+
 use super::AcceleratorKind;
 
 /// The model that the engines of a service run together, and the cost of running it.
 ///
 /// Times are those of an accelerator with both factors at 1 that holds all layers.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
 pub struct ModelShape {
     /// The name of the model.
+    #[serde(default)]
     pub name: String,
     /// The number of layers.
     pub layers: u16,
@@ -34,8 +38,10 @@
     /// The rate that all transfers between two availability zones share, in megabits a second.
     pub pipe_mbps: f64,
     /// The mean number of prompt tokens of a request.
+    #[serde(default)]
     pub usual_prompt: f64,
     /// The mean number of output tokens of a request.
+    #[serde(default)]
     pub usual_answer: f64,
     /// The kinds of accelerators, sorted by name.
     pub kinds: Vec<AcceleratorKind>,
@@ -50,6 +56,22 @@
         index.ok().map(|index| &self.kinds[index])
     }
 
+    /// Returns the memory of a kind of accelerator, in megabytes; 0 for an unknown kind.
+    pub fn memory_mb(&self, kind: &str) -> f64 {
+        self.kind(kind).map_or(0.0, |kind| kind.memory_mb)
+    }
+
+    /// Returns the tokens of context of a usual request at its end.
+    pub fn usual_tokens(&self) -> f64 {
+        self.usual_prompt + self.usual_answer
+    }
+
+    /// Returns the time that a writing request with `context` tokens adds to a token step, in
+    /// milliseconds.
+    pub fn writer_ms(&self, context: f64) -> f64 {
+        self.sequence_ms + self.context_ms * context / 1_000.0
+    }
+
     /// Returns the tokens that may cross from one availability zone to another in a second.
     pub fn pipe_tokens(&self) -> f64 {
         self.pipe_mbps * 1e6 / 8.0 / self.activation_bytes.max(1.0)
@@ -61,6 +83,11 @@
         (count.max(0.0) as u16).min(self.layers)
     }
 
+    /// Returns for how many tokens `held` layers leave memory at each of them.
+    pub fn room_tokens(&self, memory_mb: f64, held: u16) -> f64 {
+        self.room_units(memory_mb, held) / f64::from(held.max(1))
+    }
+
     /// Returns the memory that `held` layers leave for requests, in tokens times layers.
     pub fn room_units(&self, memory_mb: f64, held: u16) -> f64 {
         let free_mb = memory_mb - f64::from(held) * self.layer_mb;
--- a/crates/core/tests/chain_refill.rs
+++ b/crates/core/tests/chain_refill.rs
@@ -17,10 +17,10 @@
 fn least_room(shape: &ModelShape, engines: &[PlacementEngine], zone: &str) -> f64 {
     let mut room = vec![0.0; usize::from(shape.layers)];
     for engine in engines.iter().filter(|engine| engine.zone == zone) {
-        let memory = shape.kind(&engine.kind).unwrap().memory_mb;
+        let memory = shape.memory_mb(&engine.kind);
         let held = engine.layers.len().max(1);
         for layer in engine.layers.first..engine.layers.end {
-            room[usize::from(layer)] += shape.room_units(memory, held) / f64::from(held);
+            room[usize::from(layer)] += shape.room_tokens(memory, held);
         }
     }
     room.into_iter().fold(f64::INFINITY, f64::min)
