Accept connections and answer internal calls in one place

The servers of readiness and of metrics had the same loops, and both spun when no connection could be accepted, where the callers' one pauses for 50 ms; all three share accept_stream now, and the first two serve_answers. The pause is the one difference in behaviour.

--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -13,15 +13,11 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 
+use crate::internal_server::accept_stream;
 use crate::node::NodeState;
 
 use super::request_handler::handle;
 
-/// The pause after a connection could not be accepted, in milliseconds.
-///
-/// The usual cause is that all descriptors are in use, which takes requests to end.
-const ACCEPT_PAUSE_MS: u64 = 50;
-
 /// The least buffer that the HTTP library accepts, in bytes.
 const LEAST_BUFFER: usize = 8_192;
 
@@ -45,22 +41,15 @@
         let ended = Rc::clone(&server.ended);
         spawn_local(async move {
             loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        open.set(open.get() + 1);
-                        let (open, ended) = (Rc::clone(&open), Rc::clone(&ended));
-                        let connection = serve(Rc::clone(&state), stream, closed.clone());
-                        spawn_local(async move {
-                            connection.await;
-                            open.set(open.get() - 1);
-                            ended.notify_one();
-                        });
-                    }
-                    Err(error) => {
-                        spdlog::warn!("callers: can't accept: {error}");
-                        tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
-                    }
-                }
+                let stream = accept_stream(&listener, "callers").await;
+                open.set(open.get() + 1);
+                let (open, ended) = (Rc::clone(&open), Rc::clone(&ended));
+                let connection = serve(Rc::clone(&state), stream, closed.clone());
+                spawn_local(async move {
+                    connection.await;
+                    open.set(open.get() - 1);
+                    ended.notify_one();
+                });
             }
         });
         server
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod engine;
 pub mod ingress;
+mod internal_server;
 pub mod node;
 pub mod order;
 pub mod peer;
--- a/crates/relay/src/telemetry/metrics_server.rs
+++ b/crates/relay/src/telemetry/metrics_server.rs
@@ -1,42 +1,18 @@
-use std::convert::Infallible;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
 
+use crate::internal_server::serve_answers;
 use crate::node::NodeState;
 
 /// Serves metrics to scrapers and copies of rows to other processes, until the process ends.
 pub async fn serve_metrics(state: Rc<NodeState>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                spdlog::warn!("metrics: can't accept: {error}");
-                continue;
-            }
-        };
-        let state = Rc::clone(&state);
-        spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let state = Rc::clone(&state);
-                async move { Ok::<_, Infallible>(answer(&state, request.uri().path())) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                spdlog::debug!("metrics: connection ended: {error}");
-            }
-        });
-    }
+    let answer = move |request: &hyper::Request<_>| answer(&state, request.uri().path());
+    serve_answers(listener, "metrics", answer).await;
 }
 
 fn answer(state: &NodeState, path: &str) -> Response<Full<Bytes>> {
