Share what model requests and plain ones do alike

Taking a retry from the budget, the kind of a refusal without an answer, and an engine's answer as the caller gets it stood twice, once for each kind of request. The names of the ends of attempts belong to AttemptEnd. No change of behaviour.

--- a/crates/core/src/relay/attempt_end.rs
+++ b/crates/core/src/relay/attempt_end.rs
@@ -10,3 +10,15 @@
     /// The connection broke, the answer was not whole or none came in time; it may have run.
     Broken,
 }
+
+impl AttemptEnd {
+    /// Returns the end as it appears in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            AttemptEnd::NotSent => "not sent",
+            AttemptEnd::Rejected => "rejected",
+            AttemptEnd::Failed => "failed",
+            AttemptEnd::Broken => "broken",
+        }
+    }
+}
--- a/crates/relay/src/ingress/caller_body.rs
+++ b/crates/relay/src/ingress/caller_body.rs
@@ -4,16 +4,32 @@
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::Response;
 use hyper::body::Frame;
+use hyper::http::response::Parts;
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::node::NodeState;
+
 /// The body of an answer to a caller; an error cuts the connection, so that the answer looks cut.
 pub(super) type CallerBody = UnsyncBoxBody<Bytes, std::io::Error>;
 
 /// Pieces of a stream that wait for a caller who reads slowly.
 const QUEUED_PIECES: usize = 16;
 
+/// Returns an engine's answer as the caller gets it.
+pub(super) fn caller_response(
+    state: &NodeState,
+    parts: &Parts,
+    body: CallerBody,
+) -> Response<CallerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = state.format.caller_headers(&parts.headers);
+    response
+}
+
 /// Returns a body of known bytes.
 pub(super) fn full_body(bytes: Bytes) -> CallerBody {
     Full::new(bytes)
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -19,6 +19,7 @@
 use crate::wire::RefusalKind;
 
 use super::caller_body::CallerBody;
+use super::caller_body::caller_response;
 use super::caller_body::full_body;
 use super::engine_reply::EngineReply;
 use super::relay_request::RelayRequest;
@@ -57,7 +58,8 @@
         if !may_go_on || !plan.may_send() {
             break;
         }
-        if !takes_retry(&state, &plan) {
+        let is_repeat = plan.sends() > 0 && !plan.is_last_unsent();
+        if is_repeat && !state.take_retry("plain") {
             log.failed("no retry left");
             break;
         }
@@ -89,7 +91,7 @@
             }
             PlainEnd::Lost(end) => {
                 plan.end(end);
-                log.failed(lost_text(end));
+                log.failed(end.as_str());
                 let now = state.clock.now();
                 state.view.borrow_mut().engines.fail(&id, now);
             }
@@ -99,26 +101,11 @@
         log.end("failed");
         return response;
     }
-    let kind = match plan.may_have_run() {
-        false => RefusalKind::NoEngine,
-        true if state.clock.now() >= relay.deadline => RefusalKind::TimedOut,
-        true => RefusalKind::LostAnswer,
-    };
+    let is_late = state.clock.now() >= relay.deadline;
+    let kind = RefusalKind::unanswered(plan.may_have_run(), is_late);
     end_refused(&state, &mut log, &relay.caller.id, kind)
 }
 
-/// Takes a retry from the budget, if this would be one.
-fn takes_retry(state: &NodeState, plan: &AttemptPlan) -> bool {
-    if plan.sends() == 0 || plan.is_last_unsent() {
-        return true;
-    }
-    let is_allowed = state.view.borrow_mut().retries.try_retry();
-    state
-        .metrics
-        .count_retry(if is_allowed { "plain" } else { "budget" });
-    is_allowed
-}
-
 fn pick(
     state: &NodeState,
     relay: &RelayRequest,
@@ -188,21 +175,9 @@
         Ok(body) => body.to_bytes(),
         Err(_) => return PlainEnd::Lost(AttemptEnd::Broken),
     };
-    let mut answer = Response::new(full_body(body));
-    *answer.status_mut() = parts.status;
-    *answer.headers_mut() = state.format.caller_headers(&parts.headers);
+    let answer = caller_response(state, &parts, full_body(body));
     match reply {
         EngineReply::Failed => PlainEnd::Failed(answer),
         _ => PlainEnd::Answered(answer),
     }
 }
-
-/// Returns the text of an end in logs.
-pub(super) fn lost_text(end: AttemptEnd) -> &'static str {
-    match end {
-        AttemptEnd::NotSent => "not sent",
-        AttemptEnd::Rejected => "rejected",
-        AttemptEnd::Failed => "failed",
-        AttemptEnd::Broken => "broken",
-    }
-}
--- a/crates/relay/src/ingress/stream_driver.rs
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -5,9 +5,9 @@
 
 use crate::node::NodeState;
 use crate::telemetry::RequestLog;
-use crate::wire::RefusalKind;
 
 use super::caller_body::CallerBody;
+use super::caller_body::caller_response;
 use super::caller_body::full_body;
 use super::caller_body::piece_body;
 use super::refusal::refuse;
@@ -26,9 +26,7 @@
     match stream.open(&mut log).await {
         StreamOpened::Streaming(parts) => {
             let (sender, body) = piece_body();
-            let mut response = Response::new(body);
-            *response.status_mut() = parts.status;
-            *response.headers_mut() = state.format.caller_headers(&parts.headers);
+            let response = caller_response(&state, &parts, body);
             spawn_local(async move {
                 tokio::select! {
                     () = stream.run(&sender, &mut log) => {}
@@ -40,10 +38,7 @@
         }
         StreamOpened::Answered(parts, body) => {
             log.end("failed");
-            let mut response = Response::new(full_body(body));
-            *response.status_mut() = parts.status;
-            *response.headers_mut() = state.format.caller_headers(&parts.headers);
-            response
+            caller_response(&state, &parts, full_body(body))
         }
         StreamOpened::Refused(kind, retry_ms) => {
             let id = stream.request_id().to_owned();
@@ -52,12 +47,3 @@
         }
     }
 }
-
-/// Returns how a model request ends that got no answer.
-pub(super) fn refusal_kind(may_have_run: bool, is_late: bool) -> RefusalKind {
-    match (may_have_run, is_late) {
-        (false, _) => RefusalKind::NoEngine,
-        (true, true) => RefusalKind::TimedOut,
-        (true, false) => RefusalKind::LostAnswer,
-    }
-}
--- a/crates/relay/src/ingress/stream_relay/choice.rs
+++ b/crates/relay/src/ingress/stream_relay/choice.rs
@@ -93,10 +93,7 @@
         if std::mem::take(&mut self.has_retry) {
             return true;
         }
-        let is_allowed = self.state.view.borrow_mut().retries.try_retry();
-        let cause = if is_allowed { "stream" } else { "budget" };
-        self.state.metrics.count_retry(cause);
-        is_allowed
+        self.state.take_retry("stream")
     }
 
     /// Returns whether a stalled run should be given up, because another chain can take over.
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -29,9 +29,7 @@
 use crate::wire::RefusalKind;
 
 use super::engine_reply::EngineReply;
-use super::plain_driver::lost_text;
 use super::relay_request::RelayRequest;
-use super::stream_driver::refusal_kind;
 use super::stream_opened::StreamOpened;
 
 use self::stall_waits::StallWaits;
@@ -119,7 +117,7 @@
                 }
                 Err(end) => {
                     self.plan.end(end);
-                    log.failed(lost_text(end));
+                    log.failed(end.as_str());
                 }
             }
         }
@@ -127,7 +125,7 @@
             return answered;
         }
         let is_late = self.state.clock.now() >= self.relay.deadline;
-        let kind = refusal_kind(self.plan.may_have_run(), is_late);
+        let kind = RefusalKind::unanswered(self.plan.may_have_run(), is_late);
         match retry_after_ms {
             Some(_) if kind == RefusalKind::NoEngine => {
                 StreamOpened::Refused(RefusalKind::Overloaded, retry_after_ms)
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -90,6 +90,15 @@
             room: Notify::new(),
         })
     }
+
+    /// Takes a repeated send from the budget, which is counted by its cause; returns false if none is
+    /// left.
+    pub fn take_retry(&self, cause: &str) -> bool {
+        let is_allowed = self.view.borrow_mut().retries.try_retry();
+        let cause = if is_allowed { cause } else { "budget" };
+        self.metrics.count_retry(cause);
+        is_allowed
+    }
 }
 
 /// Returns a number that no earlier run of the process had: the time of day alone may be set back.
--- a/crates/relay/src/wire/refusal_kind.rs
+++ b/crates/relay/src/wire/refusal_kind.rs
@@ -24,6 +24,15 @@
 }
 
 impl RefusalKind {
+    /// Returns how a request is refused that got no answer.
+    pub const fn unanswered(may_have_run: bool, is_late: bool) -> RefusalKind {
+        match (may_have_run, is_late) {
+            (false, _) => RefusalKind::NoEngine,
+            (true, true) => RefusalKind::TimedOut,
+            (true, false) => RefusalKind::LostAnswer,
+        }
+    }
+
     /// Returns the reason as it appears in logs, metrics and answers.
     pub const fn as_str(self) -> &'static str {
         match self {
