Leave out work that is done twice on the way of a request and in each round of reports

- While a request waits, each wake worked out the text of the shortage and dropped it; it is worked out once.
- Where no chain may cross zones, the search within a zone that had failed was run again.
- The loads told to some 30 processes were encoded once for each of them.
- The list copied within a zone was decoded once for its digest and once to be taken.
No change of behaviour.

--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -1,3 +1,5 @@
+use std::borrow::Borrow;
+
 use crate::route::hash_text;
 use crate::time::MilliTime;
 
@@ -100,8 +102,9 @@
     }
 
     /// Returns the digest that a listing would have.
-    pub fn digest_of(records: Vec<EngineRecord>) -> u64 {
-        listing_digest(&in_order(records))
+    pub fn digest_of(records: &[EngineRecord]) -> u64 {
+        let records: Vec<&EngineRecord> = in_order(records.iter().collect());
+        listing_digest(records.into_iter())
     }
 
     /// Replaces the listing; returns the identifiers that were added and those that were removed.
@@ -111,7 +114,7 @@
         now: MilliTime,
     ) -> (Vec<String>, Vec<String>) {
         let records = in_order(records);
-        self.digest = listing_digest(&records);
+        self.digest = listing_digest(records.iter());
         let mut old = std::mem::take(&mut self.entries);
         let mut added = Vec::new();
         for record in records {
@@ -366,15 +369,15 @@
 }
 
 /// Returns the records sorted by identifier, each of these once.
-fn in_order(mut records: Vec<EngineRecord>) -> Vec<EngineRecord> {
-    records.sort_by(|left, right| left.id.cmp(&right.id));
-    records.dedup_by(|left, right| left.id == right.id);
+fn in_order<R: Borrow<EngineRecord>>(mut records: Vec<R>) -> Vec<R> {
+    records.sort_by(|left, right| left.borrow().id.cmp(&right.borrow().id));
+    records.dedup_by(|left, right| (*left).borrow().id == (*right).borrow().id);
     records
 }
 
 /// Returns a digest of sorted records.
-fn listing_digest(records: &[EngineRecord]) -> u64 {
-    records.iter().fold(0, |digest, record| {
+fn listing_digest<'r>(records: impl Iterator<Item = &'r EngineRecord>) -> u64 {
+    records.fold(0, |digest, record| {
         let layers = record.layers;
         let text = format!(
             "{} {} {} {} {} {} {:?} {}-{} {}",
--- a/crates/relay/src/ingress/stream_relay/choice.rs
+++ b/crates/relay/src/ingress/stream_relay/choice.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
 use dandelionroad_core::chain::ZoneShortage;
+use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::route::hash_text;
 
 use crate::telemetry::RequestLog;
@@ -49,8 +50,8 @@
         let is_first = has_run || self.state.waiting.borrow().is_empty();
         let shortage = match is_first {
             true => match self.find_chain() {
-                Ok(chain) => return Ok(chain),
-                Err(shortage) => shortage,
+                Some(chain) => return Ok(chain),
+                None => self.shortage(),
             },
             false => "others wait".to_owned(),
         };
@@ -64,7 +65,7 @@
         let until = until.min(self.relay.deadline);
         // All requests without an account take turns as one.
         let account = self.relay.account.map_or(0, |index| index as u64 + 1);
-        let found = wait_for_room(&state, priority, account, until, || self.find_chain().ok());
+        let found = wait_for_room(&state, priority, account, until, || self.find_chain());
         let found = found.await;
         log.waited(state.clock.now().since(begun));
         found.map_err(|retry_ms| {
@@ -105,7 +106,7 @@
         let known = self.excluded.len();
         self.excluded
             .extend(parts.iter().map(|part| part.id.clone()));
-        let may_move = self.find_chain().is_ok() && self.take_retry();
+        let may_move = self.find_chain().is_some() && self.take_retry();
         if may_move {
             self.has_retry = true;
         } else {
@@ -115,40 +116,45 @@
     }
 
     /// Finds a chain within a zone, or one that crosses zones if the rate between them allows it.
-    ///
-    /// # Errors
-    ///
-    /// Returns what each availability zone lacks.
-    pub(super) fn find_chain(&self) -> Result<FoundChain, String> {
+    fn find_chain(&self) -> Option<FoundChain> {
+        let shape = self.relay.service().model.as_ref()?;
+        let service = &self.relay.service().name;
+        let mut view = self.state.view.borrow_mut();
+        let mut request = self.finder_request(shape);
+        let near = ChainFinder::new(&view.engines, service, shape).find(&request);
+        if near.is_some() {
+            return near;
+        }
+        let processes = view.processes;
+        request.may_cross = view.crossings.is_open(shape, processes, request.now);
+        if !request.may_cross {
+            return None;
+        }
+        let chain = ChainFinder::new(&view.engines, service, shape).find(&request)?;
+        view.crossings.take(request.tokens, chain.crossings);
+        Some(chain)
+    }
+
+    /// Returns what each availability zone lacks for a chain, as it appears in logs.
+    fn shortage(&self) -> String {
         let Some(shape) = self.relay.service().model.as_ref() else {
-            return Err("no model".to_owned());
+            return "no model".to_owned();
         };
-        let now = self.state.clock.now();
-        let mut view = self.state.view.borrow_mut();
-        let tokens = self.relay.caller.size.reserved_tokens(shape.usual_answer);
-        let mut request = FinderRequest {
-            tokens,
+        let view = self.state.view.borrow();
+        let finder = ChainFinder::new(&view.engines, &self.relay.service().name, shape);
+        shortage_text(&finder.shortages(&self.finder_request(shape)))
+    }
+
+    fn finder_request(&self, shape: &ModelShape) -> FinderRequest<'_> {
+        FinderRequest {
+            tokens: self.relay.caller.size.reserved_tokens(shape.usual_answer),
             zone: &self.state.settings.zone,
             excluded: &self.excluded,
             may_cross: false,
             most_wait_ms: self.relay.route().target_ms as f64 / CHAIN_WAIT_DIVISOR,
             seed: hash_text(self.state.run, &self.relay.caller.id),
-            now,
-        };
-        let service = &self.relay.service().name;
-        let near = ChainFinder::new(&view.engines, service, shape).find(&request);
-        if let Some(chain) = near {
-            return Ok(chain);
+            now: self.state.clock.now(),
         }
-        let processes = view.processes;
-        request.may_cross = view.crossings.is_open(shape, processes, now);
-        let finder = ChainFinder::new(&view.engines, service, shape);
-        let far = finder.find(&request).filter(|_| request.may_cross);
-        let Some(chain) = far else {
-            return Err(shortage_text(&finder.shortages(&request)));
-        };
-        view.crossings.take(tokens, chain.crossings);
-        Ok(chain)
     }
 }
 
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -90,8 +90,10 @@
                 peers.near_addresses(&state.settings.zone, now)
             }
         };
-        for address in addresses {
-            send(socket, address, &message).await;
+        if let Some(bytes) = encode(&message) {
+            for address in addresses {
+                send(socket, address, &bytes).await;
+            }
         }
     }
 }
@@ -119,20 +121,22 @@
                 listing,
                 listing_stamp,
             });
-            send(socket, address, &message).await;
+            if let Some(bytes) = encode(&message) {
+                send(socket, address, &bytes).await;
+            }
         }
     }
 }
 
-async fn send(socket: &UdpSocket, address: SocketAddr, message: &PeerDatagram) {
-    let bytes = match message.encode() {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            spdlog::warn!("peers: message not written: {error}");
-            return;
-        }
-    };
-    if let Err(error) = socket.send_to(&bytes, address).await {
+fn encode(message: &PeerDatagram) -> Option<Vec<u8>> {
+    let bytes = message.encode();
+    bytes
+        .inspect_err(|error| spdlog::warn!("peers: message not written: {error}"))
+        .ok()
+}
+
+async fn send(socket: &UdpSocket, address: SocketAddr, bytes: &[u8]) {
+    if let Err(error) = socket.send_to(bytes, address).await {
         spdlog::debug!("peers: can't send to {address}: {error}");
     }
 }
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -121,9 +121,7 @@
 /// Adopts the changed configuration from the process that reads the store for the availability zone.
 async fn take_copy(state: &NodeState) -> bool {
     let take = |rows: &[StoreRow]| {
-        if let Err(error) = adopt_rows(state, rows) {
-            spdlog::warn!("config: copy left out: {error}");
-        }
+        adopt_copied(state, rows);
         let view = state.view.borrow();
         let held = view.config.as_ref().map_or(0, |config| config.version);
         held >= state.newest_config.get()
@@ -133,10 +131,13 @@
 
 /// Adopts a newer configuration from another process; only its confirmations make it fresh.
 async fn adopt_copy(state: &NodeState) {
-    let Some(rows) = fetch_rows(state, StoreTable::Config).await else {
-        return;
-    };
-    if let Err(error) = adopt_rows(state, &rows) {
+    if let Some(rows) = fetch_rows(state, StoreTable::Config).await {
+        adopt_copied(state, &rows);
+    }
+}
+
+fn adopt_copied(state: &NodeState, rows: &[StoreRow]) {
+    if let Err(error) = adopt_rows(state, rows) {
         spdlog::warn!("config: copy left out: {error}");
     }
 }
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -82,9 +82,10 @@
         return false;
     }
     let take = |rows: &[StoreRow]| {
-        let is_newest = listing_digest_of(state, rows) == state.newest_listing.get();
+        let records = decode_records(state, rows);
+        let is_newest = EngineTable::digest_of(&records) == state.newest_listing.get();
         if is_newest {
-            take_listing(state, rows);
+            take_records(state, rows, records);
         }
         is_newest
     };
@@ -112,10 +113,6 @@
     }
 }
 
-fn listing_digest_of(state: &NodeState, rows: &[StoreRow]) -> u64 {
-    EngineTable::digest_of(decode_records(state, rows))
-}
-
 fn decode_records(state: &NodeState, rows: &[StoreRow]) -> Vec<EngineRecord> {
     let mut records = Vec::new();
     for row in rows {
@@ -130,7 +127,10 @@
 }
 
 fn take_listing(state: &NodeState, rows: &[StoreRow]) {
-    let records = decode_records(state, rows);
+    take_records(state, rows, decode_records(state, rows));
+}
+
+fn take_records(state: &NodeState, rows: &[StoreRow], records: Vec<EngineRecord>) {
     let now = state.clock.now();
     let mut view = state.view.borrow_mut();
     let before: Vec<(String, bool)> = view
