Take a process's own loads from the table of engines, and start test worlds in one place

The loads that are told to others were gathered in the product, in the bench and in a test; the tests of several processes started them alike, and those of placement built the same request twice. The processes that reach the store are one method of PeerTable.

--- a/crates/bench/src/chain/chain_entry.rs
+++ b/crates/bench/src/chain/chain_entry.rs
@@ -21,15 +21,7 @@
 impl ChainEntry {
     /// Takes the report of its own loads for this round.
     pub(super) fn tell(&mut self) {
-        let busy = self.table.entries().iter();
-        let busy = busy.filter(|entry| entry.own_requests > 0);
-        let load = |entry: &dandelionroad_core::relay::EngineEntry| SharedLoad {
-            tag: entry.tag,
-            requests: entry.own_requests,
-            units: entry.own_units,
-            reading: entry.own_reading,
-        };
-        self.near_report = busy.map(load).collect();
+        self.near_report = self.table.own_loads();
         if self.rounds.is_multiple_of(4) {
             self.far_report = self.near_report.clone();
         }
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -331,6 +331,18 @@
         }
     }
 
+    /// Returns what this process runs, for the others.
+    pub fn own_loads(&self) -> Vec<SharedLoad> {
+        let busy = self.entries.iter().filter(|entry| entry.own_requests > 0);
+        let load = |entry: &EngineEntry| SharedLoad {
+            tag: entry.tag,
+            requests: entry.own_requests,
+            units: entry.own_units,
+            reading: entry.own_reading,
+        };
+        busy.map(load).collect()
+    }
+
     /// Replaces what other processes run, by the engines' tags.
     pub fn set_peer_loads(&mut self, loads: &[SharedLoad]) {
         for entry in &mut self.entries {
--- a/crates/core/tests/chain_placement.rs
+++ b/crates/core/tests/chain_placement.rs
@@ -33,9 +33,8 @@
     table(records.collect())
 }
 
-/// Returns whether a request of 1,000 tokens finds a chain.
-fn serves(table: &EngineTable, zone: &str) -> bool {
-    let request = FinderRequest {
+fn request(zone: &str) -> FinderRequest<'_> {
+    FinderRequest {
         tokens: 1_000.0,
         zone,
         excluded: &[],
@@ -43,9 +42,13 @@
         most_wait_ms: f64::MAX,
         seed: 0,
         now: NOW,
-    };
+    }
+}
+
+/// Returns whether a request of 1,000 tokens finds a chain.
+fn serves(table: &EngineTable, zone: &str) -> bool {
     ChainFinder::new(table, SERVICE, &shape())
-        .find(&request)
+        .find(&request(zone))
         .is_some()
 }
 
@@ -58,16 +61,7 @@
     let mut table = listing(engines);
     let mut count = 0;
     loop {
-        let request = FinderRequest {
-            tokens: 1_000.0,
-            zone,
-            excluded: &[],
-            may_cross: true,
-            most_wait_ms: f64::MAX,
-            seed: 0,
-            now: NOW,
-        };
-        let Some(chain) = ChainFinder::new(&table, SERVICE, shape).find(&request) else {
+        let Some(chain) = ChainFinder::new(&table, SERVICE, shape).find(&request(zone)) else {
             return count;
         };
         for part in &chain.parts {
--- a/crates/core/tests/room_division.rs
+++ b/crates/core/tests/room_division.rs
@@ -7,7 +7,6 @@
 use dandelionroad_core::chain::FoundChain;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::ModelShape;
-use dandelionroad_core::relay::SharedLoad;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
 use rand::Rng;
@@ -87,13 +86,9 @@
     fn report(&mut self, process: usize, draw: f64) {
         let mut loads = Vec::new();
         for (number, table) in self.tables.iter().enumerate() {
-            let busy = table.entries().iter().filter(|_| number != process);
-            loads.extend(busy.map(|entry| SharedLoad {
-                tag: entry.tag,
-                requests: entry.own_requests,
-                units: entry.own_units,
-                reading: 0.0,
-            }));
+            if number != process {
+                loads.extend(table.own_loads());
+            }
         }
         let table = &mut self.tables[process];
         table.set_peer_loads(&loads);
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -86,7 +86,7 @@
     /// Returns the addresses of the processes of a zone, of those whose zone is not known yet, and of
     /// the one that reads the store for the others.
     pub fn near_addresses(&self, zone: &str, now: MilliTime) -> Vec<SocketAddr> {
-        let mut reaching = self.live_peers(now).filter(|peer| peer.reaches_store);
+        let mut reaching = self.reaching_peers(now);
         let reader = reaching.next().map(|peer| peer.address);
         let is_near =
             |peer: &&PeerState| peer.zone == zone || !peer.is_heard || Some(peer.address) == reader;
@@ -96,7 +96,7 @@
 
     /// Returns where the process that reads the store for the others serves copies of rows.
     pub fn reader(&self, now: MilliTime) -> Option<SocketAddr> {
-        let mut reaching = self.live_peers(now).filter(|peer| peer.reaches_store);
+        let mut reaching = self.reaching_peers(now);
         reaching.next()?.internal
     }
 
@@ -114,10 +114,9 @@
     /// Returns where the process serves copies of rows that reads the store for an availability zone;
     /// none if that is the process at `own`.
     pub fn zone_reader(&self, zone: &str, own: SocketAddr, now: MilliTime) -> Option<SocketAddr> {
-        let mut reaching = self
-            .live_peers(now)
-            .filter(|peer| peer.reaches_store && peer.zone == zone && peer.address < own);
-        reaching.next()?.internal
+        let mut reaching = self.reaching_peers(now);
+        let reader = reaching.find(|peer| peer.zone == zone && peer.address < own);
+        reader?.internal
     }
 
     /// Returns the number of processes of an availability zone that were heard of lately.
@@ -161,9 +160,7 @@
 
     /// Returns whether no live process that reaches the store has a lower address than `own`.
     pub fn is_first(&self, own: SocketAddr, now: MilliTime) -> bool {
-        !self
-            .live_peers(now)
-            .any(|peer| peer.reaches_store && peer.address < own)
+        !self.reaching_peers(now).any(|peer| peer.address < own)
     }
 
     /// Returns the loads of the live processes.
@@ -192,6 +189,10 @@
         self.peers.iter().filter(is_live)
     }
 
+    fn reaching_peers(&self, now: MilliTime) -> impl Iterator<Item = &PeerState> {
+        self.live_peers(now).filter(|peer| peer.reaches_store)
+    }
+
     fn entry(&mut self, address: SocketAddr, now: MilliTime) -> &mut PeerState {
         let index = match self
             .peers
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::relay::SharedLoad;
 use dandelionroad_core::route::mix_seed;
 use dandelionroad_core::time::MilliTime;
 use serde::Deserialize;
@@ -272,17 +273,12 @@
 }
 
 fn own_loads(state: &NodeState) -> Vec<PeerLoad> {
-    let view = state.view.borrow();
-    let busy = view
-        .engines
-        .entries()
-        .iter()
-        .filter(|entry| entry.own_requests > 0);
-    let load = |entry: &dandelionroad_core::relay::EngineEntry| PeerLoad {
-        engine: entry.tag,
-        requests: entry.own_requests,
-        units: entry.own_units as u64,
-        reading: entry.own_reading as u32,
+    let loads = state.view.borrow().engines.own_loads();
+    let load = |load: SharedLoad| PeerLoad {
+        engine: load.tag,
+        requests: load.requests,
+        units: load.units as u64,
+        reading: load.reading as u32,
     };
-    busy.map(load).collect()
+    loads.into_iter().map(load).collect()
 }
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dandelionroad_relay::node::RunningNode;
 use dandelionroad_relay::peer::ConfirmMessage;
 use dandelionroad_relay::peer::PeerDatagram;
 use tokio::net::UdpSocket;
@@ -168,6 +169,17 @@
     });
 }
 
+/// Starts six processes that know of each other.
+async fn six_nodes(world: &World) -> Vec<RunningNode> {
+    let mut nodes = Vec::new();
+    for index in 0..6 {
+        nodes.push(world.node_at_interval(&format!("n{index}"), 660).await);
+    }
+    // The processes learn of each other through the store first.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    nodes
+}
+
 /// The time in which an endpoint that has left must be forgotten: the shortest of the users' sites.
 const DRAINED: Duration = Duration::from_millis(2_000);
 
@@ -177,12 +189,7 @@
     run(async {
         let world = World::start().await;
         let _engine = world.plain("p1").await;
-        let mut nodes = Vec::new();
-        for index in 0..6 {
-            nodes.push(world.node_at_interval(&format!("n{index}"), 660).await);
-        }
-        // The processes learn of each other through the store first.
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let _nodes = six_nodes(&world).await;
         let before = world.store.listing_reads.get();
         tokio::time::sleep(Duration::from_millis(4_000)).await;
         let reads = world.store.listing_reads.get() - before;
@@ -198,11 +205,7 @@
     run(async {
         let world = World::start().await;
         let _engine = world.plain("p1").await;
-        let mut nodes = Vec::new();
-        for index in 0..6 {
-            nodes.push(world.node_at_interval(&format!("n{index}"), 660).await);
-        }
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let nodes = six_nodes(&world).await;
         let before = world.store.listing_reads.get();
         for change in 0..4 {
             let id = format!("q{change}");
