--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -1,11 +1,10 @@
-use std::borrow::Borrow;
-
-use crate::route::hash_text;
 use crate::time::MilliTime;
 
 use super::EngineEntry;
 use super::EngineRecord;
 use super::SharedLoad;
+use super::engine_listing::in_order;
+use super::engine_listing::listing_digest;
 
 /// How long an engine is avoided after one failure, in milliseconds.
 ///
@@ -379,31 +378,3 @@
             .binary_search_by(|entry| entry.record.id.as_str().cmp(id))
     }
 }
-
-/// Returns the records sorted by identifier, each of these once.
-fn in_order<R: Borrow<EngineRecord>>(mut records: Vec<R>) -> Vec<R> {
-    records.sort_by(|left, right| left.borrow().id.cmp(&right.borrow().id));
-    records.dedup_by(|left, right| (*left).borrow().id == (*right).borrow().id);
-    records
-}
-
-/// Returns a digest of sorted records.
-fn listing_digest<'r>(records: impl Iterator<Item = &'r EngineRecord>) -> u64 {
-    records.fold(0, |digest, record| {
-        let layers = record.layers;
-        let text = format!(
-            "{} {} {} {} {} {} {:?} {}-{} {}",
-            record.id,
-            record.service,
-            record.address,
-            record.zone,
-            record.is_draining,
-            record.slots,
-            record.kind,
-            layers.first,
-            layers.end,
-            record.started_ms,
-        );
-        hash_text(digest, &text)
-    })
-}
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod caller_limits;
 mod config_age;
 mod engine_entry;
+mod engine_listing;
 mod engine_record;
 mod engine_table;
 mod event_splitter;
