Refuse requests that crashed two engines in the relay

A run that broke off before its first event counts as a crash if an engine of it is lost within 6 s: refuses connections, is listed no more, or was started again. Processes tell each other at once; at two crashes the request is refused, not run, without retry-after. Ruled out as a sign of a crash: a broken answer alone (engines lose answers, connections are reset), and a connection that times out (a process that is cut off would blame every engine). Tests: crash_watch (10,000 schedules of three processes) and crashers (two processes on loopback). With is_crasher returning false at once, crasher_refused_after_two_engines prints 'left: 502, right: 503: it has not run'.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -4,8 +4,8 @@
 
 An operator's [`RelayConfig`] names routes, services and client accounts. [`RouteIndex`] and
 [`KeyIndex`] answer the look-ups of each request, [`ConfigAge`] bounds how old the configuration may
-be, [`EngineTable`] holds the listed engines and what is believed of them, and [`ServicePicker`]
-chooses an endpoint of a plain service.
+be, [`EngineTable`] holds the listed engines and what is believed of them, [`CrashWatch`] the requests
+that may have crashed some, and [`ServicePicker`] chooses an endpoint of a plain service.
 */
 
 mod accelerator_kind;
@@ -13,6 +13,8 @@
 mod attempt_plan;
 mod caller_limits;
 mod config_age;
+mod crash_watch;
+mod crashed_run;
 mod engine_entry;
 mod engine_listing;
 mod engine_record;
@@ -25,6 +27,7 @@
 mod relay_route;
 mod relay_service;
 mod repeat_rule;
+mod request_fingerprint;
 mod request_size;
 mod room_queue;
 mod route_index;
@@ -37,6 +40,8 @@
 pub use self::attempt_plan::AttemptPlan;
 pub use self::caller_limits::CallerLimits;
 pub use self::config_age::ConfigAge;
+pub use self::crash_watch::CrashWatch;
+pub use self::crashed_run::CrashedRun;
 pub use self::engine_entry::EngineEntry;
 pub use self::engine_record::EngineRecord;
 pub use self::engine_table::EngineTable;
@@ -48,6 +53,7 @@
 pub use self::relay_route::RelayRoute;
 pub use self::relay_service::RelayService;
 pub use self::repeat_rule::RepeatRule;
+pub use self::request_fingerprint::request_fingerprint;
 pub use self::request_size::RequestSize;
 pub use self::room_queue::RoomQueue;
 pub use self::route_index::RouteIndex;
--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -1,3 +1,5 @@
+use std::error::Error;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -89,12 +91,16 @@
         async move {
             let mut request = request.map_err(|error| SendFault::NotSent {
                 detail: error.to_string(),
+                is_refused: false,
             })?;
             *request.headers_mut() = headers;
             client.request(request).await.map_err(|error| {
                 let detail = format!("{error:?}");
                 match error.is_connect() {
-                    true => SendFault::NotSent { detail },
+                    true => SendFault::NotSent {
+                        detail,
+                        is_refused: is_refused(&error),
+                    },
                     false => SendFault::Broken { detail },
                 }
             })
@@ -139,6 +145,19 @@
     }
 }
 
+/// Returns whether the transport says that nothing listens at the address.
+fn is_refused(error: &dyn Error) -> bool {
+    let mut cause = error.source();
+    while let Some(next) = cause {
+        let fault = next.downcast_ref::<std::io::Error>();
+        if fault.is_some_and(|fault| fault.kind() == ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = next.source();
+    }
+    false
+}
+
 fn connector() -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
--- a/crates/relay/src/engine/send_fault.rs
+++ b/crates/relay/src/engine/send_fault.rs
@@ -8,6 +8,8 @@
     NotSent {
         /// What the transport said.
         detail: String,
+        /// Whether the host answered that nothing listens there.
+        is_refused: bool,
     },
     /// The connection broke after the request was sent; it may have run.
     #[snafu(display("no answer: {detail}"))]
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -5,6 +5,7 @@
 mod admission;
 mod caller_body;
 mod caller_server;
+mod crash_check;
 mod engine_reply;
 mod plain_driver;
 mod readiness_server;
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 
+use crate::crash_report::lose_engine;
 use crate::engine::LoadGuard;
 use crate::engine::SendFault;
 use crate::node::NodeState;
@@ -21,6 +22,9 @@
 use super::caller_body::CallerBody;
 use super::caller_body::caller_response;
 use super::caller_body::full_body;
+use super::crash_check::is_crasher;
+use super::crash_check::note_broken;
+use super::crash_check::note_served;
 use super::engine_reply::EngineReply;
 use super::relay_request::RelayRequest;
 use super::request_handler::end_refused;
@@ -63,6 +67,10 @@
             log.failed("no retry left");
             break;
         }
+        if plan.sends() > 0 && is_crasher(&state, &relay) {
+            log.failed("crashed two endpoints");
+            break;
+        }
         let Some((id, address)) = pick(&state, &relay, &tried) else {
             break;
         };
@@ -79,6 +87,7 @@
         .await
         {
             PlainEnd::Answered(response) => {
+                note_served(&state, &relay);
                 state.view.borrow_mut().engines.succeed(&id);
                 log.piece();
                 log.end("served");
@@ -90,6 +99,9 @@
                 failure = Some(response);
             }
             PlainEnd::Lost(end) => {
+                if end == AttemptEnd::Broken {
+                    note_broken(&state, &relay, plan.sends(), &[&id]);
+                }
                 plan.end(end);
                 log.failed(end.as_str());
                 let now = state.clock.now();
@@ -156,7 +168,12 @@
     };
     match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
         Ok(Ok(end)) => end,
-        Ok(Err(SendFault::NotSent { .. })) => PlainEnd::Lost(AttemptEnd::NotSent),
+        Ok(Err(SendFault::NotSent { is_refused, .. })) => {
+            if is_refused {
+                lose_engine(state, id, "it refuses connections");
+            }
+            PlainEnd::Lost(AttemptEnd::NotSent)
+        }
         Ok(Err(SendFault::Broken { .. })) | Err(_) => PlainEnd::Lost(AttemptEnd::Broken),
     }
 }
--- a/crates/relay/src/ingress/relay_request.rs
+++ b/crates/relay/src/ingress/relay_request.rs
@@ -5,6 +5,7 @@
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::relay::RelayRoute;
 use dandelionroad_core::relay::RelayService;
+use dandelionroad_core::relay::request_fingerprint;
 use dandelionroad_core::time::MilliTime;
 use hyper::http::request::Parts;
 
@@ -52,6 +53,12 @@
         of_account.unwrap_or(self.route().priority)
     }
 
+    /// Returns by what the request is known when its caller sends it again.
+    pub(super) fn fingerprint(&self) -> String {
+        let account = self.account().map_or("", |account| account.name.as_str());
+        request_fingerprint(account, self.path(), &self.body)
+    }
+
     /// Returns the path with its query.
     pub(super) fn path(&self) -> &str {
         let target = self.parts.uri.path_and_query();
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -15,6 +15,7 @@
 
 use super::admission::admit;
 use super::caller_body::CallerBody;
+use super::crash_check::is_crasher;
 use super::plain_driver::drive_plain;
 use super::refusal::refuse;
 use super::relay_request::RelayRequest;
@@ -77,6 +78,9 @@
         account,
         deadline: arrived.plus(wait_ms),
     };
+    if is_crasher(&state, &relay) {
+        return end_refused(&state, &mut log, &relay.caller.id, RefusalKind::Crasher);
+    }
     match relay.service().model.is_some() {
         true => drive_stream(state, relay, log).await,
         false => drive_plain(state, relay, log).await,
@@ -94,6 +98,8 @@
         | RefusalKind::UnknownKey
         | RefusalKind::NoRoute
         | RefusalKind::TooLarge
+        // It is refused whenever it comes.
+        | RefusalKind::Crasher
         | RefusalKind::LostAnswer
         | RefusalKind::TimedOut => None,
     }
--- a/crates/relay/src/ingress/stream_relay/choice.rs
+++ b/crates/relay/src/ingress/stream_relay/choice.rs
@@ -12,6 +12,7 @@
 
 use crate::telemetry::RequestLog;
 
+use super::super::crash_check::is_crasher;
 use super::super::room_wait::wait_for_room;
 use super::StreamRelay;
 
@@ -82,6 +83,10 @@
         if left_ms < LEAST_ATTEMPT_MS || !self.plan.may_send() {
             return false;
         }
+        if is_crasher(&self.state, &self.relay) {
+            log.failed("crashed two engines");
+            return false;
+        }
         let is_allowed = self.plan.is_last_unsent() || self.take_retry();
         if !is_allowed {
             log.failed("no retry left");
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -21,6 +21,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
+use crate::crash_report::lose_engine;
 use crate::engine::LoadGuard;
 use crate::engine::SendFault;
 use crate::node::NodeState;
@@ -28,6 +29,8 @@
 use crate::wire::EngineCall;
 use crate::wire::RefusalKind;
 
+use super::crash_check::note_broken;
+use super::crash_check::note_served;
 use super::engine_reply::EngineReply;
 use super::relay_request::RelayRequest;
 use super::stream_opened::StreamOpened;
@@ -143,6 +146,7 @@
         loop {
             let cause = match self.pass_events(sender, log).await {
                 RunEnd::Complete => {
+                    note_served(&self.state, &self.relay);
                     log.end("served");
                     return;
                 }
@@ -150,6 +154,11 @@
                 RunEnd::Broken(cause) => cause,
             };
             log.failed(cause);
+            if self.splitter.events() == 0
+                && let Some(run) = &self.run
+            {
+                self.note_broken(&run.parts);
+            }
             self.plan.end(AttemptEnd::Broken);
             self.end_run();
             self.splitter = EventSplitter::new(self.splitter.last_id());
@@ -213,7 +222,10 @@
         let mut sent = std::pin::pin!(sent);
         let response = match self.watch_run(&chain, waits, sent.as_mut()).await {
             Ok(Ok(response)) => response,
-            Ok(Err(SendFault::NotSent { .. })) => {
+            Ok(Err(SendFault::NotSent { is_refused, .. })) => {
+                if is_refused {
+                    lose_engine(&self.state, &chain[0].id, "it refuses connections");
+                }
                 self.blame(&chain[0].id);
                 return Err(AttemptEnd::NotSent);
             }
@@ -221,10 +233,14 @@
                 let now = self.state.clock.now();
                 let id = &chain[0].id;
                 self.state.view.borrow_mut().engines.break_off(id, now);
+                self.note_broken(&chain);
                 self.excluded.push(id.clone());
                 return Err(AttemptEnd::Broken);
             }
-            Err(_) => return Err(AttemptEnd::Broken),
+            Err(_) => {
+                self.note_broken(&chain);
+                return Err(AttemptEnd::Broken);
+            }
         };
         self.take_head(chain, base_ms, response, load).await
     }
@@ -272,6 +288,11 @@
         }
     }
 
+    fn note_broken(&self, parts: &[ChainPart]) {
+        let ids: Vec<&str> = parts.iter().map(|part| part.id.as_str()).collect();
+        note_broken(&self.state, &self.relay, self.plan.sends(), &ids);
+    }
+
     fn blame(&mut self, id: &str) {
         let now = self.state.clock.now();
         self.state.view.borrow_mut().engines.fail(id, now);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 deployment's protocols call things is known to its [`wire::WireFormat`] alone.
 */
 
+mod crash_report;
 pub mod engine;
 pub mod ingress;
 mod internal_server;
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -51,6 +51,8 @@
     pub listing_changed: Notify,
     /// Whether another process is known to hold a newer list of engines.
     pub is_listing_behind: Cell<bool>,
+    /// Wakes the task that tells the others of requests that crashed engines.
+    pub crashed: Notify,
     /// Told when an engine is found dead.
     pub engine_lost: Notify,
     /// The newest version of the configuration that another process told of.
@@ -83,6 +85,7 @@
             config_changed: Notify::new(),
             listing_changed: Notify::new(),
             is_listing_behind: Cell::new(false),
+            crashed: Notify::new(),
             engine_lost: Notify::new(),
             newest_config: Cell::new(0),
             newest_listing: Cell::new(0),
--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -1,3 +1,4 @@
+use dandelionroad_core::relay::CrashedRun;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::ResultExt;
@@ -41,6 +42,8 @@
     Load(PeerMessage),
     /// The age of what the receiver holds.
     Confirm(ConfirmMessage),
+    /// Requests that crashed engines.
+    Crashes(Vec<CrashedRun>),
 }
 
 impl PeerDatagram {
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::relay::CrashedRun;
 use dandelionroad_core::relay::SharedLoad;
 use dandelionroad_core::route::mix_seed;
 use dandelionroad_core::time::MilliTime;
@@ -41,6 +42,15 @@
 /// Three may be lost before a process reads the store itself.
 const CONFIRM_INTERVAL_MS: u64 = 300;
 
+/// The time between two messages about crashes, in milliseconds.
+///
+/// Callers send a request that broke off again after some hundred milliseconds or more; the first message
+/// goes out at once, the others replace lost ones.
+const CRASH_INTERVAL_MS: u64 = 1_000;
+
+/// The most crashes in a datagram, which then stays below 2 KB.
+const CRASHES_TOLD: usize = 16;
+
 /// The pause before an entry in the list of processes is tried again, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 1_000;
 
@@ -67,6 +77,7 @@
         send_loads(&state, &socket),
         receive(&state, &socket),
         send_confirmations(&state, &socket),
+        send_crashes(&state, &socket),
         follow_list(&state, &store),
     );
 }
@@ -129,6 +140,43 @@
     }
 }
 
+/// Tells the others of requests that crashed engines, at once and then at an interval.
+async fn send_crashes(state: &NodeState, socket: &UdpSocket) {
+    loop {
+        let pause = Duration::from_millis(CRASH_INTERVAL_MS);
+        let _ = tokio::time::timeout(pause, state.crashed.notified()).await;
+        let crashed: Vec<CrashedRun> = {
+            let now = state.clock.now();
+            let mut view = state.view.borrow_mut();
+            view.crashes.expire(now);
+            let told = view.crashes.told(now);
+            told.into_iter().take(CRASHES_TOLD).cloned().collect()
+        };
+        if crashed.is_empty() {
+            continue;
+        }
+        let addresses = state.peers.borrow().addresses();
+        if let Some(bytes) = encode(&PeerDatagram::Crashes(crashed)) {
+            for address in addresses {
+                send(socket, address, &bytes).await;
+            }
+        }
+    }
+}
+
+fn take_crashes(state: &NodeState, crashed: &[CrashedRun]) {
+    let now = state.clock.now();
+    let mut view = state.view.borrow_mut();
+    for crash in crashed {
+        if view.crashes.merge(crash, now) {
+            spdlog::info!("request: told to have crashed an engine", kv: {
+                run = crash.run.as_str(),
+                fingerprint = crash.fingerprint.as_str(),
+            });
+        }
+    }
+}
+
 fn encode(message: &PeerDatagram) -> Option<Vec<u8>> {
     let bytes = message.encode();
     bytes
@@ -152,6 +200,7 @@
                     state.peers.borrow_mut().heard(address, message, now);
                 }
                 Ok(PeerDatagram::Confirm(message)) => take_confirmation(state, &message),
+                Ok(PeerDatagram::Crashes(crashed)) => take_crashes(state, &crashed),
                 Err(error) => spdlog::warn!("peers: datagram from {address} left out: {error}"),
             },
             Err(error) => {
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -4,6 +4,7 @@
 use dandelionroad_core::relay::EngineRecord;
 use dandelionroad_core::relay::EngineTable;
 
+use crate::crash_report::lose_engine;
 use crate::node::NodeState;
 use crate::peer::fetch_rows;
 use crate::peer::reads_for_others;
@@ -139,6 +140,11 @@
         .iter()
         .map(|entry| (entry.record.id.clone(), entry.record.is_draining))
         .collect();
+    let is_known = |id: &str| {
+        before
+            .binary_search_by(|known| known.0.as_str().cmp(id))
+            .is_ok()
+    };
     let digest = view.engines.digest();
     let (added, removed) = view.engines.replace(records, now);
     if view.engines.digest() != digest {
@@ -146,6 +152,8 @@
     }
     view.has_listing = true;
     state.copies.borrow_mut().engines = rows.to_vec();
+    let restarted = added.iter().filter(|id| is_known(id));
+    let lost: Vec<String> = restarted.chain(&removed).cloned().collect();
     for id in added {
         let Some(entry) = view.engines.get(&id) else {
             continue;
@@ -170,4 +178,8 @@
             spdlog::info!("engines: draining", kv: { engine = id.as_str() });
         }
     }
+    drop(view);
+    for id in lost {
+        lose_engine(state, &id, "listed no more, or started again");
+    }
 }
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -31,6 +31,8 @@
     config_age: Gauge,
     running: Gauge,
     engines: Gauge,
+    processes: Gauge,
+    crashes: Gauge,
     dropped: Gauge,
 }
 
@@ -83,6 +85,14 @@
                 "dandelionroad_engines_usable",
                 "Engines that may get requests.",
             ),
+            processes: gauge(
+                "dandelionroad_processes_live",
+                "Processes that were heard of lately, this one included.",
+            ),
+            crashes: gauge(
+                "dandelionroad_crashed_runs_known",
+                "Runs of requests that may have crashed an engine.",
+            ),
             dropped: gauge(
                 "dandelionroad_log_lines_dropped",
                 "Log lines left out since the start.",
@@ -135,6 +145,9 @@
             .iter()
             .filter(|entry| entry.is_usable(now));
         self.engines.set(usable.count() as f64);
+        let processes = state.peers.borrow().live(now) + 1;
+        self.processes.set(f64::from(processes));
+        self.crashes.set(view.crashes.len() as f64);
         self.dropped.set(dropped_lines() as f64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/relay/src/wire/refusal_kind.rs
+++ b/crates/relay/src/wire/refusal_kind.rs
@@ -17,6 +17,8 @@
     NoEngine,
     /// All engines are full.
     Overloaded,
+    /// The request crashed the engines that ran it.
+    Crasher,
     /// The request may have run, and its answer is lost.
     LostAnswer,
     /// The time is up, and the request may have run.
@@ -44,6 +46,7 @@
             RefusalKind::Leaving => "leaving",
             RefusalKind::NoEngine => "no-engine",
             RefusalKind::Overloaded => "overloaded",
+            RefusalKind::Crasher => "crasher",
             RefusalKind::LostAnswer => "lost-answer",
             RefusalKind::TimedOut => "timed-out",
         }
@@ -59,7 +62,8 @@
             RefusalKind::StaleConfig
             | RefusalKind::Leaving
             | RefusalKind::NoEngine
-            | RefusalKind::Overloaded => 503,
+            | RefusalKind::Overloaded
+            | RefusalKind::Crasher => 503,
             RefusalKind::LostAnswer => 502,
             RefusalKind::TimedOut => 504,
         }
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -20,6 +20,9 @@
 /// The pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
 
+/// The path of the request that crashes engines.
+pub(crate) const CRASH_PATH: &str = "/model/crash";
+
 /// What an engine does with requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum EngineFault {
@@ -43,6 +46,9 @@
     Failing,
     /// Runs them and cuts the connection before the answer.
     LostAnswer,
+    /// Crashes when it begins to run the request at [`CRASH_PATH`]: the answer is cut, and its entry is
+    /// gone.
+    Crashing,
 }
 
 /// An engine or endpoint that lists itself in the store.
@@ -155,8 +161,11 @@
         };
         let id = text("request").unwrap();
         let after: u64 = text("after").map_or(0, |text| text.parse().unwrap());
+        let fault = match self.fault.get() {
+            EngineFault::Crashing if parts.uri.path() != CRASH_PATH => EngineFault::None,
+            fault => fault,
+        };
         self.seen.replace(Some(parts));
-        let fault = self.fault.get();
         if fault == EngineFault::Full {
             return FakeAnswer::new(503, "full").header("not-run", "1");
         }
@@ -168,7 +177,10 @@
                     .header("request", &id)
                     .header("signature", &self.id);
             }
-            EngineFault::LostAnswer => {
+            EngineFault::LostAnswer | EngineFault::Crashing => {
+                if fault == EngineFault::Crashing {
+                    self.store.remove("engines", &self.id);
+                }
                 let (sender, answer) = FakeAnswer::open(200);
                 let cut = std::io::Error::other("cut");
                 sender.send(Err(cut)).await.unwrap();
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -149,9 +149,15 @@
 
     /// Returns whether a process knows of this number of usable engines.
     pub(crate) async fn knows_engines(&self, node: &RunningNode, count: usize) -> bool {
+        self.shows(node, &format!("dandelionroad_engines_usable {count}"))
+            .await
+    }
+
+    /// Returns whether the metrics of a process have this line.
+    pub(crate) async fn shows(&self, node: &RunningNode, line: &str) -> bool {
         let answer = self.get(node.settings().metrics, "/metrics", &[]).await;
         let text = String::from_utf8(answer.body).unwrap();
-        text.contains(&format!("dandelionroad_engines_usable {count}\n"))
+        text.lines().any(|shown| shown == line)
     }
 
     async fn start_node(
