Name crashes of requests by the engine that was lost, and take them back when an equal one is served

Cause, found while the soak was written: calls without a body are often equal, and one crashed endpoint that broke off two of them counted as two crashes; all equal calls were then refused for a minute and longer. A crash is named by request and incarnation of the engine, and a process that serves an equal request tells the others to forget it. Ruled out: leaving calls without a body out, as those crash endpoints as well.

--- a/crates/core/src/relay/crash_watch.rs
+++ b/crates/core/src/relay/crash_watch.rs
@@ -2,7 +2,7 @@
 use crate::admit::CrashVerdict;
 use crate::time::MilliTime;
 
-use super::CrashedRun;
+use super::EngineCrash;
 
 /// How long after a run broke off the loss of one of its engines counts as a crash, in milliseconds.
 ///
@@ -21,7 +21,7 @@
 /// Datagrams may be lost, and a process that starts meanwhile hears of it as well.
 const TELL_MS: u64 = 10_000;
 
-/// The most broken runs and the most crashes that are kept; the oldest ones are dropped.
+/// The most broken runs, lost engines and crashes that are kept; the oldest ones are dropped.
 ///
 /// An engine breaks off at most some 200 runs when it crashes.
 const MOST_RECORDS: usize = 512;
@@ -29,7 +29,7 @@
 /// A run that broke off before its first event.
 #[derive(Clone, Debug)]
 struct BrokenRun {
-    crashed: CrashedRun,
+    fingerprint: String,
     engines: Vec<String>,
     ended: MilliTime,
 }
@@ -37,7 +37,7 @@
 /// A crash that is known, with when its request was last seen.
 #[derive(Clone, Debug)]
 struct KnownCrash {
-    crashed: CrashedRun,
+    crash: EngineCrash,
     seen: MilliTime,
 }
 
@@ -45,22 +45,20 @@
 ///
 /// An answer that breaks off says little by itself: connections are reset and answers get lost. A crash
 /// is counted if an engine of the run is lost at the same time, and if the run had no event yet, as a
-/// request crashes an engine when it begins to run. Two crashes refuse the request
-/// ([`CrashLedger`]).
+/// request crashes an engine when it begins to run. Two lost engines refuse the request ([`CrashLedger`]);
+/// an answer to an equal request clears it.
 ///
 /// # Example
 ///
 /// ```
 /// use dandelionroad_core::relay::CrashWatch;
-/// use dandelionroad_core::relay::CrashedRun;
 /// use dandelionroad_core::time::MilliTime;
 ///
 /// let now = MilliTime::from_millis(1_000);
 /// let mut watch = CrashWatch::new();
-/// for (run, engine) in [("r1/0", "e1"), ("r1/1", "e2")] {
+/// for engine in ["e1", "e2"] {
 ///     assert!(!watch.refuses("aa", now));
-///     let crashed = CrashedRun { fingerprint: "aa".to_owned(), run: run.to_owned() };
-///     watch.break_off(crashed, vec![engine.to_owned()], now);
+///     watch.break_off("aa", &[engine.to_owned()], now);
 ///     assert_eq!(watch.lose_engine(engine, now).len(), 1);
 /// }
 /// assert!(watch.refuses("aa", now));
@@ -101,68 +99,69 @@
         is_refused
     }
 
-    /// Takes a run that broke off before its first event; returns the crashes that are new.
+    /// Takes a run that broke off before its first event; returns the crash if it is a new one.
     pub fn break_off(
         &mut self,
-        crashed: CrashedRun,
-        engines: Vec<String>,
+        fingerprint: &str,
+        engines: &[String],
         now: MilliTime,
-    ) -> Vec<CrashedRun> {
-        let is_lost = self.lost.iter().any(|(id, lost)| {
-            now.since(*lost) <= CRASH_SPAN_MS && engines.iter().any(|engine| engine == id)
-        });
-        if is_lost {
-            return self.count(vec![crashed], now);
+    ) -> Option<EngineCrash> {
+        let is_recent = |lost: &&(String, MilliTime)| now.since(lost.1) <= CRASH_SPAN_MS;
+        let mut lost = self.lost.iter().filter(is_recent);
+        if let Some((engine, _)) = lost.find(|(lost, _)| engines.contains(lost)) {
+            let engine = engine.clone();
+            return self.count(&engine, vec![fingerprint.to_owned()], now).pop();
         }
         if self.broken.len() >= MOST_RECORDS {
             self.broken.remove(0);
         }
         self.broken.push(BrokenRun {
-            crashed,
-            engines,
+            fingerprint: fingerprint.to_owned(),
+            engines: engines.to_vec(),
             ended: now,
         });
-        Vec::new()
+        None
     }
 
     /// Takes the loss of an engine: it refuses connections, was started again, or is listed no more;
     /// returns the crashes that are new.
-    pub fn lose_engine(&mut self, id: &str, now: MilliTime) -> Vec<CrashedRun> {
+    pub fn lose_engine(&mut self, engine: &str, now: MilliTime) -> Vec<EngineCrash> {
         self.expire(now);
-        self.lost.retain(|(lost, _)| lost != id);
+        self.lost.retain(|(lost, _)| lost != engine);
         if self.lost.len() >= MOST_RECORDS {
             self.lost.remove(0);
         }
-        self.lost.push((id.to_owned(), now));
-        let runs_there = |run: &mut BrokenRun| run.engines.iter().any(|engine| engine == id);
-        let crashed = self.broken.extract_if(.., runs_there);
-        let crashed = crashed.map(|run| run.crashed).collect();
-        self.count(crashed, now)
+        self.lost.push((engine.to_owned(), now));
+        let ran_there = |run: &mut BrokenRun| run.engines.iter().any(|known| known == engine);
+        let crashed = self.broken.extract_if(.., ran_there);
+        let fingerprints = crashed.map(|run| run.fingerprint).collect();
+        self.count(engine, fingerprints, now)
     }
 
     /// Takes a crash that another process tells of; returns whether it was not known.
-    pub fn merge(&mut self, crashed: &CrashedRun, now: MilliTime) -> bool {
-        if self.known.iter().any(|known| known.crashed == *crashed) {
+    pub fn merge(&mut self, crash: &EngineCrash, now: MilliTime) -> bool {
+        if self.known.iter().any(|known| known.crash == *crash) {
             return false;
         }
-        self.remember(crashed.clone(), now);
+        self.remember(crash.clone(), now);
         true
     }
 
-    /// Takes a request that was served, which clears it.
-    pub fn complete(&mut self, fingerprint: &str) {
-        self.ledger.complete(fingerprint);
+    /// Takes an answer to a request, which clears it; returns whether it was suspected.
+    pub fn complete(&mut self, fingerprint: &str) -> bool {
+        self.broken.retain(|run| run.fingerprint != fingerprint);
+        let count = self.known.len();
         self.known
-            .retain(|known| known.crashed.fingerprint != fingerprint);
-        self.broken
-            .retain(|run| run.crashed.fingerprint != fingerprint);
+            .retain(|known| known.crash.fingerprint != fingerprint);
+        self.ledger.complete(fingerprint);
+        self.known.len() < count
     }
 
     /// Returns the crashes that the other processes are to be told, the latest ones first.
-    pub fn told(&self, now: MilliTime) -> Vec<&CrashedRun> {
+    pub fn told(&self, now: MilliTime) -> Vec<&EngineCrash> {
         let known = self.known.iter().rev();
         let told = known.filter(|known| now.since(known.seen) <= TELL_MS);
-        told.map(|known| &known.crashed).collect()
+        told.map(|known| &known.crash).collect()
     }
 
     /// Forgets what is too old to count.
@@ -173,38 +172,53 @@
             .retain(|(_, lost)| now.since(*lost) <= CRASH_SPAN_MS);
         let is_old = |known: &mut KnownCrash| now.since(known.seen) > MEMORY_MS;
         for old in self.known.extract_if(.., is_old) {
-            self.ledger.complete(&old.crashed.fingerprint);
+            self.ledger.complete(&old.crash.fingerprint);
         }
     }
 
-    /// Counts crashes at one engine; if a suspect was among them, only suspects count.
-    fn count(&mut self, crashed: Vec<CrashedRun>, now: MilliTime) -> Vec<CrashedRun> {
-        let is_suspect = |run: &CrashedRun| !self.ledger.runs(&run.fingerprint).is_empty();
-        let has_suspect = crashed.iter().any(is_suspect);
-        let counts = |run: &CrashedRun| !has_suspect || is_suspect(run);
-        let counted: Vec<CrashedRun> = crashed.into_iter().filter(counts).collect();
-        for run in &counted {
-            self.remember(run.clone(), now);
+    /// Counts a crash for requests that ran at an engine; if a suspect was among them, only suspects
+    /// count.
+    fn count(
+        &mut self,
+        engine: &str,
+        fingerprints: Vec<String>,
+        now: MilliTime,
+    ) -> Vec<EngineCrash> {
+        let mut suspects = fingerprints.iter();
+        let has_suspect = suspects.any(|request| !self.ledger.runs(request).is_empty());
+        let mut counted = Vec::new();
+        for fingerprint in fingerprints {
+            if has_suspect && self.ledger.runs(&fingerprint).is_empty() {
+                continue;
+            }
+            let engine = engine.to_owned();
+            let crash = EngineCrash {
+                fingerprint,
+                engine,
+            };
+            if self.merge(&crash, now) {
+                counted.push(crash);
+            }
         }
         counted
     }
 
-    fn remember(&mut self, crashed: CrashedRun, now: MilliTime) {
+    fn remember(&mut self, crash: EngineCrash, now: MilliTime) {
         if self.known.len() >= MOST_RECORDS {
-            let old = self.known[0].crashed.fingerprint.clone();
+            let old = self.known[0].crash.fingerprint.clone();
             self.complete(&old);
         }
         self.ledger
-            .merge(&crashed.fingerprint, &[&crashed.run], true);
+            .merge(&crash.fingerprint, &[&crash.engine], true);
         // All crashes of a request are forgotten together.
-        self.see(&crashed.fingerprint, now);
-        self.known.push(KnownCrash { crashed, seen: now });
+        self.see(&crash.fingerprint, now);
+        self.known.push(KnownCrash { crash, seen: now });
     }
 
     fn see(&mut self, fingerprint: &str, now: MilliTime) {
         let known = self.known.iter_mut();
         known
-            .filter(|known| known.crashed.fingerprint == fingerprint)
+            .filter(|known| known.crash.fingerprint == fingerprint)
             .for_each(|known| known.seen = now);
     }
 }
--- a/crates/core/src/relay/engine_record.rs
+++ b/crates/core/src/relay/engine_record.rs
@@ -24,3 +24,10 @@
     /// The start of this incarnation, in milliseconds since the Unix epoch.
     pub started_ms: u64,
 }
+
+impl EngineRecord {
+    /// Returns the name of this incarnation, which no other one has.
+    pub fn incarnation(&self) -> String {
+        format!("{}@{}", self.id, self.started_ms)
+    }
+}
--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -76,6 +76,12 @@
         self.position(id).ok().map(|index| &self.entries[index])
     }
 
+    /// Returns the name of an engine's present incarnation; its identifier if it is not listed.
+    pub fn incarnation(&self, id: &str) -> String {
+        let entry = self.get(id);
+        entry.map_or_else(|| id.to_owned(), |entry| entry.record.incarnation())
+    }
+
     /// Returns the engine with this identifier for a change of what is believed of it.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut EngineEntry> {
         let index = self.position(id).ok()?;
--- a/crates/relay/src/crash_report.rs
+++ b/crates/relay/src/crash_report.rs
@@ -1,25 +1,34 @@
 //! What this process learns of requests that crash engines.
 
-use dandelionroad_core::relay::CrashedRun;
+use dandelionroad_core::relay::EngineCrash;
 
 use crate::node::NodeState;
 
-/// Takes the loss of an engine, and writes down the requests that may have crashed it.
-pub(crate) fn lose_engine(state: &NodeState, id: &str, cause: &str) {
+/// Takes the refusal of a connection by an engine as its loss.
+pub(crate) fn lose_refusing(state: &NodeState, id: &str) {
+    let incarnation = state.view.borrow().engines.incarnation(id);
+    lose_engine(state, &incarnation, "it refuses connections");
+}
+
+/// Takes the loss of an incarnation of an engine, and writes down the requests that may have crashed it.
+pub(crate) fn lose_engine(state: &NodeState, incarnation: &str, cause: &str) {
     let now = state.clock.now();
-    let crashed = state.view.borrow_mut().crashes.lose_engine(id, now);
-    report_crashes(state, &crashed, cause);
+    let crashes = {
+        let mut view = state.view.borrow_mut();
+        view.crashes.lose_engine(incarnation, now)
+    };
+    report_crashes(state, &crashes, cause);
 }
 
 /// Writes down crashes that are new, and has the other processes told.
-pub(crate) fn report_crashes(state: &NodeState, crashed: &[CrashedRun], cause: &str) {
-    for crash in crashed {
+pub(crate) fn report_crashes(state: &NodeState, crashes: &[EngineCrash], cause: &str) {
+    for crash in crashes {
         spdlog::warn!("request: may have crashed an engine: {cause}", kv: {
-            run = crash.run.as_str(),
+            engine = crash.engine.as_str(),
             fingerprint = crash.fingerprint.as_str(),
         });
     }
-    if !crashed.is_empty() {
+    if !crashes.is_empty() {
         state.crashed.notify_one();
     }
 }
--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -1,7 +1,5 @@
 //! Requests that crash the engines that run them.
 
-use dandelionroad_core::relay::CrashedRun;
-
 use crate::crash_report::report_crashes;
 use crate::node::NodeState;
 
@@ -20,26 +18,32 @@
     view.crashes.refuses(&fingerprint, now)
 }
 
-/// Takes a run that broke off before its first event, the `sends`th of its request.
-pub(super) fn note_broken(state: &NodeState, relay: &RelayRequest, sends: u32, engines: &[&str]) {
+/// Takes a run that broke off before its first event.
+pub(super) fn note_broken(state: &NodeState, relay: &RelayRequest, engines: &[&str]) {
     let now = state.clock.now();
-    let broken = CrashedRun {
-        fingerprint: relay.fingerprint(),
-        run: format!("{}/{sends}", relay.caller.id),
-    };
-    let engines = engines.iter().map(|&id| id.to_owned()).collect();
-    let crashed = {
+    let fingerprint = relay.fingerprint();
+    let crash = {
         let mut view = state.view.borrow_mut();
-        view.crashes.break_off(broken, engines, now)
+        let engines = engines.iter().map(|id| view.engines.incarnation(id));
+        let engines: Vec<String> = engines.collect();
+        view.crashes.break_off(&fingerprint, &engines, now)
     };
-    report_crashes(state, &crashed, "its engine was lost before");
+    report_crashes(state, crash.as_slice(), "its engine was lost before");
 }
 
-/// Takes a request that was served, which clears it.
+/// Takes an answer to a request, which clears all equal ones, and has the other processes told.
 pub(super) fn note_served(state: &NodeState, relay: &RelayRequest) {
     if state.view.borrow().crashes.is_empty() {
         return;
     }
     let fingerprint = relay.fingerprint();
-    state.view.borrow_mut().crashes.complete(&fingerprint);
+    let was_suspected = state.view.borrow_mut().crashes.complete(&fingerprint);
+    if was_suspected {
+        spdlog::info!("request: served, crashes forgotten", kv: {
+            request = relay.caller.id.as_str(),
+            fingerprint = fingerprint.as_str(),
+        });
+        state.cleared.borrow_mut().push(fingerprint);
+        state.crashed.notify_one();
+    }
 }
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -11,7 +11,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 
-use crate::crash_report::lose_engine;
+use crate::crash_report::lose_refusing;
 use crate::engine::LoadGuard;
 use crate::engine::SendFault;
 use crate::node::NodeState;
@@ -100,7 +100,7 @@
             }
             PlainEnd::Lost(end) => {
                 if end == AttemptEnd::Broken {
-                    note_broken(&state, &relay, plan.sends(), &[&id]);
+                    note_broken(&state, &relay, &[&id]);
                 }
                 plan.end(end);
                 log.failed(end.as_str());
@@ -170,7 +170,7 @@
         Ok(Ok(end)) => end,
         Ok(Err(SendFault::NotSent { is_refused, .. })) => {
             if is_refused {
-                lose_engine(state, id, "it refuses connections");
+                lose_refusing(state, id);
             }
             PlainEnd::Lost(AttemptEnd::NotSent)
         }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -21,7 +21,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
-use crate::crash_report::lose_engine;
+use crate::crash_report::lose_refusing;
 use crate::engine::LoadGuard;
 use crate::engine::SendFault;
 use crate::node::NodeState;
@@ -224,7 +224,7 @@
             Ok(Ok(response)) => response,
             Ok(Err(SendFault::NotSent { is_refused, .. })) => {
                 if is_refused {
-                    lose_engine(&self.state, &chain[0].id, "it refuses connections");
+                    lose_refusing(&self.state, &chain[0].id);
                 }
                 self.blame(&chain[0].id);
                 return Err(AttemptEnd::NotSent);
@@ -290,7 +290,7 @@
 
     fn note_broken(&self, parts: &[ChainPart]) {
         let ids: Vec<&str> = parts.iter().map(|part| part.id.as_str()).collect();
-        note_broken(&self.state, &self.relay, self.plan.sends(), &ids);
+        note_broken(&self.state, &self.relay, &ids);
     }
 
     fn blame(&mut self, id: &str) {
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -53,6 +53,8 @@
     pub is_listing_behind: Cell<bool>,
     /// Wakes the task that tells the others of requests that crashed engines.
     pub crashed: Notify,
+    /// The fingerprints of requests that were suspected of crashes and then served, to be told.
+    pub cleared: RefCell<Vec<String>>,
     /// Told when an engine is found dead.
     pub engine_lost: Notify,
     /// The newest version of the configuration that another process told of.
@@ -86,6 +88,7 @@
             listing_changed: Notify::new(),
             is_listing_behind: Cell::new(false),
             crashed: Notify::new(),
+            cleared: RefCell::default(),
             engine_lost: Notify::new(),
             newest_config: Cell::new(0),
             newest_listing: Cell::new(0),
--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -1,4 +1,4 @@
-use dandelionroad_core::relay::CrashedRun;
+use dandelionroad_core::relay::EngineCrash;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::ResultExt;
@@ -43,7 +43,9 @@
     /// The age of what the receiver holds.
     Confirm(ConfirmMessage),
     /// Requests that crashed engines.
-    Crashes(Vec<CrashedRun>),
+    Crashes(Vec<EngineCrash>),
+    /// The fingerprints of requests that were served after all.
+    Served(Vec<String>),
 }
 
 impl PeerDatagram {
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dandelionroad_core::relay::CrashedRun;
+use dandelionroad_core::relay::EngineCrash;
 use dandelionroad_core::relay::SharedLoad;
 use dandelionroad_core::route::mix_seed;
 use dandelionroad_core::time::MilliTime;
@@ -145,38 +145,56 @@
     loop {
         let pause = Duration::from_millis(CRASH_INTERVAL_MS);
         let _ = tokio::time::timeout(pause, state.crashed.notified()).await;
-        let crashed: Vec<CrashedRun> = {
+        let cleared = state.cleared.take();
+        if !cleared.is_empty() {
+            tell_all(state, socket, &PeerDatagram::Served(cleared)).await;
+        }
+        let crashes: Vec<EngineCrash> = {
             let now = state.clock.now();
             let mut view = state.view.borrow_mut();
             view.crashes.expire(now);
             let told = view.crashes.told(now);
             told.into_iter().take(CRASHES_TOLD).cloned().collect()
         };
-        if crashed.is_empty() {
-            continue;
+        if !crashes.is_empty() {
+            tell_all(state, socket, &PeerDatagram::Crashes(crashes)).await;
         }
-        let addresses = state.peers.borrow().addresses();
-        if let Some(bytes) = encode(&PeerDatagram::Crashes(crashed)) {
-            for address in addresses {
-                send(socket, address, &bytes).await;
-            }
+    }
+}
+
+async fn tell_all(state: &NodeState, socket: &UdpSocket, message: &PeerDatagram) {
+    let addresses = state.peers.borrow().addresses();
+    if let Some(bytes) = encode(message) {
+        for address in addresses {
+            send(socket, address, &bytes).await;
         }
     }
 }
 
-fn take_crashes(state: &NodeState, crashed: &[CrashedRun]) {
+fn take_crashes(state: &NodeState, crashes: &[EngineCrash]) {
     let now = state.clock.now();
     let mut view = state.view.borrow_mut();
-    for crash in crashed {
+    for crash in crashes {
         if view.crashes.merge(crash, now) {
             spdlog::info!("request: told to have crashed an engine", kv: {
-                run = crash.run.as_str(),
+                engine = crash.engine.as_str(),
                 fingerprint = crash.fingerprint.as_str(),
             });
         }
     }
 }
 
+fn take_served(state: &NodeState, cleared: &[String]) {
+    let mut view = state.view.borrow_mut();
+    for fingerprint in cleared {
+        if view.crashes.complete(fingerprint) {
+            spdlog::info!("request: served elsewhere, crashes forgotten", kv: {
+                fingerprint = fingerprint.as_str(),
+            });
+        }
+    }
+}
+
 fn encode(message: &PeerDatagram) -> Option<Vec<u8>> {
     let bytes = message.encode();
     bytes
@@ -200,7 +218,8 @@
                     state.peers.borrow_mut().heard(address, message, now);
                 }
                 Ok(PeerDatagram::Confirm(message)) => take_confirmation(state, &message),
-                Ok(PeerDatagram::Crashes(crashed)) => take_crashes(state, &crashed),
+                Ok(PeerDatagram::Crashes(crashes)) => take_crashes(state, &crashes),
+                Ok(PeerDatagram::Served(cleared)) => take_served(state, &cleared),
                 Err(error) => spdlog::warn!("peers: datagram from {address} left out: {error}"),
             },
             Err(error) => {
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -134,17 +134,12 @@
 fn take_records(state: &NodeState, rows: &[StoreRow], records: Vec<EngineRecord>) {
     let now = state.clock.now();
     let mut view = state.view.borrow_mut();
-    let before: Vec<(String, bool)> = view
+    let before: Vec<EngineRecord> = view
         .engines
         .entries()
         .iter()
-        .map(|entry| (entry.record.id.clone(), entry.record.is_draining))
+        .map(|entry| entry.record.clone())
         .collect();
-    let is_known = |id: &str| {
-        before
-            .binary_search_by(|known| known.0.as_str().cmp(id))
-            .is_ok()
-    };
     let digest = view.engines.digest();
     let (added, removed) = view.engines.replace(records, now);
     if view.engines.digest() != digest {
@@ -152,8 +147,11 @@
     }
     view.has_listing = true;
     state.copies.borrow_mut().engines = rows.to_vec();
-    let restarted = added.iter().filter(|id| is_known(id));
-    let lost: Vec<String> = restarted.chain(&removed).cloned().collect();
+    // Started again under the same identifier, or listed no more.
+    let is_lost =
+        |record: &&EngineRecord| added.contains(&record.id) || removed.contains(&record.id);
+    let lost = before.iter().filter(is_lost);
+    let lost: Vec<String> = lost.map(EngineRecord::incarnation).collect();
     for id in added {
         let Some(entry) = view.engines.get(&id) else {
             continue;
@@ -169,17 +167,14 @@
     for id in removed {
         spdlog::info!("engines: gone", kv: { engine = id.as_str() });
     }
-    for (id, was_draining) in before {
-        let is_draining = view
-            .engines
-            .get(&id)
-            .is_some_and(|entry| entry.record.is_draining);
-        if is_draining && !was_draining {
-            spdlog::info!("engines: draining", kv: { engine = id.as_str() });
+    for record in before.iter().filter(|record| !record.is_draining) {
+        let entry = view.engines.get(&record.id);
+        if entry.is_some_and(|entry| entry.record.is_draining) {
+            spdlog::info!("engines: draining", kv: { engine = record.id.as_str() });
         }
     }
     drop(view);
-    for id in lost {
-        lose_engine(state, &id, "listed no more, or started again");
+    for incarnation in lost {
+        lose_engine(state, &incarnation, "listed no more, or started again");
     }
 }
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -90,8 +90,8 @@
                 "Processes that were heard of lately, this one included.",
             ),
             crashes: gauge(
-                "dandelionroad_crashed_runs_known",
-                "Runs of requests that may have crashed an engine.",
+                "dandelionroad_engine_crashes_known",
+                "Losses of engines that a request may have caused.",
             ),
             dropped: gauge(
                 "dandelionroad_log_lines_dropped",
