Forget an engine in time at a process that the store had turned away

Its next own read, at 15.7 s, counted as the first one after an outage of 12 s, so that the entry removed at 15.0 s was kept for two seconds more, until 17.7 s. The first list after an outage is now incomplete only if the held one is older than 1.5 s, by confirmations as well. Test: endpoint_gone_after_process_was_turned_away_is_forgotten, before: 'after 2.675951065s' (bound 2 s), now passes.

--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -15,10 +15,11 @@
 use super::StoreClient;
 use super::retry_pause::pause_after_failure;
 
-/// How long the store must have been away before listings after it count as incomplete, in
+/// The age of the held list from which on the first one after an outage counts as incomplete, in
 /// milliseconds.
 ///
-/// Entries lapse after three missed heartbeats; shorter outages lose none.
+/// Entries lapse after three missed heartbeats; shorter outages lose none. A process that the store turned
+/// away, but that another one told of the list meanwhile, has missed nothing.
 const OUTAGE_MS: u64 = 1_500;
 
 /// The age of the list up to which a process relies on the confirmations of another one, as a factor
@@ -30,7 +31,6 @@
 
 /// Reads the list of engines at an interval until the process ends.
 pub async fn run_listing(state: Rc<NodeState>, store: Rc<StoreClient>) {
-    let mut last_read = state.clock.now();
     let mut is_reached = true;
     loop {
         let start = state.clock.now();
@@ -38,14 +38,17 @@
         match store.read(StoreTable::Engines).await {
             Ok((rows, _, _)) => {
                 let now = state.clock.now();
-                if !is_reached && now.since(last_read) > OUTAGE_MS {
-                    state.view.borrow_mut().engines.store_returned(now);
-                }
                 if !is_reached {
-                    spdlog::info!("store: regained for the list of engines");
+                    let mut view = state.view.borrow_mut();
+                    let age_ms = now.since(view.listing_time);
+                    if age_ms > OUTAGE_MS {
+                        view.engines.store_returned(now);
+                    }
+                    spdlog::info!("store: regained for the list of engines", kv: {
+                        listing_age_ms = age_ms,
+                    });
                 }
                 is_reached = true;
-                last_read = now;
                 take_listing(&state, &rows);
                 state.view.borrow_mut().listing_time = start;
                 state.peers.borrow_mut().listing_read(&stamps);
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -12,6 +12,7 @@
 use tokio::net::UdpSocket;
 
 use crate::relay_support::KEY_AGE_MS;
+use crate::relay_support::NodePlace;
 use crate::relay_support::World;
 use crate::relay_support::run;
 use crate::relay_support::wait_for;
@@ -263,8 +264,8 @@
         let world = World::start().await;
         let _kept = world.plain("p1").await;
         let _gone = world.plain("p2").await;
-        let (first, first_switch) = world.node_turned_away_at_interval("n1", 660).await;
-        let (second, second_switch) = world.node_turned_away_at_interval("n2", 660).await;
+        let (first, first_switch) = world.node_turned_away_at("n1", NodePlace::ZoneA, 660).await;
+        let (second, second_switch) = world.node_turned_away_at("n2", NodePlace::ZoneA, 660).await;
         tokio::time::sleep(Duration::from_millis(500)).await;
         first_switch.set(true);
         second_switch.set(true);
@@ -288,6 +289,35 @@
     });
 }
 
+/// Replays an endpoint whose entry is removed seconds after one process, which another one had told of the
+/// list all the while, reaches the store again: that process took its next own read for the first one after
+/// an outage, and kept the endpoint for two seconds more (hunt, trouble-1, seed 1050068553095).
+#[test]
+fn endpoint_gone_after_process_was_turned_away_is_forgotten() {
+    run(async {
+        let world = World::start().await;
+        let _kept = world.plain("p1").await;
+        let _gone = world.plain("p2").await;
+        let _reader = world.node_at_interval("n1", 660).await;
+        let (node, switch) = world.node_turned_away_at("n2", NodePlace::ZoneB, 660).await;
+        switch.set(true);
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        switch.set(false);
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        world.store.remove("engines", "p2");
+        let removed = Instant::now();
+        wait_for("the endpoint is forgotten", async || {
+            world.knows_engines(&node, 1).await
+        })
+        .await;
+        assert!(
+            removed.elapsed() <= DRAINED,
+            "after {:?}",
+            removed.elapsed()
+        );
+    });
+}
+
 #[test]
 fn metrics_are_served() {
     run(async {
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -40,6 +40,15 @@
 /// The greatest age of the configuration with which keys are accepted, in milliseconds.
 pub(crate) const KEY_AGE_MS: u64 = 2_500;
 
+/// Where a process runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NodePlace {
+    /// In zone `a`, with a lower address than the one in zone `b`.
+    ZoneA,
+    /// In zone `b`.
+    ZoneB,
+}
+
 /// An answer that was read to its end, or to where it broke off.
 #[derive(Debug)]
 pub(crate) struct ReadAnswer {
@@ -104,19 +113,21 @@
 
     /// Starts a process that reads the list of engines at an interval in milliseconds.
     pub(crate) async fn node_at_interval(&self, name: &str, list_interval_ms: u64) -> RunningNode {
-        self.start_node(name, list_interval_ms, self.store_address)
+        let place = NodePlace::ZoneA;
+        self.start_node(name, place, list_interval_ms, self.store_address)
             .await
     }
 
     /// Starts a process that the store turns away while the returned switch is set.
     pub(crate) async fn node_turned_away(&self, name: &str) -> (RunningNode, Rc<Cell<bool>>) {
-        self.node_turned_away_at_interval(name, 100).await
+        self.node_turned_away_at(name, NodePlace::ZoneA, 100).await
     }
 
     /// Starts such a process that reads the list of engines at an interval in milliseconds.
-    pub(crate) async fn node_turned_away_at_interval(
+    pub(crate) async fn node_turned_away_at(
         &self,
         name: &str,
+        place: NodePlace,
         list_interval_ms: u64,
     ) -> (RunningNode, Rc<Cell<bool>>) {
         let is_refused = Rc::new(Cell::new(false));
@@ -143,7 +154,7 @@
                 }
             }
         });
-        let node = self.start_node(name, list_interval_ms, address.await);
+        let node = self.start_node(name, place, list_interval_ms, address.await);
         (node.await, is_refused)
     }
 
@@ -163,13 +174,18 @@
     async fn start_node(
         &self,
         name: &str,
+        place: NodePlace,
         list_interval_ms: u64,
         store: SocketAddr,
     ) -> RunningNode {
-        let free: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let (zone, free) = match place {
+            NodePlace::ZoneA => ("a", "127.0.0.1:0"),
+            NodePlace::ZoneB => ("b", "127.0.0.2:0"),
+        };
+        let free: SocketAddr = free.parse().unwrap();
         let settings = RelaySettings {
             name: name.to_owned(),
-            zone: "a".to_owned(),
+            zone: zone.to_owned(),
             callers: free,
             readiness: free,
             peers: free,
