--- a/crates/daemon/tests/stream_support/link_proxy.rs
+++ b/crates/daemon/tests/stream_support/link_proxy.rs
@@ -22,10 +22,23 @@
     pub(crate) silent_below: u64,
     /// Whether no connection forwards anything.
     pub(crate) is_frozen: bool,
+    /// Whether answers are held back while requests pass.
+    pub(crate) is_deaf: bool,
+    /// Connections with a lower number than this one are closed.
+    pub(crate) closed_below: u64,
     /// Whether connections are closed and refused.
     pub(crate) is_killed: bool,
 }
 
+/// One direction of a connection.
+#[derive(Clone, Copy)]
+struct LinkLane {
+    /// The number of the connection.
+    number: u64,
+    /// Whether it carries answers.
+    is_answer: bool,
+}
+
 /// A link to a listener, with faults.
 pub(crate) struct LinkProxy {
     pub(crate) address: SocketAddr,
@@ -44,6 +57,8 @@
                 delay,
                 silent_below: 0,
                 is_frozen: false,
+                is_deaf: false,
+                closed_below: 0,
                 is_killed: false,
             }),
             opened: watch::Sender::new(0),
@@ -61,6 +76,17 @@
         self.state.send_modify(|state| state.is_frozen = is_frozen);
     }
 
+    /// Holds answers back while requests pass, or lets them through again.
+    pub(crate) fn set_deaf(&self, is_deaf: bool) {
+        self.state.send_modify(|state| state.is_deaf = is_deaf);
+    }
+
+    /// Closes the open connections; new ones work.
+    pub(crate) fn reset_open(&self) {
+        let opened = *self.opened.borrow();
+        self.state.send_modify(|state| state.closed_below = opened);
+    }
+
     /// Closes every connection and refuses new ones.
     pub(crate) fn kill(&self) {
         self.state.send_modify(|state| state.is_killed = true);
@@ -99,11 +125,13 @@
             far.set_nodelay(true).unwrap();
             let (near_in, near_out) = near.into_split();
             let (far_in, far_out) = far.into_split();
-            let mut killed = proxy.state.subscribe();
+            let mut closed = proxy.state.subscribe();
+            let lane = |is_answer| LinkLane { number, is_answer };
+            let is_closed = |state: &LinkState| state.is_killed || number < state.closed_below;
             tokio::select! {
-                () = forward(near_in, far_out, proxy.state.subscribe(), number, proxy.chunks.clone()) => {}
-                () = forward(far_in, near_out, proxy.state.subscribe(), number, proxy.chunks.clone()) => {}
-                _ = killed.wait_for(|state| state.is_killed) => {}
+                () = forward(near_in, far_out, proxy.state.subscribe(), lane(false), proxy.chunks.clone()) => {}
+                () = forward(far_in, near_out, proxy.state.subscribe(), lane(true), proxy.chunks.clone()) => {}
+                _ = closed.wait_for(is_closed) => {}
             }
         });
     }
@@ -123,7 +151,7 @@
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut state: watch::Receiver<LinkState>,
-    number: u64,
+    lane: LinkLane,
     chunks_sent: Arc<AtomicU64>,
 ) {
     let (sender, mut chunks) = mpsc::unbounded_channel::<(Instant, Vec<u8>)>();
@@ -141,7 +169,10 @@
         while let Some((due, chunk)) = chunks.recv().await {
             wait_until_due(due).await;
             chunks_sent.fetch_add(1, Ordering::Relaxed);
-            let passes = |state: &LinkState| !state.is_frozen && number >= state.silent_below;
+            let passes = |state: &LinkState| {
+                let is_held = state.is_frozen || state.is_deaf && lane.is_answer;
+                !is_held && lane.number >= state.silent_below
+            };
             if state.wait_for(passes).await.is_err() || to.write_all(&chunk).await.is_err() {
                 return;
             }
