--- a/crates/core/src/admit/retry_budget.rs
+++ b/crates/core/src/admit/retry_budget.rs
@@ -69,6 +69,11 @@
         self.level = self.level.min(self.burst);
     }
 
+    /// Sets the share of retries in the requests.
+    pub fn set_percent(&mut self, percent: u32) {
+        self.percent = u64::from(percent);
+    }
+
     /// Counts a first attempt.
     pub fn request(&mut self) {
         self.level = (self.level + self.percent).min(self.burst);
--- a/crates/core/src/relay/config_age.rs
+++ b/crates/core/src/relay/config_age.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Sets the age from which on requests with keys are refused.
+    pub fn set_limit(&mut self, limit_ms: u64) {
+        self.limit_ms = limit_ms;
+    }
+
     /// Takes the start of a read that found the held configuration to be the newest.
     pub fn confirm(&mut self, read_start: MilliTime) {
         self.confirmed = self.confirmed.max(Some(read_start));
--- a/crates/relay/src/node/mod.rs
+++ b/crates/relay/src/node/mod.rs
@@ -4,6 +4,7 @@
 
 mod boot_clock;
 mod node_state;
+mod relay_bounds;
 mod relay_settings;
 mod relay_view;
 mod run_node;
@@ -11,6 +12,7 @@
 
 pub use self::boot_clock::BootClock;
 pub use self::node_state::NodeState;
+pub use self::relay_bounds::RelayBounds;
 pub use self::relay_settings::RelaySettings;
 pub use self::relay_view::RelayView;
 pub use self::run_node::run_node;
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -16,6 +16,7 @@
 use crate::wire::WireFormat;
 
 use super::BootClock;
+use super::RelayBounds;
 use super::RelaySettings;
 use super::RelayView;
 
@@ -23,6 +24,8 @@
 pub struct NodeState {
     /// The settings.
     pub settings: RelaySettings,
+    /// The bounds in force, which may have changed since the start.
+    pub bounds: Cell<RelayBounds>,
     /// The protocols of the deployment.
     pub format: Box<dyn WireFormat>,
     /// The clock.
@@ -73,6 +76,7 @@
         let view = RefCell::new(RelayView::new(&settings));
         Rc::new(NodeState {
             run: new_run(&settings.name),
+            bounds: Cell::new(settings.bounds),
             settings,
             format,
             clock: BootClock,
--- a/crates/relay/src/node/relay_settings.rs
+++ b/crates/relay/src/node/relay_settings.rs
@@ -1,5 +1,7 @@
 use std::net::SocketAddr;
 
+use super::RelayBounds;
+
 /// The settings of a process that relays requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RelaySettings {
@@ -17,14 +19,6 @@
     pub metrics: SocketAddr,
     /// Where the store is.
     pub store: SocketAddr,
-    /// The greatest age of the configuration with which keys are accepted, in milliseconds.
-    pub key_age_ms: u64,
-    /// The time between two reads of the list of engines, in milliseconds.
-    pub list_interval_ms: u64,
-    /// Retries of all processes together, as a share of the requests, in percent.
-    pub retry_percent: u32,
-    /// Retries of all processes together that are allowed beside that share, in each window.
-    pub retry_slack: u32,
-    /// The time between the signal to stop and the end of the process, in milliseconds.
-    pub grace_ms: u64,
+    /// The bounds to keep.
+    pub bounds: RelayBounds,
 }
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -10,6 +10,7 @@
 use dandelionroad_core::relay::RouteIndex;
 use dandelionroad_core::time::MilliTime;
 
+use super::RelayBounds;
 use super::RelaySettings;
 
 /// The processes among which retries are divided before the others were heard of.
@@ -55,7 +56,7 @@
             config: None,
             routes: RouteIndex::default(),
             keys: KeyIndex::default(),
-            config_age: ConfigAge::new(settings.key_age_ms),
+            config_age: ConfigAge::new(settings.bounds.key_age_ms),
             engines: EngineTable::new(),
             crashes: CrashWatch::new(),
             listing_time: MilliTime::default(),
@@ -63,8 +64,8 @@
             is_store_lost: false,
             has_listing: false,
             retries: RetryBudget::empty(
-                settings.retry_percent,
-                settings.retry_slack / FIRST_PROCESSES,
+                settings.bounds.retry_percent,
+                settings.bounds.retry_slack / FIRST_PROCESSES,
             ),
             crossings: CrossingBudget::new(),
             processes: FIRST_PROCESSES,
@@ -72,6 +73,13 @@
         }
     }
 
+    /// Takes bounds that have changed.
+    pub fn set_bounds(&mut self, bounds: RelayBounds) {
+        self.config_age.set_limit(bounds.key_age_ms);
+        self.retries.set_percent(bounds.retry_percent);
+        self.retries.set_burst(bounds.retry_slack / self.processes);
+    }
+
     /// Adopts a configuration unless a newer one is held; returns whether it was adopted.
     pub fn adopt(&mut self, config: RelayConfig) -> bool {
         let held = self.config.as_ref().map(|config| config.version);
--- a/crates/relay/src/node/running_node.rs
+++ b/crates/relay/src/node/running_node.rs
@@ -86,13 +86,31 @@
         &self.state.settings
     }
 
+    /// Takes settings that were read anew: bounds are in force at once, all else at the next start.
+    pub fn reload(&self, settings: &RelaySettings) {
+        let state = &self.state;
+        let bounds = settings.bounds;
+        let is_changed = state.bounds.replace(bounds) != bounds;
+        if is_changed {
+            state.view.borrow_mut().set_bounds(bounds);
+        }
+        spdlog::info!("node: settings read again", kv: {
+            changed = is_changed,
+            key_age_ms = bounds.key_age_ms,
+            list_interval_ms = bounds.list_interval_ms,
+            retry_percent = bounds.retry_percent,
+            retry_slack = bounds.retry_slack,
+            grace_ms = bounds.grace_ms,
+        });
+    }
+
     /// Reports that the process isn't ready, ends the running requests and returns.
     pub async fn stop(mut self) {
         let state = &self.state;
         let started = state.clock.now();
         state.view.borrow_mut().is_stopping = true;
         spdlog::info!("node: stopping", kv: { running = state.running.get() });
-        let limit_ms = state.settings.grace_ms.saturating_sub(STOP_MARGIN_MS);
+        let limit_ms = state.bounds.get().grace_ms.saturating_sub(STOP_MARGIN_MS);
         let admit_ms = limit_ms.saturating_sub(LAST_REQUEST_MS);
         state.admits_until.set(started.plus(admit_ms));
         tokio::time::sleep(Duration::from_millis(UNREADY_MS.min(limit_ms))).await;
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -335,7 +335,7 @@
     if processes != view.processes {
         view.processes = processes;
         view.retries
-            .set_burst(state.settings.retry_slack / processes);
+            .set_burst(state.bounds.get().retry_slack / processes);
         spdlog::info!("peers: live processes", kv: { processes = processes });
     }
 }
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -99,7 +99,7 @@
 /// Waits until the list has to be read again: at the interval, when another process no longer
 /// confirms it, or when it has changed.
 async fn pause(state: &NodeState) -> ListingPause {
-    let interval_ms = state.settings.list_interval_ms;
+    let interval_ms = state.bounds.get().list_interval_ms;
     if reads_for_others(state) {
         tokio::time::sleep(Duration::from_millis(interval_ms)).await;
         return ListingPause::Due;
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -256,6 +256,24 @@
     });
 }
 
+/// A bound that the operator has lowered must hold without a restart.
+#[test]
+fn key_age_reloaded_is_in_force() {
+    run(async {
+        let world = World::start().await;
+        let _engine = world.plain("p1").await;
+        let node = world.node("n1").await;
+        assert_eq!(world.ask(&node, "/any/stock", "r1").await.status, 200);
+        let mut settings = node.settings().clone();
+        settings.bounds.key_age_ms = 0;
+        node.reload(&settings);
+        assert_eq!(world.ask(&node, "/any/stock", "r2").await.status, 503);
+        settings.bounds.key_age_ms = KEY_AGE_MS;
+        node.reload(&settings);
+        assert_eq!(world.ask(&node, "/any/stock", "r3").await.status, 200);
+    });
+}
+
 /// Replays processes that the store turned away for seconds, and an endpoint that leaves right after: those
 /// that do not read for the others kept it until the next change of the list, and sent requests to it.
 #[test]
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dandelionroad_relay::node::RelayBounds;
 use dandelionroad_relay::node::RelaySettings;
 use dandelionroad_relay::node::RunningNode;
 use http_body_util::BodyExt;
@@ -191,11 +192,13 @@
             peers: free,
             metrics: free,
             store,
-            key_age_ms: KEY_AGE_MS,
-            list_interval_ms,
-            retry_percent: 100,
-            retry_slack: 1_000,
-            grace_ms: 8_000,
+            bounds: RelayBounds {
+                key_age_ms: KEY_AGE_MS,
+                list_interval_ms,
+                retry_percent: 100,
+                retry_slack: 1_000,
+                grace_ms: 8_000,
+            },
         };
         let node = RunningNode::start(settings, Box::new(TestWire))
             .await
