--- a/crates/core/src/relay/engine_table.rs
+++ b/crates/core/src/relay/engine_table.rs
@@ -5,6 +5,7 @@
 use super::SharedLoad;
 use super::engine_listing::in_order;
 use super::engine_listing::listing_digest;
+use super::listing_gap::ListingGap;
 
 /// How long an engine is avoided after one failure, in milliseconds.
 ///
@@ -42,12 +43,6 @@
 /// How long a pace is believed, in milliseconds.
 const PACE_AGE_MS: u64 = 3_000;
 
-/// How long an entry that is missing after an outage of the store is still believed, in
-/// milliseconds.
-///
-/// Entries lapse while the store is away; live engines are listed again within two seconds.
-const RELIST_MS: u64 = 2_000;
-
 /// The listed engines, sorted by identifier, with what this process believes of them.
 #[derive(Clone, Debug, Default)]
 pub struct EngineTable {
@@ -56,8 +51,8 @@
     digest: u64,
     /// The moving average of the pace of all runs.
     usual_pace: f64,
-    /// Until when missing entries are kept, because the store has just come back.
-    keeps_missing_until: MilliTime,
+    /// The time after an outage in which missing entries are kept.
+    gap: ListingGap,
 }
 
 impl EngineTable {
@@ -101,9 +96,10 @@
         self.digest
     }
 
-    /// Takes the end of an outage of the store, after which listings may be incomplete for a while.
-    pub fn store_returned(&mut self, now: MilliTime) {
-        self.keeps_missing_until = now.plus(RELIST_MS);
+    /// Takes the end of an outage of the store, after which listings may be incomplete for a while if the held
+    /// one was known to be the newest `held_ms` ago.
+    pub fn store_returned(&mut self, held_ms: u64, now: MilliTime) {
+        self.gap.store_returned(held_ms, now);
     }
 
     /// Returns the digest that a listing would have.
@@ -145,7 +141,7 @@
         }
         let mut removed = Vec::new();
         for mut entry in old {
-            if now < self.keeps_missing_until && !entry.record.is_draining {
+            if self.gap.is_open(now) && !entry.record.is_draining {
                 entry.is_missing = true;
                 self.entries.push(entry);
             } else {
@@ -161,9 +157,10 @@
     /// identifiers.
     ///
     /// A process that hears that its list is the newest reads no other one until there is a change, which
-    /// may be long after the engine has left.
-    pub fn remove_missing(&mut self, now: MilliTime) -> Vec<String> {
-        if now < self.keeps_missing_until {
+    /// may be long after the engine has left. `confirmed` is when the held list was last known to be the newest:
+    /// the store may be away again before engines could be listed anew.
+    pub fn remove_missing(&mut self, confirmed: MilliTime, now: MilliTime) -> Vec<String> {
+        if !self.gap.is_closed(confirmed, now) {
             return Vec::new();
         }
         let missing = self.entries.extract_if(.., |entry| entry.is_missing);
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -21,6 +21,7 @@
 mod engine_table;
 mod event_splitter;
 mod key_index;
+mod listing_gap;
 mod model_shape;
 mod relay_account;
 mod relay_config;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -29,6 +29,9 @@
 use crate::chain_support::record;
 use crate::chain_support::table;
 
+/// The age of a list that was held over an outage in which entries lapsed, in milliseconds.
+const OUTAGE_MS: u64 = 4_000;
+
 fn route(host: &str, prefix: &str) -> RelayRoute {
     RelayRoute {
         host: host.to_owned(),
@@ -200,7 +203,7 @@
 fn engine_table_keeps_lapsed_entries_after_outage() {
     let listing = || vec![record(1, "a", "large", LayerRange::new(0, 40))];
     let mut table = table(listing());
-    table.store_returned(NOW);
+    table.store_returned(OUTAGE_MS, NOW);
     table.replace(Vec::new(), NOW.plus(1_000));
     assert!(table.get("e001").is_some());
     table.replace(Vec::new(), NOW.plus(2_000));
@@ -222,16 +225,27 @@
     let listing =
         |count| (1..=count).map(|number| record(number, "a", "large", LayerRange::new(0, 40)));
     let mut table = table(listing(2).collect());
-    table.store_returned(NOW);
+    table.store_returned(OUTAGE_MS, NOW);
     table.replace(listing(1).collect(), NOW.plus(1_000));
-    assert!(table.remove_missing(NOW.plus(1_900)).is_empty());
-    assert_eq!(table.remove_missing(NOW.plus(2_000)), ["e002"]);
+    assert!(
+        table
+            .remove_missing(NOW.plus(1_900), NOW.plus(1_900))
+            .is_empty()
+    );
+    assert_eq!(
+        table.remove_missing(NOW.plus(2_000), NOW.plus(2_000)),
+        ["e002"]
+    );
     assert!(table.get("e002").is_none() && table.get("e001").is_some());
     // One that is listed again is not missing.
-    table.store_returned(NOW.plus(3_000));
+    table.store_returned(OUTAGE_MS, NOW.plus(3_000));
     table.replace(Vec::new(), NOW.plus(3_500));
     table.replace(listing(1).collect(), NOW.plus(4_000));
-    assert!(table.remove_missing(NOW.plus(9_000)).is_empty());
+    assert!(
+        table
+            .remove_missing(NOW.plus(9_000), NOW.plus(9_000))
+            .is_empty()
+    );
 }
 
 /// Replays the loss of one engine: its runs stall together, and the others of its chain stay in use.
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -327,7 +327,8 @@
     view.engines
         .divide_room(|zone| peers.zone_live(zone, now) + 1, draw);
     view.engines.forget_pace(now);
-    for id in view.engines.remove_missing(now) {
+    let confirmed = view.listing_time;
+    for id in view.engines.remove_missing(confirmed, now) {
         spdlog::info!("engines: gone", kv: { engine = id.as_str() });
     }
     state.room.notify_waiters();
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -15,13 +15,6 @@
 use super::StoreClient;
 use super::retry_pause::pause_after_failure;
 
-/// The age of the held list from which on the first one after an outage counts as incomplete, in
-/// milliseconds.
-///
-/// Entries lapse after three missed heartbeats; shorter outages lose none. A process that the store turned
-/// away, but that another one told of the list meanwhile, has missed nothing.
-const OUTAGE_MS: u64 = 1_500;
-
 /// The age of the list up to which a process relies on the confirmations of another one, as a factor
 /// of the interval between two reads.
 const CONFIRMED_FACTOR: u64 = 2;
@@ -41,9 +34,7 @@
                 if !is_reached {
                     let mut view = state.view.borrow_mut();
                     let age_ms = now.since(view.listing_time);
-                    if age_ms > OUTAGE_MS {
-                        view.engines.store_returned(now);
-                    }
+                    view.engines.store_returned(age_ms, now);
                     spdlog::info!("store: regained for the list of engines", kv: {
                         listing_age_ms = age_ms,
                     });
