--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod admit;
 pub mod chain;
 pub mod config;
+mod digest;
 pub mod dispatch;
 pub mod hex;
 pub mod ident;
--- a/crates/relay/src/crash_report.rs
+++ b/crates/relay/src/crash_report.rs
@@ -5,13 +5,13 @@
 use crate::node::NodeState;
 
 /// Takes the refusal of a connection by an engine as its loss.
-pub(crate) fn lose_refusing(state: &NodeState, id: &str) {
+pub(crate) fn note_refused_connection(state: &NodeState, id: &str) {
     let incarnation = state.view.borrow().engines.incarnation(id);
-    lose_engine(state, &incarnation, "it refuses connections");
+    note_lost_engine(state, &incarnation, "it refuses connections");
 }
 
 /// Takes the loss of an incarnation of an engine, and writes down the requests that may have crashed it.
-pub(crate) fn lose_engine(state: &NodeState, incarnation: &str, cause: &str) {
+pub(crate) fn note_lost_engine(state: &NodeState, incarnation: &str, cause: &str) {
     let now = state.clock.now();
     let crashes = {
         let mut view = state.view.borrow_mut();
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -11,7 +11,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 
-use crate::crash_report::lose_refusing;
+use crate::crash_report::note_refused_connection;
 use crate::engine::LoadGuard;
 use crate::engine::SendFault;
 use crate::node::NodeState;
@@ -170,7 +170,7 @@
         Ok(Ok(end)) => end,
         Ok(Err(SendFault::NotSent { is_refused, .. })) => {
             if is_refused {
-                lose_refusing(state, id);
+                note_refused_connection(state, id);
             }
             PlainEnd::Lost(AttemptEnd::NotSent)
         }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -21,7 +21,7 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 
-use crate::crash_report::lose_refusing;
+use crate::crash_report::note_refused_connection;
 use crate::engine::LoadGuard;
 use crate::engine::SendFault;
 use crate::node::NodeState;
@@ -224,7 +224,7 @@
             Ok(Ok(response)) => response,
             Ok(Err(SendFault::NotSent { is_refused, .. })) => {
                 if is_refused {
-                    lose_refusing(&self.state, &chain[0].id);
+                    note_refused_connection(&self.state, &chain[0].id);
                 }
                 self.blame(&chain[0].id);
                 return Err(AttemptEnd::NotSent);
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -4,7 +4,7 @@
 use dandelionroad_core::relay::EngineRecord;
 use dandelionroad_core::relay::EngineTable;
 
-use crate::crash_report::lose_engine;
+use crate::crash_report::note_lost_engine;
 use crate::node::NodeState;
 use crate::peer::fetch_rows;
 use crate::peer::reads_for_others;
@@ -169,6 +169,6 @@
     }
     drop(view);
     for incarnation in lost {
-        lose_engine(state, &incarnation, "listed no more, or started again");
+        note_lost_engine(state, &incarnation, "listed no more, or started again");
     }
 }
