--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -7,6 +7,7 @@
 use crate::peer::fetch_rows;
 use crate::peer::reads_for_others;
 use crate::peer::take_zone_copy;
+use crate::telemetry::logged_age;
 use crate::wire::StoreCall;
 use crate::wire::StoreReply;
 use crate::wire::StoreRow;
@@ -65,7 +66,7 @@
                 if is_reached {
                     let age = state.view.borrow().config_age.age_ms(state.clock.now());
                     spdlog::warn!("store: lost for the configuration: {error}", kv: {
-                        config_age_ms = age.unwrap_or(u64::MAX),
+                        config_age_ms = logged_age(age),
                     });
                 }
                 is_reached = false;
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -9,6 +9,7 @@
 use crate::peer::fetch_rows;
 use crate::peer::reads_for_others;
 use crate::peer::take_zone_copy;
+use crate::telemetry::logged_age;
 use crate::wire::StoreRow;
 use crate::wire::StoreTable;
 
@@ -33,10 +34,12 @@
                 let now = state.clock.now();
                 if !is_reached {
                     let mut view = state.view.borrow_mut();
-                    let age_ms = now.since(view.listing_time);
-                    view.engines.store_returned(age_ms, now);
+                    let held_ms = view.has_listing.then(|| now.since(view.listing_time));
+                    if let Some(held_ms) = held_ms {
+                        view.engines.store_returned(held_ms, now);
+                    }
                     spdlog::info!("store: regained for the list of engines", kv: {
-                        listing_age_ms = age_ms,
+                        listing_age_ms = logged_age(held_ms),
                     });
                 }
                 is_reached = true;
--- a/crates/relay/src/telemetry/request_log.rs
+++ b/crates/relay/src/telemetry/request_log.rs
@@ -4,6 +4,8 @@
 
 use crate::node::NodeState;
 
+use super::logged_age;
+
 /// The record of one request, written as one log line and counted when it ends.
 pub struct RequestLog {
     state: Rc<NodeState>,
@@ -114,7 +116,7 @@
             gap_ms = self.longest_gap_ms,
             waited_ms = self.waited_ms,
             config = view.config.as_ref().map_or(0, |config| config.version),
-            config_age_ms = view.config_age.age_ms(now).unwrap_or(u64::MAX),
+            config_age_ms = logged_age(view.config_age.age_ms(now)),
             cause = self.detail.as_str(),
         });
     }
