Bound answers without end, count only events as progress, and check permissions again before sending

A stream whose task ended without saying so ended as complete.

Change: 8 MiB for a body that is read as a whole, 16 interim answers, 256 KiB without an event that carries data; stall time-outs count from the last such event; the caller has until the deadline to read; a body that is not whole by the deadline is refused with 408 (not run); key and age of the configuration are checked again before the first send and before each retry of a call; a streamed response ends regularly only after it was marked as complete; the lease is checked again after the engine's report.

The check of the lease has no test of its own.

--- /dev/null
+++ b/crates/core/src/relay/event_fault.rs
@@ -0,0 +1,15 @@
+use snafu::Snafu;
+
+/// The reason for which the bytes of an event stream are not passed on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum EventFault {
+    /// An event does not follow its predecessor.
+    #[snafu(display("event {id} does not follow its predecessor"))]
+    OutOfOrder {
+        /// The identifier of the event.
+        id: u64,
+    },
+    /// Too many bytes arrived without an event that carries data.
+    #[snafu(display("too many bytes without an event"))]
+    TooLong,
+}
--- a/crates/core/src/relay/event_splitter.rs
+++ b/crates/core/src/relay/event_splitter.rs
@@ -1,3 +1,11 @@
+use super::EventFault;
+
+/// The maximum number of bytes between the ends of two events that carry data, in bytes.
+///
+/// Events are some hundred bytes long. Without a limit, an engine that sends an event or comments without
+/// end fills the memory of the process.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Splits the bytes of an event stream into complete events.
 ///
 /// An engine may stop in the middle of an event. Only complete events are passed on, so that
@@ -19,17 +27,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
+    /// The number of buffered bytes that are known to contain no end of an event.
+    searched: usize,
+    /// The number of bytes since the last event that carries data.
+    idle_bytes: usize,
     last_id: Option<u64>,
     event_count: u64,
+    data_count: u64,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that resumes after the event `last_id`, or for a new one.
     pub fn new(last_id: Option<u64>) -> EventSplitter {
         EventSplitter {
-            buffer: Vec::new(),
             last_id,
-            event_count: 0,
+            ..EventSplitter::default()
         }
     }
 
@@ -40,26 +52,38 @@
     ///
     /// # Errors
     ///
-    /// Returns the identifier of an event that does not follow its predecessor.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, u64> {
+    /// Returns [`EventFault::OutOfOrder`] for an event that does not follow its predecessor, and
+    /// [`EventFault::TooLong`] if too many bytes arrive without an event that carries data.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventFault> {
         self.buffer.extend_from_slice(bytes);
+        self.idle_bytes += bytes.len();
         let mut complete_len = 0;
-        while let Some(length) = first_event_end(&self.buffer[complete_len..]) {
+        while let Some(length) = event_length(&self.buffer[complete_len..], self.searched) {
+            self.searched = 0;
             let end = complete_len + length;
-            let lines = self.buffer[complete_len..end].split(|byte| *byte == b'\n');
-            if let Some(id) = lines.filter_map(event_id).next() {
+            let event = &self.buffer[complete_len..end];
+            if let Some(id) = event.split(is_newline).find_map(event_id) {
                 if self.last_id.is_some_and(|last| id != last + 1) {
                     if complete_len == 0 {
-                        return Err(id);
+                        return Err(EventFault::OutOfOrder { id });
                     }
                     break;
                 }
                 self.last_id = Some(id);
                 self.event_count += 1;
             }
+            if event.split(is_newline).any(is_data) {
+                self.data_count += 1;
+                self.idle_bytes = self.buffer.len() - end;
+            }
             complete_len = end;
         }
+        if self.idle_bytes > MAX_EVENT_BYTES {
+            return Err(EventFault::TooLong);
+        }
         let rest = self.buffer.split_off(complete_len);
+        // The last byte may be the first one of the blank line that ends the event.
+        self.searched = rest.len().saturating_sub(1);
         Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
@@ -73,16 +97,32 @@
         self.event_count
     }
 
+    /// Returns the number of complete events that carry data; comments and other events without data are
+    /// no progress of a stream.
+    pub fn data_count(&self) -> u64 {
+        self.data_count
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
     }
 }
 
-/// Returns the position after the first blank line, which ends an event.
-fn first_event_end(bytes: &[u8]) -> Option<usize> {
-    let found = bytes.windows(2).position(|pair| pair == b"\n\n");
-    found.map(|position| position + 2)
+/// Returns the length of the first event with the blank line that ends it; the blank line does not begin
+/// in the first `searched` bytes.
+fn event_length(bytes: &[u8], searched: usize) -> Option<usize> {
+    let rest = bytes.get(searched..)?;
+    let found = rest.windows(2).position(|pair| pair == b"\n\n");
+    found.map(|position| searched + position + 2)
+}
+
+fn is_newline(byte: &u8) -> bool {
+    *byte == b'\n'
+}
+
+fn is_data(line: &[u8]) -> bool {
+    line.starts_with(b"data:")
 }
 
 fn event_id(line: &[u8]) -> Option<u64> {
--- /dev/null
+++ b/crates/core/tests/event_splitter.rs
@@ -0,0 +1,83 @@
+//! Guards against events that are lost, repeated or cut when a stream is split or resumed, and against memory
+//! that events without end take.
+
+use dandelionroad_core::relay::EventFault;
+use dandelionroad_core::relay::EventSplitter;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// Guards against incomplete, repeated or missing events at a caller when a stream is resumed after
+/// it broke off at any byte.
+#[test]
+fn event_splitter_random_cuts() {
+    let events: Vec<u8> = (1..60)
+        .flat_map(|id| format!("id: {id}\ndata: token {id}\n\n").into_bytes())
+        .collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    for _ in 0..2_000 {
+        // The first run is cut anywhere; the second one resumes after the last complete event.
+        let cut = rng.random_range(0..events.len());
+        let mut passed = Vec::new();
+        let mut splitter = EventSplitter::new(None);
+        let mut rest = &events[..cut];
+        while !rest.is_empty() {
+            let length = rng.random_range(1..=rest.len().min(40));
+            passed.extend(splitter.push(&rest[..length]).unwrap());
+            rest = &rest[length..];
+        }
+        let last = splitter.last_id().unwrap_or(0);
+        let tail = format!("id: {}\n", last + 1);
+        let start = events
+            .windows(tail.len())
+            .position(|window| window == tail.as_bytes());
+        let mut splitter = EventSplitter::new(splitter.last_id());
+        passed.extend(
+            splitter
+                .push(&events[start.unwrap_or(events.len())..])
+                .unwrap(),
+        );
+        assert_eq!(passed, events);
+    }
+}
+
+/// Guards against a resumed stream that repeats or skips an event.
+#[test]
+fn event_splitter_repeated_event() {
+    let mut splitter = EventSplitter::new(Some(4));
+    assert_eq!(
+        splitter.push(b"id: 4\ndata: x\n\n"),
+        Err(EventFault::OutOfOrder { id: 4 })
+    );
+    let mut splitter = EventSplitter::new(Some(4));
+    assert_eq!(
+        splitter.push(b"id: 6\ndata: x\n\n"),
+        Err(EventFault::OutOfOrder { id: 6 })
+    );
+}
+
+/// Guards against memory that an engine fills with an event or with comments that never end, and against
+/// the time to search the same bytes again with each new one.
+#[test]
+fn event_splitter_endless_event_is_refused() {
+    for piece in [&b"data: x"[..], &b":\n\n"[..], &b"\n"[..]] {
+        let mut splitter = EventSplitter::new(None);
+        splitter.push(b"id: 1\ndata: a\n\n").unwrap();
+        let mut pushed = 0;
+        let fault = loop {
+            match splitter.push(piece) {
+                Ok(_) => pushed += piece.len(),
+                Err(fault) => break fault,
+            }
+            assert!(pushed <= 1_000_000, "{pushed} bytes without an event");
+        };
+        assert_eq!(fault, EventFault::TooLong);
+        assert_eq!(splitter.data_count(), 1);
+    }
+    // Any number of events may follow each other.
+    let mut splitter = EventSplitter::new(None);
+    let event = [&b"data: "[..], &[b'x'; 1_000], &b"\n\n"[..]].concat();
+    for _ in 0..1_000 {
+        splitter.push(&event).unwrap();
+    }
+}
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -8,7 +8,6 @@
 use dandelionroad_core::relay::CallerLimits;
 use dandelionroad_core::relay::ConfigAge;
 use dandelionroad_core::relay::EngineTable;
-use dandelionroad_core::relay::EventSplitter;
 use dandelionroad_core::relay::KeyIndex;
 use dandelionroad_core::relay::RelayAccount;
 use dandelionroad_core::relay::RelayConfig;
@@ -149,49 +148,6 @@
     }
 }
 
-/// Guards against incomplete, repeated or missing events at a caller when a stream is resumed after
-/// it broke off at any byte.
-#[test]
-fn event_splitter_random_cuts() {
-    let events: Vec<u8> = (1..60)
-        .flat_map(|id| format!("id: {id}\ndata: token {id}\n\n").into_bytes())
-        .collect();
-    let mut rng = ChaCha8Rng::seed_from_u64(11);
-    for _ in 0..2_000 {
-        // The first run is cut anywhere; the second one resumes after the last complete event.
-        let cut = rng.random_range(0..events.len());
-        let mut passed = Vec::new();
-        let mut splitter = EventSplitter::new(None);
-        let mut rest = &events[..cut];
-        while !rest.is_empty() {
-            let length = rng.random_range(1..=rest.len().min(40));
-            passed.extend(splitter.push(&rest[..length]).unwrap());
-            rest = &rest[length..];
-        }
-        let last = splitter.last_id().unwrap_or(0);
-        let tail = format!("id: {}\n", last + 1);
-        let start = events
-            .windows(tail.len())
-            .position(|window| window == tail.as_bytes());
-        let mut splitter = EventSplitter::new(splitter.last_id());
-        passed.extend(
-            splitter
-                .push(&events[start.unwrap_or(events.len())..])
-                .unwrap(),
-        );
-        assert_eq!(passed, events);
-    }
-}
-
-/// Guards against a resumed stream that repeats or skips an event.
-#[test]
-fn event_splitter_repeated_event() {
-    let mut splitter = EventSplitter::new(Some(4));
-    assert_eq!(splitter.push(b"id: 4\ndata: x\n\n"), Err(4));
-    let mut splitter = EventSplitter::new(Some(4));
-    assert_eq!(splitter.push(b"id: 6\ndata: x\n\n"), Err(6));
-}
-
 /// Guards against a restarted engine that is avoided or counted as loaded because of its previous
 /// incarnation.
 #[test]
--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -1,22 +1,28 @@
 use std::error::Error;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::ext::on_informational;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use tokio::sync::Notify;
 
 use crate::wire::EncodedCall;
 
@@ -38,6 +44,18 @@
 /// milliseconds.
 const UNACKED_TIMEOUT_MS: u64 = 3_000;
 
+/// The maximum size of a body that is read as a whole, in bytes.
+///
+/// Answers of plain services, reports and lists of engines are smaller. Without a limit, an answer without
+/// end fills the memory of the process.
+const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
+/// The maximum number of responses with a status below 200 before the final one.
+///
+/// The HTTP library skips them, so an engine that sends them without end would keep the process busy until
+/// the deadline.
+const MAX_INTERIM_RESPONSES: usize = 16;
+
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
 /// The HTTP client of engines, endpoints and other relay processes.
@@ -96,7 +114,16 @@
                 is_refused: false,
             })?;
             *request.headers_mut() = headers;
-            client.request(request).await.map_err(|error| {
+            let excess = limit_interim_responses(&mut request);
+            let response = tokio::select! {
+                biased;
+                response = client.request(request) => response,
+                () = excess.notified() => {
+                    let detail = "too many interim responses".to_owned();
+                    return Err(SendError::Broken { detail });
+                }
+            };
+            response.map_err(|error| {
                 let detail = format!("{error:?}");
                 match error.is_connect() {
                     true => SendError::NotSent {
@@ -131,9 +158,8 @@
         let exchange = async {
             let response = sent.await.map_err(|error| error.to_string())?;
             let status = response.status().as_u16();
-            let body = response.into_body().collect().await;
-            let body = body.map_err(|error| error.to_string())?;
-            Ok((status, body.to_bytes()))
+            let body = read_whole(response.into_body()).await;
+            Ok((status, body.map_err(|error| error.to_string())?))
         };
         match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
             Ok(result) => result,
@@ -148,6 +174,32 @@
     }
 }
 
+/// Reads a body to its end.
+///
+/// Dropping the future closes the connection.
+///
+/// # Errors
+///
+/// Returns an error if the body breaks off or exceeds [`MAX_BODY_BYTES`]. The connection is closed and not
+/// used again.
+pub async fn read_whole(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await?;
+    Ok(body.to_bytes())
+}
+
+/// Notifies the returned handle when the responses to a request that are not final exceed their limit.
+fn limit_interim_responses(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let excess = Arc::new(Notify::new());
+    let count = AtomicUsize::new(0);
+    let notified = Arc::clone(&excess);
+    on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES {
+            notified.notify_one();
+        }
+    });
+    excess
+}
+
 /// Returns whether the cause of an error is a refused connection.
 fn is_refused(error: &dyn Error) -> bool {
     let mut cause = error.source();
--- a/crates/relay/src/engine/mod.rs
+++ b/crates/relay/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod stall_probe;
 
 pub use self::engine_client::EngineClient;
+pub use self::engine_client::read_whole;
 pub use self::fetch_report::fetch_report;
 pub use self::load_guard::LoadGuard;
 pub use self::send_error::SendError;
--- a/crates/relay/src/ingress/caller_body.rs
+++ b/crates/relay/src/ingress/caller_body.rs
@@ -1,3 +1,8 @@
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures_util::StreamExt;
 use http_body_util::BodyExt;
@@ -8,10 +13,13 @@
 use hyper::body::Frame;
 use hyper::http::response::Parts;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendTimeoutError;
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::node::NodeState;
 
+use super::send_fault::SendFault;
+
 /// The body of a response to a caller.
 ///
 /// An error closes the connection, so that the caller sees a truncated response.
@@ -39,10 +47,61 @@
         .boxed_unsync()
 }
 
-/// Returns a body that is streamed from a channel, with the channel's sender.
-pub(super) fn channel_body() -> (mpsc::Sender<Result<Bytes, std::io::Error>>, CallerBody) {
+/// Returns a body that is streamed from a channel, with its sending side.
+///
+/// The body ends regularly only after [`CallerStream::finish`]. If the sending side is dropped before, the
+/// caller sees a truncated response, whatever the reason.
+pub(super) fn channel_body() -> (CallerStream, CallerBody) {
     let (sender, receiver) = mpsc::channel(PIECE_QUEUE_CAPACITY);
-    let frames =
-        ReceiverStream::new(receiver).map(|piece: Result<Bytes, _>| piece.map(Frame::data));
-    (sender, StreamBody::new(frames).boxed_unsync())
+    let is_finished = Arc::new(AtomicBool::new(false));
+    let has_finished = Arc::clone(&is_finished);
+    let pieces = ReceiverStream::new(receiver).map(|piece| Ok(Frame::data(piece)));
+    let end = futures_util::stream::once(async move {
+        match has_finished.load(Ordering::Relaxed) {
+            true => None,
+            false => Some(Err(std::io::Error::other(
+                "the stream broke off and can't be resumed",
+            ))),
+        }
+    });
+    let end = end.filter_map(std::future::ready);
+    let body = StreamBody::new(pieces.chain(end)).boxed_unsync();
+    let stream = CallerStream {
+        sender,
+        is_finished,
+    };
+    (stream, body)
+}
+
+/// The sending side of a streamed response.
+#[derive(Debug)]
+pub(super) struct CallerStream {
+    sender: mpsc::Sender<Bytes>,
+    is_finished: Arc<AtomicBool>,
+}
+
+impl CallerStream {
+    /// Sends a piece, waiting for `wait_ms` at most until the caller has read earlier ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for which the piece was not sent.
+    pub(super) async fn send(&self, piece: Bytes, wait_ms: u64) -> Result<(), SendFault> {
+        let wait = Duration::from_millis(wait_ms);
+        let sent = self.sender.send_timeout(piece, wait).await;
+        sent.map_err(|error| match error {
+            SendTimeoutError::Timeout(_) => SendFault::Stalled,
+            SendTimeoutError::Closed(_) => SendFault::Closed,
+        })
+    }
+
+    /// Waits until the caller has disconnected.
+    pub(super) async fn closed(&self) {
+        self.sender.closed().await;
+    }
+
+    /// Marks the response as complete.
+    pub(super) fn finish(&self) {
+        self.is_finished.store(true, Ordering::Relaxed);
+    }
 }
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -19,6 +19,7 @@
 mod relay_request;
 mod request_handler;
 mod response_class;
+mod send_fault;
 mod stream_driver;
 mod stream_relay;
 
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -1,19 +1,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::relay::ServicePicker;
 use dandelionroad_core::route::hash_text;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
 
 use crate::crash_report::record_refused_connection;
 use crate::engine::LoadGuard;
 use crate::engine::SendError;
+use crate::engine::read_whole;
 use crate::node::NodeState;
 use crate::telemetry::RequestLog;
 use crate::wire::EngineCall;
@@ -72,6 +71,12 @@
             log.add_cause("crashed two endpoints");
             break;
         }
+        if plan.sends() > 0
+            && let Some(kind) = relay.withdrawn_permission(&state)
+        {
+            log.add_cause(kind.as_str());
+            break;
+        }
         let Some((id, address)) = pick_endpoint(&state, &relay, &tried) else {
             break;
         };
@@ -194,9 +199,8 @@
         return PlainOutcome::Lost(class.attempt_end());
     }
     let (parts, body) = response.into_parts();
-    let body: Bytes = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(_) => return PlainOutcome::Lost(AttemptEnd::Broken),
+    let Ok(body) = read_whole(body).await else {
+        return PlainOutcome::Lost(AttemptEnd::Broken);
     };
     let response = caller_response(state, &parts, full_body(body));
     match class {
--- a/crates/relay/src/ingress/relay_request.rs
+++ b/crates/relay/src/ingress/relay_request.rs
@@ -9,7 +9,9 @@
 use dandelionroad_core::time::MilliTime;
 use hyper::http::request::Parts;
 
+use crate::node::NodeState;
 use crate::wire::CallerRequest;
+use crate::wire::RefusalKind;
 
 /// An admitted request with the configuration objects that it was matched to.
 pub(super) struct RelayRequest {
@@ -51,6 +53,22 @@
         of_account.unwrap_or(self.route().priority)
     }
 
+    /// Returns why the request may no longer be sent: its key was revoked, or the configuration may be out of
+    /// date by now.
+    ///
+    /// Time passes between admission and sending while the body arrives, while the request waits for
+    /// capacity, or while the process is suspended.
+    pub(super) fn withdrawn_permission(&self, state: &NodeState) -> Option<RefusalKind> {
+        self.account()?;
+        let view = state.view.borrow();
+        if !view.config_age.is_fresh(state.clock.now()) {
+            return Some(RefusalKind::StaleConfig);
+        }
+        let key = self.caller.key.as_deref();
+        let is_known = key.is_some_and(|key| view.keys.find(key).is_some());
+        (!is_known).then_some(RefusalKind::UnknownKey)
+    }
+
     /// Returns the fingerprint of the account, path and body, which retries by the caller share.
     pub(super) fn fingerprint(&self) -> String {
         let account = self.account().map_or("", |account| account.name.as_str());
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -1,4 +1,5 @@
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -76,14 +77,14 @@
     if state.stop_deadline.get().since(arrival) < min_left_ms {
         return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::Leaving);
     }
-    let body = match read_body(body, config.limits.body_bytes).await {
-        Ok(body) => body,
-        Err(kind) => return log_and_refuse(&state, &mut log, &caller.id, kind),
-    };
     let route_timeout_ms = config.routes[route].timeout_ms;
     let timeout_ms = caller.deadline_ms.map_or(route_timeout_ms, |timeout_ms| {
         timeout_ms.min(route_timeout_ms)
     });
+    let body = match read_body(body, config.limits.body_bytes, timeout_ms).await {
+        Ok(body) => body,
+        Err(kind) => return log_and_refuse(&state, &mut log, &caller.id, kind),
+    };
     state.view.borrow_mut().retry_budget.credit_request();
     let relay = RelayRequest {
         caller,
@@ -95,6 +96,9 @@
         account,
         deadline: arrival.plus(timeout_ms),
     };
+    if let Some(kind) = relay.withdrawn_permission(&state) {
+        return log_and_refuse(&state, &mut log, &relay.caller.id, kind);
+    }
     if is_crasher(&state, &relay) {
         return log_and_refuse(&state, &mut log, &relay.caller.id, RefusalKind::Crasher);
     }
@@ -115,6 +119,7 @@
         | RefusalKind::UnknownKey
         | RefusalKind::NoRoute
         | RefusalKind::TooLarge
+        | RefusalKind::SlowBody
         // A retry would be refused again.
         | RefusalKind::Crasher
         | RefusalKind::LostAnswer
@@ -133,8 +138,14 @@
     refuse(state, request, kind, retry_after_ms(kind))
 }
 
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, RefusalKind> {
-    match Limited::new(body, max_bytes).collect().await {
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    timeout_ms: u64,
+) -> Result<Bytes, RefusalKind> {
+    let read = Limited::new(body, max_bytes).collect();
+    let read = tokio::time::timeout(Duration::from_millis(timeout_ms), read).await;
+    match read.map_err(|_| RefusalKind::SlowBody)? {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::TooLarge),
         Err(error) => {
--- a/crates/relay/src/ingress/stream_driver.rs
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -25,14 +25,14 @@
     let mut stream = StreamRelay::new(Rc::clone(&state), relay);
     match stream.open(&mut log).await {
         OpenOutcome::Streaming(parts) => {
-            let (sender, body) = channel_body();
+            let (caller, body) = channel_body();
             let response = caller_response(&state, &parts, body);
             spawn_local(async move {
                 tokio::select! {
-                    () = stream.run(&sender, &mut log) => {}
+                    () = stream.run(&caller, &mut log) => {}
                     // The caller has disconnected. Dropping the stream closes the connection to the
                     // engines, which then stop the run.
-                    () = sender.closed() => {}
+                    () = caller.closed() => {}
                 }
             });
             response
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -1,12 +1,14 @@
 //! Forwarding of a run's events to the caller.
 
 use bytes::Bytes;
+use dandelionroad_core::relay::EventFault;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use tokio::sync::mpsc;
 
 use crate::telemetry::RequestLog;
 
+use super::super::caller_body::CallerStream;
+use super::super::send_fault::SendFault;
 use super::RunOutcome;
 use super::StreamRelay;
 use super::stall_reason::StallReason;
@@ -28,7 +30,7 @@
     /// Forwards events to the caller until the run or the caller's connection ends.
     pub(super) async fn forward_events(
         &mut self,
-        sender: &mpsc::Sender<Result<Bytes, std::io::Error>>,
+        caller: &CallerStream,
         log: &mut RequestLog,
     ) -> RunOutcome {
         loop {
@@ -44,21 +46,49 @@
             let Ok(data) = frame.into_data() else {
                 continue;
             };
+            let data_count = self.splitter.data_count();
             let complete = match self.splitter.push(&data) {
                 Ok(complete) => complete,
-                Err(_) => return RunOutcome::Broken("event out of order"),
+                Err(EventFault::OutOfOrder { .. }) => {
+                    return RunOutcome::Broken("event out of order");
+                }
+                Err(EventFault::TooLong) => return RunOutcome::Broken("event too long"),
             };
             if complete.is_empty() {
                 continue;
             }
-            log.record_piece();
-            self.observe_latency_ratio();
-            if sender.send(Ok(Bytes::from(complete))).await.is_err() {
-                return RunOutcome::CallerLeft;
+            if self.splitter.data_count() > data_count {
+                log.record_piece();
+                self.record_progress();
+            }
+            let left_ms = self.relay.deadline.since(self.state.clock.now());
+            match caller.send(Bytes::from(complete), left_ms).await {
+                Ok(()) => {}
+                Err(SendFault::Closed) => return RunOutcome::CallerLeft,
+                Err(SendFault::Stalled) => return RunOutcome::CallerStalled,
             }
         }
     }
 
+    /// Restarts the time-outs of the run after an event, and updates the latency ratio of its engines.
+    fn record_progress(&mut self) {
+        let timeouts = self.event_timeouts();
+        if let Some(run) = self.run.as_mut() {
+            run.timeouts = timeouts;
+        }
+        self.observe_latency_ratio();
+    }
+
+    /// Returns the time-outs of a run that has made progress now.
+    pub(super) fn event_timeouts(&self) -> StallTimeouts {
+        let gap_target_ms = self.relay.route().gap_target_ms;
+        StallTimeouts::new(
+            self.state.clock.now(),
+            gap_target_ms,
+            gap_target_ms * EVENT_GAP_FAILOVER_FACTOR,
+        )
+    }
+
     /// Updates the latency ratio of the run's engines every few events.
     ///
     /// The ratio compares the time per event with the time of a step of a single request on idle engines.
@@ -88,14 +118,9 @@
         let Some(mut run) = self.run.take() else {
             return Err("no run");
         };
-        let gap_target_ms = self.relay.route().gap_target_ms;
-        let timeouts = StallTimeouts {
-            probe_ms: gap_target_ms,
-            failover_ms: gap_target_ms * EVENT_GAP_FAILOVER_FACTOR,
-        };
         let mut frame = std::pin::pin!(run.body.frame());
         let result = self
-            .await_progress(&run.stages, timeouts, frame.as_mut())
+            .await_progress(&run.stages, &mut run.timeouts, frame.as_mut())
             .await;
         self.run = Some(run);
         result.map_err(|reason| match reason {
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -13,6 +13,7 @@
 mod stall_timeouts;
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use dandelionroad_core::chain::ChainStage;
@@ -22,19 +23,19 @@
 use dandelionroad_core::relay::EventSplitter;
 use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::time::MilliTime;
-use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 
 use crate::crash_report::record_refused_connection;
 use crate::engine::LoadGuard;
 use crate::engine::SendError;
+use crate::engine::read_whole;
 use crate::node::NodeState;
 use crate::telemetry::RequestLog;
 use crate::wire::EngineCall;
 use crate::wire::RefusalKind;
 
+use super::caller_body::CallerStream;
 use super::crash_check::record_broken_run;
 use super::crash_check::record_served;
 use super::open_outcome::OpenOutcome;
@@ -61,6 +62,7 @@
     unloaded_step_ms: f64,
     /// The start of the current sample for the latency ratio, and the number of events at that time.
     sample_start: Option<(MilliTime, u64)>,
+    timeouts: StallTimeouts,
     body: Incoming,
     load: LoadGuard,
 }
@@ -73,6 +75,8 @@
     Broken(&'static str),
     /// The caller has disconnected.
     CallerLeft,
+    /// The caller has not read the events by its deadline.
+    CallerStalled,
 }
 
 /// A model request that is run on one or more chains in turn.
@@ -123,6 +127,11 @@
                     break;
                 }
             };
+            if self.plan.sends() == 0
+                && let Some(kind) = self.relay.withdrawn_permission(&self.state)
+            {
+                return OpenOutcome::Refused(kind, None);
+            }
             match self.send(chain, log).await {
                 Ok(OpenOutcome::Streaming(parts)) => return OpenOutcome::Streaming(parts),
                 Ok(error_response) => {
@@ -150,19 +159,20 @@
     }
 
     /// Forwards events until the stream ends, resuming it on another chain when a run fails.
-    pub(super) async fn run(
-        &mut self,
-        sender: &mpsc::Sender<Result<Bytes, std::io::Error>>,
-        log: &mut RequestLog,
-    ) {
+    pub(super) async fn run(&mut self, caller: &CallerStream, log: &mut RequestLog) {
         loop {
-            let cause = match self.forward_events(sender, log).await {
+            let cause = match self.forward_events(caller, log).await {
                 RunOutcome::Complete => {
                     record_served(&self.state, &self.relay);
                     log.set_outcome("served");
+                    caller.finish();
                     return;
                 }
                 RunOutcome::CallerLeft => return,
+                RunOutcome::CallerStalled => {
+                    log.set_outcome("caller-stalled");
+                    return;
+                }
                 RunOutcome::Broken(cause) => cause,
             };
             log.add_cause(cause);
@@ -177,10 +187,8 @@
             // Without event identifiers, another run would repeat events that the caller already has.
             let may_resume = self.splitter.last_id().is_some() || !log.has_piece();
             if !may_resume || !self.resume(log).await {
+                // The stream is not finished, so the caller sees that it broke off.
                 log.set_outcome("cut");
-                let error = std::io::Error::other("the stream broke off and can't be resumed");
-                // The caller may have disconnected meanwhile, which ends the stream as well.
-                let _ = sender.send(Err(error)).await;
                 return;
             }
         }
@@ -229,12 +237,16 @@
             self.relay.route().repeat == RepeatRule::AtMostOnce,
         );
         let target_ms = self.relay.route().target_ms;
-        let timeouts = StallTimeouts {
-            probe_ms: target_ms / FIRST_EVENT_PROBE_DIVISOR,
-            failover_ms: target_ms * FIRST_EVENT_FAILOVER_FACTOR,
-        };
+        let mut timeouts = StallTimeouts::new(
+            self.state.clock.now(),
+            target_ms / FIRST_EVENT_PROBE_DIVISOR,
+            target_ms * FIRST_EVENT_FAILOVER_FACTOR,
+        );
         let mut sent = std::pin::pin!(sent);
-        let response = match self.await_progress(&chain, timeouts, sent.as_mut()).await {
+        let response = match self
+            .await_progress(&chain, &mut timeouts, sent.as_mut())
+            .await
+        {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent { is_refused, .. })) => {
                 if is_refused {
@@ -277,14 +289,15 @@
         match class {
             ResponseClass::Served => {
                 let mut view = self.state.view.borrow_mut();
-                chain
-                    .iter()
-                    .for_each(|stage| view.engines.record_success(&stage.id));
+                for stage in &chain {
+                    view.engines.record_success(&stage.id);
+                }
                 drop(view);
                 self.run = Some(ChainRun {
                     stages: chain,
                     unloaded_step_ms,
                     sample_start: None,
+                    timeouts: self.event_timeouts(),
                     body,
                     load,
                 });
@@ -294,14 +307,21 @@
                 self.record_failure_at(fault_address.as_deref(), &chain);
                 Err(AttemptEnd::Rejected)
             }
-            ResponseClass::Failed => match body.collect().await {
-                Ok(body) => Ok(OpenOutcome::ErrorResponse(parts, body.to_bytes())),
-                Err(_) => Err(AttemptEnd::Broken),
+            ResponseClass::Failed => match self.read_error_body(body).await {
+                Some(body) => Ok(OpenOutcome::ErrorResponse(parts, body)),
+                None => Err(AttemptEnd::Broken),
             },
             ResponseClass::Foreign => Err(AttemptEnd::Broken),
         }
     }
 
+    /// Reads the body of an error response; `None` if it is not whole by the deadline.
+    async fn read_error_body(&self, body: Incoming) -> Option<Bytes> {
+        let left_ms = self.relay.deadline.since(self.state.clock.now());
+        let read = tokio::time::timeout(Duration::from_millis(left_ms), read_whole(body));
+        read.await.ok()?.ok()
+    }
+
     /// Drops the current run, and excludes its engines for this request.
     fn abandon_run(&mut self) {
         if let Some(run) = self.run.take() {
--- a/crates/relay/src/ingress/stream_relay/stall_detection.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_detection.rs
@@ -31,42 +31,42 @@
     pub(super) async fn await_progress<F: Future>(
         &mut self,
         stages: &[ChainStage],
-        timeouts: StallTimeouts,
+        timeouts: &mut StallTimeouts,
         mut progress: Pin<&mut F>,
     ) -> Result<F::Output, StallReason> {
         let state = Rc::clone(&self.state);
-        let start = state.clock.now();
-        let mut probe_at = start.plus(timeouts.probe_ms);
-        let failover_at = start.plus(timeouts.failover_ms);
-        let mut is_probed = false;
-        let mut may_fail_over = true;
         loop {
             let now = state.clock.now();
             let left_ms = self.relay.deadline.since(now);
             if left_ms == 0 {
                 return Err(StallReason::DeadlinePassed);
             }
-            let next_ms = match may_fail_over {
-                true => probe_at.min(failover_at).since(now),
-                false => probe_at.since(now),
+            let next = match timeouts.failover_at {
+                Some(failover_at) => timeouts.probe_at.min(failover_at),
+                None => timeouts.probe_at,
             };
+            let next_ms = next.since(now);
             let lost = state.engine_lost.notified();
             tokio::select! {
                 progress = progress.as_mut() => return Ok(progress),
-                () = lost, if is_probed => {}
+                () = lost, if timeouts.is_probed => {}
                 () = tokio::time::sleep(Duration::from_millis(next_ms.min(left_ms))) => {}
             }
             let now = state.clock.now();
-            if now >= probe_at {
-                is_probed = true;
-                probe_at = now.plus(REPROBE_INTERVAL_MS);
+            if now >= timeouts.probe_at {
+                timeouts.is_probed = true;
+                timeouts.probe_at = now.plus(REPROBE_INTERVAL_MS);
                 self.spawn_probe(stages);
             }
-            if is_probed && self.has_suspected_engine(stages) && self.can_fail_over(stages) {
+            if timeouts.is_probed && self.has_suspected_engine(stages) && self.can_fail_over(stages)
+            {
                 return Err(StallReason::EngineLost);
             }
-            if now >= failover_at && may_fail_over {
-                may_fail_over = false;
+            if timeouts
+                .failover_at
+                .is_some_and(|failover_at| now >= failover_at)
+            {
+                timeouts.failover_at = None;
                 if self.can_fail_over(stages) {
                     self.record_stall(stages);
                     return Err(StallReason::Stalled);
--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -86,7 +86,7 @@
     let sends = orders.iter().map(async |order| {
         // The lease may expire while earlier orders are sent.
         match holder.is_held(state.clock.now()) {
-            true => send_order(state, order).await,
+            true => send_order(state, holder, order).await,
             false => None,
         }
     });
@@ -155,7 +155,11 @@
 /// engines.
 ///
 /// Returns the pending order if it may take effect.
-async fn send_order(state: &Rc<NodeState>, order: &PlacementOrder) -> Option<PendingOrder> {
+async fn send_order(
+    state: &Rc<NodeState>,
+    holder: &LeaseHolder,
+    order: &PlacementOrder,
+) -> Option<PendingOrder> {
     let (address, started_ms, listed) = {
         let view = state.view.borrow();
         let record = &view.engines.get(&order.id)?.record;
@@ -179,6 +183,13 @@
     if report.is_busy || report.layers != listed {
         return None;
     }
+    // The process may have been suspended while it waited for the report.
+    if !holder.is_held(state.clock.now()) {
+        spdlog::warn!("orders: not sent, as the lease expired before the engine's report arrived", kv: {
+            engine = order.id.as_str(),
+        });
+        return None;
+    }
     let message = EngineOrder {
         layers: order.layers,
         expected_count: report.order_count,
--- a/crates/relay/src/wire/refusal_kind.rs
+++ b/crates/relay/src/wire/refusal_kind.rs
@@ -9,6 +9,8 @@
     NoRoute,
     /// The body exceeds the configured limit.
     TooLarge,
+    /// The body was not whole by the deadline.
+    SlowBody,
     /// There is no configuration yet, or it may be out of date.
     StaleConfig,
     /// The process is shutting down.
@@ -42,6 +44,7 @@
             RefusalKind::UnknownKey => "unknown-key",
             RefusalKind::NoRoute => "no-route",
             RefusalKind::TooLarge => "too-large",
+            RefusalKind::SlowBody => "slow-body",
             RefusalKind::StaleConfig => "stale-config",
             RefusalKind::Leaving => "leaving",
             RefusalKind::NoEngine => "no-engine",
@@ -52,13 +55,14 @@
         }
     }
 
-    /// Returns the HTTP status; 503 guarantees that the request has not run and never will.
+    /// Returns the HTTP status; 408 and 503 guarantee that the request has not run and never will.
     pub const fn status(self) -> u16 {
         match self {
             RefusalKind::BadRequest => 400,
             RefusalKind::UnknownKey => 401,
             RefusalKind::NoRoute => 404,
             RefusalKind::TooLarge => 413,
+            RefusalKind::SlowBody => 408,
             RefusalKind::StaleConfig
             | RefusalKind::Leaving
             | RefusalKind::NoEngine
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod fake_engine;
 pub(crate) mod fake_store;
 pub(crate) mod http_fake;
+pub(crate) mod raw_engine;
 pub(crate) mod test_wire;
 
 use std::cell::Cell;
@@ -25,6 +26,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use serde_json::json;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
 use self::fake_engine::FakeEngine;
@@ -295,6 +298,19 @@
     }
 }
 
+/// Reads the head of a response, or what has arrived before the connection was closed.
+pub(crate) async fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut buffer = [0; 1_024];
+    while !head.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+        match stream.read(&mut buffer).await {
+            Ok(length) if length > 0 => head.extend_from_slice(&buffer[..length]),
+            _ => break,
+        }
+    }
+    String::from_utf8(head).unwrap()
+}
+
 /// Runs a test on a single-threaded runtime.
 pub(crate) fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
