Have one process poll for the first configuration, and bound the bodies that the clients read

Cause: until the operator writes the first configuration, each process polled the store for it (60 calls in six seconds with six processes in the new test, 30 at most now); a process without a configuration didn't count as one that reaches the store, so there was no store reader yet.

--- a/crates/clients/src/engine/event_decoder.rs
+++ b/crates/clients/src/engine/event_decoder.rs
@@ -1,3 +1,6 @@
+/// The maximum length of a line, in bytes; a token takes some hundred.
+const MAX_LINE_BYTES: usize = 256 * 1024;
+
 /// A decoder that yields the data lines of a stream of server-sent events.
 #[derive(Debug, Default)]
 pub(super) struct EventDecoder {
@@ -5,9 +8,10 @@
 }
 
 impl EventDecoder {
-    /// Adds the next bytes of the stream.
-    pub(super) fn push(&mut self, bytes: &[u8]) {
+    /// Adds the next bytes of the stream; returns false if a line exceeds the limit.
+    pub(super) fn push(&mut self, bytes: &[u8]) -> bool {
         self.buffer.extend_from_slice(bytes);
+        self.buffer.len() <= MAX_LINE_BYTES || self.buffer.contains(&b'\n')
     }
 
     /// Returns the data of the next complete `data:` line; other lines are skipped.
--- a/crates/clients/src/engine/http_engine.rs
+++ b/crates/clients/src/engine/http_engine.rs
@@ -21,6 +21,7 @@
 
 use crate::ClientFuture;
 use crate::PlatformError;
+use crate::whole_body::read_whole;
 
 use super::EngineClient;
 use super::EngineOrder;
@@ -199,8 +200,11 @@
             }
             match body.frame().await {
                 Some(Ok(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        decoder.push(data);
+                    if let Some(data) = frame.data_ref()
+                        && !decoder.push(data)
+                    {
+                        let error = indeterminate_error("line too long".to_owned());
+                        return Some((Err(error), (body, decoder, true)));
                     }
                 }
                 Some(Err(error)) => {
@@ -215,9 +219,8 @@
 }
 
 async fn read_body(response: Response<Incoming>) -> Result<Bytes, PlatformError> {
-    let body = response.into_body().collect().await;
-    body.map(|body| body.to_bytes())
-        .map_err(|error| indeterminate_error(error.to_string()))
+    let body = read_whole(response.into_body()).await;
+    body.map_err(indeterminate_error)
 }
 
 fn indeterminate_error(detail: String) -> PlatformError {
--- a/crates/clients/src/http_link.rs
+++ b/crates/clients/src/http_link.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -16,6 +15,7 @@
 
 use crate::PlatformError;
 use crate::http_answer::HttpAnswer;
+use crate::whole_body::read_whole;
 
 /// The connect timeout of a call is its deadline divided by this number.
 ///
@@ -154,12 +154,11 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default()
             .to_owned();
-        let body = response.into_body().collect().await;
-        let body = body.map_err(|error| self.indeterminate_error(&error.to_string()))?;
+        let body = read_whole(response.into_body()).await;
         Ok(HttpAnswer {
             status,
             content_type,
-            body: body.to_bytes(),
+            body: body.map_err(|detail| self.indeterminate_error(&detail))?,
         })
     }
 
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -17,6 +17,7 @@
 mod http_answer;
 mod http_link;
 mod platform_error;
+mod whole_body;
 
 pub use self::http_answer::HttpAnswer;
 pub use self::http_link::HttpLink;
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -281,7 +281,9 @@
 
 fn reaches_store(state: &NodeState, now: MilliTime) -> bool {
     let view = state.view.borrow();
-    view.is_ready() && !view.is_store_lost && now.since(view.last_store_reply) < STORE_REACHABLE_MS
+    !view.is_stopping
+        && !view.is_store_lost
+        && now.since(view.last_store_reply) < STORE_REACHABLE_MS
 }
 
 /// Lists this process in the store and reads the addresses of the others.
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -24,6 +24,12 @@
 /// confirmation intervals, so two confirmations may be lost.
 const MAX_CONFIRMED_AGE_MS: u64 = LONG_POLL_MS + 900;
 
+/// The interval at which a process that is not the store reader polls for the first configuration, in
+/// milliseconds.
+///
+/// Operators write it some seconds after the processes have started, and the store reader reports it.
+const FIRST_CONFIG_POLL_MS: u64 = 2_000;
+
 /// The interval at which the age of the configuration is checked, in milliseconds.
 const AGE_CHECK_INTERVAL_MS: u64 = 150;
 
@@ -35,8 +41,10 @@
 pub async fn run_config(state: Rc<NodeState>, store: Rc<StoreClient>) {
     let mut version: Option<u64> = None;
     let mut is_reachable = true;
+    let mut next_poll = MilliTime::default();
     loop {
-        if is_confirmed(&state) {
+        let is_awaited = next_poll > state.clock.now() && awaits_first_config(&state);
+        if is_awaited || is_confirmed(&state) {
             let pause = Duration::from_millis(AGE_CHECK_INTERVAL_MS);
             let changed = tokio::time::timeout(pause, state.config_changed.notified()).await;
             if changed.is_err() {
@@ -49,6 +57,7 @@
             }
         }
         let start = state.clock.now();
+        next_poll = start.plus(FIRST_CONFIG_POLL_MS);
         let timestamps = state.peers.borrow().newest_timestamps();
         let result = match version {
             None => read_config(&state, &store, start).await,
@@ -85,6 +94,13 @@
     }
 }
 
+/// Returns whether there is no configuration yet and another process polls the store for it.
+fn awaits_first_config(state: &NodeState) -> bool {
+    let has_config = state.view.borrow().config.is_some();
+    let reader = state.peers.borrow().store_reader(state.clock.now());
+    !has_config && reader.is_some() && !is_store_reader(state)
+}
+
 /// Returns whether another process is the store reader and has confirmed the configuration recently.
 fn is_confirmed(state: &NodeState) -> bool {
     if is_store_reader(state) {
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -146,6 +146,35 @@
     });
 }
 
+/// The operator writes the first configuration seconds after all processes have started. One of them must
+/// wait for it at the store: the long polls of all would grow with the number of processes.
+#[test]
+fn first_configuration_is_polled_by_one_process() {
+    run(async {
+        let world = World::start_unconfigured().await;
+        let _engine = world.start_endpoint("p1").await;
+        let mut nodes = Vec::new();
+        for index in 0..6 {
+            nodes.push(world.start_unready_node(&format!("n{index}")).await);
+        }
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let before = world.store.config_reads.get();
+        tokio::time::sleep(Duration::from_millis(6_000)).await;
+        let calls = world.store.config_reads.get() - before;
+        // One process polls 10 times, and each other one 3 times; if all poll, there are 60 calls.
+        assert!(calls <= 30, "{calls} calls in six seconds");
+        world.configure(1, &["k1"]);
+        let configured = Instant::now();
+        for node in &nodes {
+            wait_for("the key is accepted", async || {
+                world.send(node, "/any/stock", "r1").await.status == 200
+            })
+            .await;
+        }
+        assert!(configured.elapsed() <= Duration::from_millis(2_000));
+    });
+}
+
 /// An outage must not multiply the calls: once, all processes retried several times a second each.
 #[test]
 fn outage_is_retried_by_few_processes() {
--- a/crates/relay/tests/relay_support/fake_store.rs
+++ b/crates/relay/tests/relay_support/fake_store.rs
@@ -23,6 +23,8 @@
     pub(crate) is_hanging: Cell<bool>,
     /// The number of reads of the engine table.
     pub(crate) listing_reads: Cell<u32>,
+    /// The number of reads and long polls of the configuration table.
+    pub(crate) config_reads: Cell<u32>,
 }
 
 impl FakeStore {
@@ -34,6 +36,7 @@
             changed: Notify::new(),
             is_hanging: Cell::new(false),
             listing_reads: Cell::new(0),
+            config_reads: Cell::new(0),
         })
     }
 
@@ -72,6 +75,9 @@
         if segments[0] == "engines" {
             self.listing_reads.set(self.listing_reads.get() + 1);
         }
+        if segments[0] == "config" {
+            self.config_reads.set(self.config_reads.get() + 1);
+        }
         let after: u64 = segments.get(1).map_or(0, |text| text.parse().unwrap());
         if let Some(wait) = segments.get(2) {
             let wait = Duration::from_millis(wait.parse().unwrap());
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -84,6 +84,13 @@
 impl World {
     /// Starts the store with a first configuration that has the key `k1`.
     pub(crate) async fn start() -> World {
+        let world = World::start_unconfigured().await;
+        world.configure(1, &["k1"]);
+        world
+    }
+
+    /// Starts the store without a configuration.
+    pub(crate) async fn start_unconfigured() -> World {
         let store = FakeStore::new();
         let own = Rc::clone(&store);
         let store_address = serve_fake(move |parts, body| {
@@ -94,14 +101,12 @@
                     .await
             }
         });
-        let world = World {
+        World {
             store_address: store_address.await,
             store,
             rejected_calls: Rc::default(),
             client: Client::builder(TokioExecutor::new()).build_http(),
-        };
-        world.configure(1, &["k1"]);
-        world
+        }
     }
 
     /// Writes a configuration with the given keys.
@@ -208,6 +213,28 @@
         place: NodePlace,
         list_interval_ms: u64,
         store: SocketAddr,
+    ) -> RunningNode {
+        let node = self.launch_node(name, place, list_interval_ms, store).await;
+        let readiness = node.settings().readiness_address;
+        wait_for("the process is ready", async || {
+            self.get(readiness, "/", &[]).await.status == 200
+        })
+        .await;
+        node
+    }
+
+    /// Starts a process of zone `a` that is not ready, as the store holds no configuration.
+    pub(crate) async fn start_unready_node(&self, name: &str) -> RunningNode {
+        self.launch_node(name, NodePlace::ZoneA, 660, self.store_address)
+            .await
+    }
+
+    async fn launch_node(
+        &self,
+        name: &str,
+        place: NodePlace,
+        list_interval_ms: u64,
+        store: SocketAddr,
     ) -> RunningNode {
         let (zone, free) = match place {
             NodePlace::ZoneA => ("a", "127.0.0.1:0"),
@@ -231,15 +258,9 @@
                 grace_ms: 8_000,
             },
         };
-        let node = RunningNode::start(settings, Box::new(TestWire))
+        RunningNode::start(settings, Box::new(TestWire))
             .await
-            .unwrap();
-        let readiness = node.settings().readiness_address;
-        wait_for("the process is ready", async || {
-            self.get(readiness, "/", &[]).await.status == 200
-        })
-        .await;
-        node
+            .unwrap()
     }
 
     /// Sends a request with the key `k1` and reads the whole response.
