Tell the age of the list of engines at a request's last send, and as a gauge

Cause: after a request had reached an endpoint that had left, no log line told how old the list was that let it through. The line of each request has listing_age_ms now, and the metrics have dandelionroad_listing_age_ms.

--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -97,6 +97,12 @@
         true
     }
 
+    /// Returns the time since the list of engines was last confirmed to be the newest, in milliseconds, or
+    /// `None` before the first read.
+    pub fn listing_age_ms(&self, now: MilliTime) -> Option<u64> {
+        self.has_listing.then(|| now.since(self.listing_time))
+    }
+
     /// Returns whether the process accepts callers.
     pub fn is_ready(&self) -> bool {
         self.config.is_some() && self.has_listing && !self.is_stopping
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -86,13 +86,7 @@
         let _ = tokio::time::timeout(pause, state.announcement_due.notified()).await;
         let now = state.clock.now();
         refresh_view(state, now);
-        let listing_age_ms = {
-            let view = state.view.borrow();
-            match view.has_listing {
-                true => now.since(view.listing_time).try_into().unwrap_or(u32::MAX),
-                false => u32::MAX,
-            }
-        };
+        let listing_age_ms = state.view.borrow().listing_age_ms(now);
         let message = PeerDatagram::Load(LoadMessage {
             internal: state.settings.metrics_address,
             zone: state.settings.zone.clone(),
@@ -100,7 +94,9 @@
             stamp: now.as_millis(),
             reaches_store: reaches_store(state, now),
             capacity: state.settings.capacity,
-            listing_age_ms,
+            listing_age_ms: listing_age_ms
+                .and_then(|age_ms| age_ms.try_into().ok())
+                .unwrap_or(u32::MAX),
             loads: own_loads(state),
         });
         let targets = state.peers.borrow().round_targets(round, now);
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -215,9 +215,8 @@
     }
 
     fn list_age_ms(&self) -> Option<u64> {
-        let view = self.state.view.borrow();
         let now = self.state.clock.now();
-        view.has_listing.then(|| now.since(view.listing_time))
+        self.state.view.borrow().listing_age_ms(now)
     }
 }
 
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -29,6 +29,7 @@
     whole_answer: Histogram,
     config_version: Gauge,
     config_age: Gauge,
+    listing_age: Gauge,
     running: Gauge,
     engines: Gauge,
     processes: Gauge,
@@ -94,6 +95,10 @@
                 "dandelionroad_config_age_ms",
                 "Time since the configuration was last confirmed as the newest.",
             ),
+            listing_age: gauge(
+                "dandelionroad_listing_age_ms",
+                "Time since the list of engines was last confirmed as the newest.",
+            ),
             running: gauge("dandelionroad_requests_running", "Requests in progress."),
             engines: gauge(
                 "dandelionroad_engines_usable",
@@ -153,6 +158,9 @@
         let age = view.config_age.age_ms(now);
         self.config_age
             .set(age.map_or(f64::INFINITY, |age| age as f64));
+        let age = view.listing_age_ms(now);
+        self.listing_age
+            .set(age.map_or(f64::INFINITY, |age| age as f64));
         self.running.set(f64::from(state.running_requests.get()));
         let usable = view
             .engines
--- a/crates/relay/src/telemetry/request_log.rs
+++ b/crates/relay/src/telemetry/request_log.rs
@@ -20,6 +20,8 @@
     route: String,
     engines: String,
     sends: u32,
+    /// The age of the list of engines at the last send, in milliseconds.
+    listing_age_ms: Option<u64>,
     outcome: &'static str,
     causes: String,
 }
@@ -39,6 +41,7 @@
             route: String::new(),
             engines: String::new(),
             sends: 0,
+            listing_age_ms: None,
             // Each regular end sets another outcome. When the caller disconnects, the request is dropped.
             outcome: "caller-left",
             causes: String::new(),
@@ -63,6 +66,8 @@
     /// Records an attempt at the engines named by `engines`.
     pub fn record_send(&mut self, engines: &str) {
         self.sends += 1;
+        let now = self.state.clock.now();
+        self.listing_age_ms = self.state.view.borrow().listing_age_ms(now);
         if !self.engines.is_empty() {
             self.engines.push(';');
         }
@@ -121,6 +126,7 @@
             waited_ms = self.waited_ms,
             config = view.config.as_ref().map_or(0, |config| config.version),
             config_age_ms = logged_age(view.config_age.age_ms(now)),
+            listing_age_ms = logged_age(self.listing_age_ms),
             cause = self.causes.as_str(),
         });
     }
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -240,6 +240,7 @@
             "dandelionroad_requests_total{outcome=\"served\"} 1",
             "dandelionroad_config_version 1",
             "dandelionroad_whole_answer_ms_count 1",
+            "# TYPE dandelionroad_listing_age_ms gauge",
         ] {
             assert!(text.contains(line), "{line} is missing in\n{text}");
         }
