Ask another process for the list only once in a while if it does not answer

Cause, found while reading the change: a process whose confirmations had stopped asked the process that reported the freshest list again and again as long as its reports were recent, also if it refused the connection, and never read the store meanwhile; and one that was slow to answer once was not asked again until another had answered (12.9 s in one run of endpoint_leaving_is_dropped_while_store_is_silent beside six busy processes). Now a process that did not answer is left out for 300 ms, and the store is read.

--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -199,10 +199,10 @@
     /// Returns the process with the freshest list of engines, by the address at which it serves the list,
     /// and the age of that list in milliseconds.
     ///
-    /// Processes of other zones and `excluded` are used only if no other one is known.
+    /// Of several with the same age, one of this zone is returned; those in `excluded` never are.
     pub fn freshest_listing(
         &self,
-        excluded: Option<SocketAddr>,
+        excluded: &[SocketAddr],
         now: MilliTime,
     ) -> Option<(SocketAddr, u64)> {
         let live = self.live_peers(now).filter_map(|peer| {
@@ -210,14 +210,10 @@
             let age_ms = peer
                 .listing_age_ms
                 .saturating_add(now.since(peer.last_heard));
-            Some((
-                Some(address) == excluded,
-                age_ms,
-                peer.zone != self.zone,
-                address,
-            ))
+            let is_allowed = !excluded.contains(&address);
+            is_allowed.then_some((age_ms, peer.zone != self.zone, address))
         });
-        let (_, age_ms, _, address) = live.min()?;
+        let (age_ms, _, address) = live.min()?;
         Some((address, age_ms))
     }
 
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -33,6 +33,12 @@
 /// freshest list is asked.
 const MAX_ZONE_FETCHES: u32 = 3;
 
+/// The time for which a process that did not answer is not asked again, in milliseconds.
+///
+/// Other processes or the store are asked meanwhile: the reports of a process that is gone stay recent for
+/// seconds. A process that was only slow is asked again soon enough.
+const FETCH_RETRY_MS: u64 = 300;
+
 /// The task that keeps the list of engines up to date.
 ///
 /// The store reader reads it at the interval of the settings. The other processes rely on its
@@ -45,8 +51,8 @@
     is_reachable: bool,
     /// The time at which a failed read of the store is tried again.
     store_retry: MilliTime,
-    /// The process that did not answer the last fetch.
-    unresponsive: Option<SocketAddr>,
+    /// The processes that did not answer a fetch, each with the time until which it is not asked again.
+    unresponsive: Vec<(SocketAddr, MilliTime)>,
     /// The fetches of the reported change that did not bring it.
     zone_fetches: u32,
 }
@@ -58,7 +64,7 @@
         store,
         is_reachable: true,
         store_retry: MilliTime::default(),
-        unresponsive: None,
+        unresponsive: Vec::new(),
         zone_fetches: 0,
     };
     loop {
@@ -86,7 +92,7 @@
             };
         }
         let peers = state.peers.borrow();
-        let freshest = peers.freshest_listing(self.unresponsive, now);
+        let freshest = peers.freshest_listing(&self.excluded_processes(now), now);
         let status = ListingStatus {
             age_ms: now.since(view.listing_time),
             is_superseded: state.newest_listing_version.get() > view.listing.version(),
@@ -187,7 +193,7 @@
                 .store_reader(now)
                 .filter(|_| is_superseded)
                 .or_else(|| {
-                    let freshest = peers.freshest_listing(self.unresponsive, now);
+                    let freshest = peers.freshest_listing(&self.excluded_processes(now), now);
                     freshest.map(|(address, _)| address)
                 })
         };
@@ -198,9 +204,11 @@
         let start = state.clock.now();
         let version = state.view.borrow().listing.version();
         let answer = fetch_listing(&state, address, version).await;
-        self.unresponsive = answer.is_none().then_some(address);
-        if let Some(answer) = answer {
-            adopt_answer(&state, answer, start);
+        let now = state.clock.now();
+        self.unresponsive.retain(|(_, until)| *until > now);
+        match answer {
+            Some(answer) => adopt_answer(&state, answer, start),
+            None => self.unresponsive.push((address, now.plus(FETCH_RETRY_MS))),
         }
         let version = state.view.borrow().listing.version();
         if state.newest_listing_version.get() <= version {
@@ -214,6 +222,11 @@
         }
     }
 
+    fn excluded_processes(&self, now: MilliTime) -> Vec<SocketAddr> {
+        let excluded = self.unresponsive.iter().filter(|(_, until)| *until > now);
+        excluded.map(|(address, _)| *address).collect()
+    }
+
     fn list_age_ms(&self) -> Option<u64> {
         let now = self.state.clock.now();
         self.state.view.borrow().listing_age_ms(now)
--- a/crates/relay/tests/listing.rs
+++ b/crates/relay/tests/listing.rs
@@ -7,6 +7,11 @@
 use std::time::Instant;
 
 use dandelionroad_relay::node::RunningNode;
+use dandelionroad_relay::peer::LoadMessage;
+use dandelionroad_relay::peer::PeerDatagram;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
 
 use crate::relay_support::NodePlace;
 use crate::relay_support::StoreFault;
@@ -202,3 +207,46 @@
         assert!(slowest < LIMIT, "after {slowest:?}");
     });
 }
+
+/// A process that reports a fresh list is gone, or does not serve it. The others must read the store after one
+/// attempt, and not ask it again and again as long as its reports are recent.
+#[test]
+fn list_is_read_when_fresher_process_does_not_answer() {
+    run(async {
+        let world = World::start().await;
+        let _kept = world.start_endpoint("p1").await;
+        let _removed = world.start_endpoint("p2").await;
+        let node = world.node_at_interval("n1", 660).await;
+        let closed = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let internal = closed.local_addr().unwrap();
+        drop(closed);
+        let target = node.settings().peer_address;
+        let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        spawn_local(async move {
+            for stamp in 1.. {
+                let message = PeerDatagram::Load(LoadMessage {
+                    internal,
+                    zone: "a".to_owned(),
+                    run: 7,
+                    stamp,
+                    reaches_store: true,
+                    capacity: 1_000,
+                    listing_age_ms: 0,
+                    loads: Vec::new(),
+                });
+                let bytes = message.encode().unwrap();
+                socket.send_to(&bytes, target).await.unwrap();
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        world.store.remove("engines", "p2");
+        let removed = Instant::now();
+        wait_for("the endpoint is no longer used", async || {
+            world.knows_engines(&node, 1).await
+        })
+        .await;
+        let elapsed = removed.elapsed();
+        assert!(elapsed <= REMOVAL_LIMIT, "after {elapsed:?}");
+    });
+}
--- a/crates/relay/tests/peer_table.rs
+++ b/crates/relay/tests/peer_table.rs
@@ -163,10 +163,10 @@
         table.record_message(address(port), message, now);
     }
     let later = now.plus(30);
-    assert_eq!(table.freshest_listing(None, later), Some((address(2), 80)));
-    let excluded = Some(address(2));
+    assert_eq!(table.freshest_listing(&[], later), Some((address(2), 80)));
+    let excluded = [address(2)];
     assert_eq!(
-        table.freshest_listing(excluded, later),
+        table.freshest_listing(&excluded, later),
         Some((address(1), 80))
     );
 }
