Count the time that a caller takes to read as no stall of its engine

Cause, found while reading the change: the stall time-outs counted from the event before the one that waited for the caller, so a slow caller could have its sound stream moved. They count from when the caller took it. The test stream_of_slow_caller_is_not_moved passed without the change as well: the next piece is ready at once, and the library polls it before the timer.

--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -180,7 +180,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the body breaks off or exceeds [`MAX_BODY_BYTES`]. The connection is closed and not
+/// Returns an error if the body breaks off or exceeds 8 MiB. The connection is closed and not
 /// used again.
 pub async fn read_whole(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await?;
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -57,9 +57,9 @@
             if complete.is_empty() {
                 continue;
             }
-            if self.splitter.data_count() > data_count {
+            let has_data = self.splitter.data_count() > data_count;
+            if has_data {
                 log.record_piece();
-                self.record_progress();
             }
             let left_ms = self.relay.deadline.since(self.state.clock.now());
             match caller.send(Bytes::from(complete), left_ms).await {
@@ -67,6 +67,10 @@
                 Err(SendFault::Closed) => return RunOutcome::CallerLeft,
                 Err(SendFault::Stalled) => return RunOutcome::CallerStalled,
             }
+            // The time that the caller took to read is no stall of the engine.
+            if has_data {
+                self.record_progress();
+            }
         }
     }
 
--- a/crates/relay/src/ingress/stream_relay/stall_detection.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_detection.rs
@@ -48,6 +48,7 @@
             let next_ms = next.since(now);
             let lost = state.engine_lost.notified();
             tokio::select! {
+                biased;
                 progress = progress.as_mut() => return Ok(progress),
                 () = lost, if timeouts.is_probed => {}
                 () = tokio::time::sleep(Duration::from_millis(next_ms.min(left_ms))) => {}
--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http_body_util::BodyExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -188,6 +189,32 @@
     }
 }
 
+/// A caller reads nothing for a while. The time in which its stream waits for it is no stall of the engine, so
+/// the stream must stay where it is.
+#[test]
+fn stream_of_slow_caller_is_not_moved() {
+    run(async {
+        let world = World::start().await;
+        let answer = RawAnswer {
+            start: STREAM_START,
+            filler: "data: xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx\n\n",
+            pause: Duration::ZERO,
+        };
+        let engine = RawEngine::start(&world.store, "e1", MODEL_SERVICE, (0, 40), answer).await;
+        let node = world.start_node("n1").await;
+        let mut response = world.open(&node, "/model/a", "r1").await;
+        let other = world.start_engine("e2", (0, 40)).await;
+        for _ in 0..3 {
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            for _ in 0..400 {
+                assert!(response.frame().await.unwrap().is_ok());
+            }
+        }
+        assert!(other.runs.borrow().is_empty());
+        assert_eq!(engine.open_answers.get(), 1);
+    });
+}
+
 /// Sends the head of a request with a body of ten bytes, and the first of these.
 async fn start_slow_request(address: std::net::SocketAddr) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.unwrap();
