Check changes of the list before they are adopted, and renew it only from an equal list

Cause, found while reading the change: changes that did not lead to the reported list were refused only after the held list had taken them. The whole list that followed was compared with that, so the engine table never got these changes, and an engine that had left stayed in use. An id could be twice among the removed ones. Changes after forgotten removals have a test now.

A list was also renewed from an older list that differs, and the grace period was passed on from the time of the answer instead of the request. Neither has a test of its own.

--- a/crates/core/src/relay/engine_listing.rs
+++ b/crates/core/src/relay/engine_listing.rs
@@ -125,12 +125,15 @@
         let removed = self.removals[first_removal..].iter();
         // An engine that was removed and listed again is among the changed ones.
         let removed = removed.filter(|(_, id)| self.position(id).is_err());
+        let mut removed: Vec<String> = removed.map(|(_, id)| id.clone()).collect();
+        removed.sort_unstable();
+        removed.dedup();
         ListingDelta {
             base: if is_whole { 0 } else { version },
             version: self.version,
             digest: self.digest,
             changed: changed.map(|engine| engine.record.clone()).collect(),
-            removed: removed.map(|(_, id)| id.clone()).collect(),
+            removed,
         }
     }
 
@@ -139,38 +142,54 @@
     ///
     /// # Errors
     ///
-    /// Returns [`DeltaMismatch`] if changes between the two lists are missing. The held list may then
-    /// be wrong, and its version is 0 so that the whole list is fetched next.
+    /// Returns [`DeltaMismatch`] if the changes apply to a newer list than the held one or don't lead to the
+    /// other process's list. The held list stays as it is, in the second case with version 0, so that the
+    /// whole list is fetched next.
     pub fn apply(&mut self, delta: ListingDelta) -> Result<Option<ListingDelta>, DeltaMismatch> {
-        if delta.version <= self.version {
-            return match delta.version == self.version && delta.digest != self.digest {
-                true => {
-                    self.version = 0;
-                    Err(DeltaMismatch)
-                }
-                false => Ok(None),
-            };
+        if delta.version < self.version {
+            return Ok(None);
         }
         if delta.base > self.version {
             return Err(DeltaMismatch);
         }
-        if delta.base == 0 {
-            let digest = delta.digest;
-            let applied = self.record_read(delta.changed, delta.version);
-            // A list that some process could not sort or decode like this one would differ for good.
-            return match self.digest == digest {
-                true => Ok(applied),
-                false => Err(DeltaMismatch),
-            };
+        if delta.base == 0 && delta.version > self.version {
+            return Ok(self.record_read(delta.changed, delta.version));
         }
-        self.merge(&delta);
-        if self.digest != delta.digest {
+        // A registration that changed and changed back between two reads of the other process is not among
+        // its changes, so the result is checked before it is adopted.
+        if self.digest_after(&delta) != delta.digest {
             self.version = 0;
             return Err(DeltaMismatch);
         }
+        if delta.version == self.version {
+            return Ok(None);
+        }
+        self.merge(&delta);
         Ok(Some(delta))
     }
 
+    /// Returns the digest of the list after the changes of a delta; a delta of the held version changes
+    /// nothing.
+    fn digest_after(&self, delta: &ListingDelta) -> u64 {
+        if delta.version == self.version {
+            return self.digest;
+        }
+        let held_hash = |id: &str| {
+            let position = self.position(id);
+            position.map_or(0, |index| self.engines[index].hash)
+        };
+        let mut digest = self.digest;
+        for id in &delta.removed {
+            digest = digest.wrapping_sub(held_hash(id));
+        }
+        for record in &delta.changed {
+            digest = digest
+                .wrapping_sub(held_hash(&record.id))
+                .wrapping_add(record_hash(record));
+        }
+        digest
+    }
+
     fn merge(&mut self, delta: &ListingDelta) {
         let mut gone: Vec<&str> = delta.removed.iter().map(String::as_str).collect();
         gone.sort_unstable();
--- a/crates/core/tests/engine_listing.rs
+++ b/crates/core/tests/engine_listing.rs
@@ -6,11 +6,13 @@
 use dandelionroad_core::relay::DeltaMismatch;
 use dandelionroad_core::relay::EngineListing;
 use dandelionroad_core::relay::EngineRecord;
+use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::ListingDelta;
 use dandelionroad_core::relay::ListingPlan;
 use dandelionroad_core::relay::ListingStatus;
 use dandelionroad_core::relay::ListingStep;
 use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::time::MilliTime;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -81,6 +83,59 @@
     assert_eq!(listing.version(), 0, "the whole list is fetched next");
 }
 
+/// Applies what a list returns to the engine table, as a process does.
+fn update_table(table: &mut EngineTable, delta: Option<ListingDelta>) {
+    if let Some(delta) = delta {
+        table.update(&delta, MilliTime::from_millis(1));
+    }
+}
+
+/// Changes that don't fit are refused, and the whole list follows. The engine table is updated by the changes that
+/// the list returns, so a change that the refused delta brought must be among those of the whole list: otherwise
+/// an engine that left stays in use.
+#[test]
+fn whole_list_after_refused_changes_updates_table() {
+    let (mut listing, mut table) = (EngineListing::new(), EngineTable::new());
+    let listed = vec![engine(1, 10), engine(2, 10)];
+    update_table(&mut table, listing.record_read(listed, 5));
+    let refused = ListingDelta {
+        base: 5,
+        version: 9,
+        digest: 77,
+        changed: Vec::new(),
+        removed: vec!["e002".to_owned()],
+    };
+    assert_eq!(listing.apply(refused), Err(DeltaMismatch));
+    let mut reader = EngineListing::new();
+    reader.record_read(vec![engine(1, 10)], 9);
+    let whole = reader.changes_since(listing.version());
+    update_table(&mut table, listing.apply(whole).unwrap());
+    assert_eq!(ids(&listing), ["e001"]);
+    assert!(table.get("e002").is_none());
+}
+
+/// A process that lags behind by more removals than are remembered must receive the whole list, not changes
+/// that lack some of them.
+#[test]
+fn changes_since_forgotten_removals_are_whole() {
+    let mut reader = EngineListing::new();
+    let count = 5_000;
+    reader.record_read((0..count).map(|number| engine(number, 10)).collect(), 5);
+    let mut follower = EngineListing::new();
+    follower.apply(reader.changes_since(0)).unwrap();
+    reader.record_read(
+        (count - 1_000..count)
+            .map(|number| engine(number, 10))
+            .collect(),
+        6,
+    );
+    reader.record_read(vec![engine(1, 10)], 7);
+    let changes = reader.changes_since(follower.version());
+    assert_eq!(changes.base, 0);
+    follower.apply(changes).unwrap();
+    assert_eq!(ids(&follower), ["e001"]);
+}
+
 /// Processes read the store at random times and exchange changes in random order. All lists of the same
 /// version must be the same, and each must be the store's list at that version.
 #[test]
@@ -92,6 +147,7 @@
         let mut version = 1;
         let mut history = vec![Vec::new(), stored.clone()];
         let mut listings = vec![EngineListing::new(); 4];
+        let mut tables = vec![EngineTable::new(); 4];
         for _ in 0..60 {
             let process = rng.random_range(0..listings.len());
             let other = rng.random_range(0..listings.len());
@@ -112,27 +168,35 @@
                     history.push(stored.clone());
                 }
                 1 => {
-                    listings[process].record_read(stored.clone(), version);
+                    let delta = listings[process].record_read(stored.clone(), version);
+                    update_table(&mut tables[process], delta);
                 }
                 _ => {
                     exchanges += 1;
                     let delta = listings[other].changes_since(listings[process].version());
                     // A registration that changed and changed back between two reads of the other process
                     // is missing in its changes.
-                    if listings[process].apply(delta).is_err() {
-                        mismatches += 1;
-                        let whole = listings[other].changes_since(listings[process].version());
-                        assert_eq!(whole.base, 0);
-                        listings[process].apply(whole).unwrap();
-                    }
+                    let applied = match listings[process].apply(delta) {
+                        Ok(applied) => applied,
+                        Err(DeltaMismatch) => {
+                            mismatches += 1;
+                            let whole = listings[other].changes_since(listings[process].version());
+                            assert_eq!(whole.base, 0);
+                            listings[process].apply(whole).unwrap()
+                        }
+                    };
+                    update_table(&mut tables[process], applied);
                 }
             }
         }
-        for listing in &listings {
+        for (listing, table) in listings.iter().zip(&tables) {
             let mut expected = history[listing.version() as usize].clone();
             expected.sort_by(|left, right| left.id.cmp(&right.id));
             let held: Vec<EngineRecord> = listing.records().cloned().collect();
             assert_eq!(held, expected, "seed {seed}, version {}", listing.version());
+            let entries = table.entries().iter();
+            let used: Vec<EngineRecord> = entries.map(|entry| entry.record.clone()).collect();
+            assert_eq!(used, expected, "table of seed {seed}");
         }
     }
     // One exchange in a hundred may transfer a whole list again.
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -13,8 +13,7 @@
 /// The loads of a process that has died are counted until then; its requests end within seconds.
 const MIN_LIVENESS_MS: u64 = 2_500;
 
-/// The number of rounds of messages, each of which a process may lose, after which it no longer counts as
-/// live.
+/// A process of which no message has arrived in the time of this many messages no longer counts as live.
 const LIVENESS_ROUNDS: u64 = 4;
 
 /// The maximum number of processes of its own availability zone to which a process sends its load in one
@@ -44,7 +43,7 @@
 struct PeerState {
     address: SocketAddr,
     zone: String,
-    /// The address of its metrics and its row snapshot.
+    /// The address at which it serves its metrics and the rows that it has read.
     internal_address: Option<SocketAddr>,
     /// When its last message arrived, or when it was added.
     last_heard: MilliTime,
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -33,7 +33,7 @@
 /// freshest list is asked.
 const MAX_ZONE_FETCHES: u32 = 3;
 
-/// The time for which a process that did not answer is not asked again, in milliseconds.
+/// The time for which a process that did not renew the list is not asked again, in milliseconds.
 ///
 /// Other processes or the store are asked meanwhile: the reports of a process that is gone stay recent for
 /// seconds. A process that was only slow is asked again soon enough.
@@ -51,7 +51,8 @@
     is_reachable: bool,
     /// The time at which a failed read of the store is tried again.
     store_retry: MilliTime,
-    /// The processes that did not answer a fetch, each with the time until which it is not asked again.
+    /// The processes that did not answer a fetch or did not renew the list, each with the time until which it is
+    /// not asked again.
     unresponsive: Vec<(SocketAddr, MilliTime)>,
     /// The fetches of the reported change that did not bring it.
     zone_fetches: u32,
@@ -206,9 +207,9 @@
         let answer = fetch_listing(&state, address, version).await;
         let now = state.clock.now();
         self.unresponsive.retain(|(_, until)| *until > now);
-        match answer {
-            Some(answer) => adopt_answer(&state, answer, start),
-            None => self.unresponsive.push((address, now.plus(FETCH_RETRY_MS))),
+        let is_renewed = answer.is_some_and(|answer| adopt_answer(&state, answer, start));
+        if !is_renewed {
+            self.unresponsive.push((address, now.plus(FETCH_RETRY_MS)));
         }
         let version = state.view.borrow().listing.version();
         if state.newest_listing_version.get() <= version {
@@ -233,27 +234,33 @@
     }
 }
 
-/// Adopts the list of another process and its age, for a request that was sent at `start`.
+/// Adopts the list of another process, its age and its grace period, for a request that was sent at `start`;
+/// returns whether the held list was renewed.
 ///
-/// The age is that at the time of the answer, so the list was the newest that long before `start`, or
-/// later, however long the answer took.
-fn adopt_answer(state: &NodeState, answer: ListingAnswer, start: MilliTime) {
-    let now = state.clock.now();
+/// Age and grace period are those at the time of the answer and count from `start`, however long the answer
+/// took: the list was the newest `age_ms` before `start` or later, and the grace period is not prolonged by
+/// being passed on. A list that differs from the answer's, since it is newer, is not renewed by it.
+fn adopt_answer(state: &NodeState, answer: ListingAnswer, start: MilliTime) -> bool {
+    let digest = answer.delta.digest;
     let mut view = state.view.borrow_mut();
     let delta = match view.listing.apply(answer.delta) {
         Ok(delta) => delta,
         Err(error) => {
             spdlog::warn!("engines: can't apply the changes from another process: {error}");
-            return;
+            return false;
         }
     };
-    view.engines.adopt_grace(answer.grace_ms, now);
-    let confirmed = MilliTime::from_millis(start.as_millis().saturating_sub(answer.age_ms));
-    view.listing_time = view.listing_time.max(confirmed);
+    let is_renewed = view.listing.digest() == digest;
+    if is_renewed {
+        view.engines.adopt_grace(answer.grace_ms, start);
+        let confirmed = MilliTime::from_millis(start.as_millis().saturating_sub(answer.age_ms));
+        view.listing_time = view.listing_time.max(confirmed);
+    }
     drop(view);
     if let Some(delta) = delta {
         update_engines(state, &delta);
     }
+    is_renewed
 }
 
 /// Decodes the registrations of engines, ignoring malformed rows.
