Send reports of crashes to a bounded number of processes at a time

Cause, found while reading the change: each process that knew of a crash sent it to all others each second for ten seconds, so that one crash cost a message for each pair of processes and second. Now it goes to the targets of one round, and whoever learns of it sends it on at once.

--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -141,14 +141,16 @@
 
 /// Sends engine crashes and the fingerprints that were cleared to the other processes.
 ///
-/// A change is sent at once; crashes are sent again at an interval while they are recent.
+/// A change is sent at once; crashes are sent again at an interval while they are recent. Crashes go to the
+/// targets of one round, which send them on at once in turn.
 async fn send_crashes(state: &NodeState, socket: &UdpSocket) {
-    loop {
+    for round in 0_u64.. {
         let pause = Duration::from_millis(CRASH_INTERVAL_MS);
         let _ = tokio::time::timeout(pause, state.crashes_changed.notified()).await;
         let cleared = state.cleared_fingerprints.take();
         if !cleared.is_empty() {
-            broadcast(state, socket, &PeerDatagram::Served(cleared)).await;
+            let addresses = state.peers.borrow().addresses();
+            send_to_all(socket, addresses, &PeerDatagram::Served(cleared)).await;
         }
         let crashes: Vec<EngineCrash> = {
             let now = state.clock.now();
@@ -162,13 +164,16 @@
                 .collect()
         };
         if !crashes.is_empty() {
-            broadcast(state, socket, &PeerDatagram::Crashes(crashes)).await;
+            let targets = {
+                let now = state.clock.now();
+                state.peers.borrow().round_targets(round, now)
+            };
+            send_to_all(socket, targets, &PeerDatagram::Crashes(crashes)).await;
         }
     }
 }
 
-async fn broadcast(state: &NodeState, socket: &UdpSocket, message: &PeerDatagram) {
-    let addresses = state.peers.borrow().addresses();
+async fn send_to_all(socket: &UdpSocket, addresses: Vec<SocketAddr>, message: &PeerDatagram) {
     if let Some(bytes) = encode(message) {
         for address in addresses {
             send(socket, address, &bytes).await;
@@ -181,6 +186,7 @@
     let mut view = state.view.borrow_mut();
     for crash in crashes {
         if view.crashes.merge(crash, now) {
+            state.crashes_changed.notify_one();
             spdlog::info!("request: may have crashed an engine, as another process reports", kv: {
                 engine = crash.engine.as_str(),
                 fingerprint = crash.fingerprint.as_str(),
--- a/crates/relay/tests/crashers.rs
+++ b/crates/relay/tests/crashers.rs
@@ -3,6 +3,11 @@
 
 mod relay_support;
 
+use dandelionroad_core::relay::EngineCrash;
+use dandelionroad_relay::peer::LoadMessage;
+use dandelionroad_relay::peer::PeerDatagram;
+use tokio::net::UdpSocket;
+
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::CRASH_PATH;
 use crate::relay_support::fake_engine::EngineFault;
@@ -90,3 +95,69 @@
         .await;
     });
 }
+
+/// A crash becomes known to one of many processes. Each must send it on to a bounded number of others in a
+/// round, and all must get it: if every process sent it to all, one crash would cost a message for each pair of
+/// processes in each second.
+#[test]
+fn crash_is_sent_to_bounded_number_at_once() {
+    const PROCESSES: usize = 60;
+    run(async {
+        let world = World::start().await;
+        let node = world.start_node("n1").await;
+        let target = node.settings().peer_address;
+        let mut sockets = Vec::new();
+        for _ in 0..PROCESSES {
+            let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+            let message = PeerDatagram::Load(LoadMessage {
+                internal: socket.local_addr().unwrap(),
+                zone: "a".to_owned(),
+                run: 7,
+                stamp: 1,
+                reaches_store: false,
+                capacity: 100,
+                listing_age_ms: u32::MAX,
+                loads: Vec::new(),
+            });
+            let bytes = message.encode().unwrap();
+            socket.send_to(&bytes, target).await.unwrap();
+            sockets.push(socket);
+        }
+        wait_for("all processes are known", async || {
+            let line = format!("dandelionroad_processes_live {}", PROCESSES + 1);
+            world.has_metric_line(&node, &line).await
+        })
+        .await;
+        let crash = EngineCrash {
+            fingerprint: "f1".to_owned(),
+            engine: "e1@5".to_owned(),
+        };
+        let bytes = PeerDatagram::Crashes(vec![crash]).encode().unwrap();
+        sockets[0].send_to(&bytes, target).await.unwrap();
+        let mut has_crash = vec![false; PROCESSES];
+        let mut first_round = None;
+        wait_for("all processes have the crash", async || {
+            for (socket, has_crash) in sockets.iter().zip(&mut has_crash) {
+                *has_crash |= receives_crash(socket);
+            }
+            let count = has_crash.iter().filter(|known| **known).count();
+            if count > 0 {
+                first_round.get_or_insert(count);
+            }
+            count == PROCESSES
+        })
+        .await;
+        assert!(first_round.unwrap() <= 41, "{first_round:?} at once");
+    });
+}
+
+/// Returns whether a report of crashes has arrived.
+fn receives_crash(socket: &UdpSocket) -> bool {
+    let mut buffer = [0; 16_384];
+    let mut has_crash = false;
+    while let Ok(length) = socket.try_recv(&mut buffer) {
+        let message = PeerDatagram::decode(&buffer[..length]).unwrap();
+        has_crash |= matches!(message, PeerDatagram::Crashes(_));
+    }
+    has_crash
+}
