Log the shared prompt parts of requests, and runs that break off before their first event

A request's line now lists the shared parts (all but the last, which belongs to one request or session), and each run that breaks off before its first event is logged with engines, parts and fingerprint. Decisions are unchanged.

--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -23,6 +23,12 @@
 pub(super) fn record_broken_run(state: &NodeState, relay: &RelayRequest, engines: &[&str]) {
     let now = state.clock.now();
     let fingerprint = relay.fingerprint();
+    spdlog::info!("request: run broke off before its first event", kv: {
+        request = relay.caller.id.as_str(),
+        engines = engines.join("+"),
+        fingerprint = fingerprint.as_str(),
+        parts = relay.caller.shared_parts.join(","),
+    });
     let crash = {
         let mut view = state.view.borrow_mut();
         let engines = engines.iter().map(|id| view.engines.incarnation(id));
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -70,6 +70,7 @@
         Err(kind) => return log_and_refuse(&state, &mut log, &caller.id, kind),
     };
     log.set_route(&config.routes[route].prefix);
+    log.set_parts(&caller.shared_parts);
     let min_left_ms = match config.services[service].model.is_some() {
         true => MIN_STREAM_TIME_MS,
         false => MIN_CALL_TIME_MS,
--- a/crates/relay/src/telemetry/request_log.rs
+++ b/crates/relay/src/telemetry/request_log.rs
@@ -18,6 +18,7 @@
     longest_gap_ms: u64,
     waited_ms: u64,
     route: String,
+    parts: String,
     engines: String,
     sends: u32,
     /// The age of the list of engines at the last send, in milliseconds.
@@ -39,6 +40,7 @@
             longest_gap_ms: 0,
             waited_ms: 0,
             route: String::new(),
+            parts: String::new(),
             engines: String::new(),
             sends: 0,
             listing_age_ms: None,
@@ -58,6 +60,11 @@
         self.route = prefix.to_owned();
     }
 
+    /// Sets the identifiers of the shared parts of the prompt.
+    pub fn set_parts(&mut self, parts: &[String]) {
+        self.parts = parts.join(",");
+    }
+
     /// Adds time spent in the queue for engine capacity.
     pub fn add_wait(&mut self, wait_ms: u64) {
         self.waited_ms += wait_ms;
@@ -118,6 +125,7 @@
         spdlog::info!("request: {}", self.outcome, kv: {
             request = self.id.as_str(),
             route = self.route.as_str(),
+            parts = self.parts.as_str(),
             engines = self.engines.as_str(),
             sends = self.sends,
             first_ms = first_ms.map_or(-1, |first| first as i64),
--- a/crates/relay/src/wire/caller_request.rs
+++ b/crates/relay/src/wire/caller_request.rs
@@ -13,4 +13,6 @@
     pub last_event: Option<String>,
     /// The prompt and output tokens of a model request.
     pub size: RequestSize,
+    /// The identifiers of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<String>,
 }
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -64,6 +64,7 @@
                 max_output_tokens: 100,
                 output_estimate: None,
             },
+            shared_parts: text("parts").map_or_else(Vec::new, shared_parts),
         })
     }
 
@@ -250,6 +251,13 @@
     }
 }
 
+/// Returns the parts of a comma-separated list but the last one.
+fn shared_parts(list: &str) -> Vec<String> {
+    let mut parts: Vec<String> = list.split(',').map(str::to_owned).collect();
+    parts.pop();
+    parts
+}
+
 fn call(method: &'static str, path: String, body: Bytes) -> EncodedCall {
     EncodedCall { method, path, body }
 }
