Refuse requests by the prompt part that crashes engines

Cause: crashes were counted by the fingerprint of account, path and body. Requests that share only a part have different fingerprints, so no count rose, and each of them crashed up to two engines.

Change: a run that breaks off before its answer has begun, on an engine that is lost, counts against each shared part of its prompt (PartLedger). The fatal part stands in such a run on each lost engine and is never served; the other parts are served sooner or later, which clears them at all processes. A part is refused after two losses (five, if it was served before); what it explains counts against no other part or request, and engines lost at the same time count once. A refused part is told to all processes, again each 2 s for those that start. Its requests are refused as not run, those at engines that have not begun are stopped, and a retry with a suspected part first asks whether the engine is gone and waits 100 ms for reports. A probe after 10 s and more finds parts that were refused wrongly.

--- a/crates/core/src/relay/crash_detector.rs
+++ b/crates/core/src/relay/crash_detector.rs
@@ -1,8 +1,9 @@
 use crate::admit::CrashLedger;
-use crate::admit::CrashVerdict;
 use crate::time::MilliTime;
 
 use super::EngineCrash;
+use super::PartLedger;
+use super::PromptPart;
 
 /// The maximum time between a broken run and the loss of one of its engines for the two to count as
 /// a crash, in milliseconds.
@@ -28,10 +29,11 @@
 /// A crash of an engine breaks off about 200 runs at most.
 const MAX_RECORDS: usize = 512;
 
-/// A run that broke off before its first event.
+/// A run that broke off before its answer had begun.
 #[derive(Clone, Debug)]
 struct BrokenRun {
     fingerprint: String,
+    parts: Vec<PromptPart>,
     engines: Vec<String>,
     ended_at: MilliTime,
 }
@@ -46,9 +48,10 @@
 /// Finds the requests that crash the engines that run them, so that they are refused.
 ///
 /// A broken answer alone is weak evidence, as connections are reset and answers get lost. A crash
-/// is counted only if an engine of the run is lost at about the same time and the run had no event
-/// yet, since a request crashes an engine when it begins to run. A request is refused after two
-/// lost engines ([`CrashLedger`]); an answer to an equal request clears it.
+/// is counted only if an engine of the run is lost at about the same time and its answer had not begun,
+/// since a request crashes an engine when it begins to run. A request is refused after two lost engines
+/// ([`CrashLedger`]); an answer to an equal request clears it. Requests that share only a part of their
+/// prompt are found by a [`PartLedger`].
 ///
 /// # Example
 ///
@@ -60,7 +63,7 @@
 /// let mut detector = CrashDetector::new();
 /// for engine in ["e1", "e2"] {
 ///     assert!(!detector.should_refuse("aa", now));
-///     detector.record_broken_run("aa", &[engine.to_owned()], now);
+///     detector.record_broken_run("aa", &[], &[engine.to_owned()], now);
 ///     assert_eq!(detector.record_engine_loss(engine, now).len(), 1);
 /// }
 /// assert!(detector.should_refuse("aa", now));
@@ -73,6 +76,7 @@
     /// The engines that were lost within the crash window, sorted by time.
     lost: Vec<(String, MilliTime)>,
     known: Vec<KnownCrash>,
+    parts: PartLedger,
 }
 
 impl CrashDetector {
@@ -91,20 +95,34 @@
         self.known.is_empty()
     }
 
+    /// Returns the prompt parts that may have crashed engines.
+    pub fn parts(&self) -> &PartLedger {
+        &self.parts
+    }
+
+    /// Returns the prompt parts that may have crashed engines, to be changed.
+    pub fn parts_mut(&mut self) -> &mut PartLedger {
+        &mut self.parts
+    }
+
     /// Returns whether a request crashed two engines and must not run again.
+    ///
+    /// Engines that a refused prompt part crashed don't count: the request may have run beside it.
     pub fn should_refuse(&mut self, fingerprint: &str, now: MilliTime) -> bool {
-        let is_refused = self.ledger.verdict(fingerprint) == CrashVerdict::Refused;
+        let is_explained = |engine: &str| self.parts.explains(engine);
+        let is_refused = self.ledger.is_refused_without(fingerprint, is_explained);
         if is_refused {
             self.extend_retention(fingerprint, now);
         }
         is_refused
     }
 
-    /// Records a run that broke off before its first event; returns the crash if this proves a new
+    /// Records a run that broke off before its answer had begun; returns the crash if this proves a new
     /// one.
     pub fn record_broken_run(
         &mut self,
         fingerprint: &str,
+        parts: &[PromptPart],
         engines: &[String],
         now: MilliTime,
     ) -> Option<EngineCrash> {
@@ -112,6 +130,7 @@
         let mut lost = self.lost.iter().filter(is_recent);
         if let Some((engine, _)) = lost.find(|(lost, _)| engines.contains(lost)) {
             let engine = engine.clone();
+            self.parts.record_crash(parts, &engine, now);
             return self
                 .record_crashes(&engine, vec![fingerprint.to_owned()], now)
                 .pop();
@@ -121,6 +140,7 @@
         }
         self.broken.push(BrokenRun {
             fingerprint: fingerprint.to_owned(),
+            parts: parts.to_vec(),
             engines: engines.to_vec(),
             ended_at: now,
         });
@@ -137,8 +157,11 @@
         }
         self.lost.push((engine.to_owned(), now));
         let ran_on_engine = |run: &mut BrokenRun| run.engines.iter().any(|known| known == engine);
-        let crashed = self.broken.extract_if(.., ran_on_engine);
-        let fingerprints = crashed.map(|run| run.fingerprint).collect();
+        let crashed: Vec<BrokenRun> = self.broken.extract_if(.., ran_on_engine).collect();
+        for run in &crashed {
+            self.parts.record_crash(&run.parts, engine, run.ended_at);
+        }
+        let fingerprints = crashed.into_iter().map(|run| run.fingerprint).collect();
         self.record_crashes(engine, fingerprints, now)
     }
 
@@ -170,6 +193,7 @@
 
     /// Drops records that are too old to count.
     pub fn expire(&mut self, now: MilliTime) {
+        self.parts.expire(now);
         self.broken
             .retain(|run| now.since(run.ended_at) <= CRASH_WINDOW_MS);
         self.lost
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,7 +10,8 @@
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, their failures and the load that all processes report, and
 uses only its share of the free KV memory between two reports. Requests that find no free memory
-wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, [`AttemptPlan`]
+wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`] for those that share only a part
+of their prompt; [`AttemptPlan`]
 decides on retries, [`EventSplitter`] makes interrupted streams resumable, and [`ServicePicker`]
 balances load over the endpoints of a plain service.
 */
@@ -38,6 +39,12 @@
 mod listing_status;
 mod listing_step;
 mod model_shape;
+mod part_change;
+mod part_crash;
+mod part_ledger;
+mod part_report;
+mod part_verdict;
+mod prompt_part;
 mod relay_account;
 mod relay_config;
 mod relay_route;
@@ -46,9 +53,12 @@
 mod request_fingerprint;
 mod request_size;
 mod route_index;
+mod served_part;
 mod service_picker;
 mod service_share;
 mod shared_load;
+mod suspect_crash;
+mod suspect_part;
 
 pub use self::accelerator_kind::AcceleratorKind;
 pub use self::attempt_end::AttemptEnd;
@@ -72,6 +82,12 @@
 pub use self::listing_status::ListingStatus;
 pub use self::listing_step::ListingStep;
 pub use self::model_shape::ModelShape;
+pub use self::part_change::PartChange;
+pub use self::part_crash::PartCrash;
+pub use self::part_ledger::PartLedger;
+pub use self::part_report::PartReport;
+pub use self::part_verdict::PartVerdict;
+pub use self::prompt_part::PromptPart;
 pub use self::relay_account::RelayAccount;
 pub use self::relay_config::RelayConfig;
 pub use self::relay_route::RelayRoute;
--- a/crates/core/tests/crash_detector.rs
+++ b/crates/core/tests/crash_detector.rs
@@ -23,7 +23,7 @@
     engine: &str,
     now: MilliTime,
 ) -> Option<EngineCrash> {
-    detector.record_broken_run(fingerprint, &[engine.to_owned()], now)
+    detector.record_broken_run(fingerprint, &[], &[engine.to_owned()], now)
 }
 
 /// Guards against refusing a request whose answers get lost while no engine is lost.
--- a/crates/relay/src/engine/mod.rs
+++ b/crates/relay/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod engine_client;
 mod fetch_report;
 mod load_guard;
+mod loss_check;
 mod send_error;
 mod stall_probe;
 
@@ -12,5 +13,6 @@
 pub use self::engine_client::read_whole;
 pub use self::fetch_report::fetch_report;
 pub use self::load_guard::LoadGuard;
+pub use self::loss_check::check_engine_loss;
 pub use self::send_error::SendError;
 pub use self::stall_probe::probe_stall;
--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -1,15 +1,48 @@
 //! Detection of requests that crash the engines that run them.
 
+use dandelionroad_core::relay::PartVerdict;
+
+use crate::crash_report::publish_part_changes;
 use crate::crash_report::report_crashes;
 use crate::node::NodeState;
 
 use super::relay_request::RelayRequest;
 
-/// Returns whether crashes of two engines are attributed to a request, so that it must not be sent to
-/// another one.
+/// Returns how a new request may be handled: not at all if crashes of engines are attributed to it or to a
+/// shared part of its prompt.
+pub(super) fn admit_suspect(state: &NodeState, relay: &RelayRequest) -> PartVerdict {
+    if is_known_crasher(state, relay) {
+        return PartVerdict::Refused;
+    }
+    let now = state.clock.now();
+    let rank = state.peers.borrow().rank(now);
+    let mut view = state.view.borrow_mut();
+    view.crashes
+        .parts_mut()
+        .admit(&relay.shared_parts, rank, now)
+}
+
+/// Returns whether crashes of engines are attributed to a request or to a shared part of its prompt, so that
+/// it must not be sent to another one.
+pub(super) fn is_crasher(state: &NodeState, relay: &RelayRequest) -> bool {
+    has_refused_part(state, relay) || is_known_crasher(state, relay)
+}
+
+/// Returns whether crashes of engines are attributed to a shared part of the request's prompt.
+pub(super) fn has_refused_part(state: &NodeState, relay: &RelayRequest) -> bool {
+    part_verdict(state, relay) == PartVerdict::Refused
+}
+
+/// Returns how a request may be handled in view of the shared parts of its prompt.
+pub(super) fn part_verdict(state: &NodeState, relay: &RelayRequest) -> PartVerdict {
+    let view = state.view.borrow();
+    view.crashes.parts().verdict(&relay.shared_parts)
+}
+
+/// Returns whether crashes of two engines are attributed to requests equal to this one.
 ///
 /// The fingerprint is computed only if any crash is known, which is rare.
-pub(super) fn is_crasher(state: &NodeState, relay: &RelayRequest) -> bool {
+fn is_known_crasher(state: &NodeState, relay: &RelayRequest) -> bool {
     if state.view.borrow().crashes.is_empty() {
         return false;
     }
@@ -19,11 +52,11 @@
     view.crashes.should_refuse(&fingerprint, now)
 }
 
-/// Records that a run broke off before its first event.
+/// Records that a run broke off before its answer had begun.
 pub(super) fn record_broken_run(state: &NodeState, relay: &RelayRequest, engines: &[&str]) {
     let now = state.clock.now();
     let fingerprint = relay.fingerprint();
-    spdlog::info!("request: run broke off before its first event", kv: {
+    spdlog::info!("request: run broke off before its answer had begun", kv: {
         request = relay.caller.id.as_str(),
         engines = engines.join("+"),
         fingerprint = fingerprint.as_str(),
@@ -33,9 +66,22 @@
         let mut view = state.view.borrow_mut();
         let engines = engines.iter().map(|id| view.engines.incarnation(id));
         let engines: Vec<String> = engines.collect();
-        view.crashes.record_broken_run(&fingerprint, &engines, now)
+        view.crashes
+            .record_broken_run(&fingerprint, &relay.shared_parts, &engines, now)
     };
     report_crashes(state, crash.as_slice(), "its engine was lost before");
+    publish_part_changes(state);
+}
+
+/// Records that an engine answers a request, which clears the shared parts of its prompt.
+pub(super) fn record_answer_begun(state: &NodeState, relay: &RelayRequest) {
+    let now = state.clock.now();
+    {
+        let mut view = state.view.borrow_mut();
+        let parts = view.crashes.parts_mut();
+        parts.record_served(&relay.shared_parts, now);
+    }
+    publish_part_changes(state);
 }
 
 /// Records that a request was served.
--- a/crates/relay/src/ingress/relay_request.rs
+++ b/crates/relay/src/ingress/relay_request.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::relay::RelayAccount;
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::relay::RelayRoute;
@@ -21,6 +22,10 @@
     pub(super) parts: Parts,
     /// The whole body.
     pub(super) body: Bytes,
+    /// The parts of the prompt that other requests may share, in order.
+    pub(super) shared_parts: Vec<PromptPart>,
+    /// Whether the request was admitted to find out whether a refused part still crashes engines.
+    pub(super) is_probe: bool,
     /// The configuration that admitted the request.
     pub(super) config: Rc<RelayConfig>,
     /// The index of its route in the configuration.
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -2,6 +2,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dandelionroad_core::relay::PartVerdict;
+use dandelionroad_core::relay::PromptPart;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -16,7 +18,7 @@
 
 use super::admission::admit;
 use super::caller_body::CallerBody;
-use super::crash_check::is_crasher;
+use super::crash_check::admit_suspect;
 use super::plain_driver::drive_plain;
 use super::refusal::refuse;
 use super::relay_request::RelayRequest;
@@ -87,7 +89,12 @@
         Err(kind) => return log_and_refuse(&state, &mut log, &caller.id, kind),
     };
     state.view.borrow_mut().retry_budget.credit_request();
-    let relay = RelayRequest {
+    let service_name = &config.services[service].name;
+    let shared_parts = caller.shared_parts.iter();
+    let shared_parts = shared_parts.map(|id| PromptPart::new(service_name, id));
+    let mut relay = RelayRequest {
+        shared_parts: shared_parts.collect(),
+        is_probe: false,
         caller,
         parts,
         body,
@@ -100,8 +107,12 @@
     if let Some(kind) = relay.withdrawn_permission(&state) {
         return log_and_refuse(&state, &mut log, &relay.caller.id, kind);
     }
-    if is_crasher(&state, &relay) {
-        return log_and_refuse(&state, &mut log, &relay.caller.id, RefusalKind::Crasher);
+    match admit_suspect(&state, &relay) {
+        PartVerdict::Refused => {
+            return log_and_refuse(&state, &mut log, &relay.caller.id, RefusalKind::Crasher);
+        }
+        PartVerdict::Probe => relay.is_probe = true,
+        PartVerdict::Clear | PartVerdict::Suspected => {}
     }
     match relay.service().model.is_some() {
         true => drive_stream(state, relay, log).await,
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -92,7 +92,7 @@
             return false;
         }
         if is_crasher(&self.state, &self.relay) {
-            log.add_cause("crashed two engines");
+            log.add_cause("crashes engines");
             return false;
         }
         let is_allowed = self.plan.is_last_unsent() || self.take_retry();
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -8,6 +8,7 @@
 use crate::telemetry::RequestLog;
 
 use super::super::caller_body::CallerStream;
+use super::super::crash_check::record_answer_begun;
 use super::super::send_fault::SendFault;
 use super::RunOutcome;
 use super::StreamRelay;
@@ -41,7 +42,7 @@
                     return RunOutcome::Broken("event cut");
                 }
                 Ok(None) => return RunOutcome::Complete,
-                Err(cause) => return RunOutcome::Broken(cause),
+                Err(outcome) => return outcome,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -60,6 +61,9 @@
             let has_data = self.splitter.data_count() > data_count;
             if has_data {
                 log.record_piece();
+                if data_count == 0 {
+                    record_answer_begun(&self.state, &self.relay);
+                }
             }
             let left_ms = self.relay.deadline.since(self.state.clock.now());
             match caller.send(Bytes::from(complete), left_ms).await {
@@ -118,9 +122,9 @@
     }
 
     /// Waits for the next frame of the run, or until the run is given up.
-    async fn next_frame(&mut self) -> Result<NextFrame, &'static str> {
+    async fn next_frame(&mut self) -> Result<NextFrame, RunOutcome> {
         let Some(mut run) = self.run.take() else {
-            return Err("no run");
+            return Err(RunOutcome::Broken("no run"));
         };
         let mut frame = std::pin::pin!(run.body.frame());
         let result = self
@@ -128,9 +132,10 @@
             .await;
         self.run = Some(run);
         result.map_err(|reason| match reason {
-            StallReason::DeadlinePassed => "out of time",
-            StallReason::EngineLost => "engine lost",
-            StallReason::Stalled => "stalled",
+            StallReason::DeadlinePassed => RunOutcome::Broken("out of time"),
+            StallReason::EngineLost => RunOutcome::Broken("engine lost"),
+            StallReason::Refused => RunOutcome::Refused,
+            StallReason::Stalled => RunOutcome::Broken("stalled"),
         })
     }
 }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -7,6 +7,7 @@
 //! events have no identifiers is not resumed.
 
 mod chain_choice;
+mod crash_wait;
 mod event_forwarding;
 mod stall_detection;
 mod stall_reason;
@@ -36,12 +37,13 @@
 use crate::wire::RefusalKind;
 
 use super::caller_body::CallerStream;
-use super::crash_check::record_broken_run;
 use super::crash_check::record_served;
 use super::open_outcome::OpenOutcome;
 use super::relay_request::RelayRequest;
 use super::response_class::ResponseClass;
 
+use self::crash_wait::BrokenHead;
+use self::stall_reason::StallReason;
 use self::stall_timeouts::StallTimeouts;
 
 /// A chain is probed if no response has arrived after the target time to the first event divided by this
@@ -73,6 +75,8 @@
     Complete,
     /// The run failed, with the cause as it appears in logs.
     Broken(&'static str),
+    /// A shared part of the prompt is refused by now because it crashes engines.
+    Refused,
     /// The caller has disconnected.
     CallerLeft,
     /// The caller has not read the events by its deadline.
@@ -88,6 +92,8 @@
     excluded: Vec<String>,
     splitter: EventSplitter,
     run: Option<ChainRun>,
+    /// The first engine of the last run, if it broke off before its answer had begun, until the next attempt.
+    broken_head: Option<BrokenHead>,
     /// Whether a retry was taken from the budget and not used yet.
     holds_retry: bool,
 }
@@ -105,6 +111,7 @@
             excluded: Vec::new(),
             splitter: EventSplitter::new(last_id),
             run: None,
+            broken_head: None,
             holds_retry: false,
         }
     }
@@ -119,7 +126,11 @@
     pub(super) async fn open(&mut self, log: &mut RequestLog) -> OpenOutcome {
         let mut failure = None;
         let mut retry_after_ms = None;
-        while self.may_send(log) {
+        loop {
+            self.await_crash_reports().await;
+            if !self.may_send(log) {
+                break;
+            }
             let chain = match self.find_chain_or_wait(log).await {
                 Ok(chain) => chain,
                 Err(retry_ms) => {
@@ -132,6 +143,15 @@
             {
                 return OpenOutcome::Refused(kind, None);
             }
+            // The part may have been refused while the request waited for capacity.
+            if self.is_refused() {
+                log.add_cause("crashes engines");
+                let kind = match self.plan.may_have_run() {
+                    true => RefusalKind::LostAnswer,
+                    false => RefusalKind::Crasher,
+                };
+                return OpenOutcome::Refused(kind, None);
+            }
             match self.send(chain, log).await {
                 Ok(OpenOutcome::Streaming(parts)) => return OpenOutcome::Streaming(parts),
                 Ok(error_response) => {
@@ -168,6 +188,11 @@
                     caller.finish();
                     return;
                 }
+                RunOutcome::Refused => {
+                    log.add_cause("crashes engines");
+                    log.set_outcome("cut");
+                    return;
+                }
                 RunOutcome::CallerLeft => return,
                 RunOutcome::CallerStalled => {
                     log.set_outcome("caller-stalled");
@@ -176,13 +201,15 @@
                 RunOutcome::Broken(cause) => cause,
             };
             log.add_cause(cause);
-            if self.splitter.event_count() == 0
-                && let Some(run) = &self.run
-            {
-                self.record_broken_run(&run.stages);
-            }
+            let was_unbegun = self.is_unbegun();
             self.plan.record_end(AttemptEnd::Broken);
-            self.abandon_run();
+            if let Some(run) = self.run.take() {
+                if was_unbegun {
+                    self.record_broken_run(&run.stages);
+                }
+                let ids = run.stages.into_iter().map(|stage| stage.id);
+                self.excluded.extend(ids);
+            }
             self.splitter = EventSplitter::new(self.splitter.last_id());
             // Without event identifiers, another run would repeat events that the caller already has.
             let may_resume = self.splitter.last_id().is_some() || !log.has_piece();
@@ -267,6 +294,7 @@
                 self.excluded.push(id.clone());
                 return Err(AttemptEnd::Broken);
             }
+            Err(StallReason::Refused) => return Err(AttemptEnd::Broken),
             Err(_) => {
                 self.record_broken_run(&chain);
                 return Err(AttemptEnd::Broken);
@@ -322,19 +350,6 @@
         read.await.ok()?.ok()
     }
 
-    /// Drops the current run, and excludes its engines for this request.
-    fn abandon_run(&mut self) {
-        if let Some(run) = self.run.take() {
-            self.excluded
-                .extend(run.stages.into_iter().map(|stage| stage.id));
-        }
-    }
-
-    fn record_broken_run(&self, stages: &[ChainStage]) {
-        let ids: Vec<&str> = stages.iter().map(|stage| stage.id.as_str()).collect();
-        record_broken_run(&self.state, &self.relay, &ids);
-    }
-
     /// Records a failure of an engine, and excludes it for this request.
     fn record_failure(&mut self, id: &str) {
         let now = self.state.clock.now();
--- a/crates/relay/src/ingress/stream_relay/stall_detection.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_detection.rs
@@ -23,8 +23,8 @@
 const REPROBE_INTERVAL_MS: u64 = 150;
 
 impl StreamRelay {
-    /// Waits for progress of a run; gives up at the deadline, or if the run stalls and another chain can take
-    /// over.
+    /// Waits for progress of a run; gives up at the deadline, if a part of its prompt is refused before its
+    /// answer has begun, or if the run stalls and another chain can take over.
     ///
     /// A run that waits for a dead engine fails over as soon as the engine is suspected, even if the probe of
     /// another request led to the suspicion, so that the first event can still be in time.
@@ -47,12 +47,17 @@
             };
             let next_ms = next.since(now);
             let lost = state.engine_lost.notified();
+            let refused = state.parts_refused.notified();
             tokio::select! {
                 biased;
                 progress = progress.as_mut() => return Ok(progress),
                 () = lost, if timeouts.is_probed => {}
+                () = refused, if self.is_unbegun() => {}
                 () = tokio::time::sleep(Duration::from_millis(next_ms.min(left_ms))) => {}
             }
+            if self.is_unbegun() && self.is_refused() {
+                return Err(StallReason::Refused);
+            }
             let now = state.clock.now();
             if now >= timeouts.probe_at {
                 timeouts.is_probed = true;
--- a/crates/relay/src/ingress/stream_relay/stall_reason.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_reason.rs
@@ -5,6 +5,8 @@
     DeadlinePassed,
     /// An engine of the chain is suspected of being dead, and another chain can take over.
     EngineLost,
+    /// A shared part of the prompt is refused by now because it crashes engines.
+    Refused,
     /// The run made no progress within the time-out, and another chain can take over.
     Stalled,
 }
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -61,6 +61,8 @@
     /// The fingerprints of requests that were suspected of crashes and then served, to be sent to the
     /// other processes.
     pub cleared_fingerprints: RefCell<Vec<String>>,
+    /// Wakes the requests in progress when a prompt part is refused.
+    pub parts_refused: Notify,
     /// Wakes the stalled requests when an engine is found dead.
     pub engine_lost: Notify,
     /// The version of the newest configuration that another process has reported.
@@ -96,6 +98,7 @@
             announcement_due: Notify::new(),
             crashes_changed: Notify::new(),
             cleared_fingerprints: RefCell::default(),
+            parts_refused: Notify::new(),
             engine_lost: Notify::new(),
             newest_config_version: Cell::new(0),
             config_rows: RefCell::default(),
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -16,6 +16,7 @@
 */
 
 mod confirm_message;
+mod crash_exchange;
 mod datagram_error;
 mod fetch_rows;
 mod listing_answer;
--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -1,4 +1,5 @@
 use dandelionroad_core::relay::EngineCrash;
+use dandelionroad_core::relay::PartReport;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::ResultExt;
@@ -48,6 +49,8 @@
     Crashes(Vec<EngineCrash>),
     /// The fingerprints of requests that were suspected of crashes and then served.
     Served(Vec<String>),
+    /// What the sender knows about prompt parts that may crash engines.
+    Parts(Vec<PartReport>),
 }
 
 impl PeerDatagram {
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -2,7 +2,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dandelionroad_core::relay::EngineCrash;
 use dandelionroad_core::relay::SharedLoad;
 use dandelionroad_core::route::mix_seed;
 use dandelionroad_core::time::MilliTime;
@@ -19,6 +18,10 @@
 use super::LoadMessage;
 use super::PeerDatagram;
 use super::PeerLoad;
+use super::crash_exchange::answer_parts;
+use super::crash_exchange::clear_served;
+use super::crash_exchange::merge_crashes;
+use super::crash_exchange::send_crashes;
 
 /// The interval of load messages, in milliseconds.
 ///
@@ -38,15 +41,6 @@
 /// Three may be lost before a process reads the store itself.
 const CONFIRM_INTERVAL_MS: u64 = 300;
 
-/// The interval at which crashes are sent again, in milliseconds.
-///
-/// Callers retry a failed request after some hundred milliseconds or more. The first message is sent at
-/// once; the repetitions make up for lost ones.
-const CRASH_INTERVAL_MS: u64 = 1_000;
-
-/// The maximum number of crashes in a datagram, which keeps it below 2 KB.
-const MAX_CRASHES_PER_DATAGRAM: usize = 16;
-
 /// The pause after an error of the socket or of the store, in milliseconds.
 const RETRY_PAUSE_MS: u64 = 1_000;
 
@@ -139,41 +133,11 @@
     }
 }
 
-/// Sends engine crashes and the fingerprints that were cleared to the other processes.
-///
-/// A change is sent at once; crashes are sent again at an interval while they are recent. Crashes go to the
-/// targets of one round, which send them on at once in turn.
-async fn send_crashes(state: &NodeState, socket: &UdpSocket) {
-    for round in 0_u64.. {
-        let pause = Duration::from_millis(CRASH_INTERVAL_MS);
-        let _ = tokio::time::timeout(pause, state.crashes_changed.notified()).await;
-        let cleared = state.cleared_fingerprints.take();
-        if !cleared.is_empty() {
-            let addresses = state.peers.borrow().addresses();
-            send_to_all(socket, addresses, &PeerDatagram::Served(cleared)).await;
-        }
-        let crashes: Vec<EngineCrash> = {
-            let now = state.clock.now();
-            let mut view = state.view.borrow_mut();
-            view.crashes.expire(now);
-            let recent = view.crashes.recent_crashes(now);
-            recent
-                .into_iter()
-                .take(MAX_CRASHES_PER_DATAGRAM)
-                .cloned()
-                .collect()
-        };
-        if !crashes.is_empty() {
-            let targets = {
-                let now = state.clock.now();
-                state.peers.borrow().round_targets(round, now)
-            };
-            send_to_all(socket, targets, &PeerDatagram::Crashes(crashes)).await;
-        }
-    }
-}
-
-async fn send_to_all(socket: &UdpSocket, addresses: Vec<SocketAddr>, message: &PeerDatagram) {
+pub(super) async fn send_to_all(
+    socket: &UdpSocket,
+    addresses: Vec<SocketAddr>,
+    message: &PeerDatagram,
+) {
     if let Some(bytes) = encode(message) {
         for address in addresses {
             send(socket, address, &bytes).await;
@@ -181,31 +145,6 @@
     }
 }
 
-fn merge_crashes(state: &NodeState, crashes: &[EngineCrash]) {
-    let now = state.clock.now();
-    let mut view = state.view.borrow_mut();
-    for crash in crashes {
-        if view.crashes.merge(crash, now) {
-            state.crashes_changed.notify_one();
-            spdlog::info!("request: may have crashed an engine, as another process reports", kv: {
-                engine = crash.engine.as_str(),
-                fingerprint = crash.fingerprint.as_str(),
-            });
-        }
-    }
-}
-
-fn clear_served(state: &NodeState, fingerprints: &[String]) {
-    let mut view = state.view.borrow_mut();
-    for fingerprint in fingerprints {
-        if view.crashes.clear_request(fingerprint) {
-            spdlog::info!("request: served by another process, no longer suspected of crashing engines", kv: {
-                fingerprint = fingerprint.as_str(),
-            });
-        }
-    }
-}
-
 fn encode(message: &PeerDatagram) -> Option<Vec<u8>> {
     let bytes = message.encode();
     bytes
@@ -234,6 +173,9 @@
                 Ok(PeerDatagram::Confirm(message)) => apply_confirmation(state, &message),
                 Ok(PeerDatagram::Crashes(crashes)) => merge_crashes(state, &crashes),
                 Ok(PeerDatagram::Served(fingerprints)) => clear_served(state, &fingerprints),
+                Ok(PeerDatagram::Parts(reports)) => {
+                    answer_parts(state, socket, address, &reports).await;
+                }
                 Err(error) => spdlog::warn!("peers: datagram from {address} ignored: {error}"),
             },
             Err(error) => {
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -34,6 +34,7 @@
     engines: Gauge,
     processes: Gauge,
     crashes: Gauge,
+    refused_parts: Gauge,
     dropped: Gauge,
 }
 
@@ -112,6 +113,10 @@
                 "dandelionroad_engine_crashes_known",
                 "Engine crashes that may have been caused by a request.",
             ),
+            refused_parts: gauge(
+                "dandelionroad_prompt_parts_refused",
+                "Shared prompt parts that crash engines, so that requests with them are refused.",
+            ),
             dropped: gauge(
                 "dandelionroad_log_lines_dropped",
                 "Log lines dropped since the start.",
@@ -171,6 +176,8 @@
         let processes = state.peers.borrow().live_count(now) + 1;
         self.processes.set(f64::from(processes));
         self.crashes.set(view.crashes.len() as f64);
+        let refused = view.crashes.parts().refused_count();
+        self.refused_parts.set(refused as f64);
         self.dropped.set(dropped_lines() as f64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/relay/tests/crashing_parts.rs
+++ b/crates/relay/tests/crashing_parts.rs
@@ -8,12 +8,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dandelionroad_relay::node::RunningNode;
 use tokio::task::spawn_local;
 
+use crate::relay_support::ReadResponse;
 use crate::relay_support::World;
 use crate::relay_support::crash_engine::CrashEngine;
 use crate::relay_support::crash_engine::CrashLog;
 use crate::relay_support::run;
+use crate::relay_support::wait_for;
 
 /// The part that crashes engines.
 const FATAL_PART: &str = "bad0";
@@ -97,7 +100,7 @@
         let id = format!("e{index}");
         CrashEngine::start(&world.store, &id, FATAL_PART, &log).await;
     }
-    let nodes = [world.start_node("n1").await, world.start_node("n2").await];
+    let nodes = [world.start_node("n1").await, world.start_node("n2").await].map(Rc::new);
     let mut sending = Vec::new();
     for index in 0..REQUESTS {
         let is_fatal = index >= FATAL_START && index % FATAL_PERIOD == 0;
@@ -106,18 +109,10 @@
             true => format!("{first_part},{FATAL_PART},own{index}"),
             false => format!("{first_part},own{index}"),
         };
-        let address = nodes[index % 2].settings().caller_address;
-        let world = Rc::clone(&world);
+        let (world, node) = (Rc::clone(&world), Rc::clone(&nodes[index % 2]));
         let sent = spawn_local(async move {
-            let (path, id) = (format!("/model/{index}"), format!("r{index}"));
-            let headers = [
-                ("host", "shop.example"),
-                ("key", "k1"),
-                ("request", &id),
-                ("parts", &prompt),
-            ];
             let sent_at = Instant::now();
-            let response = world.get(address, &path, &headers).await;
+            let response = send_prompt(&world, &node, &format!("r{index}"), &prompt).await;
             SentRequest {
                 sent_at,
                 is_fatal,
@@ -134,3 +129,138 @@
     }
     (log.take(), requests)
 }
+
+/// Guards against a process that starts while requests with a fatal part come, and learns only from engines that
+/// crash for it.
+#[test]
+fn started_process_refuses_fatal_part() {
+    run(async {
+        let world = World::start().await;
+        let log: Rc<RefCell<CrashLog>> = Rc::default();
+        for id in ["e1", "e2", "e3", "e4"] {
+            CrashEngine::start(&world.store, id, FATAL_PART, &log).await;
+        }
+        let first = world.start_node("n1").await;
+        send_prompt(&world, &first, "r1", "f1,bad0,own1").await;
+        assert_eq!(log.borrow().crashes.len(), 2, "a lone request is retried");
+        // The change itself is sent for two seconds.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let second = world.start_node("n2").await;
+        wait_for("the started process refuses the part", async || {
+            let line = "dandelionroad_prompt_parts_refused 1";
+            world.has_metric_line(&second, line).await
+        })
+        .await;
+        let answer = send_prompt(&world, &second, "r2", "f2,bad0,own2").await;
+        assert_eq!(answer.status, 503, "the request has not run");
+        assert_eq!(answer.body, b"{\"error\":\"crasher\"}");
+        assert!(!answer.headers.contains_key("retry-after"), "{answer:?}");
+        let answer = send_prompt(&world, &second, "r3", "f1,own3").await;
+        assert_eq!(answer.status, 200, "the first part is sound");
+        assert_eq!(log.borrow().fatal_arrivals.len(), 2);
+    });
+}
+
+/// Requests with a fatal part arrive at about the same time at several engines. Guards against leaving those
+/// that have not begun to run, once the part is refused, to crash their engines as well.
+#[test]
+fn running_requests_with_fatal_part_are_stopped() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let log: Rc<RefCell<CrashLog>> = Rc::default();
+        for index in 0..30 {
+            CrashEngine::start(&world.store, &format!("e{index}"), FATAL_PART, &log).await;
+        }
+        let node = Rc::new(world.start_node("n1").await);
+        let mut sending = Vec::new();
+        // Engines read a prompt for 40 ms: the first one crashes before the second request comes, and the second
+        // one while six more requests are with engines.
+        for index in 0..8 {
+            let (world, node) = (Rc::clone(&world), Rc::clone(&node));
+            sending.push(spawn_local(async move {
+                let prompt = format!("f1,{FATAL_PART},own{index}");
+                send_prompt(&world, &node, &format!("r{index}"), &prompt).await
+            }));
+            let pause_ms = if index == 0 { 58 } else { 6 };
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+        for sent in sending {
+            let answer = sent.await.unwrap();
+            let is_whole = answer.status == 200 && answer.is_complete;
+            assert!(!is_whole, "no engine serves the part");
+        }
+        let log = log.borrow();
+        let crashes = log.crashes.len();
+        assert!(crashes <= CRASH_LIMIT, "{crashes} crashes");
+    });
+}
+
+/// A request with a fatal part crashes its engine while another one is about to crash the next. Guards against
+/// a retry of the first at once, which crashes a third engine.
+#[test]
+fn retry_with_suspected_part_waits_for_reports() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let log: Rc<RefCell<CrashLog>> = Rc::default();
+        for id in ["e1", "e2", "e3", "e4"] {
+            CrashEngine::start(&world.store, id, FATAL_PART, &log).await;
+        }
+        let node = Rc::new(world.start_node("n1").await);
+        let first = {
+            let (world, node) = (Rc::clone(&world), Rc::clone(&node));
+            spawn_local(async move { send_prompt(&world, &node, "r1", "f1,bad0,own1").await })
+        };
+        tokio::time::sleep(Duration::from_millis(60)).await;
+        let second = send_prompt(&world, &node, "r2", "f2,bad0,own2").await;
+        assert!(!second.is_complete || second.status != 200);
+        first.await.unwrap();
+        let log = log.borrow();
+        assert_eq!(log.fatal_arrivals.len(), 2, "{log:?}");
+        assert_eq!(log.crashes.len(), 2, "{log:?}");
+    });
+}
+
+/// Guards against refusing sound requests whose runs are broken off by lost engines: none of their parts was
+/// served before, and the engines were not lost because of them.
+#[test]
+fn sound_requests_are_served_after_lost_engines() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let log: Rc<RefCell<CrashLog>> = Rc::default();
+        let mut engines = Vec::new();
+        for id in ["e0", "e1", "e2", "e3", "e4", "e5"] {
+            engines.push(CrashEngine::start(&world.store, id, FATAL_PART, &log).await);
+        }
+        let node = Rc::new(world.start_node("n1").await);
+        let mut sending = Vec::new();
+        for index in 0..30 {
+            let (world, node) = (Rc::clone(&world), Rc::clone(&node));
+            let prompt = format!("f{},own{index}", index % 10);
+            sending.push(spawn_local(async move {
+                send_prompt(&world, &node, &format!("r{index}"), &prompt).await
+            }));
+            tokio::time::sleep(Duration::from_millis(3)).await;
+            if index == 15 {
+                engines[0].crash();
+                engines[1].crash();
+            }
+        }
+        for (index, sent) in sending.into_iter().enumerate() {
+            let answer = sent.await.unwrap();
+            assert_eq!(answer.status, 200, "r{index}");
+            assert!(answer.is_complete, "r{index}");
+        }
+        assert_eq!(log.borrow().crashes.len(), 2);
+    });
+}
+
+async fn send_prompt(world: &World, node: &RunningNode, id: &str, prompt: &str) -> ReadResponse {
+    let (path, address) = (format!("/model/{id}"), node.settings().caller_address);
+    let headers = [
+        ("host", "shop.example"),
+        ("key", "k1"),
+        ("request", id),
+        ("parts", prompt),
+    ];
+    world.get(address, &path, &headers).await
+}
--- a/crates/relay/tests/relay_support/crash_engine.rs
+++ b/crates/relay/tests/relay_support/crash_engine.rs
@@ -66,7 +66,7 @@
         id: &str,
         fatal_part: &'static str,
         log: &Rc<RefCell<CrashLog>>,
-    ) {
+    ) -> Rc<CrashEngine> {
         let engine = Rc::new(CrashEngine {
             id: id.to_owned(),
             fatal_part,
@@ -90,6 +90,7 @@
             }
         });
         engine.tasks.borrow_mut().push(accepting.abort_handle());
+        engine
     }
 
     async fn serve(self: Rc<Self>, stream: TcpStream) {
@@ -128,7 +129,12 @@
             self.log.borrow_mut().fatal_arrivals.push(Instant::now());
         }
         spawn_local(async move {
-            tokio::time::sleep(PREFILL).await;
+            tokio::select! {
+                biased;
+                // The relay has given the request up.
+                () = sender.closed() => return,
+                () = tokio::time::sleep(PREFILL) => {}
+            }
             if is_fatal {
                 self.crash();
                 return;
@@ -144,7 +150,7 @@
     }
 
     /// Closes the listener and all connections; the engine is delisted and restarted later.
-    fn crash(&self) {
+    pub(crate) fn crash(&self) {
         let tasks = self.tasks.take();
         if tasks.is_empty() {
             return;
