Take a stream without a length that ends before its first event as broken off

Callers would get an empty stream that looks complete, and the crash would clear the suspicion of its request.

Such a run now counts as broken off, so that it is retried and counted.

--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -41,6 +41,10 @@
                 Ok(None) if self.splitter.has_partial_event() => {
                     return RunOutcome::Broken("event cut");
                 }
+                // An engine that crashes before its first event closes the connection as well.
+                Ok(None) if self.is_unbegun() && !self.is_run_framed() => {
+                    return RunOutcome::Broken("no event");
+                }
                 Ok(None) => return RunOutcome::Complete,
                 Err(outcome) => return outcome,
             };
@@ -78,6 +82,10 @@
         }
     }
 
+    fn is_run_framed(&self) -> bool {
+        self.run.as_ref().is_some_and(|run| run.is_framed)
+    }
+
     /// Restarts the time-outs of the run after an event, and updates the latency ratio of its engines.
     fn record_progress(&mut self) {
         let timeouts = self.event_timeouts();
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -24,8 +24,11 @@
 use dandelionroad_core::relay::EventSplitter;
 use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::time::MilliTime;
+use hyper::HeaderMap;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 
 use crate::crash_report::record_refused_connection;
 use crate::engine::LoadGuard;
@@ -65,6 +68,8 @@
     /// The start of the current sample for the latency ratio, and the number of events at that time.
     sample_start: Option<(MilliTime, u64)>,
     timeouts: StallTimeouts,
+    /// Whether the response has a length or chunks; otherwise only the end of its connection ends it.
+    is_framed: bool,
     body: Incoming,
     load: LoadGuard,
 }
@@ -326,6 +331,7 @@
                     unloaded_step_ms,
                     sample_start: None,
                     timeouts: self.event_timeouts(),
+                    is_framed: is_framed(&parts.headers),
                     body,
                     load,
                 });
@@ -366,3 +372,8 @@
         self.record_failure(&id);
     }
 }
+
+/// Returns whether the end of a response's body can be told from the end of its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
