Refuse chats by the message that crashes engines

Each message of a chat but the last one is now a part of its prompt in the ledger that the relay uses. Chats with a refused message are refused as not run (422, crasher), as equal requests are.

--- a/crates/daemon/src/entry/crash/crash_tracker.rs
+++ b/crates/daemon/src/entry/crash/crash_tracker.rs
@@ -6,17 +6,22 @@
 use dandelionroad_core::admit::CrashVerdict;
 use dandelionroad_core::member::CrashRecord;
 use dandelionroad_core::member::CrashTable;
+use dandelionroad_core::relay::PartLedger;
+use dandelionroad_core::relay::PartVerdict;
+use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::stream::StreamOrder;
+use dandelionroad_core::time::MilliTime;
 
 use super::crash_row::write_runs;
 
 /// The crashes of requests known to an entry.
 ///
 /// Combines the local [`CrashLedger`] with the rows of the table service and the counts that gossip
-/// spreads.
+/// spreads. Crashes by shared messages of chats are counted by this entry alone.
 #[derive(Default)]
 pub struct CrashTracker {
     ledger: Mutex<CrashLedger>,
+    parts: Mutex<PartLedger>,
 }
 
 impl CrashTracker {
@@ -41,6 +46,34 @@
         verdict
     }
 
+    /// Returns whether a request with these shared parts of its prompt may run.
+    pub fn admits_parts(&self, parts: &[PromptPart], now: MilliTime) -> bool {
+        let mut ledger = self.parts();
+        ledger.expire(now);
+        ledger.admit(parts, 0, now) != PartVerdict::Refused
+    }
+
+    /// Records a crash of a run that had not begun to answer; returns whether the request may be retried.
+    pub fn record_part_crash(&self, parts: &[PromptPart], run: &str, now: MilliTime) -> bool {
+        let mut ledger = self.parts();
+        ledger.record_crash(parts, run, now);
+        // The reports are for the relay's processes; an entry of this way sends none.
+        ledger.take_reports(false, now);
+        for change in ledger.take_changes() {
+            spdlog::warn!("entry: shared part of a prompt may crash endpoints: {change:?}");
+        }
+        ledger.verdict(parts) != PartVerdict::Refused
+    }
+
+    /// Records the first token of an answer, which clears the shared parts of the prompt.
+    pub fn record_parts_served(&self, parts: &[PromptPart], now: MilliTime) {
+        let mut ledger = self.parts();
+        ledger.record_served(parts, now);
+        for change in ledger.take_changes() {
+            spdlog::info!("entry: shared part of a prompt was served: {change:?}");
+        }
+    }
+
     /// Records the end of a run without a complete answer.
     pub fn end_run(&self, fingerprint: &str) {
         self.ledger().record_end(fingerprint);
@@ -105,6 +138,12 @@
         })
     }
 
+    fn parts(&self) -> MutexGuard<'_, PartLedger> {
+        self.parts
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
     fn ledger(&self) -> MutexGuard<'_, CrashLedger> {
         self.ledger
             .lock()
--- a/crates/daemon/src/entry/model/completion_request.rs
+++ b/crates/daemon/src/entry/model/completion_request.rs
@@ -1,4 +1,7 @@
+use dandelionroad_core::hex::hex_text;
 use serde_json::Value;
+use sha2::Digest;
+use sha2::Sha256;
 
 /// The maximum number of tokens to generate if the request does not set one.
 const DEFAULT_MAX_TOKENS: u64 = 256;
@@ -15,6 +18,8 @@
     pub(super) model: String,
     /// The prompt; for a chat, its messages joined into one text.
     pub(super) prompt: String,
+    /// The digests of a chat's messages but the last one, which other chats may share; empty for a prompt.
+    pub(super) shared_messages: Vec<String>,
     /// The maximum number of tokens to generate.
     pub(super) max_tokens: u32,
     /// Whether to stream the answer token by token.
@@ -36,16 +41,17 @@
         let model = body["model"]
             .as_str()
             .ok_or("the field model must be a string")?;
-        let prompt = if is_chat {
+        let (prompt, shared_messages) = if is_chat {
             chat_prompt(&body["messages"])?
         } else {
-            text_prompt(&body["prompt"])?
+            (text_prompt(&body["prompt"])?, Vec::new())
         };
         check_unsupported(&body)?;
         Ok(CompletionRequest {
             is_chat,
             model: model.to_owned(),
             prompt,
+            shared_messages,
             max_tokens: max_tokens(&body)?,
             is_stream: bool_field(&body, "stream")?,
             has_usage: bool_field(&body["stream_options"], "include_usage")?,
@@ -62,21 +68,26 @@
     Ok(text.to_owned())
 }
 
-fn chat_prompt(messages: &Value) -> Result<String, String> {
+/// Returns the prompt of a chat, and the digests of its messages but the last one.
+fn chat_prompt(messages: &Value) -> Result<(String, Vec<String>), String> {
     let messages = messages
         .as_array()
         .filter(|messages| !messages.is_empty())
         .ok_or("the field messages must be a list with at least one message")?;
     let mut prompt = String::new();
+    let mut digests = Vec::new();
     for message in messages {
         let role = message["role"]
             .as_str()
             .ok_or("each message must have a role")?;
         let content = message_text(&message["content"])?;
-        prompt.push_str(&format!("{role}: {content}\n"));
+        let line = format!("{role}: {content}\n");
+        digests.push(hex_text(&Sha256::digest(&line)));
+        prompt.push_str(&line);
     }
     prompt.push_str("assistant:");
-    Ok(prompt)
+    digests.pop();
+    Ok((prompt, digests))
 }
 
 /// Returns the content of a message, which is a string or a list of text parts.
--- a/crates/daemon/src/entry/model/crash_handling.rs
+++ b/crates/daemon/src/entry/model/crash_handling.rs
@@ -4,6 +4,7 @@
 //! crash them all. Crashes are therefore counted by the fingerprint of the request. After the first
 //! one, the request runs again only as a suspect, once the table service has stored the crash.
 //! After the second one, it is refused permanently. A complete answer clears the count.
+//! Chats that share only a message are refused by that message, as counting by request finds none of them.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use dandelionroad_core::admit::CrashVerdict;
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
+use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::stream::StreamOrder;
 
 use crate::entry::caller_error::CallerError;
@@ -30,8 +32,18 @@
 pub(super) async fn admit_request(
     context: &NodeContext,
     order: &mut StreamOrder,
+    parts: &[PromptPart],
 ) -> Result<(), CallerError> {
     let request = order.request.clone();
+    let now = context.clock.now();
+    if !context.crash_tracker.admits_parts(parts, now) {
+        let detail = "a message of the chat crashed the endpoints that ran it";
+        return Err(CallerError::not_run(
+            &request,
+            RefusalReason::Crasher,
+            detail,
+        ));
+    }
     let deadline = context.clock.now().plus(order.deadline_in_ms);
     let fingerprint = order.fingerprint.clone();
     loop {
@@ -79,16 +91,26 @@
 ///
 /// It may not if the table service can't store the crash, or after [`CRASHES_BEFORE_REFUSAL`]
 /// crashes.
-pub(super) async fn record_crash(context: &NodeContext, order: &StreamOrder) -> bool {
+pub(super) async fn record_crash(
+    context: &NodeContext,
+    order: &StreamOrder,
+    parts: &[PromptPart],
+) -> bool {
     spdlog::warn!(
         "entry: request may have crashed an endpoint",
         kv: { request = order.request.as_str() }
     );
+    let mut is_allowed = true;
+    if order.sent.is_empty() {
+        let run = format!("{}/{}", order.request, order.attempt);
+        let now = context.clock.now();
+        is_allowed = context.crash_tracker.record_part_crash(parts, &run, now);
+    }
     let table = context.clients.table.as_ref();
     let Some(record) = context.crash_tracker.record_crash(table, order).await else {
         return false;
     };
-    let may_retry = record.count < CRASHES_BEFORE_REFUSAL;
+    let may_retry = is_allowed && record.count < CRASHES_BEFORE_REFUSAL;
     context.control.publish_crash(record).await;
     may_retry
 }
--- a/crates/daemon/src/entry/model/model_handlers.rs
+++ b/crates/daemon/src/entry/model/model_handlers.rs
@@ -17,6 +17,7 @@
 use dandelionroad_core::ident::ModelName;
 use dandelionroad_core::ident::RequestIdent;
 use dandelionroad_core::outcome::RefusalReason;
+use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::stream::ChainRoute;
 use dandelionroad_core::stream::StreamOrder;
 use serde_json::json;
@@ -135,8 +136,12 @@
         .limits
         .take(&config, &members, &order.account, units, now);
     taken.map_err(|retry_after_ms| CallerError::account_limit(ident, retry_after_ms))?;
-    admit_request(&context, &mut order).await?;
-    let events = start_request(context, order);
+    let shared = request.shared_messages.iter();
+    let parts: Vec<PromptPart> = shared
+        .map(|digest| PromptPart::new(order.model.as_str(), digest))
+        .collect();
+    admit_request(&context, &mut order, &parts).await?;
+    let events = start_request(context, order, parts);
     if request.is_stream {
         streamed_answer(ident, &request, events).await
     } else {
--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dandelionroad_core::admit::RetryBudget;
+use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::stream::StreamAction;
 use dandelionroad_core::stream::StreamEvent;
 use dandelionroad_core::stream::StreamLimits;
@@ -51,6 +52,7 @@
 pub(super) fn start_request(
     context: Arc<NodeContext>,
     order: StreamOrder,
+    parts: Vec<PromptPart>,
 ) -> UnboundedReceiver<AnswerEvent> {
     let (answers, receiver) = mpsc::unbounded_channel();
     tokio::spawn(async move {
@@ -67,6 +69,7 @@
         let driver = StreamDriver {
             context,
             machine,
+            parts,
             answers,
             updates: update_sender,
             head: None,
@@ -74,6 +77,7 @@
             was_refused: false,
             retries: 0,
             is_complete: false,
+            has_begun: false,
         };
         driver.run(actions, updates).await;
     });
@@ -83,6 +87,8 @@
 struct StreamDriver {
     context: Arc<NodeContext>,
     machine: StreamMachine,
+    /// The parts of the prompt that other requests may share.
+    parts: Vec<PromptPart>,
     answers: UnboundedSender<AnswerEvent>,
     updates: UnboundedSender<HeadUpdate>,
     head: Option<JoinHandle<()>>,
@@ -93,6 +99,8 @@
     retries: u32,
     /// Whether the complete answer has been sent to the caller.
     is_complete: bool,
+    /// Whether a token was sent to the caller.
+    has_begun: bool,
 }
 
 impl StreamDriver {
@@ -174,11 +182,12 @@
             StreamAction::CountCrash { must_wait } => {
                 let order = self.machine.order().clone();
                 if must_wait {
-                    let may_retry = record_crash(&self.context, &order).await;
+                    let may_retry = record_crash(&self.context, &order, &self.parts).await;
                     return self.machine.handle_crash_count(may_retry, self.now());
                 }
                 let context = self.context.clone();
-                tokio::spawn(async move { record_crash(&context, &order).await });
+                let parts = self.parts.clone();
+                tokio::spawn(async move { record_crash(&context, &order, &parts).await });
             }
             StreamAction::Open {
                 order,
@@ -191,7 +200,13 @@
                 let reading = subscribe_to_head(context, *order, silent_client, updates);
                 self.head = Some(tokio::spawn(reading));
             }
-            StreamAction::Deliver { text } => self.send_answer(AnswerEvent::Token(text)),
+            StreamAction::Deliver { text } => {
+                if !std::mem::replace(&mut self.has_begun, true) {
+                    let tracker = &self.context.crash_tracker;
+                    tracker.record_parts_served(&self.parts, self.now());
+                }
+                self.send_answer(AnswerEvent::Token(text));
+            }
             StreamAction::Finish { reason, tokens } => {
                 self.is_complete = true;
                 self.send_answer(AnswerEvent::Finish { reason, tokens });
--- a/crates/daemon/tests/stream_support/fake_engine.rs
+++ b/crates/daemon/tests/stream_support/fake_engine.rs
@@ -34,6 +34,9 @@
     Crashed,
 }
 
+/// A text in a prompt on which the first stage of a model crashes.
+pub(crate) const FATAL_TEXT: &str = "the fatal instructions";
+
 /// The state of a session: its next position and the state of each layer.
 #[derive(Default)]
 struct Session {
@@ -145,6 +148,9 @@
 impl EngineClient for FakeEngine {
     fn step<'a>(&'a self, step: &'a EngineStep) -> ClientFuture<'a, StepOutput> {
         Box::pin(async move {
+            if matches!(&step.payload, StepPayload::Text(text) if text.contains(FATAL_TEXT)) {
+                self.crash();
+            }
             self.wait_step_time().await?;
             self.run(step)
         })
--- a/crates/daemon/tests/stream_support/mod.rs
+++ b/crates/daemon/tests/stream_support/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) use self::cluster::TestCluster;
 pub(crate) use self::cluster::wait_until;
 pub(crate) use self::fake_engine::EngineMode;
+pub(crate) use self::fake_engine::FATAL_TEXT;
 pub(crate) use self::fake_engine::FakeEngine;
 pub(crate) use self::fake_engine::LAYERS;
 pub(crate) use self::fake_engine::expected_tokens;
