Send all crashes of a lost engine to the other processes

The others never reached another process, so that the request at fault was refused at one process only if it was not among the latest.

Now the crashes that were sent least often go first, 48 at once in datagrams of 16, so that all are sent and none grows beyond 2 KB. all_crashes_of_an_engine_are_sent timed out before and passes. recent_crashes is gone; its two tests ask take_reports in its place, for the same crashes.

--- a/crates/core/src/relay/crash_detector.rs
+++ b/crates/core/src/relay/crash_detector.rs
@@ -43,6 +43,8 @@
 struct KnownCrash {
     crash: EngineCrash,
     seen_at: MilliTime,
+    /// How often it was sent to the other processes.
+    sends: u32,
 }
 
 /// Finds the requests that crash the engines that run them, so that they are refused.
@@ -184,11 +186,22 @@
         self.known.len() < count_before
     }
 
-    /// Returns the crashes to announce to the other processes, the latest ones first.
-    pub fn recent_crashes(&self, now: MilliTime) -> Vec<&EngineCrash> {
-        let known = self.known.iter().rev();
-        let recent = known.filter(|known| now.since(known.seen_at) <= ANNOUNCE_MS);
-        recent.map(|known| &known.crash).collect()
+    /// Returns at most `limit` crashes to send to the other processes now: of those to announce, the ones that
+    /// were sent least often.
+    ///
+    /// A lost engine breaks off many runs, and each of them may be the one at fault.
+    pub fn take_reports(&mut self, limit: usize, now: MilliTime) -> Vec<EngineCrash> {
+        let recent = self.known.iter_mut();
+        let mut recent: Vec<&mut KnownCrash> = recent
+            .filter(|known| now.since(known.seen_at) <= ANNOUNCE_MS)
+            .collect();
+        recent.sort_by_key(|known| known.sends);
+        recent.truncate(limit);
+        let report = |known: &mut KnownCrash| {
+            known.sends += 1;
+            known.crash.clone()
+        };
+        recent.into_iter().map(report).collect()
     }
 
     /// Drops records that are too old to count.
@@ -245,6 +258,7 @@
         self.known.push(KnownCrash {
             crash,
             seen_at: now,
+            sends: 0,
         });
     }
 
--- a/crates/core/tests/crash_detector.rs
+++ b/crates/core/tests/crash_detector.rs
@@ -100,8 +100,8 @@
     assert!(detector.merge(&crash("aa", "e2"), START));
     assert!(detector.should_refuse("aa", START));
     assert_eq!(
-        detector.recent_crashes(START),
-        [&crash("aa", "e2"), &crash("aa", "e1")]
+        detector.take_reports(16, START),
+        [crash("aa", "e1"), crash("aa", "e2")]
     );
 }
 
@@ -174,11 +174,7 @@
                     record_broken_run(&mut detectors[own], neighbor, &engine, now);
                 }
             }
-            let announced: Vec<EngineCrash> = detectors[own]
-                .recent_crashes(now)
-                .into_iter()
-                .cloned()
-                .collect();
+            let announced = detectors[own].take_reports(usize::MAX, now);
             for detector in &mut detectors {
                 for crash in &announced {
                     detector.merge(crash, now);
--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -14,12 +14,15 @@
     if is_known_crasher(state, relay) {
         return PartVerdict::Refused;
     }
+    let verdict = part_verdict(state, relay);
+    if verdict != PartVerdict::Refused {
+        return verdict;
+    }
     let now = state.clock.now();
     let rank = state.peers.borrow().rank(now);
     let mut view = state.view.borrow_mut();
-    view.crashes
-        .parts_mut()
-        .admit(&relay.shared_parts, rank, now)
+    let parts = view.crashes.parts_mut();
+    parts.admit(&relay.shared_parts, rank, now)
 }
 
 /// Returns whether crashes of engines are attributed to a request or to a shared part of its prompt, so that
--- a/crates/relay/src/peer/crash_exchange.rs
+++ b/crates/relay/src/peer/crash_exchange.rs
@@ -23,6 +23,9 @@
 /// The maximum number of crashes in a datagram, which keeps it below 2 KB.
 const MAX_CRASHES_PER_DATAGRAM: usize = 16;
 
+/// The maximum number of crashes that are sent at once; a lost engine breaks off some tens of runs at a process.
+const MAX_CRASHES_AT_ONCE: usize = 48;
+
 /// The interval at which refused prompt parts are sent again, in milliseconds.
 ///
 /// A process that has just started must know them before it takes many requests.
@@ -45,25 +48,17 @@
             let addresses = state.peers.borrow().addresses();
             send_to_all(socket, addresses, &PeerDatagram::Served(cleared)).await;
         }
-        let crashes: Vec<EngineCrash> = {
-            let now = state.clock.now();
+        let now = state.clock.now();
+        let crashes = {
             let mut view = state.view.borrow_mut();
             view.crashes.expire(now);
-            let recent = view.crashes.recent_crashes(now);
-            recent
-                .into_iter()
-                .take(MAX_CRASHES_PER_DATAGRAM)
-                .cloned()
-                .collect()
+            view.crashes.take_reports(MAX_CRASHES_AT_ONCE, now)
         };
-        if !crashes.is_empty() {
-            let targets = {
-                let now = state.clock.now();
-                state.peers.borrow().round_targets(round, now)
-            };
-            send_to_all(socket, targets, &PeerDatagram::Crashes(crashes)).await;
+        for crashes in crashes.chunks(MAX_CRASHES_PER_DATAGRAM) {
+            let targets = state.peers.borrow().round_targets(round, now);
+            let message = PeerDatagram::Crashes(crashes.to_vec());
+            send_to_all(socket, targets, &message).await;
         }
-        let now = state.clock.now();
         let is_repeat = now.since(repeated_at) >= PART_INTERVAL_MS;
         if is_repeat {
             repeated_at = now;
--- a/crates/relay/tests/crashers.rs
+++ b/crates/relay/tests/crashers.rs
@@ -109,17 +109,7 @@
         let mut sockets = Vec::new();
         for _ in 0..PROCESSES {
             let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-            let message = PeerDatagram::Load(LoadMessage {
-                internal: socket.local_addr().unwrap(),
-                zone: "a".to_owned(),
-                run: 7,
-                stamp: 1,
-                reaches_store: false,
-                capacity: 100,
-                listing_age_ms: u32::MAX,
-                loads: Vec::new(),
-            });
-            let bytes = message.encode().unwrap();
+            let bytes = load_message(&socket).encode().unwrap();
             socket.send_to(&bytes, target).await.unwrap();
             sockets.push(socket);
         }
@@ -151,6 +141,68 @@
     });
 }
 
+/// An engine that is lost breaks off more runs than a datagram holds crashes. Guards against reporting the latest ones
+/// again and again and the others never: the request at fault may be among them.
+#[test]
+fn all_crashes_of_an_engine_are_sent() {
+    const CRASHES: usize = 60;
+    run(async {
+        let world = World::start().await;
+        let node = world.start_node("n1").await;
+        let target = node.settings().peer_address;
+        let reporter = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        let listener = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+        for socket in [&reporter, &listener] {
+            let bytes = load_message(socket).encode().unwrap();
+            socket.send_to(&bytes, target).await.unwrap();
+        }
+        wait_for("both are known", async || {
+            world
+                .has_metric_line(&node, "dandelionroad_processes_live 3")
+                .await
+        })
+        .await;
+        for index in 0..CRASHES {
+            let crash = EngineCrash {
+                fingerprint: format!("f{index}"),
+                engine: "e1@5".to_owned(),
+            };
+            let bytes = PeerDatagram::Crashes(vec![crash]).encode().unwrap();
+            reporter.send_to(&bytes, target).await.unwrap();
+        }
+        let mut known: Vec<String> = Vec::new();
+        wait_for("all crashes have arrived", async || {
+            let mut buffer = [0; 16_384];
+            while let Ok(length) = listener.try_recv(&mut buffer) {
+                let message = PeerDatagram::decode(&buffer[..length]).unwrap();
+                let PeerDatagram::Crashes(crashes) = message else {
+                    continue;
+                };
+                assert!(length < 2_048, "{length} bytes");
+                known.extend(crashes.into_iter().map(|crash| crash.fingerprint));
+            }
+            known.sort();
+            known.dedup();
+            known.len() == CRASHES
+        })
+        .await;
+    });
+}
+
+/// Returns the load message of a process that serves no request.
+fn load_message(socket: &UdpSocket) -> PeerDatagram {
+    PeerDatagram::Load(LoadMessage {
+        internal: socket.local_addr().unwrap(),
+        zone: "a".to_owned(),
+        run: 7,
+        stamp: 1,
+        reaches_store: false,
+        capacity: 100,
+        listing_age_ms: u32::MAX,
+        loads: Vec::new(),
+    })
+}
+
 /// Returns whether a report of crashes has arrived.
 fn receives_crash(socket: &UdpSocket) -> bool {
     let mut buffer = [0; 16_384];
