Probe refused prompt parts less often, and consider 32 parts of a request at most

A probe that no engine ran could be followed by the next one after 2 s at each process, so that an overloaded deployment would get several requests with a fatal part; it now waits as long as after a crash. A request may name as many parts as its head holds, each of which is looked up; 32 are considered. An error response of an engine is kept if the part is refused before the retry.

--- a/crates/core/src/relay/suspect_part.rs
+++ b/crates/core/src/relay/suspect_part.rs
@@ -29,9 +29,6 @@
 /// The maximum number of processes that probe one after the other.
 const MAX_RANK: u32 = 10;
 
-/// The minimum time between two probes of a process, in milliseconds.
-const PROBE_INTERVAL_MS: u64 = 2_000;
-
 /// The number of times that a change is sent to the other processes, as datagrams may be lost.
 const CHANGE_SENDS: u8 = 3;
 
@@ -146,9 +143,9 @@
             _ => LAST_HOLD_MS,
         };
         let delay_ms = u64::from(rank.min(MAX_RANK)) * RANK_DELAY_MS;
-        let has_waited = now.since(self.last_crash()) >= hold_ms + delay_ms;
-        let is_settled = |at: MilliTime| now.since(at) >= PROBE_INTERVAL_MS;
-        has_waited && self.probed_at.is_none_or(is_settled)
+        // A probe that no engine runs tells nothing, and the next one waits as long.
+        let has_waited = |at: MilliTime| now.since(at) >= hold_ms + delay_ms;
+        has_waited(self.last_crash()) && self.probed_at.is_none_or(has_waited)
     }
 
     /// Returns the time of the last crash, or the beginning of time if there is none.
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -44,6 +44,11 @@
 /// Calls take some tens of milliseconds, and operators give them a time-out of two seconds at most.
 const MIN_CALL_TIME_MS: u64 = 2_000;
 
+/// The maximum number of shared prompt parts of a request that are considered.
+///
+/// Prompts have a few; a list that fills the head of a request would take milliseconds to look up.
+const MAX_SHARED_PARTS: usize = 32;
+
 /// Handles one request of a caller and returns the response.
 pub(super) async fn handle_request(
     state: Rc<NodeState>,
@@ -51,13 +56,14 @@
 ) -> Response<CallerBody> {
     let arrival = state.clock.now();
     let (parts, body) = request.into_parts();
-    let caller = match state.format.decode_request(&parts) {
+    let mut caller = match state.format.decode_request(&parts) {
         Ok(caller) => caller,
         Err(error) => {
             spdlog::warn!("request: refused as malformed: {error}");
             return refuse(&state, "", RefusalKind::BadRequest, None);
         }
     };
+    caller.shared_parts.truncate(MAX_SHARED_PARTS);
     let mut log = RequestLog::new(&state, &caller.id, arrival);
     let Some(config) = state.view.borrow().config.clone() else {
         return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::StaleConfig);
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -151,11 +151,10 @@
             // The part may have been refused while the request waited for capacity.
             if self.is_refused() {
                 log.add_cause("crashes engines");
-                let kind = match self.plan.may_have_run() {
-                    true => RefusalKind::LostAnswer,
-                    false => RefusalKind::Crasher,
-                };
-                return OpenOutcome::Refused(kind, None);
+                if !self.plan.may_have_run() {
+                    return OpenOutcome::Refused(RefusalKind::Crasher, None);
+                }
+                break;
             }
             match self.send(chain, log).await {
                 Ok(OpenOutcome::Streaming(parts)) => return OpenOutcome::Streaming(parts),
