Probe a refused prompt part after a minute, not within the attack

Requests of one cause repeat for half a minute, so a probe after 10 s meets them.

Now the first probe waits a minute, and twice as long for each engine beyond two.

--- a/crates/core/src/relay/suspect_part.rs
+++ b/crates/core/src/relay/suspect_part.rs
@@ -10,17 +10,15 @@
 /// The time after its last crash for which a refused part is kept, in milliseconds.
 const RETENTION_MS: u64 = 1_800_000;
 
-/// The time from the last crash to the first probe after two lost engines, in milliseconds.
-const FIRST_HOLD_MS: u64 = 10_000;
+/// The time from the last crash to the first probe after two lost engines, in milliseconds; each further engine
+/// doubles it.
+///
+/// A probe with a fatal part costs another engine and the streams on it, so callers that repeat for half a minute
+/// get none.
+const FIRST_HOLD_MS: u64 = 60_000;
 
-/// The time from the last crash to the next probe after three lost engines, in milliseconds.
-const SECOND_HOLD_MS: u64 = 60_000;
-
-/// The time from the last crash to the next probe after four lost engines, in milliseconds.
-const THIRD_HOLD_MS: u64 = 120_000;
-
-/// The time from the last crash to the next probe after more lost engines, in milliseconds.
-const LAST_HOLD_MS: u64 = 600_000;
+/// The maximum time from the last crash to the next probe, in milliseconds.
+const MAX_HOLD_MS: u64 = 600_000;
 
 /// The time by which each further process in the order of election waits longer until it probes, in
 /// milliseconds; a probe's outcome is known to all processes by then.
@@ -136,12 +134,9 @@
 
     /// Returns whether a request with the refused part may be admitted as a probe.
     pub(super) fn may_probe(&self, rank: u32, now: MilliTime) -> bool {
-        let hold_ms = match self.crashes.len() {
-            0..=2 => FIRST_HOLD_MS,
-            3 => SECOND_HOLD_MS,
-            4 => THIRD_HOLD_MS,
-            _ => LAST_HOLD_MS,
-        };
+        let further = self.crashes.len().saturating_sub(2) as u32;
+        let hold_ms = FIRST_HOLD_MS.saturating_mul(1 << further.min(MAX_CRASHES as u32));
+        let hold_ms = hold_ms.min(MAX_HOLD_MS);
         let delay_ms = u64::from(rank.min(MAX_RANK)) * RANK_DELAY_MS;
         // A probe that no engine runs tells nothing, and the next one waits as long.
         let has_waited = |at: MilliTime| now.since(at) >= hold_ms + delay_ms;
