Decide anew which prompt part is refused when another process has served one of them

Found while reading: a process that had not seen a part before refused it in place of the fatal one before it in the prompt. The answer of a process that had served it marked the part as served, but the choice was made again only after the next loss. part_ledger_merge_corrects_wrong_part failed before (the fatal part was admitted, the sound one refused) and passes.

--- a/crates/core/src/relay/part_ledger.rs
+++ b/crates/core/src/relay/part_ledger.rs
@@ -171,13 +171,14 @@
         let part = report.part;
         let own_serving = self.own_serving(&part);
         let told_serving = report.served_age_ms.map(|age_ms| earlier(now, age_ms));
+        // A suspected part that turns out to have been served changes which part is at fault.
+        let mut is_new = told_serving.is_some() && !self.is_proven(&part);
         if let Some(at) = told_serving {
             self.insert_served(ServedPart::told(part, at));
         }
         let mut is_behind = own_serving.is_some_and(|own| {
             told_serving.is_none_or(|told| own.since(told) > SERVED_TOLERANCE_MS)
         });
-        let mut is_new = false;
         for engine in &report.cleared {
             let index = self.find_or_insert(part);
             is_new |= self.suspects[index].clear(*engine, now);
--- a/crates/core/tests/part_ledger.rs
+++ b/crates/core/tests/part_ledger.rs
@@ -181,6 +181,31 @@
     );
 }
 
+/// Guards against keeping a sound part refused in place of the fatal one, after another process has told that it
+/// served the sound one before.
+#[test]
+fn part_ledger_merge_corrects_wrong_part() {
+    let mut ledger = PartLedger::new();
+    let mut other = PartLedger::new();
+    other.record_served(&[part("f1")], START);
+    let now = START.plus(30_000);
+    for (engine, delay_ms) in [("e1", 0), ("e2", 100)] {
+        let at = now.plus(delay_ms);
+        ledger.record_crash(&[part("bad"), part("f1")], engine, at);
+    }
+    assert_eq!(ledger.verdict(&[part("f1")]), PartVerdict::Refused);
+    let now = now.plus(101);
+    for report in ledger.take_reports(false, now) {
+        if let Some(answer) = other.merge(&report, now) {
+            ledger.merge(&answer, now);
+        }
+    }
+    for ledger in [&ledger, &other] {
+        assert_eq!(ledger.verdict(&[part("bad")]), PartVerdict::Refused);
+        assert_eq!(ledger.verdict(&[part("f1")]), PartVerdict::Clear);
+    }
+}
+
 /// Guards against reports that cross and revive a crash that was cleared.
 #[test]
 fn part_ledger_merge_keeps_cleared() {
