--- a/crates/daemon/src/entry/crash/crash_tracker.rs
+++ b/crates/daemon/src/entry/crash/crash_tracker.rs
@@ -6,6 +6,7 @@
 use dandelionroad_core::admit::CrashVerdict;
 use dandelionroad_core::member::CrashRecord;
 use dandelionroad_core::member::CrashTable;
+use dandelionroad_core::relay::PartChange;
 use dandelionroad_core::relay::PartLedger;
 use dandelionroad_core::relay::PartVerdict;
 use dandelionroad_core::relay::PromptPart;
@@ -59,9 +60,7 @@
         ledger.record_crash(parts, run, now);
         // The reports are for the relay's processes; an entry of this way sends none.
         ledger.take_reports(false, now);
-        for change in ledger.take_changes() {
-            spdlog::warn!("entry: shared part of a prompt may crash endpoints: {change:?}");
-        }
+        log_part_changes(&ledger.take_changes());
         ledger.verdict(parts) != PartVerdict::Refused
     }
 
@@ -69,9 +68,7 @@
     pub fn record_parts_served(&self, parts: &[PromptPart], now: MilliTime) {
         let mut ledger = self.parts();
         ledger.record_served(parts, now);
-        for change in ledger.take_changes() {
-            spdlog::info!("entry: shared part of a prompt was served: {change:?}");
-        }
+        log_part_changes(&ledger.take_changes());
     }
 
     /// Records the end of a run without a complete answer.
@@ -150,3 +147,27 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 }
+
+fn log_part_changes(changes: &[PartChange]) {
+    for change in changes {
+        match change {
+            PartChange::Suspected { part, engines } => {
+                spdlog::info!("entry: shared part of a prompt may crash endpoints", kv: {
+                    part = part.to_string(),
+                    crashes = *engines,
+                });
+            }
+            PartChange::Refused { part, engines } => {
+                spdlog::warn!("entry: shared part of a prompt crashes endpoints, refused", kv: {
+                    part = part.to_string(),
+                    crashes = *engines,
+                });
+            }
+            PartChange::Cleared { part } => {
+                spdlog::info!("entry: shared part of a prompt no longer suspected", kv: {
+                    part = part.to_string(),
+                });
+            }
+        }
+    }
+}
--- a/crates/relay/tests/unframed_answers.rs
+++ b/crates/relay/tests/unframed_answers.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use serde_json::json;
-use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -16,6 +15,7 @@
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::EVENTS;
 use crate::relay_support::fake_engine::event_bytes;
+use crate::relay_support::read_head;
 use crate::relay_support::run;
 use crate::relay_support::test_wire::MODEL_SERVICE;
 use crate::relay_support::test_wire::PLAIN_SERVICE;
@@ -51,15 +51,7 @@
 }
 
 async fn answer(mut stream: TcpStream, body: &[u8], end: ConnectionEnd) {
-    let mut head = Vec::new();
-    while !head.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
-        let mut buffer = [0; 1_024];
-        match stream.read(&mut buffer).await {
-            Ok(length) if length > 0 => head.extend_from_slice(&buffer[..length]),
-            _ => return,
-        }
-    }
-    let head = String::from_utf8(head).unwrap();
+    let head = read_head(&mut stream).await;
     let id = head.lines().find_map(|line| line.strip_prefix("request: "));
     let id = id.unwrap_or_default();
     let start = format!("HTTP/1.1 200 OK\r\nrequest: {id}\r\nsignature: u1\r\n\r\n");
