--- a/crates/core/src/relay/part_ledger.rs
+++ b/crates/core/src/relay/part_ledger.rs
@@ -150,7 +150,7 @@
             is_new |= self.insert_crash(*part, position, engine, at);
         }
         if is_new {
-            self.assign_blame();
+            self.decide_refusals();
         }
     }
 
@@ -163,7 +163,7 @@
             is_cleared |= found.is_ok_and(|index| self.suspects[index].clear_all(now));
         }
         if is_cleared {
-            self.assign_blame();
+            self.decide_refusals();
         }
     }
 
@@ -196,7 +196,7 @@
             is_new |= suspect.insert(crash.engine, report.position, at);
         }
         if is_new {
-            self.assign_blame();
+            self.decide_refusals();
         }
         is_behind.then(|| self.report(&part, now))
     }
@@ -237,7 +237,7 @@
         let count_before = self.suspects.len();
         self.suspects.retain_mut(|suspect| suspect.expire(now));
         if self.suspects.len() < count_before {
-            self.assign_blame();
+            self.decide_refusals();
         }
     }
 
@@ -335,7 +335,7 @@
 
     /// Decides anew which parts are refused: the one with the most lost engines first, then those that
     /// have enough lost engines which the former do not explain.
-    fn assign_blame(&mut self) {
+    fn decide_refusals(&mut self) {
         self.explained.clear();
         let mut refused: Vec<PromptPart> = Vec::new();
         while let Some(index) = self.most_suspected(&refused) {
