Bound the reports of prompt parts and crashes among many processes

Cause: each of 103 processes sent on each loss of each part three times, parts that were served before among them, every process that knew more answered each time, and 48 crashes went out at once in place of 16.

Now a process sends the losses that it notices itself, once for parts that were served before, and sends on only what it refuses; it answers only a report whose sender does not know that the part was served or lacks a cleared loss.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -54,6 +54,7 @@
 mod request_size;
 mod route_index;
 mod served_part;
+mod served_parts;
 mod service_picker;
 mod service_share;
 mod shared_load;
--- a/crates/core/src/relay/part_ledger.rs
+++ b/crates/core/src/relay/part_ledger.rs
@@ -7,7 +7,9 @@
 use super::PartVerdict;
 use super::PromptPart;
 use super::served_part::ServedPart;
+use super::served_parts::ServedParts;
 use super::suspect_crash::SuspectCrash;
+use super::suspect_part::CHANGE_SENDS;
 use super::suspect_part::SuspectPart;
 
 /// The seed of the hash of engines.
@@ -34,15 +36,9 @@
 /// do, a third engine is lost until the part is refused.
 const SIMULTANEOUS_MS: u64 = 20;
 
-/// The difference from which the time of a serving is worth a reply, in milliseconds.
-const SERVED_TOLERANCE_MS: u64 = 1_000;
-
 /// The maximum number of suspected parts; the one with the oldest crash is dropped first.
 const MAX_SUSPECTS: usize = 256;
 
-/// The maximum number of parts whose last serving is kept; the older half is dropped beyond it.
-const MAX_SERVED: usize = 8_192;
-
 /// The maximum number of reports that are sent at once.
 const MAX_REPORTS: usize = 32;
 
@@ -73,8 +69,8 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct PartLedger {
-    /// The parts that requests were served with, sorted.
-    served: Vec<ServedPart>,
+    /// The parts that requests were served with.
+    served: ServedParts,
     /// Sorted by part.
     suspects: Vec<SuspectPart>,
     /// The engines whose loss a refused part explains, sorted.
@@ -147,7 +143,10 @@
         let mut is_new = false;
         for (position, part) in parts.iter().enumerate() {
             let position = u8::try_from(position).unwrap_or(u8::MAX);
-            is_new |= self.insert_crash(*part, position, engine, at);
+            if self.insert_crash(*part, position, engine, at) {
+                is_new = true;
+                self.announce(part);
+            }
         }
         if is_new {
             self.decide_refusals();
@@ -158,9 +157,13 @@
     pub fn record_served(&mut self, parts: &[PromptPart], now: MilliTime) {
         let mut is_cleared = false;
         for part in parts {
-            self.insert_served(ServedPart::seen(*part, now));
-            let found = self.find_suspect(part);
-            is_cleared |= found.is_ok_and(|index| self.suspects[index].clear_all(now));
+            self.served.insert(ServedPart::seen(*part, now));
+            if let Ok(index) = self.find_suspect(part)
+                && self.suspects[index].clear_all(now)
+            {
+                is_cleared = true;
+                self.suspects[index].announce(1);
+            }
         }
         if is_cleared {
             self.decide_refusals();
@@ -170,16 +173,14 @@
     /// Adds what another process reports; returns the report that the process lacks, if any.
     pub fn merge(&mut self, report: &PartReport, now: MilliTime) -> Option<PartReport> {
         let part = report.part;
-        let own_serving = self.own_serving(&part);
+        let own_serving = self.served.own_serving(&part);
         let told_serving = report.served_age_ms.map(|age_ms| earlier(now, age_ms));
         // A suspected part that turns out to have been served changes which part is at fault.
         let mut is_new = told_serving.is_some() && !self.is_proven(&part);
         if let Some(at) = told_serving {
-            self.insert_served(ServedPart::told(part, at));
+            self.served.insert(ServedPart::told(part, at));
         }
-        let mut is_behind = own_serving.is_some_and(|own| {
-            told_serving.is_none_or(|told| own.since(told) > SERVED_TOLERANCE_MS)
-        });
+        let mut is_behind = own_serving.is_some() && !report.is_served;
         for engine in &report.cleared {
             let index = self.find_or_insert(part);
             is_new |= self.suspects[index].clear(*engine, now);
@@ -201,16 +202,15 @@
         is_behind.then(|| self.report(&part, now))
     }
 
-    /// Returns the reports to send to the other processes: what has changed, a few times, and the refused
-    /// parts.
+    /// Returns the reports to send to the other processes: the losses that this process has noticed and the parts
+    /// that it has cleared or refused, a few times.
     ///
     /// With `is_repeat`, the refused parts are included, so that a process that has started meanwhile gets
     /// them.
     pub fn take_reports(&mut self, is_repeat: bool, now: MilliTime) -> Vec<PartReport> {
         let mut parts = Vec::new();
         for suspect in &mut self.suspects {
-            if suspect.sends_left > 0 || (is_repeat && suspect.is_refused) {
-                suspect.sends_left = suspect.sends_left.saturating_sub(1);
+            if suspect.take_send(is_repeat) {
                 parts.push((!suspect.is_refused, suspect.part));
             }
         }
@@ -224,7 +224,7 @@
 
     /// Returns whether there are changes that have not been sent to the other processes.
     pub fn has_unsent(&self) -> bool {
-        self.suspects.iter().any(SuspectPart::is_unsent)
+        self.suspects.iter().any(|suspect| suspect.is_unsent)
     }
 
     /// Returns the changes since the last call.
@@ -251,18 +251,8 @@
         Some(&self.suspects[index])
     }
 
-    fn find_served(&self, part: &PromptPart) -> Result<usize, usize> {
-        self.served.binary_search_by_key(part, |served| served.part)
-    }
-
-    /// Returns when this process last saw an engine answer a request with a part.
-    fn own_serving(&self, part: &PromptPart) -> Option<MilliTime> {
-        let served = self.served[self.find_served(part).ok()?];
-        served.is_seen.then_some(served.at)
-    }
-
     fn is_proven(&self, part: &PromptPart) -> bool {
-        self.find_served(part).is_ok()
+        self.served.contains(part)
     }
 
     /// Returns the number of losses that count against a part: those of engines that no refused part
@@ -286,13 +276,26 @@
 
     /// Adds a lost engine to a part, unless the part was served since; returns whether it is new.
     fn insert_crash(&mut self, part: PromptPart, position: u8, engine: u64, at: MilliTime) -> bool {
-        if self.own_serving(&part).is_some_and(|own| own >= at) {
+        if self.served.own_serving(&part).is_some_and(|own| own >= at) {
             return false;
         }
         let index = self.find_or_insert(part);
         self.suspects[index].insert(engine, position, at)
     }
 
+    /// Has a loss that this process has noticed sent to the others, which do not send it on.
+    ///
+    /// A lost engine has runs of many parts, and most of them were served before.
+    fn announce(&mut self, part: &PromptPart) {
+        let sends = match self.is_proven(part) {
+            true => 1,
+            false => CHANGE_SENDS,
+        };
+        if let Ok(index) = self.find_suspect(part) {
+            self.suspects[index].announce(sends);
+        }
+    }
+
     /// Returns the index of a suspected part, which is added unless it is there.
     fn find_or_insert(&mut self, part: PromptPart) -> usize {
         if self.find_suspect(&part).is_err() && self.suspects.len() >= MAX_SUSPECTS {
@@ -304,20 +307,6 @@
         })
     }
 
-    /// Records that a part was served; what another process tells does not replace what this one has seen.
-    fn insert_served(&mut self, served: ServedPart) {
-        match self.find_served(&served.part) {
-            Ok(index) if served.is_seen || !self.served[index].is_seen => {
-                self.served[index] = served;
-            }
-            Ok(_) => {}
-            Err(index) => self.served.insert(index, served),
-        }
-        if self.served.len() > MAX_SERVED {
-            self.drop_older_half();
-        }
-    }
-
     fn drop_oldest(&mut self) {
         let ages = self.suspects.iter().enumerate();
         let oldest = ages.min_by_key(|(_, suspect)| suspect.last_crash());
@@ -326,13 +315,6 @@
         }
     }
 
-    fn drop_older_half(&mut self) {
-        let mut times: Vec<MilliTime> = self.served.iter().map(|served| served.at).collect();
-        times.sort_unstable();
-        let median = times[times.len() / 2];
-        self.served.retain(|served| served.at > median);
-    }
-
     /// Decides anew which parts are refused: the one with the most lost engines first, then those that
     /// have enough lost engines which the former do not explain.
     fn decide_refusals(&mut self) {
@@ -382,7 +364,8 @@
             position: suspect.map_or(0, |suspect| suspect.position),
             crashes: crashes.iter().map(crash).collect(),
             cleared: suspect.map_or_else(Vec::new, |suspect| suspect.cleared.clone()),
-            served_age_ms: self.own_serving(part).map(|at| age_ms(now, at)),
+            is_served: self.is_proven(part),
+            served_age_ms: self.served.own_serving(part).map(|at| age_ms(now, at)),
         }
     }
 }
--- a/crates/core/src/relay/part_report.rs
+++ b/crates/core/src/relay/part_report.rs
@@ -18,6 +18,8 @@
     pub crashes: Vec<PartCrash>,
     /// The hashes of the lost engines that count no longer, as the part was served after their loss.
     pub cleared: Vec<u64>,
+    /// Whether the sender knows that a request was served with the part.
+    pub is_served: bool,
     /// The time since the sender last saw an engine answer a request with the part, in milliseconds.
     pub served_age_ms: Option<u32>,
 }
--- a/crates/core/src/relay/suspect_part.rs
+++ b/crates/core/src/relay/suspect_part.rs
@@ -28,13 +28,13 @@
 const MAX_RANK: u32 = 10;
 
 /// The number of times that a change is sent to the other processes, as datagrams may be lost.
-const CHANGE_SENDS: u8 = 3;
+pub(super) const CHANGE_SENDS: u8 = 3;
 
 /// The maximum number of lost engines that are kept for a part.
 const MAX_CRASHES: usize = 16;
 
 /// The maximum number of lost engines that are kept as cleared for a part; the earliest is dropped first.
-const MAX_CLEARED: usize = 32;
+const MAX_CLEARED: usize = 8;
 
 /// A prompt part under which engines were lost since it was last served.
 #[derive(Clone, Debug)]
@@ -52,7 +52,9 @@
     /// The time of the last probe of this process.
     pub(super) probed_at: Option<MilliTime>,
     /// How often the part is still to be sent to the other processes.
-    pub(super) sends_left: u8,
+    sends_left: u8,
+    /// Whether there is a change that was not sent yet.
+    pub(super) is_unsent: bool,
     /// The time at which an engine was last added or cleared.
     changed_at: MilliTime,
     /// The number of crashes that the last change told.
@@ -69,6 +71,7 @@
             is_refused: false,
             probed_at: None,
             sends_left: 0,
+            is_unsent: false,
             changed_at: MilliTime::default(),
             told_crashes: 0,
         }
@@ -88,7 +91,6 @@
             return false;
         }
         self.crashes.insert(index, SuspectCrash { engine, at });
-        self.sends_left = CHANGE_SENDS;
         self.changed_at = self.changed_at.max(at);
         true
     }
@@ -112,7 +114,6 @@
             self.cleared.remove(0);
         }
         self.cleared.push(engine);
-        self.sends_left = CHANGE_SENDS;
         self.changed_at = now;
         true
     }
@@ -124,7 +125,10 @@
         let told = std::mem::replace(&mut self.told_crashes, engines);
         let part = self.part;
         match (was_refused, is_refused) {
-            (false, true) => Some(PartChange::Refused { part, engines }),
+            (false, true) => {
+                self.announce(CHANGE_SENDS);
+                Some(PartChange::Refused { part, engines })
+            }
             (true, false) => Some(PartChange::Cleared { part }),
             _ if engines > told => Some(PartChange::Suspected { part, engines }),
             _ if engines == 0 && told > 0 => Some(PartChange::Cleared { part }),
@@ -149,8 +153,18 @@
         times.max().unwrap_or_default()
     }
 
-    pub(super) fn is_unsent(&self) -> bool {
-        self.sends_left == CHANGE_SENDS
+    /// Has the part sent to the other processes, at once and then again.
+    pub(super) fn announce(&mut self, sends: u8) {
+        self.sends_left = self.sends_left.max(sends);
+        self.is_unsent = true;
+    }
+
+    /// Returns whether the part is to be sent now, and counts it as sent.
+    pub(super) fn take_send(&mut self, is_repeat: bool) -> bool {
+        let is_due = self.sends_left > 0 || (is_repeat && self.is_refused);
+        self.sends_left = self.sends_left.saturating_sub(1);
+        self.is_unsent = false;
+        is_due
     }
 
     /// Drops crashes that are too old to count; returns whether anything is left to keep.
--- a/crates/core/tests/part_ledger.rs
+++ b/crates/core/tests/part_ledger.rs
@@ -219,6 +219,31 @@
     assert_eq!(ledger.verdict(&[part("f1")]), PartVerdict::Clear);
 }
 
+/// Guards against messages that grow with the square of the processes: a lost engine has runs of many parts, and a
+/// process sends on only what it refuses, as the others notice their own losses.
+#[test]
+fn part_ledger_sends_on_refused_parts_only() {
+    let mut reporter = PartLedger::new();
+    reporter.record_served(&[part("f1")], START);
+    let now = START.plus(1_000);
+    reporter.record_crash(&[part("f1"), part("new")], "e1", now);
+    let first = reporter.take_reports(false, now);
+    assert_eq!(first.len(), 2);
+    let second = reporter.take_reports(false, now);
+    assert_eq!(second.len(), 1, "a part that was served is sent once");
+    let mut other = PartLedger::new();
+    for report in &first {
+        other.merge(report, now);
+    }
+    assert!(!other.has_unsent());
+    assert!(other.take_reports(true, now).is_empty());
+    let later = now.plus(100);
+    other.record_crash(&[part("f1"), part("new")], "e2", later);
+    assert_eq!(other.verdict(&[part("new")]), PartVerdict::Refused);
+    assert!(other.has_unsent());
+    assert_eq!(other.take_reports(true, later).len(), 2);
+}
+
 /// Guards against a process that starts in the middle and admits requests that the others refuse.
 #[test]
 fn part_ledger_repeats_refused_parts() {
--- a/crates/relay/src/peer/crash_exchange.rs
+++ b/crates/relay/src/peer/crash_exchange.rs
@@ -23,8 +23,10 @@
 /// The maximum number of crashes in a datagram, which keeps it below 2 KB.
 const MAX_CRASHES_PER_DATAGRAM: usize = 16;
 
-/// The maximum number of crashes that are sent at once; a lost engine breaks off some tens of runs at a process.
-const MAX_CRASHES_AT_ONCE: usize = 48;
+/// The maximum number of crashes that are sent at once.
+///
+/// With more, the reports of several lost engines take a large part of the processor time of a hundred processes.
+const MAX_CRASHES_AT_ONCE: usize = MAX_CRASHES_PER_DATAGRAM;
 
 /// The interval at which refused prompt parts are sent again, in milliseconds.
 ///
