Report all prompt parts of a lost engine, and bound the messages of a chat that are looked up

A chat had no bound on the messages that the ledger looks up; 32 are, as in the relay. Crashes go in one datagram, without a loop that runs once, and the comment on who sends parts on is true again.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,10 +10,10 @@
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, their failures and the load that all processes report, and
 uses only its share of the free KV memory between two reports. Requests that find no free memory
-wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`] for those that share only a part
-of their prompt; [`AttemptPlan`]
-decides on retries, [`EventSplitter`] makes interrupted streams resumable, and [`ServicePicker`]
-balances load over the endpoints of a plain service.
+wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
+for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
+makes interrupted streams resumable, and [`ServicePicker`] balances load over the endpoints of a plain
+service.
 */
 
 mod accelerator_kind;
--- a/crates/core/src/relay/part_ledger.rs
+++ b/crates/core/src/relay/part_ledger.rs
@@ -208,18 +208,18 @@
     /// With `is_repeat`, the refused parts are included, so that a process that has started meanwhile gets
     /// them.
     pub fn take_reports(&mut self, is_repeat: bool, now: MilliTime) -> Vec<PartReport> {
+        let due = self.suspects.iter_mut();
+        let mut due: Vec<&mut SuspectPart> =
+            due.filter(|suspect| suspect.is_due(is_repeat)).collect();
+        // What does not fit stays due.
+        due.sort_by_key(|suspect| (!suspect.is_unsent, !suspect.is_refused));
+        due.truncate(MAX_REPORTS);
         let mut parts = Vec::new();
-        for suspect in &mut self.suspects {
-            if suspect.take_send(is_repeat) {
-                parts.push((!suspect.is_refused, suspect.part));
-            }
+        for suspect in due {
+            suspect.record_send();
+            parts.push(suspect.part);
         }
-        parts.sort_unstable();
-        parts.truncate(MAX_REPORTS);
-        parts
-            .iter()
-            .map(|(_, part)| self.report(part, now))
-            .collect()
+        parts.iter().map(|part| self.report(part, now)).collect()
     }
 
     /// Returns whether there are changes that have not been sent to the other processes.
--- a/crates/core/src/relay/suspect_part.rs
+++ b/crates/core/src/relay/suspect_part.rs
@@ -159,12 +159,15 @@
         self.is_unsent = true;
     }
 
-    /// Returns whether the part is to be sent now, and counts it as sent.
-    pub(super) fn take_send(&mut self, is_repeat: bool) -> bool {
-        let is_due = self.sends_left > 0 || (is_repeat && self.is_refused);
+    /// Returns whether the part is to be sent to the other processes now; refused parts are at each repeat.
+    pub(super) fn is_due(&self, is_repeat: bool) -> bool {
+        self.sends_left > 0 || (is_repeat && self.is_refused)
+    }
+
+    /// Records that the part was sent to the other processes.
+    pub(super) fn record_send(&mut self) {
         self.sends_left = self.sends_left.saturating_sub(1);
         self.is_unsent = false;
-        is_due
     }
 
     /// Drops crashes that are too old to count; returns whether anything is left to keep.
--- a/crates/core/tests/part_ledger.rs
+++ b/crates/core/tests/part_ledger.rs
@@ -244,6 +244,28 @@
     assert_eq!(other.take_reports(true, later).len(), 2);
 }
 
+/// Guards against losses that are never reported because a lost engine had runs of more parts than are sent at
+/// once.
+#[test]
+fn part_ledger_sends_all_parts_of_an_engine() {
+    const PARTS: usize = 100;
+    let mut ledger = PartLedger::new();
+    for index in 0..PARTS {
+        let parts = [part(&format!("p{index}"))];
+        ledger.record_served(&parts, START);
+        ledger.record_crash(&parts, "e1", START.plus(1));
+    }
+    let mut sent = Vec::new();
+    while ledger.has_unsent() {
+        let reports = ledger.take_reports(false, START.plus(2));
+        assert!(reports.len() <= 32, "{} at once", reports.len());
+        sent.extend(reports.into_iter().map(|report| report.part));
+    }
+    sent.sort_unstable();
+    sent.dedup();
+    assert_eq!(sent.len(), PARTS);
+}
+
 /// Guards against a process that starts in the middle and admits requests that the others refuse.
 #[test]
 fn part_ledger_repeats_refused_parts() {
--- a/crates/daemon/src/entry/model/completion_request.rs
+++ b/crates/daemon/src/entry/model/completion_request.rs
@@ -9,6 +9,9 @@
 /// The maximum number of tokens that a request may ask for.
 const MAX_TOKENS: u64 = 32_768;
 
+/// The maximum number of messages of a chat that are considered as shared with other chats.
+const MAX_SHARED_MESSAGES: usize = 32;
+
 /// A validated request to generate a completion.
 #[derive(Clone, Debug)]
 pub(super) struct CompletionRequest {
@@ -18,7 +21,7 @@
     pub(super) model: String,
     /// The prompt; for a chat, its messages joined into one text.
     pub(super) prompt: String,
-    /// The digests of a chat's messages but the last one, which other chats may share; empty for a prompt.
+    /// The digests of a chat's messages but the last one, which other chats may share, 32 at most; empty for a prompt.
     pub(super) shared_messages: Vec<String>,
     /// The maximum number of tokens to generate.
     pub(super) max_tokens: u32,
@@ -87,6 +90,7 @@
     }
     prompt.push_str("assistant:");
     digests.pop();
+    digests.truncate(MAX_SHARED_MESSAGES);
     Ok((prompt, digests))
 }
 
--- a/crates/relay/src/peer/crash_exchange.rs
+++ b/crates/relay/src/peer/crash_exchange.rs
@@ -20,13 +20,10 @@
 /// once; the repetitions make up for lost ones.
 const CRASH_INTERVAL_MS: u64 = 1_000;
 
-/// The maximum number of crashes in a datagram, which keeps it below 2 KB.
-const MAX_CRASHES_PER_DATAGRAM: usize = 16;
-
-/// The maximum number of crashes that are sent at once.
+/// The maximum number of crashes that are sent at once, in one datagram below 2 KB.
 ///
 /// With more, the reports of several lost engines take a large part of the processor time of a hundred processes.
-const MAX_CRASHES_AT_ONCE: usize = MAX_CRASHES_PER_DATAGRAM;
+const MAX_CRASHES_AT_ONCE: usize = 16;
 
 /// The interval at which refused prompt parts are sent again, in milliseconds.
 ///
@@ -39,7 +36,7 @@
 /// Sends engine crashes, the fingerprints that were cleared and suspected prompt parts to the other processes.
 ///
 /// A change is sent at once; crashes are sent again at an interval while they are recent, and refused parts for
-/// as long as they are. Crashes and parts go to the targets of one round, which send them on at once in turn.
+/// as long as they are. They go to the targets of one round, which send on crashes and the parts that they refuse.
 pub(super) async fn send_crashes(state: &NodeState, socket: &UdpSocket) {
     let mut repeated_at = MilliTime::default();
     for round in 0_u64.. {
@@ -56,10 +53,9 @@
             view.crashes.expire(now);
             view.crashes.take_reports(MAX_CRASHES_AT_ONCE, now)
         };
-        for crashes in crashes.chunks(MAX_CRASHES_PER_DATAGRAM) {
+        if !crashes.is_empty() {
             let targets = state.peers.borrow().round_targets(round, now);
-            let message = PeerDatagram::Crashes(crashes.to_vec());
-            send_to_all(socket, targets, &message).await;
+            send_to_all(socket, targets, &PeerDatagram::Crashes(crashes)).await;
         }
         let is_repeat = now.since(repeated_at) >= PART_INTERVAL_MS;
         if is_repeat {
