Withdraw the loss of an engine that answers again

An engine that answers a request which was sent to it after its loss was recorded has not crashed; its crashes are withdrawn at the process that sees it and told to the others. An event that was on its way when the engine crashed does not count, and engines without a start time are left out. requests_of_engines_that_run_on_are_served fails with the call taken out (503 crasher) and passes; crash_detector_withdraws_answering_engine covers the order of the times.

Names of the ledger follow the field's terms: reported, observed, probe delay.

--- a/crates/core/src/admit/crash_ledger.rs
+++ b/crates/core/src/admit/crash_ledger.rs
@@ -137,6 +137,15 @@
         }
     }
 
+    /// Withdraws a run of a request that turned out not to have crashed.
+    pub fn withdraw(&mut self, fingerprint: &str, run: &str) {
+        if let Ok(index) = self.index(fingerprint) {
+            let record = &mut self.records[index];
+            record.runs.retain(|(known, _)| known != run);
+            self.remove_if_empty(index);
+        }
+    }
+
     /// Returns whether a request is refused if the crashed runs for which `is_excused` holds don't count.
     pub fn is_refused_without(&self, fingerprint: &str, is_excused: impl Fn(&str) -> bool) -> bool {
         let runs = self.runs(fingerprint).iter();
--- a/crates/core/src/relay/crash_detector.rs
+++ b/crates/core/src/relay/crash_detector.rs
@@ -23,6 +23,9 @@
 /// Datagrams may be lost, and a process that starts in the meantime needs the crash as well.
 const ANNOUNCE_MS: u64 = 10_000;
 
+/// The maximum number of engines that are kept as answering; the earliest is dropped first.
+const MAX_ANSWERING: usize = 64;
+
 /// The maximum number of broken runs, lost engines and crashes that are kept; the oldest ones are
 /// dropped.
 ///
@@ -43,6 +46,8 @@
 struct KnownCrash {
     crash: EngineCrash,
     seen_at: MilliTime,
+    /// The time at which this process learned of the crash.
+    recorded_at: MilliTime,
     /// How often it was sent to the other processes.
     sends: u32,
 }
@@ -79,6 +84,10 @@
     lost: Vec<(String, MilliTime)>,
     known: Vec<KnownCrash>,
     parts: PartLedger,
+    /// The engines that answered after they had counted as lost, in the order of their answers.
+    ///
+    /// Other processes may still report crashes of them.
+    answering: Vec<String>,
 }
 
 impl CrashDetector {
@@ -153,6 +162,7 @@
     /// listed; returns the new crashes.
     pub fn record_engine_loss(&mut self, engine: &str, now: MilliTime) -> Vec<EngineCrash> {
         self.expire(now);
+        self.answering.retain(|answering| answering != engine);
         self.lost.retain(|(lost, _)| lost != engine);
         if self.lost.len() >= MAX_RECORDS {
             self.lost.remove(0);
@@ -167,9 +177,34 @@
         self.record_crashes(engine, fingerprints, now)
     }
 
+    /// Withdraws the crashes of an engine that answers a request, if they were recorded before the request was sent
+    /// to it at `sent_at`.
+    ///
+    /// Its registration had lapsed, or it could not be reached for a while, but it ran on.
+    pub fn record_engine_answer(&mut self, engine: &str, sent_at: MilliTime, now: MilliTime) {
+        let lost_before = self.lost.len();
+        self.lost
+            .retain(|(lost, at)| lost != engine || *at >= sent_at);
+        let of_engine =
+            |known: &mut KnownCrash| known.crash.engine == engine && known.recorded_at < sent_at;
+        let withdrawn: Vec<KnownCrash> = self.known.extract_if(.., of_engine).collect();
+        for known in &withdrawn {
+            self.ledger.withdraw(&known.crash.fingerprint, engine);
+        }
+        let has_parts = self.parts.withdraw_engine(engine, sent_at, now);
+        if self.lost.len() == lost_before && withdrawn.is_empty() && !has_parts {
+            return;
+        }
+        if self.answering.len() >= MAX_ANSWERING {
+            self.answering.remove(0);
+        }
+        self.answering.push(engine.to_owned());
+    }
+
     /// Adds a crash that another process announced; returns whether it was new.
     pub fn merge(&mut self, crash: &EngineCrash, now: MilliTime) -> bool {
-        if self.known.iter().any(|known| known.crash == *crash) {
+        let is_answering = self.answering.contains(&crash.engine);
+        if is_answering || self.known.iter().any(|known| known.crash == *crash) {
             return false;
         }
         self.insert(crash.clone(), now);
@@ -258,6 +293,7 @@
         self.known.push(KnownCrash {
             crash,
             seen_at: now,
+            recorded_at: now,
             sends: 0,
         });
     }
--- a/crates/core/src/relay/part_ledger.rs
+++ b/crates/core/src/relay/part_ledger.rs
@@ -6,6 +6,8 @@
 use super::PartReport;
 use super::PartVerdict;
 use super::PromptPart;
+use super::part_report::age_ms;
+use super::part_report::earlier;
 use super::served_part::ServedPart;
 use super::served_parts::ServedParts;
 use super::suspect_crash::SuspectCrash;
@@ -47,7 +49,7 @@
 /// Requests with such a part have nothing else in common, so that counting crashes by request finds none of
 /// them. A run that broke off before its answer had begun, on an engine that was lost, counts against each
 /// shared part of its prompt. The part at fault stands in one such run on each lost engine, and no request
-/// with it is ever served; parts that were only in the neighborhood are served sooner or later, which clears
+/// with it is ever served; parts of other requests on the same engines are served sooner or later, which clears
 /// them. If a refused part explains the loss of an engine, the loss counts against no other part.
 ///
 /// # Example
@@ -153,11 +155,34 @@
         }
     }
 
+    /// Withdraws the loss of an engine that ran on, if it was before `answered_from`; returns whether it counted
+    /// against a part.
+    pub fn withdraw_engine(
+        &mut self,
+        engine: &str,
+        answered_from: MilliTime,
+        now: MilliTime,
+    ) -> bool {
+        let engine = hash_text(ENGINE_SEED, engine);
+        let mut is_changed = false;
+        for suspect in &mut self.suspects {
+            if suspect.has_crash_before(engine, answered_from) {
+                suspect.clear(engine, now);
+                suspect.announce(1);
+                is_changed = true;
+            }
+        }
+        if is_changed {
+            self.decide_refusals();
+        }
+        is_changed
+    }
+
     /// Records that an engine answers a request with these parts, which clears them.
     pub fn record_served(&mut self, parts: &[PromptPart], now: MilliTime) {
         let mut is_cleared = false;
         for part in parts {
-            self.served.insert(ServedPart::seen(*part, now));
+            self.served.insert(ServedPart::observed(*part, now));
             if let Ok(index) = self.find_suspect(part)
                 && self.suspects[index].clear_all(now)
             {
@@ -174,11 +199,11 @@
     pub fn merge(&mut self, report: &PartReport, now: MilliTime) -> Option<PartReport> {
         let part = report.part;
         let own_serving = self.served.own_serving(&part);
-        let told_serving = report.served_age_ms.map(|age_ms| earlier(now, age_ms));
+        let reported_serving = report.served_age_ms.map(|age_ms| earlier(now, age_ms));
         // A suspected part that turns out to have been served changes which part is at fault.
-        let mut is_new = told_serving.is_some() && !self.is_proven(&part);
-        if let Some(at) = told_serving {
-            self.served.insert(ServedPart::told(part, at));
+        let mut is_new = reported_serving.is_some() && !self.is_proven(&part);
+        if let Some(at) = reported_serving {
+            self.served.insert(ServedPart::reported(part, at));
         }
         let mut is_behind = own_serving.is_some() && !report.is_served;
         for engine in &report.cleared {
@@ -369,11 +394,3 @@
         }
     }
 }
-
-fn age_ms(now: MilliTime, at: MilliTime) -> u32 {
-    u32::try_from(now.since(at)).unwrap_or(u32::MAX)
-}
-
-fn earlier(now: MilliTime, age_ms: u32) -> MilliTime {
-    MilliTime::from_millis(now.as_millis().saturating_sub(u64::from(age_ms)))
-}
--- a/crates/core/src/relay/part_report.rs
+++ b/crates/core/src/relay/part_report.rs
@@ -1,6 +1,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::time::MilliTime;
+
 use super::PartCrash;
 use super::PromptPart;
 
@@ -20,6 +22,16 @@
     pub cleared: Vec<u64>,
     /// Whether the sender knows that a request was served with the part.
     pub is_served: bool,
-    /// The time since the sender last saw an engine answer a request with the part, in milliseconds.
+    /// The time since the sender last observed an engine answer a request with the part, in milliseconds.
     pub served_age_ms: Option<u32>,
 }
+
+/// Returns the age of an event as it is reported.
+pub(super) fn age_ms(now: MilliTime, at: MilliTime) -> u32 {
+    u32::try_from(now.since(at)).unwrap_or(u32::MAX)
+}
+
+/// Returns the time of an event whose age was reported now; the event was at this time or before.
+pub(super) fn earlier(now: MilliTime, age_ms: u32) -> MilliTime {
+    MilliTime::from_millis(now.as_millis().saturating_sub(u64::from(age_ms)))
+}
--- a/crates/core/src/relay/served_parts.rs
+++ b/crates/core/src/relay/served_parts.rs
@@ -14,10 +14,10 @@
 }
 
 impl ServedParts {
-    /// Returns when this process last saw an engine answer a request with a part.
+    /// Returns when this process last observed an engine answer a request with a part.
     pub(super) fn own_serving(&self, part: &PromptPart) -> Option<MilliTime> {
         let served = self.parts[self.find(part).ok()?];
-        served.is_seen.then_some(served.at)
+        served.is_observed.then_some(served.at)
     }
 
     /// Returns whether a request is known to have been served with a part.
@@ -25,10 +25,10 @@
         self.find(part).is_ok()
     }
 
-    /// Records when a part was served; what another process tells does not replace what this one has seen.
+    /// Records when a part was served; what another process reports does not replace what this one has observed.
     pub(super) fn insert(&mut self, served: ServedPart) {
         match self.find(&served.part) {
-            Ok(index) if served.is_seen || !self.parts[index].is_seen => {
+            Ok(index) if served.is_observed || !self.parts[index].is_observed => {
                 self.parts[index] = served;
             }
             Ok(_) => {}
--- a/crates/core/src/relay/suspect_part.rs
+++ b/crates/core/src/relay/suspect_part.rs
@@ -15,10 +15,10 @@
 ///
 /// A probe with a fatal part costs another engine and the streams on it, so callers that repeat for half a minute
 /// get none.
-const FIRST_HOLD_MS: u64 = 60_000;
+const FIRST_PROBE_DELAY_MS: u64 = 60_000;
 
 /// The maximum time from the last crash to the next probe, in milliseconds.
-const MAX_HOLD_MS: u64 = 600_000;
+const MAX_PROBE_DELAY_MS: u64 = 600_000;
 
 /// The time by which each further process in the order of election waits longer until it probes, in
 /// milliseconds; a probe's outcome is known to all processes by then.
@@ -57,8 +57,8 @@
     pub(super) is_unsent: bool,
     /// The time at which an engine was last added or cleared.
     changed_at: MilliTime,
-    /// The number of crashes that the last change told.
-    told_crashes: usize,
+    /// The number of crashes in the last change.
+    logged_crashes: usize,
 }
 
 impl SuspectPart {
@@ -73,7 +73,7 @@
             sends_left: 0,
             is_unsent: false,
             changed_at: MilliTime::default(),
-            told_crashes: 0,
+            logged_crashes: 0,
         }
     }
 
@@ -95,6 +95,14 @@
         true
     }
 
+    /// Returns whether the loss of an engine counts against the part and was before a time.
+    pub(super) fn has_crash_before(&self, engine: u64, time: MilliTime) -> bool {
+        let found = self
+            .crashes
+            .binary_search_by_key(&engine, |crash| crash.engine);
+        found.is_ok_and(|index| self.crashes[index].at < time)
+    }
+
     /// Clears all lost engines; returns whether there were any.
     pub(super) fn clear_all(&mut self, now: MilliTime) -> bool {
         let engines: Vec<u64> = self.crashes.iter().map(|crash| crash.engine).collect();
@@ -122,7 +130,7 @@
     pub(super) fn set_refused(&mut self, is_refused: bool) -> Option<PartChange> {
         let was_refused = std::mem::replace(&mut self.is_refused, is_refused);
         let engines = self.crashes.len();
-        let told = std::mem::replace(&mut self.told_crashes, engines);
+        let logged = std::mem::replace(&mut self.logged_crashes, engines);
         let part = self.part;
         match (was_refused, is_refused) {
             (false, true) => {
@@ -130,8 +138,8 @@
                 Some(PartChange::Refused { part, engines })
             }
             (true, false) => Some(PartChange::Cleared { part }),
-            _ if engines > told => Some(PartChange::Suspected { part, engines }),
-            _ if engines == 0 && told > 0 => Some(PartChange::Cleared { part }),
+            _ if engines > logged => Some(PartChange::Suspected { part, engines }),
+            _ if engines == 0 && logged > 0 => Some(PartChange::Cleared { part }),
             _ => None,
         }
     }
@@ -139,11 +147,12 @@
     /// Returns whether a request with the refused part may be admitted as a probe.
     pub(super) fn may_probe(&self, rank: u32, now: MilliTime) -> bool {
         let further = self.crashes.len().saturating_sub(2) as u32;
-        let hold_ms = FIRST_HOLD_MS.saturating_mul(1 << further.min(MAX_CRASHES as u32));
-        let hold_ms = hold_ms.min(MAX_HOLD_MS);
-        let delay_ms = u64::from(rank.min(MAX_RANK)) * RANK_DELAY_MS;
+        let probe_delay_ms =
+            FIRST_PROBE_DELAY_MS.saturating_mul(1 << further.min(MAX_CRASHES as u32));
+        let probe_delay_ms = probe_delay_ms.min(MAX_PROBE_DELAY_MS);
+        let rank_delay_ms = u64::from(rank.min(MAX_RANK)) * RANK_DELAY_MS;
         // A probe that no engine runs tells nothing, and the next one waits as long.
-        let has_waited = |at: MilliTime| now.since(at) >= hold_ms + delay_ms;
+        let has_waited = |at: MilliTime| now.since(at) >= probe_delay_ms + rank_delay_ms;
         has_waited(self.last_crash()) && self.probed_at.is_none_or(has_waited)
     }
 
--- a/crates/core/tests/crash_detector.rs
+++ b/crates/core/tests/crash_detector.rs
@@ -3,6 +3,8 @@
 
 use dandelionroad_core::relay::CrashDetector;
 use dandelionroad_core::relay::EngineCrash;
+use dandelionroad_core::relay::PartVerdict;
+use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::time::MilliTime;
 use rand::Rng;
 use rand::SeedableRng;
@@ -119,6 +121,38 @@
     assert!(!detector.should_refuse("aa", START));
 }
 
+/// Guards against counting an engine as lost that ran on, as its registration had lapsed, and against taking an
+/// event that was on its way when the engine crashed for a sign of life.
+#[test]
+fn crash_detector_withdraws_answering_engine() {
+    let sent_before = START;
+    let crashed = START.plus(10);
+    let sent_after = START.plus(20);
+    for (sent_at, refused) in [(sent_before, true), (sent_after, false)] {
+        // A refused part would explain the losses of its request.
+        for parts in [vec![], vec![PromptPart::new("knots", "f1")]] {
+            let mut detector = CrashDetector::new();
+            for (engine, at) in [("e1", crashed), ("e2", crashed.plus(100))] {
+                let engines = [engine.to_owned()];
+                detector.record_broken_run("aa", &parts, &engines, at);
+                detector.record_engine_loss(engine, at);
+            }
+            let now = START.plus(300);
+            detector.record_engine_answer("e1", sent_at, now);
+            assert_eq!(is_refused(&mut detector, &parts, now), refused);
+            let is_new = detector.merge(&crash("aa", "e1"), now);
+            assert!(!is_new, "a report of another process comes too late");
+            assert_eq!(is_refused(&mut detector, &parts, now), refused);
+        }
+    }
+}
+
+/// Returns whether the request `aa` with these parts is refused.
+fn is_refused(detector: &mut CrashDetector, parts: &[PromptPart], now: MilliTime) -> bool {
+    let by_part = detector.parts().verdict(parts) == PartVerdict::Refused;
+    by_part || detector.should_refuse("aa", now)
+}
+
 /// Guards against refusing a request long after it was last seen, and against expiring one that is
 /// still sent. Crashes expire a minute after the last request.
 #[test]
--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -1,6 +1,8 @@
 //! Detection of requests that crash the engines that run them.
 
+use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::relay::PartVerdict;
+use dandelionroad_core::time::MilliTime;
 
 use crate::crash_report::publish_part_changes;
 use crate::crash_report::report_crashes;
@@ -76,11 +78,28 @@
     publish_part_changes(state);
 }
 
-/// Records that an engine answers a request, which clears the shared parts of its prompt.
-pub(super) fn record_answer_begun(state: &NodeState, relay: &RelayRequest) {
+/// Records that the engines of a chain answer a request that was sent to them at `sent_at`.
+///
+/// This clears the shared parts of its prompt, and withdraws the crashes of engines that counted as lost.
+pub(super) fn record_answer_begun(
+    state: &NodeState,
+    relay: &RelayRequest,
+    engines: &[ChainStage],
+    sent_at: MilliTime,
+) {
     let now = state.clock.now();
     {
         let mut view = state.view.borrow_mut();
+        let view = &mut *view;
+        let entries = engines
+            .iter()
+            .filter_map(|stage| view.engines.get(&stage.id));
+        // Without the time of its start, an engine can't be told from its previous incarnation.
+        for entry in entries.filter(|entry| entry.record.started_ms > 0) {
+            let incarnation = entry.record.incarnation();
+            view.crashes
+                .record_engine_answer(&incarnation, sent_at, now);
+        }
         let parts = view.crashes.parts_mut();
         parts.record_served(&relay.shared_parts, now);
     }
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -66,7 +66,7 @@
             if has_data {
                 log.record_piece();
                 if data_count == 0 {
-                    record_answer_begun(&self.state, &self.relay);
+                    self.record_answer_begun();
                 }
             }
             let left_ms = self.relay.deadline.since(self.state.clock.now());
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Records that the engines of the run have begun to answer.
+    fn record_answer_begun(&self) {
+        if let Some(run) = &self.run {
+            record_answer_begun(&self.state, &self.relay, &run.stages, self.sent_at);
+        }
+    }
+
     fn is_run_framed(&self) -> bool {
         self.run.as_ref().is_some_and(|run| run.is_framed)
     }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -97,6 +97,8 @@
     excluded: Vec<String>,
     splitter: EventSplitter,
     run: Option<ChainRun>,
+    /// The time at which the request was last sent to a chain.
+    sent_at: MilliTime,
     /// The first engine of the last run, if it broke off before its answer had begun, until the next attempt.
     broken_head: Option<BrokenHead>,
     /// Whether a retry was taken from the budget and not used yet.
@@ -116,6 +118,7 @@
             excluded: Vec::new(),
             splitter: EventSplitter::new(last_id),
             run: None,
+            sent_at: MilliTime::default(),
             broken_head: None,
             holds_retry: false,
         }
@@ -245,7 +248,8 @@
         let tokens = self.relay.caller.size.reserved_tokens(usual_answer);
         let prompt = f64::from(self.relay.caller.size.prompt_tokens);
         let load = LoadGuard::for_chain(&self.state, &chain, tokens, prompt);
-        let left_ms = self.relay.deadline.since(self.state.clock.now());
+        self.sent_at = self.state.clock.now();
+        let left_ms = self.relay.deadline.since(self.sent_at);
         let last_event = self.splitter.last_id().map(|id| id.to_string());
         let call = EngineCall {
             expected_id: &chain[0].id,
--- a/crates/relay/tests/crashing_parts.rs
+++ b/crates/relay/tests/crashing_parts.rs
@@ -15,6 +15,7 @@
 use crate::relay_support::World;
 use crate::relay_support::crash_engine::CrashEngine;
 use crate::relay_support::crash_engine::CrashLog;
+use crate::relay_support::fake_engine::EngineFault;
 use crate::relay_support::run;
 use crate::relay_support::wait_for;
 
@@ -254,6 +255,48 @@
     });
 }
 
+/// Two engines lose answers, and their registrations lapse and come back while they run on. Guards against refusing
+/// the requests that they ran at that time as if these had crashed them.
+#[test]
+fn requests_of_engines_that_run_on_are_served() {
+    run(async {
+        let world = World::start().await;
+        let node = world.start_node("n1").await;
+        let mut engines = Vec::new();
+        for id in ["e1", "e2"] {
+            let engine = world.start_engine(id, (0, 40)).await;
+            wait_for("the engine is listed", async || {
+                world.knows_engines(&node, 1).await
+            })
+            .await;
+            engine.fault.set(EngineFault::LostAnswer);
+            let answer = send_prompt(&world, &node, id, &format!("f1,own-{id}")).await;
+            assert!(answer.status != 200 || !answer.is_complete, "{answer:?}");
+            world.store.remove("engines", id);
+            wait_for("the engine is not listed", async || {
+                world.knows_engines(&node, 0).await
+            })
+            .await;
+            engine.fault.set(EngineFault::None);
+            engines.push(engine);
+        }
+        wait_for("the part is refused", async || {
+            let line = "dandelionroad_prompt_parts_refused 1";
+            world.has_metric_line(&node, line).await
+        })
+        .await;
+        engines[1].list(false);
+        wait_for("the engine is back", async || {
+            world.knows_engines(&node, 1).await
+        })
+        .await;
+        let other = send_prompt(&world, &node, "r3", "f2,own3").await;
+        assert_eq!(other.status, 200, "another part: {other:?}");
+        let answer = send_prompt(&world, &node, "r4", "f1,own4").await;
+        assert_eq!(answer.status, 200, "the engine has not crashed: {answer:?}");
+    });
+}
+
 async fn send_prompt(world: &World, node: &RunningNode, id: &str, prompt: &str) -> ReadResponse {
     let (path, address) = (format!("/model/{id}"), node.settings().caller_address);
     let headers = [
