Ignore engines that report layers outside the model in placement

Callers saw each request refused with 503 from the start of a process on, while all processes answered their readiness checks: the list of engines held one entry of another writer, with most fields missing and layers 60-120 of a model of 80.

Cause: two faults that need each other. The adapter gave defaults to missing fields, so that the entry was taken for an engine; and PlacementPlanner indexed its per-layer counts by the layers that the entry reports, which panics beyond the model. The panic ended the task that gives orders, at each process that became the reader in turn. The finder of chains did not panic, but would have sent requests to such an engine.

Before: orders_foreign_layers_ignored, "range end index ... out of range"; orders_are_given_beside_a_foreign_entry, "range start index 60 out of range for slice of length 40" and no request served within 20 s.

That a task can end unnoticed is a fault of its own and is mended apart.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -116,12 +116,13 @@
     }
 
     fn engines(&self) -> impl Iterator<Item = &'a EngineEntry> + Clone + use<'a> {
-        let service = self.service;
+        let (service, shape) = (self.service, self.shape);
         let entries = self.table.entries().iter();
         entries.filter(move |entry| {
             entry.record.service == service
                 && !entry.record.is_draining
                 && !entry.record.layers.is_empty()
+                && shape.contains(entry.record.layers)
         })
     }
 
--- a/crates/core/src/chain/placement_planner.rs
+++ b/crates/core/src/chain/placement_planner.rs
@@ -34,11 +34,14 @@
     }
 
     /// Returns the orders for engines without layers and for engines that must move.
+    ///
+    /// Engines that report layers outside the model hold nothing of it and get no orders.
     pub fn orders(&self, engines: &[PlacementEngine]) -> Vec<PlacementOrder> {
         let mut placed = engines.to_vec();
+        placed.retain(|engine| self.shape.contains(engine.layers));
         let mut orders = Vec::new();
         if placed.iter().all(|engine| engine.layers.is_empty()) {
-            orders = self.initial_orders(engines);
+            orders = self.initial_orders(&placed);
             for order in &orders {
                 let found = placed.iter_mut().find(|engine| engine.id == order.id);
                 found
@@ -187,7 +190,7 @@
     fn zone_holders(&self, engines: &[PlacementEngine], zone: &str) -> Vec<u32> {
         let mut holders = vec![0; usize::from(self.shape.layers)];
         for engine in engines.iter().filter(|engine| engine.zone == zone) {
-            for layer in engine.layers.first..engine.layers.end.min(self.shape.layers) {
+            for layer in engine.layers.first..engine.layers.end {
                 holders[usize::from(layer)] += 1;
             }
         }
@@ -348,7 +351,7 @@
             let held = engine.layers.len().max(1);
             let memory = self.shape.memory_mb(&engine.kind);
             let tokens = self.shape.kv_capacity_tokens(memory, held);
-            for layer in engine.layers.first..engine.layers.end.min(self.shape.layers) {
+            for layer in engine.layers.first..engine.layers.end {
                 capacity[usize::from(layer)] += tokens;
             }
         }
--- a/crates/core/src/relay/model_shape.rs
+++ b/crates/core/src/relay/model_shape.rs
@@ -1,5 +1,7 @@
 use serde::Deserialize;
 
+use crate::stream::LayerRange;
+
 use super::AcceleratorKind;
 
 /// The model that the engines of a service run together, and the cost model of running it.
@@ -60,6 +62,13 @@
         index.ok().map(|index| &self.kinds[index])
     }
 
+    /// Returns whether an engine that reports these layers can belong to the model.
+    ///
+    /// Engines write their layers themselves, and the list may hold entries of other writers.
+    pub fn contains(&self, layers: LayerRange) -> bool {
+        layers.first <= layers.end && layers.end <= self.layers
+    }
+
     /// Returns the memory of a kind of accelerator, in megabytes; 0 for an unknown kind.
     pub fn memory_mb(&self, kind: &str) -> f64 {
         self.kind(kind).map_or(0.0, |kind| kind.memory_mb)
--- a/crates/core/tests/chain_placement.rs
+++ b/crates/core/tests/chain_placement.rs
@@ -6,6 +6,7 @@
 use dandelionroad_core::chain::ChainFinder;
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::PlacementEngine;
+use dandelionroad_core::chain::PlacementPlanner;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::stream::LayerRange;
@@ -286,3 +287,36 @@
         assert_eq!(apply_orders(&mut engines), 0);
     }
 }
+
+/// Random fleets of which some engines are entries of another writer, with any layers and kinds. Guards
+/// against a planner that panics at a range outside the model, which ended all placement, and against orders
+/// for engines that are not of the model.
+#[test]
+fn orders_foreign_layers_ignored() {
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    for _ in 0..2_000 {
+        let mut engines = Vec::new();
+        for number in 0..rng.random_range(1..12) {
+            let zone = ["a", "b"][rng.random_range(0..2)];
+            let kind = ["large", "middle", "small"][rng.random_range(0..3)];
+            engines.push(engine(number, zone, kind));
+        }
+        if rng.random() {
+            apply_orders(&mut engines);
+        }
+        let own = engines.clone();
+        for number in 100..100 + rng.random_range(1..4) {
+            let mut foreign = engine(number, ["a", "b", "z"][rng.random_range(0..3)], "middle");
+            let end = rng.random_range(81..=u16::MAX);
+            foreign.layers = match rng.random_range(0..3) {
+                0 => LayerRange::new(rng.random_range(0..end), end),
+                1 => LayerRange::new(end, rng.random_range(0..end)),
+                _ => LayerRange::new(60, 120),
+            };
+            engines.push(foreign);
+        }
+        let planner_shape = shape();
+        let planner = PlacementPlanner::new(&planner_shape);
+        assert_eq!(planner.orders(&engines), planner.orders(&own));
+    }
+}
--- a/crates/relay/tests/stream_relay.rs
+++ b/crates/relay/tests/stream_relay.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use http_body_util::BodyExt;
+use serde_json::json;
 
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::EVENTS;
@@ -14,6 +15,7 @@
 use crate::relay_support::fake_engine::event_bytes;
 use crate::relay_support::read;
 use crate::relay_support::run;
+use crate::relay_support::test_wire::MODEL_SERVICE;
 use crate::relay_support::test_wire::TARGET_MS;
 use crate::relay_support::wait_for;
 
@@ -359,3 +361,22 @@
         .await;
     });
 }
+
+/// The list has an entry of another writer with layers beyond the model. Guards against placement that ends at
+/// it while the process stays ready, so that no engine ever gets layers and no request is served.
+#[test]
+fn orders_are_given_beside_a_foreign_entry() {
+    run(async {
+        let world = World::start().await;
+        let foreign = json!({
+            "service": MODEL_SERVICE, "address": "127.0.0.99:9000", "draining": false, "first": 60, "end": 120,
+        });
+        world.store.put("engines", "legacy-7", &foreign);
+        let _engine = world.start_engine("e1", (0, 0)).await;
+        let node = world.start_node("n1").await;
+        wait_for("a request is served", async || {
+            world.send(&node, "/model/a", "r1").await.status == 200
+        })
+        .await;
+    });
+}
