Start background tasks again when they panic

Cause: RunningNode kept its six background tasks in a set that nobody polled.

Change: each task runs under `supervise`, which logs its end with the name of the task and the message of the panic, counts it (`dandelionroad_task_failures_total{task}`) and starts it again after 100 ms, then twice as long up to 10 s. A connection whose task panics no longer counts as open for ever, which would have held a stopping process until the end of its grace period.

Not tested: the tasks of readiness and metrics, whose code calls nothing that a test can make panic.

--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -46,10 +46,10 @@
                 count.set(count.get() + 1);
                 let (count, ended) = (Rc::clone(&count), Rc::clone(&ended));
                 let connection = serve(Rc::clone(&state), stream, close_signal.clone());
+                let guard = ConnectionGuard { count, ended };
                 spawn_local(async move {
                     connection.await;
-                    count.set(count.get() - 1);
-                    ended.notify_one();
+                    drop(guard);
                 });
             }
         });
@@ -73,6 +73,19 @@
     }
 }
 
+/// Counts a connection as open until the guard is dropped, also if the connection's task panics.
+struct ConnectionGuard {
+    count: Rc<Cell<usize>>,
+    ended: Rc<Notify>,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - 1);
+        self.ended.notify_one();
+    }
+}
+
 async fn serve(state: Rc<NodeState>, stream: TcpStream, mut close_signal: watch::Receiver<bool>) {
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("callers: can't set TCP_NODELAY: {error}");
--- a/crates/relay/src/ingress/readiness_server.rs
+++ b/crates/relay/src/ingress/readiness_server.rs
@@ -11,7 +11,7 @@
 
 /// Serves the load balancer's readiness checks until the process ends: 200 if the process accepts
 /// callers, otherwise 503.
-pub async fn serve_readiness(state: Rc<NodeState>, listener: TcpListener) {
+pub async fn serve_readiness(state: Rc<NodeState>, listener: Rc<TcpListener>) {
     serve_responses(listener, "readiness", move |_| {
         let mut response = Response::new(Full::<Bytes>::default());
         if !state.view.borrow().is_ready() {
--- a/crates/relay/src/internal_server.rs
+++ b/crates/relay/src/internal_server.rs
@@ -36,7 +36,7 @@
 
 /// Serves the requests on a listener with the responses of `respond` until the process ends.
 pub(crate) async fn serve_responses(
-    listener: TcpListener,
+    listener: Rc<TcpListener>,
     listener_name: &'static str,
     respond: impl Fn(&Request<Incoming>) -> Response<Full<Bytes>> + 'static,
 ) {
--- a/crates/relay/src/node/mod.rs
+++ b/crates/relay/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod relay_view;
 mod run_node;
 mod running_node;
+mod task_supervisor;
 
 pub use self::boot_clock::BootClock;
 pub use self::node_state::NodeState;
--- a/crates/relay/src/node/running_node.rs
+++ b/crates/relay/src/node/running_node.rs
@@ -18,6 +18,7 @@
 
 use super::NodeState;
 use super::RelaySettings;
+use super::task_supervisor::supervise;
 
 /// The time for which a stopping process still accepts connections while it reports that it isn't ready,
 /// in milliseconds.
@@ -55,19 +56,12 @@
         let peers = peers.map_err(|error| bind_error(settings.peer_address, &error))?;
         settings.peer_address = peers.local_addr().map_err(|error| error.to_string())?;
         let state = NodeState::new(settings, format);
-        let store = Rc::new(StoreClient::new(Rc::clone(&state)));
         spdlog::info!("node: started", kv: {
             name = state.settings.name.as_str(),
             zone = state.settings.zone.as_str(),
             version = env!("CARGO_PKG_VERSION"),
         });
-        let mut tasks = JoinSet::new();
-        tasks.spawn_local(serve_readiness(Rc::clone(&state), readiness));
-        tasks.spawn_local(serve_metrics(Rc::clone(&state), metrics));
-        tasks.spawn_local(run_config(Rc::clone(&state), Rc::clone(&store)));
-        tasks.spawn_local(run_listing(Rc::clone(&state), Rc::clone(&store)));
-        tasks.spawn_local(run_peers(Rc::clone(&state), Rc::clone(&store), peers));
-        tasks.spawn_local(run_orders(Rc::clone(&state), store));
+        let tasks = start_tasks(&state, readiness, metrics, peers);
         let server = CallerServer::start(Rc::clone(&state), callers);
         Ok(RunningNode {
             state,
@@ -123,6 +117,45 @@
     }
 }
 
+/// Starts the background tasks, each of which is started again if it panics.
+fn start_tasks(
+    state: &Rc<NodeState>,
+    readiness: TcpListener,
+    metrics: TcpListener,
+    peers: UdpSocket,
+) -> JoinSet<()> {
+    let store = Rc::new(StoreClient::new(Rc::clone(state)));
+    let (readiness, metrics, peers) = (Rc::new(readiness), Rc::new(metrics), Rc::new(peers));
+    let shared = || (Rc::clone(state), Rc::clone(&store));
+    let mut tasks = JoinSet::new();
+    let (own, _) = shared();
+    tasks.spawn_local(supervise(Rc::clone(state), "readiness", move || {
+        serve_readiness(Rc::clone(&own), Rc::clone(&readiness))
+    }));
+    let (own, _) = shared();
+    tasks.spawn_local(supervise(Rc::clone(state), "metrics", move || {
+        serve_metrics(Rc::clone(&own), Rc::clone(&metrics))
+    }));
+    let (own, store_client) = shared();
+    tasks.spawn_local(supervise(Rc::clone(state), "config", move || {
+        run_config(Rc::clone(&own), Rc::clone(&store_client))
+    }));
+    let (own, store_client) = shared();
+    tasks.spawn_local(supervise(Rc::clone(state), "listing", move || {
+        run_listing(Rc::clone(&own), Rc::clone(&store_client))
+    }));
+    let (own, store_client) = shared();
+    tasks.spawn_local(supervise(Rc::clone(state), "peers", move || {
+        let socket = Rc::clone(&peers);
+        run_peers(Rc::clone(&own), Rc::clone(&store_client), socket)
+    }));
+    let (own, store_client) = shared();
+    tasks.spawn_local(supervise(Rc::clone(state), "orders", move || {
+        run_orders(Rc::clone(&own), Rc::clone(&store_client))
+    }));
+    tasks
+}
+
 async fn bind(address: &mut SocketAddr) -> Result<TcpListener, String> {
     let listener = TcpListener::bind(*address).await;
     let listener = listener.map_err(|error| bind_error(*address, &error))?;
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -63,7 +63,7 @@
 }
 
 /// Exchanges datagrams with the other processes until the process ends.
-pub async fn run_peers(state: Rc<NodeState>, store: Rc<StoreClient>, socket: UdpSocket) {
+pub async fn run_peers(state: Rc<NodeState>, store: Rc<StoreClient>, socket: Rc<UdpSocket>) {
     tokio::join!(
         send_loads(&state, &socket),
         receive_datagrams(&state, &socket),
--- a/crates/relay/src/telemetry/metrics_server.rs
+++ b/crates/relay/src/telemetry/metrics_server.rs
@@ -12,7 +12,7 @@
 use crate::peer::shared_body;
 
 /// Serves metrics to scrapers and the rows that were read to other processes, until the process ends.
-pub async fn serve_metrics(state: Rc<NodeState>, listener: TcpListener) {
+pub async fn serve_metrics(state: Rc<NodeState>, listener: Rc<TcpListener>) {
     let respond = move |request: &hyper::Request<_>| respond(&state, request.uri());
     serve_responses(listener, "metrics", respond).await;
 }
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -25,6 +25,7 @@
     retries: IntCounterVec,
     store_calls: IntCounterVec,
     orders: IntCounterVec,
+    task_failures: IntCounterVec,
     first_event: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
@@ -80,6 +81,11 @@
                 "Placement orders to engines by result.",
                 "result",
             ),
+            task_failures: counter(
+                "dandelionroad_task_failures_total",
+                "Failures of background tasks, which are started again, by task.",
+                "task",
+            ),
             first_event: histogram(
                 "dandelionroad_first_event_ms",
                 "Time to the first piece of a response.",
@@ -150,6 +156,11 @@
         self.orders.with_label_values(&[result]).inc();
     }
 
+    /// Counts a background task that failed and is started again.
+    pub fn count_task_failure(&self, task: &str) {
+        self.task_failures.with_label_values(&[task]).inc();
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.set(version as f64);
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -1,3 +1,5 @@
+use std::cell::Cell;
+
 use bytes::Bytes;
 use dandelionroad_core::relay::AcceleratorKind;
 use dandelionroad_core::relay::CallerLimits;
@@ -40,6 +42,29 @@
 /// The service of the plain endpoints.
 pub(crate) const PLAIN_SERVICE: &str = "orders";
 
+thread_local! {
+    /// The place at which the encoding panics, if any.
+    static PANIC_POINT: Cell<Option<PanicPoint>> = const { Cell::new(None) };
+}
+
+/// A place at which the encoding can be made to panic, in the background task that is named after it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PanicPoint {
+    Config,
+    Listing,
+    Orders,
+    Peers,
+}
+
+/// Makes the encoding panic at a place from now on, on this thread; `None` ends that.
+pub(crate) fn set_panic_point(point: Option<PanicPoint>) {
+    PANIC_POINT.set(point);
+}
+
+fn check_panic(point: PanicPoint) {
+    assert_ne!(PANIC_POINT.get(), Some(point), "requested by the test");
+}
+
 /// A simple encoding for tests: each header and JSON field is named for the field that it carries.
 pub(crate) struct TestWire;
 
@@ -115,6 +140,7 @@
     }
 
     fn encode_report_request(&self) -> EncodedCall {
+        check_panic(PanicPoint::Orders);
         call("GET", "/state".to_owned(), Bytes::new())
     }
 
@@ -149,6 +175,9 @@
     }
 
     fn encode_store_call(&self, store_call: &StoreCall) -> EncodedCall {
+        if matches!(store_call, StoreCall::Write(write) if write.table == StoreTable::Members) {
+            check_panic(PanicPoint::Peers);
+        }
         match store_call {
             StoreCall::Read { table, .. } => {
                 call("GET", format!("/{}", table_name(*table)), Bytes::new())
@@ -204,6 +233,7 @@
     }
 
     fn decode_config(&self, rows: &[StoreRow]) -> Result<Option<RelayConfig>, DecodeError> {
+        check_panic(PanicPoint::Config);
         let Some(value) = rows.last().and_then(|row| row.value.as_deref()) else {
             return Ok(None);
         };
@@ -233,6 +263,7 @@
     }
 
     fn decode_engine(&self, row: &StoreRow) -> Result<EngineRecord, DecodeError> {
+        check_panic(PanicPoint::Listing);
         let doc = parse(row.value.as_deref().unwrap_or_default())?;
         let text = |name: &str| doc[name].as_str().unwrap_or_default().to_owned();
         Ok(EngineRecord {
