Count crashes of engines after the first event of an answer

Cause: a run counted against its request only if it broke off before its first event, and the first event cleared the shared parts of the prompt. But a request begins to run with its first token, and the event of that token may arrive before the engine ends.

Change: a run is `starting` until 500 ms after its first event (AnswerProgress, counted from event to event, so that a late discovery changes nothing), and `established` from then on. Starting runs count as before; only an established or a whole run clears the parts. Established runs of hundreds of sound streams break off with an engine, so two of their losses count as one crash, and only a pair is reported to the other processes. The log line of a broken run names its phase.

--- a/crates/core/src/relay/crash_detector.rs
+++ b/crates/core/src/relay/crash_detector.rs
@@ -4,6 +4,8 @@
 use super::EngineCrash;
 use super::PartLedger;
 use super::PromptPart;
+use super::RunPhase;
+use super::late_losses::LateLosses;
 
 /// The maximum time between a broken run and the loss of one of its engines for the two to count as
 /// a crash, in milliseconds.
@@ -32,12 +34,13 @@
 /// A crash of an engine breaks off about 200 runs at most.
 const MAX_RECORDS: usize = 512;
 
-/// A run that broke off before its answer had begun.
+/// A run that broke off.
 #[derive(Clone, Debug)]
 struct BrokenRun {
     fingerprint: String,
     parts: Vec<PromptPart>,
     engines: Vec<String>,
+    phase: RunPhase,
     ended_at: MilliTime,
 }
 
@@ -55,22 +58,25 @@
 /// Finds the requests that crash the engines that run them, so that they are refused.
 ///
 /// A broken answer alone is weak evidence, as connections are reset and answers get lost. A crash
-/// is counted only if an engine of the run is lost at about the same time and its answer had not begun,
-/// since a request crashes an engine when it begins to run. A request is refused after two lost engines
+/// is counted only if an engine of the run is lost at about the same time and its answer had only just begun
+/// ([`RunPhase::Starting`]), since a request crashes an engine when it begins to run. Two engines that are lost
+/// during established runs of a request count as one crash. A request is refused after two crashes
 /// ([`CrashLedger`]); an answer to an equal request clears it. Requests that share only a part of their
-/// prompt are found by a [`PartLedger`].
+/// prompt are found by a [`PartLedger`], by their starting runs.
 ///
 /// # Example
 ///
 /// ```
 /// use dandelionroad_core::relay::CrashDetector;
+/// use dandelionroad_core::relay::RunPhase;
 /// use dandelionroad_core::time::MilliTime;
 ///
 /// let now = MilliTime::from_millis(1_000);
 /// let mut detector = CrashDetector::new();
 /// for engine in ["e1", "e2"] {
 ///     assert!(!detector.should_refuse("aa", now));
-///     detector.record_broken_run("aa", &[], &[engine.to_owned()], now);
+///     let engines = [engine.to_owned()];
+///     detector.record_broken_run("aa", &[], &engines, RunPhase::Starting, now);
 ///     assert_eq!(detector.record_engine_loss(engine, now).len(), 1);
 /// }
 /// assert!(detector.should_refuse("aa", now));
@@ -83,6 +89,7 @@
     /// The engines that were lost within the crash window, sorted by time.
     lost: Vec<(String, MilliTime)>,
     known: Vec<KnownCrash>,
+    late: LateLosses,
     parts: PartLedger,
     /// The engines that answered after they had counted as lost, in the order of their answers.
     ///
@@ -128,33 +135,32 @@
         is_refused
     }
 
-    /// Records a run that broke off before its answer had begun; returns the crash if this proves a new
-    /// one.
+    /// Records a run that broke off in a phase; returns the crash if this proves a new one.
     pub fn record_broken_run(
         &mut self,
         fingerprint: &str,
         parts: &[PromptPart],
         engines: &[String],
+        phase: RunPhase,
         now: MilliTime,
     ) -> Option<EngineCrash> {
+        let run = BrokenRun {
+            fingerprint: fingerprint.to_owned(),
+            parts: parts.to_vec(),
+            engines: engines.to_vec(),
+            phase,
+            ended_at: now,
+        };
         let is_recent = |lost: &&(String, MilliTime)| now.since(lost.1) <= CRASH_WINDOW_MS;
         let mut lost = self.lost.iter().filter(is_recent);
         if let Some((engine, _)) = lost.find(|(lost, _)| engines.contains(lost)) {
             let engine = engine.clone();
-            self.parts.record_crash(parts, &engine, now);
-            return self
-                .record_crashes(&engine, vec![fingerprint.to_owned()], now)
-                .pop();
+            return self.record_crashes(&engine, vec![run], now).pop();
         }
         if self.broken.len() >= MAX_RECORDS {
             self.broken.remove(0);
         }
-        self.broken.push(BrokenRun {
-            fingerprint: fingerprint.to_owned(),
-            parts: parts.to_vec(),
-            engines: engines.to_vec(),
-            ended_at: now,
-        });
+        self.broken.push(run);
         None
     }
 
@@ -170,11 +176,7 @@
         self.lost.push((engine.to_owned(), now));
         let ran_on_engine = |run: &mut BrokenRun| run.engines.iter().any(|known| known == engine);
         let crashed: Vec<BrokenRun> = self.broken.extract_if(.., ran_on_engine).collect();
-        for run in &crashed {
-            self.parts.record_crash(&run.parts, engine, run.ended_at);
-        }
-        let fingerprints = crashed.into_iter().map(|run| run.fingerprint).collect();
-        self.record_crashes(engine, fingerprints, now)
+        self.record_crashes(engine, crashed, now)
     }
 
     /// Withdraws the crashes of an engine that answers a request, if they were recorded before the request was sent
@@ -191,6 +193,7 @@
         for known in &withdrawn {
             self.ledger.withdraw(&known.crash.fingerprint, engine);
         }
+        self.late.withdraw_engine(engine, sent_at);
         let has_parts = self.parts.withdraw_engine(engine, sent_at, now);
         if self.lost.len() == lost_before && withdrawn.is_empty() && !has_parts {
             return;
@@ -214,6 +217,7 @@
     /// Clears a request that was answered; returns whether a crash was known for it.
     pub fn clear_request(&mut self, fingerprint: &str) -> bool {
         self.broken.retain(|run| run.fingerprint != fingerprint);
+        self.late.clear_request(fingerprint);
         let count_before = self.known.len();
         self.known
             .retain(|known| known.crash.fingerprint != fingerprint);
@@ -242,6 +246,7 @@
     /// Drops records that are too old to count.
     pub fn expire(&mut self, now: MilliTime) {
         self.parts.expire(now);
+        self.late.expire(now);
         self.broken
             .retain(|run| now.since(run.ended_at) <= CRASH_WINDOW_MS);
         self.lost
@@ -252,23 +257,34 @@
         }
     }
 
-    /// Counts a crash for the requests that ran on an engine; returns the new crashes.
+    /// Counts a crash for the requests whose runs an engine broke off; returns the new crashes.
     ///
     /// If some of the requests crashed an engine before, only those count, as one of them is the
     /// likely cause.
     fn record_crashes(
         &mut self,
         engine: &str,
-        fingerprints: Vec<String>,
+        runs: Vec<BrokenRun>,
         now: MilliTime,
     ) -> Vec<EngineCrash> {
-        let mut suspects = fingerprints.iter();
-        let has_suspect = suspects.any(|request| !self.ledger.runs(request).is_empty());
+        for run in runs.iter().filter(|run| run.phase == RunPhase::Starting) {
+            self.parts.record_crash(&run.parts, engine, run.ended_at);
+        }
+        let is_suspect = |run: &BrokenRun| !self.ledger.runs(&run.fingerprint).is_empty();
+        let has_suspect = runs.iter().any(is_suspect);
         let mut new_crashes = Vec::new();
-        for fingerprint in fingerprints {
+        for run in runs {
+            let fingerprint = run.fingerprint;
             if has_suspect && self.ledger.runs(&fingerprint).is_empty() {
                 continue;
             }
+            let counts = match run.phase {
+                RunPhase::Starting => true,
+                RunPhase::Established => self.late.record(&fingerprint, engine, now),
+            };
+            if !counts {
+                continue;
+            }
             let engine = engine.to_owned();
             let crash = EngineCrash {
                 fingerprint,
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -17,6 +17,7 @@
 */
 
 mod accelerator_kind;
+mod answer_progress;
 mod attempt_end;
 mod attempt_plan;
 mod caller_limits;
@@ -32,6 +33,7 @@
 mod event_fault;
 mod event_splitter;
 mod key_index;
+mod late_losses;
 mod listing_change;
 mod listing_delta;
 mod listing_grace;
@@ -53,6 +55,7 @@
 mod request_fingerprint;
 mod request_size;
 mod route_index;
+mod run_phase;
 mod served_part;
 mod served_parts;
 mod service_picker;
@@ -62,6 +65,7 @@
 mod suspect_part;
 
 pub use self::accelerator_kind::AcceleratorKind;
+pub use self::answer_progress::AnswerProgress;
 pub use self::attempt_end::AttemptEnd;
 pub use self::attempt_plan::AttemptPlan;
 pub use self::caller_limits::CallerLimits;
@@ -97,6 +101,7 @@
 pub use self::request_fingerprint::request_fingerprint;
 pub use self::request_size::RequestSize;
 pub use self::route_index::RouteIndex;
+pub use self::run_phase::RunPhase;
 pub use self::service_picker::ServicePicker;
 pub use self::service_share::ServiceShare;
 pub use self::shared_load::SharedLoad;
--- a/crates/core/tests/crash_detector.rs
+++ b/crates/core/tests/crash_detector.rs
@@ -5,6 +5,7 @@
 use dandelionroad_core::relay::EngineCrash;
 use dandelionroad_core::relay::PartVerdict;
 use dandelionroad_core::relay::PromptPart;
+use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::time::MilliTime;
 use rand::Rng;
 use rand::SeedableRng;
@@ -25,7 +26,13 @@
     engine: &str,
     now: MilliTime,
 ) -> Option<EngineCrash> {
-    detector.record_broken_run(fingerprint, &[], &[engine.to_owned()], now)
+    detector.record_broken_run(
+        fingerprint,
+        &[],
+        &[engine.to_owned()],
+        RunPhase::Starting,
+        now,
+    )
 }
 
 /// Guards against refusing a request whose answers get lost while no engine is lost.
@@ -134,7 +141,7 @@
             let mut detector = CrashDetector::new();
             for (engine, at) in [("e1", crashed), ("e2", crashed.plus(100))] {
                 let engines = [engine.to_owned()];
-                detector.record_broken_run("aa", &parts, &engines, at);
+                detector.record_broken_run("aa", &parts, &engines, RunPhase::Starting, at);
                 detector.record_engine_loss(engine, at);
             }
             let now = START.plus(300);
@@ -171,6 +178,69 @@
     assert!(detector.is_empty());
 }
 
+/// Records that an engine is lost and breaks off an established run of a request.
+fn lose_established(detector: &mut CrashDetector, fingerprint: &str, engine: &str, now: MilliTime) {
+    let engines = [engine.to_owned()];
+    detector.record_broken_run(fingerprint, &[], &engines, RunPhase::Established, now);
+    detector.record_engine_loss(engine, now);
+}
+
+/// Guards against a request that crashes its engines late in its answer and is never found, and against refusing
+/// a sound stream that was on three lost engines.
+#[test]
+fn crash_detector_counts_pairs_of_established_runs() {
+    let mut detector = CrashDetector::new();
+    for engine in ["e1", "e2", "e3"] {
+        lose_established(&mut detector, "aa", engine, START);
+        assert!(!detector.should_refuse("aa", START), "{engine}");
+    }
+    lose_established(&mut detector, "aa", "e4", START);
+    assert!(detector.should_refuse("aa", START));
+}
+
+/// Guards against counting established runs of a request that was served since, long ago, or on an engine that
+/// ran on.
+#[test]
+fn crash_detector_forgets_established_runs() {
+    let lose = |detector: &mut CrashDetector, engine: &str, now| {
+        lose_established(detector, "aa", engine, now);
+    };
+    let later = START.plus(61_000);
+    let forget: [fn(&mut CrashDetector, MilliTime); 3] = [
+        |detector, _| {
+            detector.clear_request("aa");
+        },
+        |detector, now| detector.expire(now),
+        |detector, now| detector.record_engine_answer("e1", now, now),
+    ];
+    for (index, forget) in forget.into_iter().enumerate() {
+        let mut detector = CrashDetector::new();
+        lose(&mut detector, "e1", START);
+        forget(&mut detector, later);
+        lose(&mut detector, "e2", later);
+        assert_eq!(detector.len(), 0, "case {index}");
+    }
+}
+
+/// Guards against blaming a prompt part for the loss of an engine that had long been answering its request.
+#[test]
+fn crash_detector_blames_no_part_of_established_runs() {
+    let parts = [PromptPart::new("knots", "f1")];
+    for (phase, verdict) in [
+        (RunPhase::Starting, PartVerdict::Refused),
+        (RunPhase::Established, PartVerdict::Clear),
+    ] {
+        let mut detector = CrashDetector::new();
+        for (number, engine) in ["e1", "e2"].into_iter().enumerate() {
+            let now = START.plus(number as u64 * 100);
+            let fingerprint = format!("r{number}");
+            detector.record_broken_run(&fingerprint, &parts, &[engine.to_owned()], phase, now);
+            detector.record_engine_loss(engine, now);
+        }
+        assert_eq!(detector.parts().verdict(&parts), verdict, "{phase:?}");
+    }
+}
+
 /// Guards against more than two crashes by one request, and against refusing other requests.
 ///
 /// Several processes run a crashing request among others on engines that break off answers at
--- a/crates/core/tests/part_ledger.rs
+++ b/crates/core/tests/part_ledger.rs
@@ -6,6 +6,7 @@
 use dandelionroad_core::relay::PartLedger;
 use dandelionroad_core::relay::PartVerdict;
 use dandelionroad_core::relay::PromptPart;
+use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::time::MilliTime;
 
 const START: MilliTime = MilliTime::from_millis(100_000);
@@ -140,9 +141,9 @@
     for (engine, delay_ms) in [("e1", 0), ("e2", 100)] {
         let now = START.plus(delay_ms);
         let engines = [engine.to_owned()];
-        detector.record_broken_run("sound", &[part("f1")], &engines, now);
+        detector.record_broken_run("sound", &[part("f1")], &engines, RunPhase::Starting, now);
         let fatal = [part("f1"), part("bad")];
-        detector.record_broken_run(engine, &fatal, &engines, now);
+        detector.record_broken_run(engine, &fatal, &engines, RunPhase::Starting, now);
         detector.record_engine_loss(engine, now);
     }
     assert_eq!(
--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -2,6 +2,7 @@
 
 use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::relay::PartVerdict;
+use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::time::MilliTime;
 
 use crate::crash_report::publish_part_changes;
@@ -57,36 +58,36 @@
     view.crashes.should_refuse(&fingerprint, now)
 }
 
-/// Records that a run broke off before its answer had begun.
-pub(super) fn record_broken_run(state: &NodeState, relay: &RelayRequest, engines: &[&str]) {
+/// Records that a run broke off in a phase of its answer.
+pub(super) fn record_broken_run(
+    state: &NodeState,
+    relay: &RelayRequest,
+    engines: &[&str],
+    phase: RunPhase,
+) {
     let now = state.clock.now();
     let fingerprint = relay.fingerprint();
-    spdlog::info!("request: run broke off before its answer had begun", kv: {
+    spdlog::info!("request: run broke off", kv: {
         request = relay.caller.id.as_str(),
         engines = engines.join("+"),
         fingerprint = fingerprint.as_str(),
         parts = relay.caller.shared_parts.join(","),
+        phase = phase.as_str(),
     });
     let crash = {
         let mut view = state.view.borrow_mut();
         let engines = engines.iter().map(|id| view.engines.incarnation(id));
         let engines: Vec<String> = engines.collect();
         view.crashes
-            .record_broken_run(&fingerprint, &relay.shared_parts, &engines, now)
+            .record_broken_run(&fingerprint, &relay.shared_parts, &engines, phase, now)
     };
     report_crashes(state, crash.as_slice(), "its engine was lost before");
     publish_part_changes(state);
 }
 
-/// Records that the engines of a chain answer a request that was sent to them at `sent_at`.
-///
-/// This clears the shared parts of its prompt, and withdraws the crashes of engines that counted as lost.
-pub(super) fn record_answer_begun(
-    state: &NodeState,
-    relay: &RelayRequest,
-    engines: &[ChainStage],
-    sent_at: MilliTime,
-) {
+/// Records that the engines of a chain answer a request that was sent to them at `sent_at`, which withdraws the
+/// crashes of those that counted as lost.
+pub(super) fn record_answer_begun(state: &NodeState, engines: &[ChainStage], sent_at: MilliTime) {
     let now = state.clock.now();
     {
         let mut view = state.view.borrow_mut();
@@ -100,6 +101,16 @@
             view.crashes
                 .record_engine_answer(&incarnation, sent_at, now);
         }
+    }
+    publish_part_changes(state);
+}
+
+/// Records that the answer of a run has outlasted its start or is whole, which clears the shared parts of the
+/// request's prompt.
+pub(super) fn record_parts_served(state: &NodeState, relay: &RelayRequest) {
+    let now = state.clock.now();
+    {
+        let mut view = state.view.borrow_mut();
         let parts = view.crashes.parts_mut();
         parts.record_served(&relay.shared_parts, now);
     }
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -4,6 +4,7 @@
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::RepeatRule;
+use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::relay::ServicePicker;
 use dandelionroad_core::route::hash_text;
 use hyper::Response;
@@ -106,7 +107,7 @@
             }
             PlainOutcome::Lost(end) => {
                 if end == AttemptEnd::Broken {
-                    record_broken_run(&state, &relay, &[&id]);
+                    record_broken_run(&state, &relay, &[&id], RunPhase::Starting);
                 }
                 plan.record_end(end);
                 log.add_cause(end.as_str());
--- a/crates/relay/src/ingress/stream_relay/crash_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/crash_wait.rs
@@ -5,6 +5,7 @@
 
 use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::relay::PartVerdict;
+use dandelionroad_core::relay::RunPhase;
 
 use crate::engine::check_engine_loss;
 
@@ -20,7 +21,7 @@
 /// once brings down a second engine, often the first one of another availability zone.
 const SETTLE_MS: u64 = 100;
 
-/// The first engine of a run that broke off before its answer had begun.
+/// The first engine of a run that broke off while its answer had only just begun.
 #[derive(Debug)]
 pub(super) struct BrokenHead {
     id: String,
@@ -38,11 +39,13 @@
         !self.relay.is_probe && has_refused_part(&self.state, &self.relay)
     }
 
-    /// Records that the run on a chain broke off before its answer had begun.
+    /// Records that the run on a chain broke off.
     pub(super) fn record_broken_run(&mut self, stages: &[ChainStage]) {
         let ids: Vec<&str> = stages.iter().map(|stage| stage.id.as_str()).collect();
-        record_broken_run(&self.state, &self.relay, &ids);
-        self.broken_head = stages.first().map(|stage| BrokenHead {
+        let phase = self.progress.phase();
+        record_broken_run(&self.state, &self.relay, &ids, phase);
+        let first = stages.first().filter(|_| phase == RunPhase::Starting);
+        self.broken_head = first.map(|stage| BrokenHead {
             id: stage.id.clone(),
             address: stage.address,
         });
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -9,6 +9,7 @@
 
 use super::super::caller_body::CallerStream;
 use super::super::crash_check::record_answer_begun;
+use super::super::crash_check::record_parts_served;
 use super::super::send_fault::SendFault;
 use super::RunOutcome;
 use super::StreamRelay;
@@ -68,6 +69,9 @@
                 if data_count == 0 {
                     self.record_answer_begun();
                 }
+                if self.progress.record_event(self.state.clock.now()) {
+                    record_parts_served(&self.state, &self.relay);
+                }
             }
             let left_ms = self.relay.deadline.since(self.state.clock.now());
             match caller.send(Bytes::from(complete), left_ms).await {
@@ -85,7 +89,7 @@
     /// Records that the engines of the run have begun to answer.
     fn record_answer_begun(&self) {
         if let Some(run) = &self.run {
-            record_answer_begun(&self.state, &self.relay, &run.stages, self.sent_at);
+            record_answer_begun(&self.state, &run.stages, self.sent_at);
         }
     }
 
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -19,6 +19,7 @@
 use bytes::Bytes;
 use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::chain::FoundChain;
+use dandelionroad_core::relay::AnswerProgress;
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::EventSplitter;
@@ -40,6 +41,7 @@
 use crate::wire::RefusalKind;
 
 use super::caller_body::CallerStream;
+use super::crash_check::record_parts_served;
 use super::crash_check::record_served;
 use super::open_outcome::OpenOutcome;
 use super::relay_request::RelayRequest;
@@ -96,10 +98,13 @@
     /// The identifiers of the engines that are not used again for this request.
     excluded: Vec<String>,
     splitter: EventSplitter,
+    /// How far the answer of the present run has come.
+    progress: AnswerProgress,
     run: Option<ChainRun>,
     /// The time at which the request was last sent to a chain.
     sent_at: MilliTime,
-    /// The first engine of the last run, if it broke off before its answer had begun, until the next attempt.
+    /// The first engine of the last run, if it broke off while its answer had only just begun, until the next
+    /// attempt.
     broken_head: Option<BrokenHead>,
     /// Whether a retry was taken from the budget and not used yet.
     holds_retry: bool,
@@ -117,6 +122,7 @@
             plan,
             excluded: Vec::new(),
             splitter: EventSplitter::new(last_id),
+            progress: AnswerProgress::new(),
             run: None,
             sent_at: MilliTime::default(),
             broken_head: None,
@@ -190,6 +196,7 @@
         loop {
             let cause = match self.forward_events(caller, log).await {
                 RunOutcome::Complete => {
+                    record_parts_served(&self.state, &self.relay);
                     record_served(&self.state, &self.relay);
                     log.set_outcome("served");
                     caller.finish();
@@ -208,16 +215,14 @@
                 RunOutcome::Broken(cause) => cause,
             };
             log.add_cause(cause);
-            let was_unbegun = self.is_unbegun();
             self.plan.record_end(AttemptEnd::Broken);
             if let Some(run) = self.run.take() {
-                if was_unbegun {
-                    self.record_broken_run(&run.stages);
-                }
+                self.record_broken_run(&run.stages);
                 let ids = run.stages.into_iter().map(|stage| stage.id);
                 self.excluded.extend(ids);
             }
             self.splitter = EventSplitter::new(self.splitter.last_id());
+            self.progress = AnswerProgress::new();
             // Without event identifiers, another run would repeat events that the caller already has.
             let may_resume = self.splitter.last_id().is_some() || !log.has_piece();
             if !may_resume || !self.resume(log).await {
--- a/crates/relay/tests/relay_support/crash_engine.rs
+++ b/crates/relay/tests/relay_support/crash_engine.rs
@@ -49,11 +49,33 @@
     pub(crate) fatal_arrivals: Vec<Instant>,
 }
 
-/// An engine that crashes with all its streams when it writes the first token on a fatal prompt part. It
-/// refuses connections then, and comes back under another name.
+/// The requests that crash an engine, and when.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FatalPrompt {
+    /// The prompt part of these requests.
+    pub(crate) part: &'static str,
+    /// The number of events of the answer that the engine still sends.
+    pub(crate) events: u64,
+    /// The time from each of these events to the next one, or to the crash.
+    pub(crate) pause: Duration,
+}
+
+impl FatalPrompt {
+    /// Returns requests that crash an engine when it writes their first token.
+    pub(crate) fn at_first_token(part: &'static str) -> FatalPrompt {
+        FatalPrompt {
+            part,
+            events: 0,
+            pause: Duration::ZERO,
+        }
+    }
+}
+
+/// An engine that crashes with all its streams when it runs a request with a fatal prompt. It refuses
+/// connections then, and comes back under another name.
 pub(crate) struct CrashEngine {
     id: String,
-    fatal_part: &'static str,
+    fatal: FatalPrompt,
     store: Rc<FakeStore>,
     tasks: RefCell<Vec<AbortHandle>>,
     log: Rc<RefCell<CrashLog>>,
@@ -66,10 +88,20 @@
         id: &str,
         fatal_part: &'static str,
         log: &Rc<RefCell<CrashLog>>,
+    ) -> Rc<CrashEngine> {
+        CrashEngine::start_with(store, id, FatalPrompt::at_first_token(fatal_part), log).await
+    }
+
+    /// Starts an engine that a prompt crashes at some event of the answer.
+    pub(crate) async fn start_with(
+        store: &Rc<FakeStore>,
+        id: &str,
+        fatal: FatalPrompt,
+        log: &Rc<RefCell<CrashLog>>,
     ) -> Rc<CrashEngine> {
         let engine = Rc::new(CrashEngine {
             id: id.to_owned(),
-            fatal_part,
+            fatal,
             store: Rc::clone(store),
             tasks: RefCell::default(),
             log: Rc::clone(log),
@@ -124,7 +156,7 @@
             .body(StreamBody::new(events))
             .unwrap();
         let prompt = text("parts").unwrap_or_default();
-        let is_fatal = prompt.split(',').any(|part| part == self.fatal_part);
+        let is_fatal = prompt.split(',').any(|part| part == self.fatal.part);
         if is_fatal {
             self.log.borrow_mut().fatal_arrivals.push(Instant::now());
         }
@@ -135,15 +167,16 @@
                 () = sender.closed() => return,
                 () = tokio::time::sleep(PREFILL) => {}
             }
-            if is_fatal {
-                self.crash();
-                return;
-            }
+            let fatal = is_fatal.then_some(self.fatal);
             for event in after + 1..=EVENTS {
+                if fatal.is_some_and(|fatal| event - after > fatal.events) {
+                    self.crash();
+                    return;
+                }
                 if sender.send(Bytes::from(event_bytes(event))).await.is_err() {
                     return;
                 }
-                tokio::time::sleep(EVENT_PAUSE).await;
+                tokio::time::sleep(fatal.map_or(EVENT_PAUSE, |fatal| fatal.pause)).await;
             }
         });
         response
@@ -160,13 +193,13 @@
         }
         self.log.borrow_mut().crashes.push(Instant::now());
         let (store, id) = (Rc::clone(&self.store), self.id.clone());
-        let (fatal_part, log) = (self.fatal_part, Rc::clone(&self.log));
+        let (fatal, log) = (self.fatal, Rc::clone(&self.log));
         spawn_local(async move {
             tokio::time::sleep(EXPIRY).await;
             store.remove("engines", &id);
             tokio::time::sleep(RESTART - EXPIRY).await;
             let next_id = format!("{id}-again");
-            CrashEngine::start(&store, &next_id, fatal_part, &log).await;
+            CrashEngine::start_with(&store, &next_id, fatal, &log).await;
         });
     }
 }
