Refuse chats by messages that crash engines after the first token

The same cause in the first way of execution: a chat's first token cleared its messages, and only a crash before it counted against them, so that each chat with such a message crashed two engines.

Before: chats_with_message_fatal_after_first_token_refused, 6 engines of 6 crashed; after: 2.

--- a/crates/daemon/src/entry/crash/crash_tracker.rs
+++ b/crates/daemon/src/entry/crash/crash_tracker.rs
@@ -54,7 +54,7 @@
         ledger.admit(parts, 0, now) != PartVerdict::Refused
     }
 
-    /// Records a crash of a run that had not begun to answer; returns whether the request may be retried.
+    /// Records a crash of a run whose answer had only just begun; returns whether the request may be retried.
     pub fn record_part_crash(&self, parts: &[PromptPart], run: &str, now: MilliTime) -> bool {
         let mut ledger = self.parts();
         ledger.record_crash(parts, run, now);
@@ -64,7 +64,7 @@
         ledger.verdict(parts) != PartVerdict::Refused
     }
 
-    /// Records the first token of an answer, which clears the shared parts of the prompt.
+    /// Records that an answer has outlasted its start, which clears the shared parts of the prompt.
     pub fn record_parts_served(&self, parts: &[PromptPart], now: MilliTime) {
         let mut ledger = self.parts();
         ledger.record_served(parts, now);
--- a/crates/daemon/src/entry/model/crash_handling.rs
+++ b/crates/daemon/src/entry/model/crash_handling.rs
@@ -13,6 +13,7 @@
 use dandelionroad_core::outcome::RefusalReason;
 use dandelionroad_core::outcome::RequestOutcome;
 use dandelionroad_core::relay::PromptPart;
+use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::stream::StreamOrder;
 
 use crate::entry::caller_error::CallerError;
@@ -95,13 +96,14 @@
     context: &NodeContext,
     order: &StreamOrder,
     parts: &[PromptPart],
+    phase: RunPhase,
 ) -> bool {
     spdlog::warn!(
         "entry: request may have crashed an endpoint",
         kv: { request = order.request.as_str() }
     );
     let mut is_allowed = true;
-    if order.sent.is_empty() {
+    if phase == RunPhase::Starting {
         let run = format!("{}/{}", order.request, order.attempt);
         let now = context.clock.now();
         is_allowed = context.crash_tracker.record_part_crash(parts, &run, now);
--- a/crates/daemon/src/entry/model/stream_driver.rs
+++ b/crates/daemon/src/entry/model/stream_driver.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use dandelionroad_core::admit::RetryBudget;
+use dandelionroad_core::relay::AnswerProgress;
 use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::stream::StreamAction;
 use dandelionroad_core::stream::StreamEvent;
@@ -77,7 +78,7 @@
             was_refused: false,
             retries: 0,
             is_complete: false,
-            has_begun: false,
+            progress: AnswerProgress::new(),
         };
         driver.run(actions, updates).await;
     });
@@ -99,8 +100,8 @@
     retries: u32,
     /// Whether the complete answer has been sent to the caller.
     is_complete: bool,
-    /// Whether a token was sent to the caller.
-    has_begun: bool,
+    /// How far the answer of the present attempt has come.
+    progress: AnswerProgress,
 }
 
 impl StreamDriver {
@@ -181,19 +182,21 @@
             }
             StreamAction::CountCrash { must_wait } => {
                 let order = self.machine.order().clone();
+                let phase = self.progress.phase();
                 if must_wait {
-                    let may_retry = record_crash(&self.context, &order, &self.parts).await;
+                    let may_retry = record_crash(&self.context, &order, &self.parts, phase).await;
                     return self.machine.handle_crash_count(may_retry, self.now());
                 }
                 let context = self.context.clone();
                 let parts = self.parts.clone();
-                tokio::spawn(async move { record_crash(&context, &order, &parts).await });
+                tokio::spawn(async move { record_crash(&context, &order, &parts, phase).await });
             }
             StreamAction::Open {
                 order,
                 is_new_connection,
             } => {
                 self.close_head();
+                self.progress = AnswerProgress::new();
                 let updates = self.updates.clone();
                 let context = self.context.clone();
                 let silent_client = self.connection.take().filter(|_| is_new_connection);
@@ -201,14 +204,14 @@
                 self.head = Some(tokio::spawn(reading));
             }
             StreamAction::Deliver { text } => {
-                if !std::mem::replace(&mut self.has_begun, true) {
-                    let tracker = &self.context.crash_tracker;
-                    tracker.record_parts_served(&self.parts, self.now());
+                if self.progress.record_event(self.now()) {
+                    self.record_parts_served();
                 }
                 self.send_answer(AnswerEvent::Token(text));
             }
             StreamAction::Finish { reason, tokens } => {
                 self.is_complete = true;
+                self.record_parts_served();
                 self.send_answer(AnswerEvent::Finish { reason, tokens });
             }
             StreamAction::Fail(failure) => {
@@ -219,6 +222,12 @@
         Vec::new()
     }
 
+    /// Records that the answer has outlasted its start or is whole, which clears the parts of the prompt.
+    fn record_parts_served(&self) {
+        let tracker = &self.context.crash_tracker;
+        tracker.record_parts_served(&self.parts, self.now());
+    }
+
     /// Makes routing avoid the endpoint of a failed stage, for this and all other requests.
     ///
     /// Called for each event, so that it also happens when the fault ends this request.
--- a/crates/daemon/tests/crashing_messages.rs
+++ b/crates/daemon/tests/crashing_messages.rs
@@ -10,6 +10,7 @@
 
 use self::stream_support::EngineMode;
 use self::stream_support::FATAL_TEXT;
+use self::stream_support::LATE_FATAL_TEXT;
 use self::stream_support::LAYERS;
 use self::stream_support::TestCluster;
 
@@ -36,12 +37,22 @@
 /// down two engines.
 #[tokio::test]
 async fn chats_with_fatal_message_refused() {
+    check_fatal_message(FATAL_TEXT).await;
+}
+
+/// The engines crash after the first token, which must not count as a sign that the messages are sound.
+#[tokio::test]
+async fn chats_with_message_fatal_after_first_token_refused() {
+    check_fatal_message(LATE_FATAL_TEXT).await;
+}
+
+async fn check_fatal_message(fatal_text: &str) {
     let cluster = TestCluster::start(&RANGES, STEP_TIME, Duration::ZERO, u32::MAX).await;
     let (status, body) = chat(&cluster, ["be brief", "name knots"], "which?").await;
     assert_eq!(status, 200, "{body}");
     for index in 0..6 {
         let question = format!("question {index}");
-        let (status, body) = chat(&cluster, ["be brief", FATAL_TEXT], &question).await;
+        let (status, body) = chat(&cluster, ["be brief", fatal_text], &question).await;
         assert_ne!(status, 200, "{body}");
     }
     let stages = cluster.stages.iter();
@@ -49,7 +60,7 @@
     assert_eq!(crashed.count(), 2);
     let (status, body) = chat(&cluster, ["be brief", "name knots"], "and which now?").await;
     assert_eq!(status, 200, "the other messages are sound: {body}");
-    let (status, body) = chat(&cluster, ["be brief", FATAL_TEXT], "once more").await;
+    let (status, body) = chat(&cluster, ["be brief", fatal_text], "once more").await;
     assert_eq!(status, 422, "{body}");
     assert_eq!(body["error"]["outcome"], "not-run", "{body}");
 }
--- a/crates/daemon/tests/stream_support/fake_engine.rs
+++ b/crates/daemon/tests/stream_support/fake_engine.rs
@@ -37,11 +37,16 @@
 /// A text in a prompt on which the first stage of a model crashes.
 pub(crate) const FATAL_TEXT: &str = "the fatal instructions";
 
+/// A text in a prompt on which the first stage of a model crashes after its first token.
+pub(crate) const LATE_FATAL_TEXT: &str = "the treacherous instructions";
+
 /// The state of a session: its next position and the state of each layer.
 #[derive(Default)]
 struct Session {
     position: u32,
     layers: HashMap<u16, String>,
+    /// Whether the prompt holds [`LATE_FATAL_TEXT`].
+    is_fatal: bool,
 }
 
 /// An engine whose layers hash their whole input history.
@@ -77,6 +82,16 @@
         self.mode.send_replace(EngineMode::Crashed);
     }
 
+    fn is_crashed_by(&self, step: &EngineStep) -> bool {
+        let StepPayload::Text(text) = &step.payload else {
+            return false;
+        };
+        let mut sessions = self.sessions.lock().unwrap();
+        let session = sessions.entry(step.session.clone()).or_default();
+        session.is_fatal |= text.contains(LATE_FATAL_TEXT);
+        text.contains(FATAL_TEXT) || (session.is_fatal && step.position > 0)
+    }
+
     async fn wait_step_time(&self) -> Result<(), PlatformError> {
         let mut mode = self.mode.subscribe();
         if !self.step_time.is_zero() {
@@ -148,7 +163,7 @@
 impl EngineClient for FakeEngine {
     fn step<'a>(&'a self, step: &'a EngineStep) -> ClientFuture<'a, StepOutput> {
         Box::pin(async move {
-            if matches!(&step.payload, StepPayload::Text(text) if text.contains(FATAL_TEXT)) {
+            if self.is_crashed_by(step) {
                 self.crash();
             }
             self.wait_step_time().await?;
--- a/crates/daemon/tests/stream_support/mod.rs
+++ b/crates/daemon/tests/stream_support/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) use self::fake_engine::EngineMode;
 pub(crate) use self::fake_engine::FATAL_TEXT;
 pub(crate) use self::fake_engine::FakeEngine;
+pub(crate) use self::fake_engine::LATE_FATAL_TEXT;
 pub(crate) use self::fake_engine::LAYERS;
 pub(crate) use self::fake_engine::expected_tokens;
 pub(crate) use self::link_proxy::LinkProxy;
