Admit calls late in a planned stop only if their deadlines fit

Callers of an at-most-once route with a time-out of 4 s and calls of 2.5 s lost three answers of 110 in a planned stop of two of three processes: the calls were run, and their connections closed without an answer, so that the callers can't know whether they took effect (LOST).

Cause: a stopping process admitted calls until 2 s before its end whatever their time-out.

Change: ShutdownPlan in core decides. In the first 3 s after the signal, in which the load balancer still sends connections, it admits as before; from then on only requests whose deadline, of the caller or of the route, comes 100 ms before the end or sooner. A refused call has not run and is told to come back after 0.1 s, which reaches another process.

--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -13,7 +13,7 @@
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
 makes interrupted streams resumable, and [`ServicePicker`] balances load over the endpoints of a plain
-service.
+service. [`ShutdownPlan`] decides which requests a stopping process still admits.
 */
 
 mod accelerator_kind;
@@ -61,6 +61,7 @@
 mod service_picker;
 mod service_share;
 mod shared_load;
+mod shutdown_plan;
 mod suspect_crash;
 mod suspect_part;
 
@@ -105,3 +106,4 @@
 pub use self::service_picker::ServicePicker;
 pub use self::service_share::ServiceShare;
 pub use self::shared_load::SharedLoad;
+pub use self::shutdown_plan::ShutdownPlan;
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -30,20 +30,6 @@
 /// The retry delay sent by a stopping process, in milliseconds; the retry reaches another process.
 const LEAVING_RETRY_MS: u64 = 100;
 
-/// The minimum time until the stop deadline with which a stopping process still admits a stream, in
-/// milliseconds.
-///
-/// At low load, 94 % of streams finish within it. With a higher value, streams are refused while the load
-/// balancer still sends new connections, and a retry after such an early refusal may reach the process that
-/// is stopped next.
-const MIN_STREAM_TIME_MS: u64 = 5_000;
-
-/// The minimum time until the stop deadline with which a stopping process still admits a call of a plain
-/// service, in milliseconds.
-///
-/// Calls take some tens of milliseconds, and operators give them a time-out of two seconds at most.
-const MIN_CALL_TIME_MS: u64 = 2_000;
-
 /// The maximum number of shared prompt parts of a request that are considered.
 ///
 /// Prompts have a few; a list that fills the head of a request would take milliseconds to look up.
@@ -79,17 +65,16 @@
     };
     log.set_route(&config.routes[route].prefix);
     log.set_parts(&caller.shared_parts);
-    let min_left_ms = match config.services[service].model.is_some() {
-        true => MIN_STREAM_TIME_MS,
-        false => MIN_CALL_TIME_MS,
-    };
-    if state.stop_deadline.get().since(arrival) < min_left_ms {
-        return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::Leaving);
-    }
     let route_timeout_ms = config.routes[route].timeout_ms;
     let timeout_ms = caller.deadline_ms.map_or(route_timeout_ms, |timeout_ms| {
         timeout_ms.min(route_timeout_ms)
     });
+    let deadline = arrival.plus(timeout_ms);
+    let is_stream = config.services[service].model.is_some();
+    let shutdown = state.shutdown.get();
+    if shutdown.is_some_and(|plan| !plan.admits(is_stream, arrival, deadline)) {
+        return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::Leaving);
+    }
     let body = match read_body(body, config.limits.body_bytes, timeout_ms).await {
         Ok(body) => body,
         Err(kind) => return log_and_refuse(&state, &mut log, &caller.id, kind),
@@ -108,7 +93,7 @@
         route,
         service,
         account,
-        deadline: arrival.plus(timeout_ms),
+        deadline,
     };
     if let Some(kind) = relay.withdrawn_permission(&state) {
         return log_and_refuse(&state, &mut log, &relay.caller.id, kind);
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -5,8 +5,8 @@
 use std::time::UNIX_EPOCH;
 
 use dandelionroad_core::relay::CapacityQueue;
+use dandelionroad_core::relay::ShutdownPlan;
 use dandelionroad_core::route::hash_text;
-use dandelionroad_core::time::MilliTime;
 use tokio::sync::Notify;
 
 use crate::engine::EngineClient;
@@ -44,8 +44,8 @@
     pub running_requests: Cell<u32>,
     /// The model requests that wait for engine capacity.
     pub queue: RefCell<CapacityQueue>,
-    /// The time at which the last connections are cut; [`MilliTime::MAX`] unless the process is stopping.
-    pub stop_deadline: Cell<MilliTime>,
+    /// The plan by which the process stops; `None` unless it is stopping.
+    pub shutdown: Cell<Option<ShutdownPlan>>,
     /// Wakes the task that sends confirmations to the other processes.
     pub confirm_due: Notify,
     /// Wakes the task that reads the configuration, when another process reports a newer one.
@@ -90,7 +90,7 @@
             metrics: RelayMetrics::new(),
             running_requests: Cell::new(0),
             queue: RefCell::new(CapacityQueue::new()),
-            stop_deadline: Cell::new(MilliTime::MAX),
+            shutdown: Cell::new(None),
             confirm_due: Notify::new(),
             config_changed: Notify::new(),
             listing_changed: Notify::new(),
--- a/crates/relay/src/node/running_node.rs
+++ b/crates/relay/src/node/running_node.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::relay::ShutdownPlan;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task::JoinSet;
@@ -103,10 +104,11 @@
         state.view.borrow_mut().is_stopping = true;
         spdlog::info!("node: stopping", kv: { running = state.running_requests.get() });
         let limit_ms = state.bounds.get().grace_ms.saturating_sub(STOP_MARGIN_MS);
-        state.stop_deadline.set(started.plus(limit_ms));
+        let plan = ShutdownPlan::new(started, limit_ms);
+        state.shutdown.set(Some(plan));
         tokio::time::sleep(Duration::from_millis(UNREADY_MS.min(limit_ms))).await;
         self.server.close();
-        let left_ms = limit_ms.saturating_sub(state.clock.now().since(started));
+        let left_ms = plan.end().since(state.clock.now());
         let drained = self.server.wait_drained();
         let is_drained = tokio::time::timeout(Duration::from_millis(left_ms), drained).await;
         spdlog::info!("node: stopped", kv: {
--- a/crates/relay/tests/plain_relay.rs
+++ b/crates/relay/tests/plain_relay.rs
@@ -3,9 +3,15 @@
 
 mod relay_support;
 
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::task::spawn_local;
+
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::EngineFault;
 use crate::relay_support::run;
+use crate::relay_support::wait_for;
 
 /// The response to a call that may run only once is lost, or belongs to another request: a retry could run
 /// the call twice.
@@ -146,3 +152,49 @@
         assert!(engine.runs.borrow().is_empty());
     });
 }
+
+/// A call arrives late in a planned stop and may take longer than the process has left. Guards against admitting
+/// it, as it would be run and then cut, so that its caller never learns the outcome.
+#[test]
+fn stop_refuses_call_that_may_outlast_it() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let endpoint = world.start_endpoint("p1").await;
+        let node = world.start_node("n1").await;
+        let callers = node.settings().caller_address;
+        let headers = |id, wait| {
+            [
+                ("host", "shop.example"),
+                ("key", "k1"),
+                ("request", id),
+                ("wait", wait),
+            ]
+        };
+        // A process ends earlier if it has nothing to do.
+        endpoint.fault.set(EngineFault::Hanging);
+        let own = Rc::clone(&world);
+        let first = spawn_local(async move {
+            let headers = headers("r0", "7000");
+            own.get(callers, "/once/order", &headers).await
+        });
+        wait_for("the first call runs", async || {
+            !endpoint.runs.borrow().is_empty()
+        })
+        .await;
+        endpoint.fault.set(EngineFault::None);
+        let stopping = spawn_local(node.stop());
+        tokio::time::sleep(Duration::from_millis(4_000)).await;
+        let long = world
+            .get(callers, "/once/order", &headers("r1", "4000"))
+            .await;
+        let short = world
+            .get(callers, "/once/order", &headers("r2", "2000"))
+            .await;
+        assert_eq!(long.status, 503);
+        assert_eq!(long.headers["retry-after"], "100");
+        assert_eq!(short.status, 200);
+        assert_eq!(endpoint.runs.borrow().as_slice(), ["r0", "r2"]);
+        first.await.unwrap();
+        stopping.await.unwrap();
+    });
+}
