Trust a refusal only if it belongs to the request

Reported by another operator: a faulty engine wrote an earlier refusal once more on a kept connection, and clients were told that requests had not run which the engine ran (REFUSED), or these ran at a second engine (TWICE).

It could happen here. Cause: a response with the header that means "not run" was classified as a refusal before the identifier in it was compared with that of the request. Calls that may run once were open to it as well, though they use connections of their own, since only the identifier tells whose refusal it is.

Change: a refusal that names another request is foreign, so that the request may have run. One that names none is trusted only as the first response on its connection (the connector counts responses). A connection with a foreign response is not used again, as the right one may follow. A request that is sent to the same first engine again gets a connection of its own, because a refusal of its first send has the same identifier.

--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -20,13 +20,21 @@
 use hyper::header::HeaderValue;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tower::ServiceExt;
+use tower::util::MapResponse;
 
 use crate::wire::EncodedCall;
 
+use super::AnswerCount;
+use super::AnswerOrigin;
 use super::SendError;
+use super::engine_stream::EngineStream;
 
 /// The time-out of opening a connection, in milliseconds.
 ///
@@ -56,7 +64,9 @@
 /// the deadline.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
-type HttpClient = Client<HttpConnector, Full<Bytes>>;
+type EngineConnector = MapResponse<HttpConnector, fn(TokioIo<TcpStream>) -> EngineStream>;
+
+type HttpClient = Client<EngineConnector, Full<Bytes>>;
 
 /// The HTTP client of engines, endpoints and other relay processes.
 #[derive(Debug)]
@@ -83,7 +93,8 @@
         }
     }
 
-    /// Sends a request and returns the response once its head has arrived.
+    /// Sends a request and returns the response once its head has arrived, with an [`AnswerOrigin`] as an
+    /// extension.
     ///
     /// Dropping the future, or the body of the response, closes the connection, upon which the engine stops
     /// the request. With `is_once`, the request gets a connection of its own, so that it runs at most once.
@@ -115,6 +126,7 @@
             })?;
             *request.headers_mut() = headers;
             let excess = limit_interim_responses(&mut request);
+            let connection = capture_connection(&mut request);
             let response = tokio::select! {
                 biased;
                 response = client.request(request) => response,
@@ -123,7 +135,7 @@
                     return Err(SendError::Broken { detail });
                 }
             };
-            response.map_err(|error| {
+            let mut response = response.map_err(|error| {
                 let detail = format!("{error:?}");
                 match error.is_connect() {
                     true => SendError::NotSent {
@@ -132,7 +144,12 @@
                     },
                     false => SendError::Broken { detail },
                 }
-            })
+            })?;
+            let answers = response.extensions().get::<AnswerCount>();
+            let is_first = answers.is_some_and(AnswerCount::record_answer);
+            let origin = AnswerOrigin::new(is_first, connection);
+            response.extensions_mut().insert(origin);
+            Ok(response)
         }
     }
 
@@ -213,10 +230,10 @@
     false
 }
 
-fn connector() -> HttpConnector {
+fn connector() -> EngineConnector {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
     connector.set_nodelay(true);
     connector.set_tcp_user_timeout(Some(Duration::from_millis(UNACKED_TIMEOUT_MS)));
-    connector
+    connector.map_response(EngineStream::new)
 }
--- a/crates/relay/src/engine/mod.rs
+++ b/crates/relay/src/engine/mod.rs
@@ -2,13 +2,18 @@
 Connections to engines and endpoints, and the accounting of the load that this process puts on them.
 */
 
+mod answer_count;
+mod answer_origin;
 mod engine_client;
+mod engine_stream;
 mod fetch_report;
 mod load_guard;
 mod loss_check;
 mod send_error;
 mod stall_probe;
 
+use self::answer_count::AnswerCount;
+pub use self::answer_origin::AnswerOrigin;
 pub use self::engine_client::EngineClient;
 pub use self::engine_client::read_whole;
 pub use self::fetch_report::fetch_report;
--- a/crates/relay/src/ingress/response_class.rs
+++ b/crates/relay/src/ingress/response_class.rs
@@ -2,6 +2,7 @@
 use hyper::Response;
 use hyper::body::Incoming;
 
+use crate::engine::AnswerOrigin;
 use crate::node::NodeState;
 use crate::wire::ResponseHead;
 
@@ -23,6 +24,10 @@
 
 impl ResponseClass {
     /// Classifies the head of a response to the request `id`.
+    ///
+    /// A refusal is trusted only if it is known to be of this request: a faulty engine may write an earlier one
+    /// once more while it runs the request. One that names no request is of this one if it is the first response
+    /// on its connection. A connection with a foreign response is not used again.
     pub(super) fn classify(
         state: &NodeState,
         id: &str,
@@ -32,13 +37,21 @@
         let head: ResponseHead = state
             .format
             .decode_response_head(status.as_u16(), response.headers());
+        let origin = response.extensions().get::<AnswerOrigin>();
+        let is_own = match head.request.as_deref() {
+            Some(named) => named == id,
+            None => head.is_not_run && origin.is_some_and(AnswerOrigin::is_first),
+        };
+        if !is_own {
+            if let Some(origin) = origin {
+                origin.discard_connection();
+            }
+            return ResponseClass::Foreign;
+        }
         if head.is_not_run {
             let fault_address = head.fault_address;
             return ResponseClass::Rejected { fault_address };
         }
-        if head.request.as_deref() != Some(id) {
-            return ResponseClass::Foreign;
-        }
         match (status.is_success(), head.is_signed) {
             (true, true) => ResponseClass::Served,
             (true, false) => ResponseClass::Foreign,
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -13,6 +13,7 @@
 mod stall_reason;
 mod stall_timeouts;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -97,6 +98,8 @@
     plan: AttemptPlan,
     /// The identifiers of the engines that are not used again for this request.
     excluded: Vec<String>,
+    /// The addresses of the engines to which the request was sent.
+    sent_to: Vec<SocketAddr>,
     splitter: EventSplitter,
     /// How far the answer of the present run has come.
     progress: AnswerProgress,
@@ -121,6 +124,7 @@
             relay,
             plan,
             excluded: Vec::new(),
+            sent_to: Vec::new(),
             splitter: EventSplitter::new(last_id),
             progress: AnswerProgress::new(),
             run: None,
@@ -268,13 +272,16 @@
             .state
             .format
             .encode_request_headers(&self.relay.parts.headers, &call);
+        // On a kept connection, a refusal of the first send could not be told from one of the second.
+        let is_again = self.sent_to.contains(&chain[0].address);
+        self.sent_to.push(chain[0].address);
         let sent = self.state.engine_client.send(
             chain[0].address,
             &self.relay.parts.method,
             self.relay.path(),
             headers,
             self.relay.body.clone(),
-            self.relay.route().repeat == RepeatRule::AtMostOnce,
+            is_again || self.relay.route().repeat == RepeatRule::AtMostOnce,
         );
         let target_ms = self.relay.route().target_ms;
         let mut timeouts = StallTimeouts::new(
@@ -353,7 +360,10 @@
                 Some(body) => Ok(OpenOutcome::ErrorResponse(parts, body)),
                 None => Err(AttemptEnd::Broken),
             },
-            ResponseClass::Foreign => Err(AttemptEnd::Broken),
+            ResponseClass::Foreign => {
+                self.excluded.push(chain[0].id.clone());
+                Err(AttemptEnd::Broken)
+            }
         }
     }
 
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -42,6 +42,10 @@
     Full,
     /// Responds with the identifier of another request.
     Foreign,
+    /// Runs requests and writes the refusal of an earlier request in place of the response.
+    ForeignRefusal,
+    /// Runs requests and writes a refusal that names no request.
+    UnnamedRefusal,
     /// Runs requests and responds with an error.
     Failing,
     /// Runs requests and closes the connection during the response.
@@ -176,6 +180,13 @@
         self.runs.borrow_mut().push(id.clone());
         match fault {
             EngineFault::Silent | EngineFault::Hanging => std::future::pending().await,
+            EngineFault::ForeignRefusal | EngineFault::UnnamedRefusal => {
+                let refusal = FakeResponse::new(503, "").header("not-run", "1");
+                return match fault {
+                    EngineFault::ForeignRefusal => refusal.header("request", "another"),
+                    _ => refusal,
+                };
+            }
             EngineFault::Failing => {
                 return FakeResponse::new(500, "failed")
                     .header("request", &id)
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -120,7 +120,7 @@
             request: text("request").map(str::to_owned),
             is_not_run: headers.contains_key("not-run"),
             is_signed: headers.contains_key("signature"),
-            fault_address: None,
+            fault_address: text("fault").map(str::to_owned),
         }
     }
 
