--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -19,6 +19,7 @@
 use crate::wire::StoreTable;
 
 use super::StoreClient;
+use super::ignored_rows::IgnoredRows;
 use super::retry_pause::retry_pause_ms;
 
 /// The interval at which the age of the list is checked, in milliseconds.
@@ -39,6 +40,9 @@
 /// seconds. A process that was only slow is asked again soon enough.
 const FETCH_RETRY_MS: u64 = 300;
 
+/// The maximum length of a logged reason for which a registration was ignored, in characters.
+const MAX_LOGGED_CAUSE: usize = 200;
+
 /// The task that keeps the list of engines up to date.
 ///
 /// The store reader reads it at the interval of the settings. The other processes rely on its
@@ -56,6 +60,8 @@
     unresponsive: Vec<(SocketAddr, MilliTime)>,
     /// The fetches of the reported change that did not bring it.
     zone_fetches: u32,
+    /// The registrations that the last read of the store ignored.
+    ignored: IgnoredRows,
 }
 
 /// Keeps the list of engines up to date until the process ends.
@@ -67,6 +73,7 @@
         store_retry: MilliTime::default(),
         unresponsive: Vec::new(),
         zone_fetches: 0,
+        ignored: IgnoredRows::default(),
     };
     loop {
         match task.next_step() {
@@ -139,7 +146,7 @@
                     });
                 }
                 self.is_reachable = true;
-                adopt_rows(&state, &rows, version);
+                self.adopt_rows(&rows, version);
                 let mut view = state.view.borrow_mut();
                 view.listing_time = view.listing_time.max(start);
                 view.is_store_lost = false;
@@ -223,6 +230,43 @@
         }
     }
 
+    fn adopt_rows(&mut self, rows: &[StoreRow], version: u64) {
+        let state = Rc::clone(&self.state);
+        let records = self.decode_records(rows);
+        let delta = {
+            let mut view = state.view.borrow_mut();
+            view.has_listing = true;
+            view.listing.record_read(records, version)
+        };
+        if let Some(delta) = delta {
+            update_engines(&state, &delta);
+        }
+    }
+
+    /// Decodes the registrations of engines, ignoring malformed rows.
+    fn decode_records(&mut self, rows: &[StoreRow]) -> Vec<EngineRecord> {
+        let mut records = Vec::with_capacity(rows.len());
+        let mut ignored = Vec::new();
+        for row in rows {
+            match self.state.format.decode_engine(row) {
+                Ok(record) => records.push(record),
+                // The error may quote a text of any length.
+                Err(error) => {
+                    let cause = error.to_string();
+                    let cause = cause.chars().take(MAX_LOGGED_CAUSE).collect();
+                    ignored.push((row.key.clone(), cause));
+                }
+            }
+        }
+        self.state.metrics.set_ignored_rows(ignored.len());
+        for (key, error) in self.ignored.replace(ignored) {
+            spdlog::warn!("engines: registration ignored: {error}", kv: {
+                engine = key.as_str(),
+            });
+        }
+        records
+    }
+
     fn excluded_processes(&self, now: MilliTime) -> Vec<SocketAddr> {
         let excluded = self.unresponsive.iter().filter(|(_, until)| *until > now);
         excluded.map(|(address, _)| *address).collect()
@@ -263,34 +307,6 @@
     is_renewed
 }
 
-/// Decodes the registrations of engines, ignoring malformed rows.
-fn decode_records(state: &NodeState, rows: &[StoreRow]) -> Vec<EngineRecord> {
-    let mut records = Vec::with_capacity(rows.len());
-    for row in rows {
-        match state.format.decode_engine(row) {
-            Ok(record) => records.push(record),
-            Err(error) => {
-                spdlog::debug!("engines: registration ignored: {error}", kv: {
-                    engine = row.key.as_str(),
-                })
-            }
-        }
-    }
-    records
-}
-
-fn adopt_rows(state: &NodeState, rows: &[StoreRow], version: u64) {
-    let records = decode_records(state, rows);
-    let delta = {
-        let mut view = state.view.borrow_mut();
-        view.has_listing = true;
-        view.listing.record_read(records, version)
-    };
-    if let Some(delta) = delta {
-        update_engines(state, &delta);
-    }
-}
-
 /// Applies the changes of the list, logs them and records the loss of removed or restarted engines.
 fn update_engines(state: &NodeState, delta: &ListingDelta) {
     if delta.changed.is_empty() && delta.removed.is_empty() {
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -9,6 +9,7 @@
 */
 
 mod config_task;
+mod ignored_rows;
 mod listing_task;
 mod retry_pause;
 mod store_client;
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -36,6 +36,7 @@
     processes: Gauge,
     crashes: Gauge,
     refused_parts: Gauge,
+    ignored_rows: Gauge,
     dropped: Gauge,
 }
 
@@ -123,6 +124,10 @@
                 "dandelionroad_prompt_parts_refused",
                 "Shared prompt parts that crash engines, so that requests with them are refused.",
             ),
+            ignored_rows: gauge(
+                "dandelionroad_registrations_ignored",
+                "Rows in the list of engines that describe no engine, at the last read of the store.",
+            ),
             dropped: gauge(
                 "dandelionroad_log_lines_dropped",
                 "Log lines dropped since the start.",
@@ -166,6 +171,11 @@
         self.config_version.set(version as f64);
     }
 
+    /// Sets the number of rows that the last read of the list of engines ignored.
+    pub fn set_ignored_rows(&self, count: usize) {
+        self.ignored_rows.set(count as f64);
+    }
+
     /// Updates the gauges from the state of the process and returns all metrics in the Prometheus text
     /// format.
     pub fn render(&self, state: &NodeState) -> Vec<u8> {
--- a/crates/relay/tests/listing.rs
+++ b/crates/relay/tests/listing.rs
@@ -9,6 +9,7 @@
 use dandelionroad_relay::node::RunningNode;
 use dandelionroad_relay::peer::LoadMessage;
 use dandelionroad_relay::peer::PeerDatagram;
+use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
@@ -17,6 +18,7 @@
 use crate::relay_support::StoreFault;
 use crate::relay_support::World;
 use crate::relay_support::run;
+use crate::relay_support::test_wire::MODEL_SERVICE;
 use crate::relay_support::wait_for;
 
 /// An endpoint is listed as draining, then another is removed: both must get no further requests.
@@ -250,3 +252,29 @@
         assert!(elapsed <= REMOVAL_LIMIT, "after {elapsed:?}");
     });
 }
+
+/// The list has a row that describes no engine. Guards against a process that follows the list no longer, and
+/// against a row that is ignored without a trace.
+#[test]
+fn ignored_registration_is_counted() {
+    run(async {
+        let world = World::start().await;
+        let odd = json!({ "service": MODEL_SERVICE, "address": "127.0.0.1:70000" });
+        world.store.put("engines", "legacy-7", &odd);
+        let _engine = world.start_engine("e1", (0, 40)).await;
+        let node = world.start_node("n1").await;
+        let line = "dandelionroad_registrations_ignored 1";
+        assert!(world.has_metric_line(&node, line).await);
+        let _second = world.start_engine("e2", (0, 40)).await;
+        wait_for("the second engine is known", async || {
+            world.knows_engines(&node, 2).await
+        })
+        .await;
+        world.store.remove("engines", "legacy-7");
+        wait_for("no row is ignored", async || {
+            let line = "dandelionroad_registrations_ignored 0";
+            world.has_metric_line(&node, line).await
+        })
+        .await;
+    });
+}
