Take bytes that are no event as a broken run

Reported by another operator: a stream had begun and broke off, the next engine answered with an error, and clients found the error's text, at times its whole head, in the middle of their stream, or a stream that ended as if it were complete.

Change: an event consists of comments and of fields whose names are tokens, and the first event of a resumed stream that carries data must have an identifier, by which it is matched to those before. Anything else is a broken run.

Not covered: an answer that ends as whole before the last event, which only the engine knows.

--- a/crates/core/src/relay/event_fault.rs
+++ b/crates/core/src/relay/event_fault.rs
@@ -9,6 +9,9 @@
         /// The identifier of the event.
         id: u64,
     },
+    /// The bytes are no event, or an event without an identifier where a stream is resumed.
+    #[snafu(display("malformed event"))]
+    Malformed,
     /// Too many bytes arrived without an event that carries data.
     #[snafu(display("too many bytes without an event"))]
     TooLong,
--- a/crates/core/src/relay/event_splitter.rs
+++ b/crates/core/src/relay/event_splitter.rs
@@ -6,6 +6,9 @@
 /// end fills the memory of the process.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// The bytes with which a stream may begin, by the format of event streams.
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
+
 /// Splits the bytes of an event stream into complete events.
 ///
 /// An engine may stop in the middle of an event. Only complete events are passed on, so that
@@ -52,7 +55,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`EventFault::OutOfOrder`] for an event that does not follow its predecessor, and
+    /// Returns [`EventFault::OutOfOrder`] for an event that does not follow its predecessor,
+    /// [`EventFault::Malformed`] for bytes that are no event or can't be matched to a stream that is resumed, and
     /// [`EventFault::TooLong`] if too many bytes arrive without an event that carries data.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventFault> {
         self.buffer.extend_from_slice(bytes);
@@ -62,14 +66,15 @@
             self.searched = 0;
             let end = complete_len + length;
             let event = &self.buffer[complete_len..end];
-            if let Some(id) = event.split(is_newline).find_map(event_id) {
-                if self.last_id.is_some_and(|last| id != last + 1) {
-                    if complete_len == 0 {
-                        return Err(EventFault::OutOfOrder { id });
-                    }
-                    break;
+            let id = event.split(is_newline).find_map(event_id);
+            if let Some(fault) = self.event_fault(event, id) {
+                if complete_len == 0 {
+                    return Err(fault);
                 }
-                self.last_id = Some(id);
+                break;
+            }
+            if id.is_some() {
+                self.last_id = id;
                 self.event_count += 1;
             }
             if event.split(is_newline).any(is_data) {
@@ -87,6 +92,26 @@
         Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
+    /// Returns why an event can't be passed on, if so.
+    ///
+    /// An engine may write an error, or a whole head, where its events are due.
+    fn event_fault(&self, event: &[u8], id: Option<u64>) -> Option<EventFault> {
+        let mut lines = event.split(is_newline);
+        if !lines.all(is_event_line) {
+            return Some(EventFault::Malformed);
+        }
+        match (id, self.last_id) {
+            (Some(id), Some(last)) if Some(id) != last.checked_add(1) => {
+                Some(EventFault::OutOfOrder { id })
+            }
+            // Without an identifier, the first event of a resumed stream may be any event, or none of it.
+            (None, Some(_)) if self.event_count == 0 && event.split(is_newline).any(is_data) => {
+                Some(EventFault::Malformed)
+            }
+            _ => None,
+        }
+    }
+
     /// Returns the identifier of the last complete event.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -121,6 +146,16 @@
     *byte == b'\n'
 }
 
+/// Returns whether a line may be part of an event: an empty line, a comment, or a field whose name has the
+/// characters of an HTTP header's name.
+fn is_event_line(line: &[u8]) -> bool {
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    let line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    let is_token = |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
+    line.is_empty() || line.starts_with(b":") || name.iter().all(is_token)
+}
+
 fn is_data(line: &[u8]) -> bool {
     line.starts_with(b"data:")
 }
--- a/crates/core/tests/event_splitter.rs
+++ b/crates/core/tests/event_splitter.rs
@@ -56,6 +56,53 @@
     );
 }
 
+/// Guards against an error, or the head of one, that an engine writes where an event is due, and against refusing
+/// what the format allows.
+#[test]
+fn event_splitter_malformed_events() {
+    let malformed: [&[u8]; 6] = [
+        b"HTTP/1.1 500 Failed\r\nrequest: r1\r\n\r\nno engine\n\n",
+        b"upstream connect error\n\n",
+        b"{\"error\":\"no engine\"}\n\n",
+        b"id: 2\n<html>\n\n",
+        b"\xff\xfe\n\n",
+        b"id: 2\ndata: a\nno colon here\n\n",
+    ];
+    for bytes in malformed {
+        let mut splitter = EventSplitter::new(None);
+        splitter.push(b"id: 1\ndata: a\n\n").unwrap();
+        let text = String::from_utf8_lossy(bytes);
+        assert_eq!(splitter.push(bytes), Err(EventFault::Malformed), "{text}");
+    }
+    let sound: [&[u8]; 6] = [
+        b": a comment, of any kind {}\n\n",
+        b"event: ping\nretry: 100\n\n",
+        b"x-weight-versions: 3\nid: 2\ndata: a\n\n",
+        b"data\nid: 2\n\n",
+        b"data: [DONE]\n\n",
+        b"id:2\ndata:{\"a\": \"b\"}\n\n",
+    ];
+    for bytes in sound {
+        let mut splitter = EventSplitter::new(None);
+        let first = "\u{feff}id: 1\ndata: a\n\n".as_bytes();
+        assert_eq!(splitter.push(first).unwrap(), first);
+        assert_eq!(splitter.push(bytes).unwrap(), bytes);
+    }
+}
+
+/// Guards against the first event of a resumed stream that can't be matched to the events before it, and against
+/// the greatest identifier.
+#[test]
+fn event_splitter_resumed_without_identifier() {
+    let mut splitter = EventSplitter::new(Some(4));
+    assert_eq!(splitter.push(b": comment\n\n").unwrap(), b": comment\n\n");
+    let fault = splitter.push(b"data: no engine\n\n");
+    assert_eq!(fault, Err(EventFault::Malformed));
+    let mut splitter = EventSplitter::new(Some(u64::MAX));
+    let fault = splitter.push(b"id: 0\ndata: a\n\n");
+    assert_eq!(fault, Err(EventFault::OutOfOrder { id: 0 }));
+}
+
 /// Guards against memory that an engine fills with an event or with comments that never end, and against
 /// the time to search the same bytes again with each new one.
 #[test]
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -58,6 +58,7 @@
                 Err(EventFault::OutOfOrder { .. }) => {
                     return RunOutcome::Broken("event out of order");
                 }
+                Err(EventFault::Malformed) => return RunOutcome::Broken("malformed event"),
                 Err(EventFault::TooLong) => return RunOutcome::Broken("event too long"),
             };
             if complete.is_empty() {
