Send no work to engines that leave or ask for a pause in their answers

EngineAvailability in core owns both, by incarnation of an engine: a row that says otherwise, lapses or comes back changes nothing, and another incarnation begins without them. An engine that leaves gets no new work at once and counts as going in placement; one that pauses gets no requests, resumptions, orders or probes until the end, which is delayed by up to a quarter of the pause (two seconds at most) at random for each process; the latest end holds, an hour at most. If all engines of a layer, or all endpoints, pause for longer than a request may wait, it is refused at once with that time. platform/ translates the headers (seconds with fractions, dates by httpdate); what a 421 says is not taken, since it may come from another engine at the address.

Before (record_work_notice without effect): the four tests of engine_notices fail, a second request reaches the leaving engine with 200, an endpoint that paused for 0.5 s is left out for 2.0 s. Now they pass, with 2,000 random schedules of notices in engine_availability.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -3,6 +3,7 @@
 use crate::relay::ModelShape;
 use crate::route::mix_seed;
 use crate::stream::LayerRange;
+use crate::time::MilliTime;
 
 use super::ChainShortage;
 use super::FinderRequest;
@@ -77,6 +78,30 @@
         zones.into_iter().map(shortage).collect()
     }
 
+    /// Returns the time until which no availability zone has a chain because of the pauses that its engines have asked
+    /// for; `None` if some zone has one without them, or if all engines of a layer are gone.
+    pub fn pause_end(&self, now: MilliTime) -> Option<MilliTime> {
+        let mut zones: Vec<&str> = self.engines().map(zone_of).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let ends = zones.into_iter().filter_map(|zone| self.zone_start(zone));
+        ends.min().filter(|end| *end > now)
+    }
+
+    /// Returns the earliest time at which each layer has an engine in a zone that does not pause; `None` if a layer
+    /// has no engine there.
+    fn zone_start(&self, zone: &str) -> Option<MilliTime> {
+        let mut start = MilliTime::default();
+        for layer in 0..self.shape.layers {
+            let covers = |range: LayerRange| range.first <= layer && layer < range.end;
+            let holders = self
+                .engines()
+                .filter(|entry| zone_of(entry) == zone && covers(entry.record.layers));
+            start = start.max(holders.map(|entry| entry.paused_until).min()?);
+        }
+        Some(start)
+    }
+
     fn zone_shortage(
         &self,
         zone: &str,
@@ -91,8 +116,14 @@
             if holders.clone().next().is_none() {
                 return ChainShortage::NotHeld(layer);
             }
-            if !holders.any(|entry| self.is_eligible(entry, request)) {
-                return ChainShortage::Avoided(layer);
+            if !holders
+                .clone()
+                .any(|entry| self.is_eligible(entry, request))
+            {
+                return match holders.any(|entry| !entry.accepts_work(request.now)) {
+                    true => ChainShortage::Paused(layer),
+                    false => ChainShortage::Avoided(layer),
+                };
             }
             if !candidates.iter().any(|candidate| {
                 zone_of(candidate.entry) == zone && covers(candidate.layers, layer)
@@ -120,7 +151,7 @@
         let entries = self.table.entries().iter();
         entries.filter(move |entry| {
             entry.record.service == service
-                && !entry.record.is_draining
+                && !entry.is_ending()
                 && !entry.record.layers.is_empty()
                 && shape.contains(entry.record.layers)
         })
--- a/crates/core/src/chain/chain_shortage.rs
+++ b/crates/core/src/chain/chain_shortage.rs
@@ -5,6 +5,8 @@
     NotHeld(u16),
     /// Each engine of the zone that holds this layer failed recently, or has failed this request.
     Avoided(u16),
+    /// No engine of the zone that holds this layer is usable, and one of them has asked for a pause.
+    Paused(u16),
     /// Each usable engine of the zone that holds this layer lacks free KV memory for the request, or
     /// would make its prompt wait too long for prefill.
     Full(u16),
@@ -19,6 +21,7 @@
         match self {
             ChainShortage::NotHeld(_) => "layer not held",
             ChainShortage::Avoided(_) => "layer at failed engines",
+            ChainShortage::Paused(_) => "layer at paused engines",
             ChainShortage::Full(_) => "layer at full engines",
             ChainShortage::NoFreeSlot => "no engine to start at",
         }
@@ -29,6 +32,7 @@
         match self {
             ChainShortage::NotHeld(layer)
             | ChainShortage::Avoided(layer)
+            | ChainShortage::Paused(layer)
             | ChainShortage::Full(layer) => layer,
             ChainShortage::NoFreeSlot => 0,
         }
--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -22,6 +22,10 @@
     /// The end of the time in which it counts as dead, because it failed a state probe or another
     /// engine reported it as stalled.
     pub suspected_until: MilliTime,
+    /// Whether it has said in an answer that it leaves.
+    pub is_leaving: bool,
+    /// The end of the time in which it has asked for no requests.
+    pub paused_until: MilliTime,
     /// The number of failures since the last success.
     pub failures: u32,
     /// The number of answers since the last success that broke off before their heads arrived.
@@ -73,6 +77,8 @@
             is_missing: false,
             avoided_until: MilliTime::default(),
             suspected_until: MilliTime::default(),
+            is_leaving: false,
+            paused_until: MilliTime::default(),
             failures: 0,
             broken_answers: 0,
             stalls: 0,
@@ -95,7 +101,17 @@
 
     /// Returns whether new work may be sent to it.
     pub fn is_usable(&self, now: MilliTime) -> bool {
-        !self.record.is_draining && self.avoided_until <= now
+        self.accepts_work(now) && self.avoided_until <= now
+    }
+
+    /// Returns whether it takes new work, by its row in the list and by its answers.
+    pub fn accepts_work(&self, now: MilliTime) -> bool {
+        !self.is_ending() && self.paused_until <= now
+    }
+
+    /// Returns whether it takes no new work any more, by its row in the list or by its answers.
+    pub fn is_ending(&self) -> bool {
+        self.record.is_draining || self.is_leaving
     }
 
     /// Returns the number of prompt tokens that it has to prefill before a new prompt, as far as
--- a/crates/core/src/relay/engine_table/listing_update.rs
+++ b/crates/core/src/relay/engine_table/listing_update.rs
@@ -50,7 +50,9 @@
                 change.lost.push(entry.record.incarnation());
                 *entry = EngineEntry::new(record.clone(), now);
             } else {
-                added.push(EngineEntry::new(record.clone(), now));
+                let mut entry = EngineEntry::new(record.clone(), now);
+                self.restore_availability(&mut entry);
+                added.push(entry);
             }
             change.added.push(record.id.clone());
         }
@@ -77,6 +79,10 @@
             !entry.is_missing
         });
         for entry in removed {
+            // Without the time of its start, the next engine of this name can't be told from this one.
+            if entry.record.started_ms == 0 {
+                self.availability.remove(&entry.record.incarnation());
+            }
             change.lost.push(entry.record.incarnation());
             change.removed.push(entry.record.id);
         }
--- a/crates/core/src/relay/engine_table/mod.rs
+++ b/crates/core/src/relay/engine_table/mod.rs
@@ -1,8 +1,10 @@
+mod availability;
 mod listing_update;
 mod shared_loads;
 
 use crate::time::MilliTime;
 
+use super::EngineAvailability;
 use super::EngineEntry;
 use super::listing_grace::ListingGrace;
 
@@ -49,7 +51,7 @@
 /// The table holds what a process knows beyond the listing in the store: which engines to avoid
 /// after failures, broken answers and stalled runs, which ones are slow, the load of its own
 /// requests and the load that other processes report. An engine's state is dropped when a new
-/// incarnation is listed.
+/// incarnation is listed. What it says in its answers outlives its row ([`EngineAvailability`]).
 #[derive(Clone, Debug, Default)]
 pub struct EngineTable {
     entries: Vec<EngineEntry>,
@@ -59,6 +61,8 @@
     mean_ratio: f64,
     /// The grace period after an outage, in which missing entries are kept.
     grace: ListingGrace,
+    /// What engines say in their answers, copied into the entries.
+    availability: EngineAvailability,
 }
 
 impl EngineTable {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -9,7 +9,8 @@
 Several processes forward to the same engines without a coordinator. Each one holds the list of
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, their failures and the load that all processes report, and
-uses only its share of the free KV memory between two reports. Requests that find no free memory
+uses only its share of the free KV memory between two reports. [`EngineAvailability`] holds what engines say in
+their answers: that they leave, or want no requests for a time. Requests that find no free memory
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
 makes interrupted streams resumable, and [`ServicePicker`] balances load over the endpoints of a plain
@@ -25,6 +26,7 @@
 mod config_age;
 mod crash_detector;
 mod delta_mismatch;
+mod engine_availability;
 mod engine_crash;
 mod engine_entry;
 mod engine_listing;
@@ -74,6 +76,7 @@
 pub use self::config_age::ConfigAge;
 pub use self::crash_detector::CrashDetector;
 pub use self::delta_mismatch::DeltaMismatch;
+pub use self::engine_availability::EngineAvailability;
 pub use self::engine_crash::EngineCrash;
 pub use self::engine_entry::EngineEntry;
 pub use self::engine_listing::EngineListing;
--- a/crates/core/src/relay/service_picker.rs
+++ b/crates/core/src/relay/service_picker.rs
@@ -22,11 +22,11 @@
     /// Returns the endpoint with the lowest load per slot, except those in `excluded`.
     ///
     /// Endpoints that are avoided are used only if no other one is left: a request that is sent to
-    /// one may fail, while a refused request has failed already.
+    /// one may fail, while a refused request has failed already. Those that have asked for no requests are not used.
     pub fn pick(&self, excluded: &[String], now: MilliTime, seed: u64) -> Option<&'a EngineEntry> {
         let listed = || {
             let is_allowed = |entry: &&EngineEntry| !excluded.contains(&entry.record.id);
-            self.listed().filter(is_allowed)
+            self.listed(now).filter(is_allowed)
         };
         let usable = listed().filter(|entry| entry.is_usable(now));
         usable
@@ -36,11 +36,10 @@
             })
     }
 
-    fn listed(&self) -> impl Iterator<Item = &'a EngineEntry> + use<'a> {
+    fn listed(&self, now: MilliTime) -> impl Iterator<Item = &'a EngineEntry> + use<'a> {
         let service = self.service;
-        let is_listed = move |entry: &&EngineEntry| {
-            entry.record.service == service && !entry.record.is_draining
-        };
+        let is_listed =
+            move |entry: &&EngineEntry| entry.record.service == service && entry.accepts_work(now);
         self.table.entries().iter().filter(is_listed)
     }
 }
--- a/crates/core/tests/chain_finder.rs
+++ b/crates/core/tests/chain_finder.rs
@@ -302,3 +302,24 @@
         "{fast} of 40 prompts wait at the fast chain, expected at most 27"
     );
 }
+
+/// Guards against chains over engines that leave or have asked for a pause, and against a wait for a zone that has a
+/// chain without them.
+#[test]
+fn find_leaves_out_unavailable_engines() {
+    let half =
+        |number, zone, first| record(number, zone, "large", LayerRange::new(first, first + 40));
+    let mut table = table(vec![half(0, "a", 0), half(1, "a", 40), half(2, "a", 40)]);
+    let shape = shape();
+    let pause_end = |table: &EngineTable| ChainFinder::new(table, SERVICE, &shape).pause_end(NOW);
+    table.record_leaving("e001", NOW);
+    let chain = find(&table, 100.0, &[]).unwrap();
+    assert_eq!(chain.stages[1].id, "e002");
+    assert_eq!(pause_end(&table), None);
+    let end = table.record_pause("e002", 2_000, 0, NOW).unwrap();
+    assert!(find(&table, 100.0, &[]).is_none());
+    assert_eq!(pause_end(&table), Some(end));
+    let request = request(100.0, &[]);
+    let shortages = ChainFinder::new(&table, SERVICE, &shape).shortages(&request);
+    assert_eq!(shortages[0].shortage, ChainShortage::Paused(40));
+}
--- a/crates/relay/src/engine/mod.rs
+++ b/crates/relay/src/engine/mod.rs
@@ -11,6 +11,7 @@
 mod loss_check;
 mod send_error;
 mod stall_probe;
+mod work_notice;
 
 use self::answer_count::AnswerCount;
 pub use self::answer_origin::AnswerOrigin;
@@ -21,3 +22,4 @@
 pub use self::loss_check::check_engine_loss;
 pub use self::send_error::SendError;
 pub use self::stall_probe::probe_stall;
+pub use self::work_notice::record_work_notice;
--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -25,12 +25,16 @@
 pub async fn probe_stall(state: Rc<NodeState>, stages: Vec<ChainStage>, request: String) {
     let Some(first) = stages.first() else { return };
     let now = state.clock.now();
-    let may_probe =
-        state
-            .view
-            .borrow_mut()
-            .engines
-            .try_start_probe(&first.id, MIN_PROBE_INTERVAL_MS, now);
+    let may_probe = {
+        let mut view = state.view.borrow_mut();
+        let entry = view.engines.get(&first.id);
+        // An engine that has asked for a pause wants no probes either.
+        let is_paused = entry.is_some_and(|entry| entry.paused_until > now);
+        !is_paused
+            && view
+                .engines
+                .try_start_probe(&first.id, MIN_PROBE_INTERVAL_MS, now)
+    };
     if !may_probe {
         return;
     }
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -25,8 +25,9 @@
 use super::crash_check::is_crasher;
 use super::crash_check::record_broken_run;
 use super::crash_check::record_served;
+use super::refusal::refuse;
 use super::relay_request::RelayRequest;
-use super::request_handler::log_and_refuse;
+use super::request_handler::retry_after_ms;
 use super::response_class::ResponseClass;
 
 /// The minimum time until the deadline with which another attempt is started, in milliseconds.
@@ -112,7 +113,13 @@
                 plan.record_end(end);
                 log.add_cause(end.as_str());
                 let now = state.clock.now();
-                state.view.borrow_mut().engines.record_failure(&id, now);
+                let mut view = state.view.borrow_mut();
+                let entry = view.engines.get(&id);
+                // An endpoint that has asked for a pause has said itself when it takes requests again.
+                let is_paused = entry.is_some_and(|entry| entry.paused_until > now);
+                if !is_paused {
+                    view.engines.record_failure(&id, now);
+                }
             }
         }
     }
@@ -122,7 +129,22 @@
     }
     let is_late = state.clock.now() >= relay.deadline;
     let kind = RefusalKind::unanswered(plan.may_have_run(), is_late);
-    log_and_refuse(&state, &mut log, &relay.caller.id, kind)
+    let retry_ms =
+        retry_after_ms(kind).map(|retry_ms| pause_left_ms(&state, &relay).unwrap_or(retry_ms));
+    if retry_ms != retry_after_ms(kind) {
+        log.add_cause("endpoints paused");
+    }
+    log.set_outcome(kind.as_str());
+    refuse(&state, &relay.caller.id, kind, retry_ms)
+}
+
+/// Returns the time for which all endpoints of the request's service have asked for a pause, in milliseconds; `None`
+/// if one of them takes requests.
+fn pause_left_ms(state: &NodeState, relay: &RelayRequest) -> Option<u64> {
+    let now = state.clock.now();
+    let view = state.view.borrow();
+    let end = view.engines.service_pause_end(&relay.service().name, now)?;
+    Some(end.since(now))
 }
 
 fn pick_endpoint(
@@ -173,7 +195,7 @@
     };
     let exchange = async {
         let response = sent.await?;
-        Ok::<PlainOutcome, SendError>(read_response(state, relay, response).await)
+        Ok::<PlainOutcome, SendError>(read_response(state, relay, id, response).await)
     };
     match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
         Ok(Ok(end)) => end,
@@ -190,9 +212,10 @@
 async fn read_response(
     state: &NodeState,
     relay: &RelayRequest,
+    id: &str,
     response: Response<Incoming>,
 ) -> PlainOutcome {
-    let class = ResponseClass::classify(state, &relay.caller.id, &response);
+    let class = ResponseClass::classify(state, id, &relay.caller.id, &response);
     if matches!(
         class,
         ResponseClass::Rejected { .. } | ResponseClass::Foreign
--- a/crates/relay/src/ingress/response_class.rs
+++ b/crates/relay/src/ingress/response_class.rs
@@ -3,6 +3,7 @@
 use hyper::body::Incoming;
 
 use crate::engine::AnswerOrigin;
+use crate::engine::record_work_notice;
 use crate::node::NodeState;
 use crate::wire::ResponseHead;
 
@@ -15,6 +16,8 @@
     Rejected {
         /// The address of the engine that caused the rejection, if it is not the responding one.
         fault_address: Option<String>,
+        /// Whether the responding engine has asked for a pause.
+        is_paused: bool,
     },
     /// The engine ran the request and responds with an error.
     Failed,
@@ -23,13 +26,15 @@
 }
 
 impl ResponseClass {
-    /// Classifies the head of a response to the request `id`.
+    /// Classifies the head of a response of an engine to the request `id`, and records what the engine says in it
+    /// about new work.
     ///
     /// A refusal is trusted only if it is known to be of this request: a faulty engine may write an earlier one
     /// once more while it runs the request. One that names no request is of this one if it is the first response
     /// on its connection. A connection with a foreign response is not used again.
     pub(super) fn classify(
         state: &NodeState,
+        engine: &str,
         id: &str,
         response: &Response<Incoming>,
     ) -> ResponseClass {
@@ -48,9 +53,12 @@
             }
             return ResponseClass::Foreign;
         }
+        let is_paused = record_work_notice(state, engine, &head);
         if head.is_not_run {
-            let fault_address = head.fault_address;
-            return ResponseClass::Rejected { fault_address };
+            return ResponseClass::Rejected {
+                fault_address: head.fault_address,
+                is_paused,
+            };
         }
         match (status.is_success(), head.is_signed) {
             (true, true) => ResponseClass::Served,
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -1,4 +1,4 @@
-//! The choice of a chain, and the decision whether a request may be sent again.
+//! The choice of a chain, the engines that are left out of it, and the decision whether a request may be sent again.
 
 use std::rc::Rc;
 
@@ -63,6 +63,9 @@
             },
             false => "others wait".to_owned(),
         };
+        if let Some(retry_ms) = self.pause_beyond_wait(log) {
+            return Err(Some(retry_ms));
+        }
         let wait_ms = self.relay.route().target_ms / CAPACITY_WAIT_DIVISOR;
         let state = Rc::clone(&self.state);
         let start = state.clock.now();
@@ -82,6 +85,26 @@
         })
     }
 
+    /// Returns the time after which the caller should retry, in milliseconds, if engines have asked for pauses that
+    /// last longer than the request may wait.
+    fn pause_beyond_wait(&self, log: &mut RequestLog) -> Option<u64> {
+        let now = self.state.clock.now();
+        let end = {
+            let view = self.state.view.borrow();
+            let shape = self.relay.service().model.as_ref()?;
+            let service = &self.relay.service().name;
+            ChainFinder::new(&view.engines, service, shape).pause_end(now)?
+        };
+        let wait_ms = self.relay.route().target_ms / CAPACITY_WAIT_DIVISOR;
+        if end <= log.arrival().plus(wait_ms) {
+            return None;
+        }
+        log.add_cause(&self.shortage());
+        // Successive callers come back one after the other.
+        let spacing_ms = self.state.queue.borrow_mut().retry_after_ms(now);
+        Some(end.since(now).saturating_add(spacing_ms))
+    }
+
     /// Returns whether the request may be sent, taking a retry from the budget if it was sent before.
     pub(super) fn may_send(&mut self, log: &mut RequestLog) -> bool {
         let left_ms = self.relay.deadline.since(self.state.clock.now());
@@ -163,6 +186,32 @@
         shortage_text(&finder.shortages(&self.finder_request(shape)))
     }
 
+    /// Records a failure of an engine, and excludes it for this request.
+    pub(super) fn record_failure(&mut self, id: &str) {
+        let now = self.state.clock.now();
+        self.state.view.borrow_mut().engines.record_failure(id, now);
+        self.excluded.push(id.to_owned());
+    }
+
+    /// Records a failure of the chain's engine at an address, or of its first engine if there is none.
+    ///
+    /// A first engine that has asked for a pause has said itself when it takes requests again.
+    pub(super) fn record_rejection(
+        &mut self,
+        address: Option<&str>,
+        is_paused: bool,
+        chain: &[ChainStage],
+    ) {
+        let reported = chain
+            .iter()
+            .find(|stage| Some(stage.address.to_string().as_str()) == address);
+        let id = reported.unwrap_or(&chain[0]).id.clone();
+        match is_paused && id == chain[0].id {
+            true => self.excluded.push(id),
+            false => self.record_failure(&id),
+        }
+    }
+
     fn finder_request(&self, shape: &ModelShape) -> FinderRequest<'_> {
         FinderRequest {
             tokens: self.relay.caller.size.reserved_tokens(shape.usual_answer),
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -332,7 +332,8 @@
         response: Response<Incoming>,
         load: LoadGuard,
     ) -> Result<OpenOutcome, AttemptEnd> {
-        let class = ResponseClass::classify(&self.state, &self.relay.caller.id, &response);
+        let class =
+            ResponseClass::classify(&self.state, &chain[0].id, &self.relay.caller.id, &response);
         let (parts, body) = response.into_parts();
         match class {
             ResponseClass::Served => {
@@ -352,8 +353,11 @@
                 });
                 Ok(OpenOutcome::Streaming(parts))
             }
-            ResponseClass::Rejected { fault_address } => {
-                self.record_failure_at(fault_address.as_deref(), &chain);
+            ResponseClass::Rejected {
+                fault_address,
+                is_paused,
+            } => {
+                self.record_rejection(fault_address.as_deref(), is_paused, &chain);
                 Err(AttemptEnd::Rejected)
             }
             ResponseClass::Failed => match self.read_error_body(body).await {
@@ -373,22 +377,6 @@
         let read = tokio::time::timeout(Duration::from_millis(left_ms), read_whole(body));
         read.await.ok()?.ok()
     }
-
-    /// Records a failure of an engine, and excludes it for this request.
-    fn record_failure(&mut self, id: &str) {
-        let now = self.state.clock.now();
-        self.state.view.borrow_mut().engines.record_failure(id, now);
-        self.excluded.push(id.to_owned());
-    }
-
-    /// Records a failure of the chain's engine at an address, or of its first engine if there is none.
-    fn record_failure_at(&mut self, address: Option<&str>, chain: &[ChainStage]) {
-        let reported = chain
-            .iter()
-            .find(|stage| Some(stage.address.to_string().as_str()) == address);
-        let id = reported.unwrap_or(&chain[0]).id.clone();
-        self.record_failure(&id);
-    }
 }
 
 /// Returns whether the end of a response's body can be told from the end of its connection.
--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -125,7 +125,7 @@
             .engines
             .entries()
             .iter()
-            .filter(|entry| entry.record.service == service.name && !entry.record.is_draining);
+            .filter(|entry| entry.record.service == service.name && !entry.is_ending());
         let mut engines = Vec::new();
         let mut is_settled = true;
         for entry in listed {
@@ -162,7 +162,12 @@
 ) -> Option<PendingOrder> {
     let (address, started_ms, listed) = {
         let view = state.view.borrow();
-        let record = &view.engines.get(&order.id)?.record;
+        let entry = view.engines.get(&order.id)?;
+        // An engine that has asked for a pause wants no reports and orders either.
+        if !entry.accepts_work(state.clock.now()) {
+            return None;
+        }
+        let record = &entry.record;
         (record.address, record.started_ms, record.layers)
     };
     let pending = PendingOrder {
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -295,6 +295,7 @@
     view.engines
         .divide_capacity(|zone| peers.zone_live_count(zone, now) + 1, draw);
     view.engines.expire_latency_ratios(now);
+    view.engines.expire_availability(now);
     let confirmed = view.listing_time;
     for id in view.engines.remove_missing(confirmed, now) {
         spdlog::info!("engines: gone, still not listed after the grace period", kv: {
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -33,6 +33,8 @@
     listing_age: Gauge,
     running: Gauge,
     engines: Gauge,
+    leaving_engines: Gauge,
+    paused_engines: Gauge,
     processes: Gauge,
     crashes: Gauge,
     refused_parts: Gauge,
@@ -112,6 +114,14 @@
                 "dandelionroad_engines_usable",
                 "Engines to which requests may be sent.",
             ),
+            leaving_engines: gauge(
+                "dandelionroad_engines_leaving",
+                "Listed engines that have said in their answers that they leave.",
+            ),
+            paused_engines: gauge(
+                "dandelionroad_engines_paused",
+                "Listed engines that have asked in their answers for no requests at present.",
+            ),
             processes: gauge(
                 "dandelionroad_processes_live",
                 "Live relay processes, this one included.",
@@ -194,6 +204,9 @@
             .iter()
             .filter(|entry| entry.is_usable(now));
         self.engines.set(usable.count() as f64);
+        let (leaving, paused) = view.engines.count_unavailable(now);
+        self.leaving_engines.set(leaving as f64);
+        self.paused_engines.set(paused as f64);
         let processes = state.peers.borrow().live_count(now) + 1;
         self.processes.set(f64::from(processes));
         self.crashes.set(view.crashes.len() as f64);
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -67,6 +67,12 @@
     pub(crate) report_delay: Cell<Duration>,
     /// Its behavior towards requests.
     pub(crate) fault: Cell<EngineFault>,
+    /// Whether it says in all its answers that it leaves.
+    pub(crate) is_leaving: Cell<bool>,
+    /// The time for which it asks for no requests while it turns them away, in milliseconds.
+    pub(crate) pause_ms: Cell<Option<u64>>,
+    /// The number of requests that it has turned away with a pause.
+    pub(crate) paused_arrivals: Cell<u32>,
     /// The address of an engine on which its requests wait, according to its report.
     pub(crate) waits_for: Cell<Option<SocketAddr>>,
     /// The identifiers of the requests that it started to run.
@@ -94,6 +100,9 @@
             orders: Cell::new(0),
             report_delay: Cell::default(),
             fault: Cell::new(EngineFault::None),
+            is_leaving: Cell::new(false),
+            pause_ms: Cell::new(None),
+            paused_arrivals: Cell::new(0),
             waits_for: Cell::new(None),
             runs: RefCell::default(),
             closed_streams: Cell::new(0),
@@ -145,7 +154,14 @@
                 FakeResponse::new(200, &doc.to_string())
             }
             "/hold" => self.accept_order(&serde_json::from_slice(&body).unwrap()),
-            _ => self.run(parts).await,
+            _ => {
+                let is_leaving = self.is_leaving.get();
+                let answer = self.run(parts).await;
+                match is_leaving {
+                    true => answer.header("leaving", "1"),
+                    false => answer,
+                }
+            }
         }
     }
 
@@ -177,6 +193,13 @@
         if fault == EngineFault::Full {
             return FakeResponse::new(503, "full").header("not-run", "1");
         }
+        if let Some(pause_ms) = self.pause_ms.get() {
+            self.paused_arrivals.set(self.paused_arrivals.get() + 1);
+            return FakeResponse::new(503, "full")
+                .header("request", &id)
+                .header("not-run", "1")
+                .header("pause", &pause_ms.to_string());
+        }
         self.runs.borrow_mut().push(id.clone());
         match fault {
             EngineFault::Silent | EngineFault::Hanging => std::future::pending().await,
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -21,6 +21,7 @@
 use dandelionroad_relay::wire::EngineReport;
 use dandelionroad_relay::wire::OrderAnswer;
 use dandelionroad_relay::wire::ResponseHead;
+use dandelionroad_relay::wire::RetryAfter;
 use dandelionroad_relay::wire::StoreCall;
 use dandelionroad_relay::wire::StoreReply;
 use dandelionroad_relay::wire::StoreRow;
@@ -121,6 +122,8 @@
             is_not_run: headers.contains_key("not-run"),
             is_signed: headers.contains_key("signature"),
             fault_address: text("fault").map(str::to_owned),
+            is_leaving: headers.contains_key("leaving"),
+            retry_after: text("pause").map(|text| RetryAfter::Delay(text.parse().unwrap())),
         }
     }
 
