Find the ends of events after any line end of the format

Cause: the end of an event was searched as two LFs. Events that end otherwise stayed in the buffer until the end of the stream, which then counted as cut within an event.

Change: EventSplitter ends a line at LF, CR or CRLF at any cut between reads, and passes the bytes on as they are. A CR ends a line at once, so that an event is never held for an LF that may not come. An event that can't be passed on yet is found again with the next call at once; before, only once another one followed.

Before: event_splitter_line_ends and event_splitter_line_ends_resumed pass on nothing with CR, and stream_with_other_line_ends is not complete with CRLF. They pass now.

--- a/crates/core/src/relay/event_splitter.rs
+++ b/crates/core/src/relay/event_splitter.rs
@@ -11,7 +11,8 @@
 
 /// Splits the bytes of an event stream into complete events.
 ///
-/// An engine may stop in the middle of an event. Only complete events are passed on, so that
+/// Lines end with LF, CR or CRLF, by the format of event streams, and the bytes are passed on as they are. An engine
+/// may stop in the middle of an event. Only complete events are passed on, so that
 /// another engine can resume the stream after the last of them.
 ///
 /// # Example
@@ -30,8 +31,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     buffer: Vec<u8>,
-    /// The number of buffered bytes that are known to contain no end of an event.
+    /// The number of buffered bytes that were searched for the end of an event.
     searched: usize,
+    /// The start of the line that was being searched, within the buffer.
+    line_start: usize,
+    /// Whether the last byte that was searched is a CR, so that an LF belongs to the same line end.
+    is_after_cr: bool,
     /// The number of bytes since the last event that carries data.
     idle_bytes: usize,
     last_id: Option<u64>,
@@ -62,22 +67,24 @@
         self.buffer.extend_from_slice(bytes);
         self.idle_bytes += bytes.len();
         let mut complete_len = 0;
-        while let Some(length) = event_length(&self.buffer[complete_len..], self.searched) {
-            self.searched = 0;
-            let end = complete_len + length;
+        while let Some(end) = self.find_event_end(complete_len) {
             let event = &self.buffer[complete_len..end];
-            let id = event.split(is_newline).find_map(event_id);
+            let id = event.split(is_line_end).find_map(event_id);
             if let Some(fault) = self.event_fault(event, id) {
                 if complete_len == 0 {
                     return Err(fault);
                 }
+                // The event is found again with the next call.
+                self.searched = complete_len;
+                self.line_start = complete_len;
+                self.is_after_cr = false;
                 break;
             }
             if id.is_some() {
                 self.last_id = id;
                 self.event_count += 1;
             }
-            if event.split(is_newline).any(is_data) {
+            if event.split(is_line_end).any(is_data) {
                 self.data_count += 1;
                 self.idle_bytes = self.buffer.len() - end;
             }
@@ -87,16 +94,37 @@
             return Err(EventFault::TooLong);
         }
         let rest = self.buffer.split_off(complete_len);
-        // The last byte may be the first one of the blank line that ends the event.
-        self.searched = rest.len().saturating_sub(1);
+        self.searched -= complete_len;
+        self.line_start -= complete_len;
         Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
+    /// Returns the end of the event that begins at `start`, with the blank line that ends it.
+    ///
+    /// A CR ends a line at once. If it ended the event, an LF that follows is returned as bytes without an event.
+    fn find_event_end(&mut self, start: usize) -> Option<usize> {
+        while let Some(byte) = self.buffer.get(self.searched) {
+            let index = self.searched;
+            self.searched += 1;
+            let follows_cr = std::mem::replace(&mut self.is_after_cr, *byte == b'\r');
+            if !is_line_end(byte) {
+                continue;
+            }
+            let is_same_end = *byte == b'\n' && follows_cr;
+            let is_blank = self.line_start == index;
+            self.line_start = self.searched;
+            if (is_blank && !is_same_end) || (is_same_end && index == start) {
+                return Some(self.searched);
+            }
+        }
+        None
+    }
+
     /// Returns why an event can't be passed on, if so.
     ///
     /// An engine may write an error, or a whole head, where its events are due.
     fn event_fault(&self, event: &[u8], id: Option<u64>) -> Option<EventFault> {
-        let mut lines = event.split(is_newline);
+        let mut lines = event.split(is_line_end);
         if !lines.all(is_event_line) {
             return Some(EventFault::Malformed);
         }
@@ -105,7 +133,7 @@
                 Some(EventFault::OutOfOrder { id })
             }
             // Without an identifier, the first event of a resumed stream may be any event, or none of it.
-            (None, Some(_)) if self.event_count == 0 && event.split(is_newline).any(is_data) => {
+            (None, Some(_)) if self.event_count == 0 && event.split(is_line_end).any(is_data) => {
                 Some(EventFault::Malformed)
             }
             _ => None,
@@ -134,22 +162,13 @@
     }
 }
 
-/// Returns the length of the first event with the blank line that ends it; the blank line does not begin
-/// in the first `searched` bytes.
-fn event_length(bytes: &[u8], searched: usize) -> Option<usize> {
-    let rest = bytes.get(searched..)?;
-    let found = rest.windows(2).position(|pair| pair == b"\n\n");
-    found.map(|position| searched + position + 2)
-}
-
-fn is_newline(byte: &u8) -> bool {
-    *byte == b'\n'
+fn is_line_end(byte: &u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
 }
 
 /// Returns whether a line may be part of an event: an empty line, a comment, or a field whose name has the
 /// characters of an HTTP header's name.
 fn is_event_line(line: &[u8]) -> bool {
-    let line = line.strip_suffix(b"\r").unwrap_or(line);
     let line = line.strip_prefix(BYTE_ORDER_MARK).unwrap_or(line);
     let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
     let is_token = |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
--- a/crates/core/tests/event_splitter.rs
+++ b/crates/core/tests/event_splitter.rs
@@ -41,6 +41,84 @@
     }
 }
 
+/// Lines end with LF, CR or CRLF by the format of event streams. Guards against events that are not found, changed
+/// bytes, and events that are cut where a CR and its LF arrive apart.
+#[test]
+fn event_splitter_line_ends() {
+    let mut rng = ChaCha8Rng::seed_from_u64(12);
+    let ends = ["\n", "\r", "\r\n"];
+    for round in 0..3_000 {
+        let mut events = Vec::new();
+        for id in 1..20 {
+            let end = || match round % 4 {
+                // A stream may mix them; an LF right after a CR would belong to it.
+                3 => "\r\n",
+                fixed => ends[fixed],
+            };
+            let lines = [
+                format!("id: {id}"),
+                format!("data: token {id}"),
+                String::new(),
+            ];
+            for line in lines {
+                events.extend_from_slice(line.as_bytes());
+                events.extend_from_slice(end().as_bytes());
+            }
+            if round % 4 == 3 && rng.random_bool(0.3) {
+                events.extend_from_slice(b": comment\n\n");
+            }
+        }
+        let mut splitter = EventSplitter::new(None);
+        let mut passed = Vec::new();
+        let mut rest = &events[..];
+        while !rest.is_empty() {
+            let length = rng.random_range(1..=rest.len().min(30));
+            let complete = splitter.push(&rest[..length]).unwrap();
+            passed.extend(complete);
+            rest = &rest[length..];
+            let text = String::from_utf8_lossy(&passed);
+            let begun = text.matches("id: ").count() as u64;
+            assert_eq!(
+                begun,
+                splitter.event_count(),
+                "an event is passed on in parts"
+            );
+        }
+        assert_eq!(passed, events, "round {round}");
+        assert!(!splitter.has_partial_event(), "round {round}");
+        assert_eq!((splitter.last_id(), splitter.data_count()), (Some(19), 19));
+    }
+}
+
+/// A stream of each kind of line end is cut at each byte, and goes on after the last whole event.
+#[test]
+fn event_splitter_line_ends_resumed() {
+    for end in ["\n", "\r", "\r\n"] {
+        let event = |id: u64| format!("id: {id}{end}data: token {id}{end}{end}").into_bytes();
+        let events: Vec<u8> = (1..6).flat_map(event).collect();
+        for cut in 0..events.len() {
+            let mut first = EventSplitter::new(None);
+            let passed = first.push(&events[..cut]).unwrap();
+            let last = first.last_id().unwrap_or(0);
+            let mut second = EventSplitter::new(first.last_id());
+            let rest: Vec<u8> = (last + 1..6).flat_map(event).collect();
+            let rest = second.push(&rest).unwrap();
+            let whole = [passed, rest].concat();
+            // A CR may end the last event before its LF arrives, which a caller takes for the same line end.
+            let normalized = |bytes: &[u8]| {
+                String::from_utf8_lossy(bytes)
+                    .replace("\r\n", "\n")
+                    .replace('\r', "\n")
+            };
+            assert_eq!(
+                normalized(&whole),
+                normalized(&events),
+                "{end:?} cut at {cut}"
+            );
+        }
+    }
+}
+
 /// Guards against a resumed stream that repeats or skips an event.
 #[test]
 fn event_splitter_repeated_event() {
--- a/crates/relay/tests/unframed_answers.rs
+++ b/crates/relay/tests/unframed_answers.rs
@@ -84,6 +84,31 @@
     });
 }
 
+/// Guards against a stream that is run and not answered because its engine ends lines with CRLF or CR.
+#[test]
+fn stream_with_other_line_ends() {
+    for end in ["\r\n", "\r"] {
+        run(async {
+            let world = World::start().await;
+            let body = String::from_utf8(all_events()).unwrap().replace('\n', end);
+            let body: &'static str = body.leak();
+            start_unframed(
+                &world,
+                "u1",
+                MODEL_SERVICE,
+                body.as_bytes(),
+                ConnectionEnd::Closed,
+            )
+            .await;
+            let node = world.start_node("n1").await;
+            let answer = world.send(&node, "/model/a", "r1").await;
+            assert_eq!(answer.status, 200, "{end:?}");
+            assert!(answer.is_complete, "{end:?}");
+            assert_eq!(answer.body, body.as_bytes(), "{end:?}");
+        });
+    }
+}
+
 /// The connection ends inside an event, before the first one, or with a reset between two. Guards against an
 /// answer that looks complete to the caller.
 #[test]
