Name the engine in placement orders and report requests

A report without layers fits any engine that has just started, so the check before the order passed.

Cause: requests name the engine that they mean, orders and reports did not.

Change: EncodedCall has headers, and orders and report requests carry the identifier.

--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -165,7 +165,7 @@
         call: EncodedCall,
         wait_ms: u64,
     ) -> Result<(u16, Bytes), String> {
-        let mut headers = HeaderMap::new();
+        let mut headers = call.headers;
         if !call.body.is_empty() {
             headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         }
--- a/crates/relay/src/engine/fetch_report.rs
+++ b/crates/relay/src/engine/fetch_report.rs
@@ -3,17 +3,18 @@
 use crate::node::NodeState;
 use crate::wire::EngineReport;
 
-/// Requests an engine's report.
+/// Requests the report of the engine with the identifier `id`.
 ///
 /// # Errors
 ///
 /// Returns a message if there is no valid report within `wait_ms`.
 pub async fn fetch_report(
     state: &NodeState,
+    id: &str,
     address: SocketAddr,
     wait_ms: u64,
 ) -> Result<EngineReport, String> {
-    let call = state.format.encode_report_request();
+    let call = state.format.encode_report_request(id);
     match state.engine_client.call(address, call, wait_ms).await? {
         (200, body) => state
             .format
--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -38,7 +38,7 @@
     if !may_probe {
         return;
     }
-    let report = fetch_report(&state, first.address, REPORT_TIMEOUT_MS).await;
+    let report = fetch_report(&state, &first.id, first.address, REPORT_TIMEOUT_MS).await;
     let now = state.clock.now();
     let mut view = state.view.borrow_mut();
     let (suspects, cause) = match report {
--- a/crates/relay/src/order/order_task.rs
+++ b/crates/relay/src/order/order_task.rs
@@ -176,7 +176,7 @@
         layers: order.layers,
         expiry: state.clock.now().plus(PENDING_TIMEOUT_MS),
     };
-    let report = match fetch_report(state, address, CALL_TIMEOUT_MS).await {
+    let report = match fetch_report(state, &order.id, address, CALL_TIMEOUT_MS).await {
         Ok(report) => report,
         Err(error) => {
             spdlog::warn!("orders: not sent, as the engine returned no report: {error}", kv: {
@@ -196,6 +196,7 @@
         return None;
     }
     let message = EngineOrder {
+        engine: &order.id,
         layers: order.layers,
         expected_count: report.order_count,
     };
--- a/crates/relay/src/peer/fetch_rows.rs
+++ b/crates/relay/src/peer/fetch_rows.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use hyper::HeaderMap;
 use serde::de::DeserializeOwned;
 
 use crate::node::NodeState;
@@ -63,6 +64,7 @@
     timeout_ms: u64,
 ) -> Option<T> {
     let call = EncodedCall {
+        headers: HeaderMap::new(),
         method: "GET",
         path: path.clone(),
         body: Bytes::new(),
--- a/crates/relay/src/wire/encoded_call.rs
+++ b/crates/relay/src/wire/encoded_call.rs
@@ -1,4 +1,5 @@
 use bytes::Bytes;
+use hyper::HeaderMap;
 
 /// An HTTP request to the store or to an engine, encoded for the wire.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -7,6 +8,8 @@
     pub method: &'static str,
     /// The path with its query.
     pub path: String,
+    /// The headers besides those that HTTP requires for the body.
+    pub headers: HeaderMap,
     /// The JSON body; empty if there is none.
     pub body: Bytes,
 }
--- a/crates/relay/src/wire/wire_format.rs
+++ b/crates/relay/src/wire/wire_format.rs
@@ -36,8 +36,8 @@
     /// Returns the headers of a response with which the relay itself refuses a request.
     fn refusal_headers(&self, request: &str, retry_after_ms: Option<u64>) -> HeaderMap;
 
-    /// Encodes the request for an engine's report.
-    fn encode_report_request(&self) -> EncodedCall;
+    /// Encodes the request for the report of the engine with this identifier.
+    fn encode_report_request(&self, engine: &str) -> EncodedCall;
 
     /// Decodes an engine's report.
     ///
@@ -47,7 +47,7 @@
     fn decode_report(&self, body: &[u8]) -> Result<EngineReport, DecodeError>;
 
     /// Encodes a placement order.
-    fn encode_order(&self, order: &EngineOrder) -> EncodedCall;
+    fn encode_order(&self, order: &EngineOrder<'_>) -> EncodedCall;
 
     /// Decodes an engine's response to a placement order from its status.
     fn decode_order_answer(&self, status: u16) -> OrderAnswer;
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -153,6 +153,7 @@
                 });
                 FakeResponse::new(200, &doc.to_string())
             }
+            "/hold" if !self.is_meant(&parts) => FakeResponse::new(421, ""),
             "/hold" => self.accept_order(&serde_json::from_slice(&body).unwrap()),
             _ => {
                 let is_leaving = self.is_leaving.get();
@@ -165,6 +166,12 @@
         }
     }
 
+    /// Returns whether a request names no engine or this one.
+    fn is_meant(&self, parts: &Parts) -> bool {
+        let expected = parts.headers.get("expected");
+        expected.is_none_or(|expected| expected.to_str().unwrap() == self.id)
+    }
+
     fn accept_order(&self, order: &Value) -> FakeResponse {
         if order["orders"].as_u64() != Some(self.orders.get()) {
             return FakeResponse::new(409, "");
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -142,9 +142,9 @@
         headers
     }
 
-    fn encode_report_request(&self) -> EncodedCall {
+    fn encode_report_request(&self, engine: &str) -> EncodedCall {
         check_panic(PanicPoint::Orders);
-        call("GET", "/state".to_owned(), Bytes::new())
+        meant_for(engine, call("GET", "/state".to_owned(), Bytes::new()))
     }
 
     fn decode_report(&self, body: &[u8]) -> Result<EngineReport, DecodeError> {
@@ -160,19 +160,22 @@
         })
     }
 
-    fn encode_order(&self, order: &EngineOrder) -> EncodedCall {
+    fn encode_order(&self, order: &EngineOrder<'_>) -> EncodedCall {
         let body = json!({
             "first": order.layers.first,
             "end": order.layers.end,
             "orders": order.expected_count,
         });
-        call("POST", "/hold".to_owned(), body.to_string().into())
+        meant_for(
+            order.engine,
+            call("POST", "/hold".to_owned(), body.to_string().into()),
+        )
     }
 
     fn decode_order_answer(&self, status: u16) -> OrderAnswer {
         match status {
             202 => OrderAnswer::Begun,
-            409 => OrderAnswer::Conflict,
+            409 | 421 => OrderAnswer::Conflict,
             _ => OrderAnswer::Refused,
         }
     }
@@ -293,7 +296,17 @@
 }
 
 fn call(method: &'static str, path: String, body: Bytes) -> EncodedCall {
-    EncodedCall { method, path, body }
+    EncodedCall {
+        method,
+        path,
+        headers: HeaderMap::new(),
+        body,
+    }
+}
+
+fn meant_for(engine: &str, mut call: EncodedCall) -> EncodedCall {
+    call.headers.insert("expected", engine.parse().unwrap());
+    call
 }
 
 fn parse(body: &[u8]) -> Result<Value, DecodeError> {
