Count only the first tenth of a second of an answer as its start

A request whose engines crash with its first token has one event or a few; the time counts from event to event, so a late discovery adds nothing. Crashes later in an answer are found by their pairs, as before.

crashes_in_answer, crashing_parts and crashers pass as before.

--- a/crates/core/src/relay/answer_progress.rs
+++ b/crates/core/src/relay/answer_progress.rs
@@ -5,8 +5,9 @@
 /// The time from the first event of an answer in which a request that crashes engines does so, in milliseconds.
 ///
 /// Such a request crashes its engine when the engine begins to run it, which is with its first token. The event
-/// of that token may reach the process before the engine ends.
-const START_MS: u64 = 500;
+/// of that token, and a few more, may reach the process before the engine ends. With a longer time, more of the
+/// sound requests of a lost engine count as suspected, and the reports about them burden a large fleet.
+const START_MS: u64 = 100;
 
 /// How far the answer of a run has come.
 ///
