--- a/crates/core/src/relay/engine_table/availability.rs
+++ b/crates/core/src/relay/engine_table/availability.rs
@@ -55,9 +55,10 @@
     /// Returns the time until which each endpoint of a plain service has asked for a pause; `None` if one of them
     /// takes work, or if all leave.
     pub fn service_pause_end(&self, service: &str, now: MilliTime) -> Option<MilliTime> {
-        let staying = self.entries.iter().filter(|entry| {
-            entry.record.service == service && !entry.record.is_draining && !entry.is_leaving
-        });
+        let staying = self
+            .entries
+            .iter()
+            .filter(|entry| entry.record.service == service && !entry.is_ending());
         let end = staying.map(|entry| entry.paused_until).min()?;
         (end > now).then_some(end)
     }
