--- a/crates/core/tests/event_splitter.rs
+++ b/crates/core/tests/event_splitter.rs
@@ -155,7 +155,7 @@
     let sound: [&[u8]; 6] = [
         b": a comment, of any kind {}\n\n",
         b"event: ping\nretry: 100\n\n",
-        b"x-weight-versions: 3\nid: 2\ndata: a\n\n",
+        b"x-other-field: 3\nid: 2\ndata: a\n\n",
         b"data\nid: 2\n\n",
         b"data: [DONE]\n\n",
         b"id:2\ndata:{\"a\": \"b\"}\n\n",
--- a/tests/house_rules.rs
+++ b/tests/house_rules.rs
@@ -28,7 +28,7 @@
 }
 
 /// Names of the platform's protocol that have no other meaning, in lower case.
-const PLATFORM_NAMES: [&str; 22] = [
+const PLATFORM_NAMES: [&str; 23] = [
     "x-deadline-ms",
     "x-token-counts",
     "x-prefix-hash",
@@ -42,6 +42,7 @@
     "x-response-signature",
     "x-weight-versions",
     "at-server",
+    "server-leaving",
     "rows-get",
     "rows-feed",
     "rows-tx",
