Log why a caller's connection failed, and count cut streams by cause

The failure of a caller's connection was logged at the level debug and without its cause, so that an answer that the library cut (its body doesn't match the head) and a connection that was closed by a time-out could not be told from a caller that left. Both are counted by cause now, a failure that isn't the idle time-out is logged, and streams that are cut are counted by the end of their last run.

--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -97,8 +97,9 @@
             .map(|config| config.limits)
             .unwrap_or_default()
     };
+    let own = Rc::clone(&state);
     let service = service_fn(move |request| {
-        let state = Rc::clone(&state);
+        let state = Rc::clone(&own);
         async move { Ok::<_, Infallible>(handle_request(state, request).await) }
     });
     let is_closing = *close_signal.borrow();
@@ -131,6 +132,32 @@
         }
     };
     if let Err(error) = result {
-        spdlog::debug!("callers: connection failed: {error}");
+        record_failure(&state, &error);
+    }
+}
+
+/// Counts and logs the failure of a caller's connection.
+///
+/// Its end by the idle time-out is regular, and is only counted.
+fn record_failure(state: &NodeState, error: &hyper::Error) {
+    let cause = failure_cause(error);
+    state.metrics.count_connection_failure(cause);
+    if !error.is_timeout() {
+        spdlog::info!("callers: connection failed: {cause}", kv: { detail = error.to_string() });
+    }
+}
+
+/// Returns the cause of a connection's failure, as it appears in logs and metrics.
+fn failure_cause(error: &hyper::Error) -> &'static str {
+    if error.is_timeout() {
+        "idle"
+    } else if error.is_parse() {
+        "malformed request"
+    } else if error.is_incomplete_message() {
+        "caller closed within a request"
+    } else if error.is_user() {
+        "response broke off"
+    } else {
+        "transport"
     }
 }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -231,6 +231,7 @@
             let may_resume = self.splitter.last_id().is_some() || !log.has_piece();
             if !may_resume || !self.resume(log).await {
                 // The stream is not finished, so the caller sees that it broke off.
+                self.state.metrics.count_cut_stream(cause);
                 log.set_outcome("cut");
                 return;
             }
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -26,6 +26,8 @@
     store_calls: IntCounterVec,
     orders: IntCounterVec,
     task_failures: IntCounterVec,
+    connection_failures: IntCounterVec,
+    cut_streams: IntCounterVec,
     first_event: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
@@ -89,6 +91,16 @@
                 "Failures of background tasks, which are started again, by task.",
                 "task",
             ),
+            connection_failures: counter(
+                "dandelionroad_caller_connection_failures_total",
+                "Connections of callers that failed, by cause; 'idle' counts those closed by the idle time-out.",
+                "cause",
+            ),
+            cut_streams: counter(
+                "dandelionroad_streams_cut_total",
+                "Streams that ended before they were complete, by the cause of the last run's end.",
+                "cause",
+            ),
             first_event: histogram(
                 "dandelionroad_first_event_ms",
                 "Time to the first piece of a response.",
@@ -176,6 +188,16 @@
         self.task_failures.with_label_values(&[task]).inc();
     }
 
+    /// Counts a failed connection of a caller.
+    pub fn count_connection_failure(&self, cause: &str) {
+        self.connection_failures.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts a stream that ended before it was complete.
+    pub fn count_cut_stream(&self, cause: &str) {
+        self.cut_streams.with_label_values(&[cause]).inc();
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.set(version as f64);
