--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::http::request::Parts;
@@ -55,6 +56,15 @@
     Crashing,
 }
 
+/// A time in which a sound engine sends nothing to anybody, and then goes on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EngineSilence {
+    /// The number of events that precede it; 0 stands for the time before the head of the response.
+    pub(crate) after_event: u64,
+    /// Its length.
+    pub(crate) duration: Duration,
+}
+
 /// A fake engine or endpoint that registers itself in the store.
 pub(crate) struct FakeEngine {
     id: String,
@@ -63,6 +73,10 @@
     address: Cell<Option<SocketAddr>>,
     layers: Cell<(u64, u64)>,
     orders: Cell<u64>,
+    /// The silence in each of its answers.
+    pub(crate) silence: Cell<Option<EngineSilence>>,
+    /// The end of its last silence.
+    silent_until: Cell<Option<Instant>>,
     /// The time that it takes to return its state.
     pub(crate) report_delay: Cell<Duration>,
     /// Its behavior towards requests.
@@ -98,6 +112,8 @@
             address: Cell::new(None),
             layers: Cell::new(layers),
             orders: Cell::new(0),
+            silence: Cell::default(),
+            silent_until: Cell::default(),
             report_delay: Cell::default(),
             fault: Cell::new(EngineFault::None),
             is_leaving: Cell::new(false),
@@ -134,6 +150,12 @@
         self.address.get().unwrap()
     }
 
+    /// Gives it a range of layers without an order, and updates its registration.
+    pub(crate) fn hold_layers(&self, layers: (u64, u64)) {
+        self.layers.set(layers);
+        self.list(false);
+    }
+
     /// Returns its range of layers.
     pub(crate) fn layers(&self) -> (u64, u64) {
         self.layers.get()
@@ -145,6 +167,9 @@
         }
         match parts.uri.path() {
             "/state" => {
+                if let Some(end) = self.silent_until.get() {
+                    tokio::time::sleep_until(end.into()).await;
+                }
                 tokio::time::sleep(self.report_delay.get()).await;
                 let (first, end) = self.layers.get();
                 let stalled: Vec<SocketAddr> = self.waits_for.get().into_iter().collect();
@@ -172,6 +197,16 @@
         expected.is_none_or(|expected| expected.to_str().unwrap() == self.id)
     }
 
+    /// Waits for the length of the engine's silence if it begins after the event `event`.
+    async fn fall_silent_after(&self, event: u64) {
+        let silence = self.silence.get();
+        if let Some(silence) = silence.filter(|silence| silence.after_event == event) {
+            let end = Instant::now() + silence.duration;
+            self.silent_until.set(Some(end));
+            tokio::time::sleep_until(end.into()).await;
+        }
+    }
+
     fn accept_order(&self, order: &Value) -> FakeResponse {
         if order["orders"].as_u64() != Some(self.orders.get()) {
             return FakeResponse::new(409, "");
@@ -208,6 +243,7 @@
                 .header("pause", &pause_ms.to_string());
         }
         self.runs.borrow_mut().push(id.clone());
+        self.fall_silent_after(0).await;
         match fault {
             EngineFault::Silent | EngineFault::Hanging => std::future::pending().await,
             EngineFault::ForeignRefusal | EngineFault::UnnamedRefusal => {
@@ -246,6 +282,9 @@
         let engine = Rc::clone(&self);
         spawn_local(async move {
             for event in after + 1..=EVENTS {
+                if event > 1 {
+                    engine.fall_silent_after(event - 1).await;
+                }
                 let mut piece = event_bytes(event);
                 if fault == EngineFault::SilentStream && event > 4 {
                     sender.closed().await;
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -264,7 +264,7 @@
                 keys: keys.collect(),
                 priority: None,
             }],
-            limits: CallerLimits::default(),
+            limits: caller_limits(&doc),
         }))
     }
 
@@ -313,6 +313,19 @@
     serde_json::from_slice(body).map_err(|error| DecodeError::new("document", error))
 }
 
+/// Returns the default limits with the document's time-out of idle connections, if it has one.
+fn caller_limits(doc: &Value) -> CallerLimits {
+    let limits = CallerLimits::default();
+    match doc["idle"].as_u64() {
+        Some(idle_timeout_ms) => CallerLimits {
+            header_timeout_ms: idle_timeout_ms,
+            idle_timeout_ms,
+            ..limits
+        },
+        None => limits,
+    }
+}
+
 fn range(doc: &Value) -> LayerRange {
     let layer = |name: &str| doc[name].as_u64().unwrap_or(0) as u16;
     LayerRange::new(layer("first"), layer("end"))
