Let a request have several runs at a time

A run owns its exchange with the first engine, its event splitter and its time-outs (ChainRun); StreamRelay waits for all of them at once.

--- a/crates/core/src/relay/attempt_plan.rs
+++ b/crates/core/src/relay/attempt_plan.rs
@@ -77,6 +77,15 @@
         next.may_send()
     }
 
+    /// Returns whether the request may be sent while `standing` attempts are in progress, each of which may have run.
+    pub fn may_send_beside(&self, standing: usize) -> bool {
+        let mut next = *self;
+        for _ in 0..standing {
+            next.record_end(AttemptEnd::Broken);
+        }
+        next.may_send()
+    }
+
     /// Returns whether any attempt may have run.
     pub fn may_have_run(&self) -> bool {
         self.runs > 0
--- a/crates/core/src/relay/engine_table/mod.rs
+++ b/crates/core/src/relay/engine_table/mod.rs
@@ -143,6 +143,26 @@
         is_new
     }
 
+    /// Ends the suspicion of an engine that answers again after a silence; returns whether it was suspected.
+    ///
+    /// A sound engine may be silent for a second or so. Without this, it would be avoided for longer than
+    /// it was silent.
+    pub fn withdraw_suspicion(&mut self, id: &str, now: MilliTime) -> bool {
+        let Some(entry) = self.get_mut(id) else {
+            return false;
+        };
+        if !entry.is_suspected(now) {
+            return false;
+        }
+        // Failures of other kinds may have raised the end of the avoidance since.
+        if entry.avoided_until == entry.suspected_until {
+            entry.avoided_until = now;
+        }
+        entry.suspected_until = now;
+        entry.failures = entry.failures.saturating_sub(1);
+        true
+    }
+
     /// Counts a stalled run that was aborted; returns the engines that are avoided from now on.
     ///
     /// An engine may hang with its requests and still answer state probes. Nothing is counted if an
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -39,7 +39,7 @@
 const QUEUE_TIME_DIVISOR: f64 = 2.0;
 
 /// The minimum time until the deadline with which another attempt is started, in milliseconds.
-const MIN_ATTEMPT_MS: u64 = 200;
+pub(super) const MIN_ATTEMPT_MS: u64 = 200;
 
 impl StreamRelay {
     /// Finds a chain, or queues the request until one has capacity.
@@ -133,29 +133,9 @@
         self.state.take_retry("stream")
     }
 
-    /// Returns whether another chain can take over a stalled run.
-    ///
-    /// If so, the run's engines are excluded for this request, and a retry is taken from the budget.
-    pub(super) fn can_fail_over(&mut self, stages: &[ChainStage]) -> bool {
-        let left_ms = self.relay.deadline.since(self.state.clock.now());
-        if left_ms < MIN_ATTEMPT_MS || !self.plan.may_send_after_run() {
-            return false;
-        }
-        let excluded_count = self.excluded.len();
-        self.excluded
-            .extend(stages.iter().map(|stage| stage.id.clone()));
-        let can_fail_over = self.find_chain().is_some() && self.take_retry();
-        if can_fail_over {
-            self.holds_retry = true;
-        } else {
-            self.excluded.truncate(excluded_count);
-        }
-        can_fail_over
-    }
-
     /// Finds a chain within an availability zone, or one that crosses zones if the crossing budget allows
     /// it.
-    fn find_chain(&self) -> Option<FoundChain> {
+    pub(super) fn find_chain(&self) -> Option<FoundChain> {
         let shape = self.relay.service().model.as_ref()?;
         let service = &self.relay.service().name;
         let mut view = self.state.view.borrow_mut();
--- a/crates/relay/src/ingress/stream_relay/crash_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/crash_wait.rs
@@ -1,18 +1,21 @@
 //! The pause between a run that may have crashed its engine and the next run of the request.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::relay::PartVerdict;
 use dandelionroad_core::relay::RunPhase;
 
 use crate::engine::check_engine_loss;
+use crate::node::NodeState;
 
 use super::super::crash_check::has_refused_part;
 use super::super::crash_check::part_verdict;
 use super::super::crash_check::record_broken_run;
+use super::super::relay_request::RelayRequest;
 use super::StreamRelay;
+use super::chain_run::ChainRun;
 
 /// The time for which a request with a suspected prompt part waits until it is sent to another engine, in
 /// milliseconds.
@@ -29,9 +32,9 @@
 }
 
 impl StreamRelay {
-    /// Returns whether the answer of the present run has not begun.
+    /// Returns whether the answer of the first run has not begun.
     pub(super) fn is_unbegun(&self) -> bool {
-        self.splitter.data_count() == 0
+        self.runs.first().is_none_or(ChainRun::is_unbegun)
     }
 
     /// Returns whether the request is refused by now because a part of its prompt crashes engines.
@@ -39,37 +42,49 @@
         !self.relay.is_probe && has_refused_part(&self.state, &self.relay)
     }
 
-    /// Records that the run on a chain broke off.
-    pub(super) fn record_broken_run(&mut self, stages: &[ChainStage]) {
-        let ids: Vec<&str> = stages.iter().map(|stage| stage.id.as_str()).collect();
-        let phase = self.progress.phase();
-        record_broken_run(&self.state, &self.relay, &ids, phase);
-        let first = stages.first().filter(|_| phase == RunPhase::Starting);
+    /// Records that a run broke off or stalls, unless that is recorded already.
+    pub(super) fn record_broken_run(&mut self, run: &ChainRun) {
+        let phase = run.progress.phase();
+        if !run.is_recorded {
+            let ids: Vec<&str> = run.stages.iter().map(|stage| stage.id.as_str()).collect();
+            record_broken_run(&self.state, &self.relay, &ids, phase);
+        }
+        let first = run.stages.first().filter(|_| phase == RunPhase::Starting);
         self.broken_head = first.map(|stage| BrokenHead {
             id: stage.id.clone(),
             address: stage.address,
         });
     }
 
-    /// Waits until it is known whether the last run crashed its engine and, if so, until other processes have
-    /// reported what they know about the parts of the prompt.
-    ///
-    /// Requests whose parts were all served before don't wait.
+    /// Waits for the crash reports about the last run that broke off.
     pub(super) async fn await_crash_reports(&mut self) {
-        let Some(head) = self.broken_head.take() else {
-            return;
-        };
-        let has_unproven = {
-            let view = self.state.view.borrow();
-            let parts = view.crashes.parts();
-            parts.has_unproven(&self.relay.shared_parts)
-        };
-        if !has_unproven {
-            return;
-        }
-        check_engine_loss(&self.state, &head.id, head.address).await;
-        if part_verdict(&self.state, &self.relay) == PartVerdict::Suspected {
-            tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
-        }
+        let head = self.broken_head.take();
+        await_crash_reports(Rc::clone(&self.state), Rc::clone(&self.relay), head).await;
+    }
+}
+
+/// Waits until it is known whether a run crashed its engine and, if so, until other processes have reported what
+/// they know about the parts of the prompt.
+///
+/// Requests whose parts were all served before don't wait.
+pub(super) async fn await_crash_reports(
+    state: Rc<NodeState>,
+    relay: Rc<RelayRequest>,
+    head: Option<BrokenHead>,
+) {
+    let Some(head) = head else {
+        return;
+    };
+    let has_unproven = {
+        let view = state.view.borrow();
+        let parts = view.crashes.parts();
+        parts.has_unproven(&relay.shared_parts)
+    };
+    if !has_unproven {
+        return;
+    }
+    check_engine_loss(&state, &head.id, head.address).await;
+    if part_verdict(&state, &relay) == PartVerdict::Suspected {
+        tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
     }
 }
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -1,8 +1,8 @@
 //! Forwarding of a run's events to the caller.
 
 use bytes::Bytes;
+use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::EventFault;
-use http_body_util::BodyExt;
 use hyper::body::Frame;
 
 use crate::telemetry::RequestLog;
@@ -13,7 +13,8 @@
 use super::super::send_fault::SendFault;
 use super::RunOutcome;
 use super::StreamRelay;
-use super::stall_reason::StallReason;
+use super::chain_run::RunStep;
+use super::run_signal::RunSignal;
 use super::stall_timeouts::StallTimeouts;
 
 /// The time without an event after which the stream fails over to another chain, as a multiple of the
@@ -25,88 +26,154 @@
 /// The number of events over which the latency ratio of a run is averaged.
 const RATIO_SAMPLE_EVENTS: u64 = 8;
 
-/// The next frame of a run's body; `None` at its end.
-type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
-
 impl StreamRelay {
-    /// Forwards events to the caller until the run or the caller's connection ends.
+    /// Forwards events to the caller until the answer or the caller's connection ends, or no run is left.
     pub(super) async fn forward_events(
         &mut self,
         caller: &CallerStream,
         log: &mut RequestLog,
     ) -> RunOutcome {
-        loop {
-            let frame = match self.next_frame().await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(_))) => return RunOutcome::Broken("stream cut"),
-                Ok(None) if self.splitter.has_partial_event() => {
-                    return RunOutcome::Broken("event cut");
+        while !self.runs.is_empty() {
+            if let Some(outcome) = self.forward_ready(caller, log).await {
+                return outcome;
+            }
+            match self.next_signal(log).await {
+                RunSignal::Step(0, RunStep::Frame(frame)) => {
+                    if self.handle_frame(frame, log) {
+                        return RunOutcome::Complete;
+                    }
                 }
-                // An engine that crashes before its first event closes the connection as well.
-                Ok(None) if self.is_unbegun() && !self.is_run_framed() => {
-                    return RunOutcome::Broken("no event");
+                RunSignal::Step(index, RunStep::Frame(frame)) => {
+                    self.handle_other_frame(index, frame, log);
                 }
-                Ok(None) => return RunOutcome::Complete,
-                Err(outcome) => return outcome,
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            let data_count = self.splitter.data_count();
-            let complete = match self.splitter.push(&data) {
-                Ok(complete) => complete,
-                Err(EventFault::OutOfOrder { .. }) => {
-                    return RunOutcome::Broken("event out of order");
+                // The caller has the head of the first response, so an error response is of no use to it.
+                RunSignal::Step(index, RunStep::Head(outcome)) => {
+                    self.handle_head(index, outcome, log);
                 }
-                Err(EventFault::Malformed) => return RunOutcome::Broken("malformed event"),
-                Err(EventFault::TooLong) => return RunOutcome::Broken("event too long"),
-            };
-            if complete.is_empty() {
-                continue;
-            }
-            let has_data = self.splitter.data_count() > data_count;
-            if has_data {
-                log.record_piece();
-                if data_count == 0 {
-                    self.record_answer_begun();
-                }
-                if self.progress.record_event(self.state.clock.now()) {
-                    record_parts_served(&self.state, &self.relay);
+                RunSignal::DeadlinePassed => self.end_runs(log),
+                RunSignal::Refused => {
+                    self.drop_runs();
+                    return RunOutcome::Refused;
                 }
             }
-            let left_ms = self.relay.deadline.since(self.state.clock.now());
-            match caller.send(Bytes::from(complete), left_ms).await {
-                Ok(()) => {}
-                Err(SendFault::Closed) => return RunOutcome::CallerLeft,
-                Err(SendFault::Stalled) => return RunOutcome::CallerStalled,
+        }
+        RunOutcome::Broken
+    }
+
+    /// Handles a frame of the first run; returns whether the answer is complete.
+    fn handle_frame(
+        &mut self,
+        frame: Option<Result<Frame<Bytes>, hyper::Error>>,
+        log: &mut RequestLog,
+    ) -> bool {
+        let run = &mut self.runs[0];
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => {
+                self.end_first_run("stream cut", log);
+                return false;
             }
-            // The time that the caller took to read is no stall of the engine.
-            if has_data {
-                self.record_progress();
+            None if run.splitter.has_partial_event() => {
+                self.end_first_run("event cut", log);
+                return false;
+            }
+            // An engine that crashes before its first event closes the connection as well.
+            None if run.is_unbegun() && !run.is_framed() => {
+                self.end_first_run("no event", log);
+                return false;
+            }
+            None => return true,
+        };
+        if let Ok(data) = frame.into_data() {
+            match run.splitter.push(&data) {
+                Ok(complete) => run.ready = complete,
+                Err(fault) => self.end_first_run(fault_cause(fault), log),
             }
         }
+        false
     }
 
-    /// Records that the engines of the run have begun to answer.
-    fn record_answer_begun(&self) {
-        if let Some(run) = &self.run {
-            record_answer_begun(&self.state, &run.stages, self.sent_at);
+    /// Forwards the complete events of the first run, which ends the other runs.
+    async fn forward_ready(
+        &mut self,
+        caller: &CallerStream,
+        log: &mut RequestLog,
+    ) -> Option<RunOutcome> {
+        let run = &mut self.runs[0];
+        if run.ready.is_empty() {
+            return None;
         }
+        let events = Bytes::from(std::mem::take(&mut run.ready));
+        let data_count = run.splitter.data_count();
+        let has_data = data_count > run.forwarded_count;
+        let is_first = run.forwarded_count == 0;
+        run.forwarded_count = data_count;
+        let has_new_id = run.splitter.last_id() != self.last_id;
+        self.last_id = run.splitter.last_id();
+        if has_data {
+            log.record_piece();
+            if is_first {
+                record_answer_begun(&self.state, &run.stages, run.sent_at);
+            }
+            if run.progress.record_event(self.state.clock.now()) {
+                record_parts_served(&self.state, &self.relay);
+            }
+        }
+        if has_data || has_new_id {
+            self.end_other_runs(log);
+        }
+        let left_ms = self.relay.deadline.since(self.state.clock.now());
+        match caller.send(events, left_ms).await {
+            Ok(()) => {}
+            Err(SendFault::Closed) => return Some(RunOutcome::CallerLeft),
+            Err(SendFault::Stalled) => return Some(RunOutcome::CallerStalled),
+        }
+        // The time that the caller took to read is no stall of the engine.
+        if has_data {
+            self.record_progress();
+        }
+        None
     }
 
-    fn is_run_framed(&self) -> bool {
-        self.run.as_ref().is_some_and(|run| run.is_framed)
+    /// Ends the first run, which has failed. If another run stands, it becomes the first one.
+    fn end_first_run(&mut self, cause: &'static str, log: &mut RequestLog) {
+        let run = self.runs.remove(0);
+        self.record_end(AttemptEnd::Broken, cause, log);
+        self.record_broken_run(&run);
+        let ids = run.stages.into_iter().map(|stage| stage.id);
+        self.excluded.extend(ids);
     }
 
-    /// Restarts the time-outs of the run after an event, and updates the latency ratio of its engines.
+    /// Restarts the time-outs of the first run after an event, and updates the latency ratio of its engines.
     fn record_progress(&mut self) {
         let timeouts = self.event_timeouts();
-        if let Some(run) = self.run.as_mut() {
-            run.timeouts = timeouts;
+        let Some(run) = self.runs.first_mut() else {
+            return;
+        };
+        let was_probed = run.timeouts.is_probed;
+        run.timeouts = timeouts;
+        run.stall = None;
+        run.is_recorded = false;
+        if was_probed {
+            self.withdraw_suspicions();
         }
         self.observe_latency_ratio();
     }
 
+    /// Ends the suspicion of the first run's engines, which have answered after a silence.
+    fn withdraw_suspicions(&self) {
+        let now = self.state.clock.now();
+        let mut view = self.state.view.borrow_mut();
+        for stage in self.runs.iter().take(1).flat_map(|run| &run.stages) {
+            if view.engines.withdraw_suspicion(&stage.id, now) {
+                spdlog::info!("engines: not avoided any more: answers again", kv: {
+                    engine = stage.id.as_str(),
+                    request = self.relay.caller.id.as_str(),
+                });
+            }
+        }
+    }
+
     /// Returns the time-outs of a run that has made progress now.
     pub(super) fn event_timeouts(&self) -> StallTimeouts {
         let gap_target_ms = self.relay.route().gap_target_ms;
@@ -122,8 +189,10 @@
     /// The ratio compares the time per event with the time of a step of a single request on idle engines.
     fn observe_latency_ratio(&mut self) {
         let now = self.state.clock.now();
-        let events = self.splitter.event_count();
-        let Some(run) = self.run.as_mut() else { return };
+        let Some(run) = self.runs.first_mut() else {
+            return;
+        };
+        let events = run.splitter.event_count();
         run.load.finish_prefill();
         let Some((start, start_events)) = run.sample_start else {
             run.sample_start = Some((now, events));
@@ -140,22 +209,13 @@
         let mut view = self.state.view.borrow_mut();
         view.engines.observe_latency_ratio(ids, ratio, now);
     }
+}
 
-    /// Waits for the next frame of the run, or until the run is given up.
-    async fn next_frame(&mut self) -> Result<NextFrame, RunOutcome> {
-        let Some(mut run) = self.run.take() else {
-            return Err(RunOutcome::Broken("no run"));
-        };
-        let mut frame = std::pin::pin!(run.body.frame());
-        let result = self
-            .await_progress(&run.stages, &mut run.timeouts, frame.as_mut())
-            .await;
-        self.run = Some(run);
-        result.map_err(|reason| match reason {
-            StallReason::DeadlinePassed => RunOutcome::Broken("out of time"),
-            StallReason::EngineLost => RunOutcome::Broken("engine lost"),
-            StallReason::Refused => RunOutcome::Refused,
-            StallReason::Stalled => RunOutcome::Broken("stalled"),
-        })
+/// Returns why bytes of a run are not passed on, as it appears in logs and metrics.
+pub(super) fn fault_cause(fault: EventFault) -> &'static str {
+    match fault {
+        EventFault::OutOfOrder { .. } => "event out of order",
+        EventFault::Malformed => "malformed event",
+        EventFault::TooLong => "event too long",
     }
 }
--- /dev/null
+++ b/crates/relay/src/ingress/stream_relay/head_outcome.rs
@@ -0,0 +1,69 @@
+use bytes::Bytes;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::http::response::Parts;
+
+use crate::engine::SendError;
+use crate::engine::read_whole;
+use crate::node::NodeState;
+
+use super::super::response_class::ResponseClass;
+
+/// The outcome of an attempt once the head of a response has arrived.
+pub(super) enum HeadOutcome {
+    /// The chain serves the request.
+    Served(Parts, Incoming),
+    /// The chain has not run the request and never will.
+    Rejected {
+        /// The address of the engine that caused the rejection, if it is not the first one.
+        fault_address: Option<String>,
+        /// Whether the first engine has asked for a pause.
+        is_paused: bool,
+    },
+    /// The chain ran the request and responded with an error.
+    Failed(Parts, Bytes),
+    /// The response is not whole, or belongs to another request.
+    Foreign,
+    /// No connection could be opened.
+    NotSent {
+        /// Whether nothing listens at the address.
+        is_refused: bool,
+    },
+    /// The connection broke before the head had arrived.
+    Broken,
+}
+
+impl HeadOutcome {
+    /// Reads the outcome of an attempt at the engine `engine` for the request `id`.
+    pub(super) async fn read(
+        state: &NodeState,
+        engine: &str,
+        id: &str,
+        sent: Result<Response<Incoming>, SendError>,
+    ) -> HeadOutcome {
+        let response = match sent {
+            Ok(response) => response,
+            Err(SendError::NotSent { is_refused, .. }) => {
+                return HeadOutcome::NotSent { is_refused };
+            }
+            Err(SendError::Broken { .. }) => return HeadOutcome::Broken,
+        };
+        let class = ResponseClass::classify(state, engine, id, &response);
+        let (parts, body) = response.into_parts();
+        match class {
+            ResponseClass::Served => HeadOutcome::Served(parts, body),
+            ResponseClass::Rejected {
+                fault_address,
+                is_paused,
+            } => HeadOutcome::Rejected {
+                fault_address,
+                is_paused,
+            },
+            ResponseClass::Failed => match read_whole(body).await {
+                Ok(body) => HeadOutcome::Failed(parts, body),
+                Err(_) => HeadOutcome::Foreign,
+            },
+            ResponseClass::Foreign => HeadOutcome::Foreign,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -0,0 +1,111 @@
+//! The wait for a chain that serves the request, and the ends of attempts without an answer.
+
+use bytes::Bytes;
+use dandelionroad_core::relay::AttemptEnd;
+use hyper::http::response::Parts;
+
+use crate::crash_report::record_refused_connection;
+use crate::telemetry::RequestLog;
+
+use super::StreamRelay;
+use super::chain_run::RunStep;
+use super::head_outcome::HeadOutcome;
+use super::run_signal::RunSignal;
+
+/// The outcome of waiting for a chain that serves the request.
+pub(super) enum HeadWait {
+    /// The first run serves the request; the head of its response.
+    Served(Parts),
+    /// A chain responded with an error. Other runs may be in progress.
+    Failed(Parts, Bytes),
+    /// No run is in progress any more.
+    Ended,
+}
+
+impl StreamRelay {
+    /// Waits until the first of the runs serves the request, until a chain responds with an error, or until all
+    /// attempts have ended.
+    pub(super) async fn await_head(&mut self, log: &mut RequestLog) -> HeadWait {
+        loop {
+            let Some(first) = self.runs.first_mut() else {
+                return HeadWait::Ended;
+            };
+            if let Some(parts) = first.head.take() {
+                return HeadWait::Served(parts);
+            }
+            match self.next_signal(log).await {
+                RunSignal::Step(index, RunStep::Head(outcome)) => {
+                    if let Some((parts, body)) = self.handle_head(index, outcome, log) {
+                        return HeadWait::Failed(parts, body);
+                    }
+                }
+                RunSignal::Step(index, RunStep::Frame(frame)) => {
+                    self.handle_other_frame(index, frame, log);
+                }
+                RunSignal::DeadlinePassed => self.end_runs(log),
+                RunSignal::Refused => {
+                    log.add_cause("crashes engines");
+                    self.drop_runs();
+                }
+            }
+        }
+    }
+
+    /// Handles the head of a run's response: begins the answer, or ends the attempt. Returns an error response.
+    pub(super) fn handle_head(
+        &mut self,
+        index: usize,
+        outcome: HeadOutcome,
+        log: &mut RequestLog,
+    ) -> Option<(Parts, Bytes)> {
+        if let HeadOutcome::Served(parts, body) = outcome {
+            let timeouts = self.event_timeouts();
+            let run = &mut self.runs[index];
+            let mut view = self.state.view.borrow_mut();
+            for stage in &run.stages {
+                view.engines.record_success(&stage.id);
+            }
+            run.timeouts = timeouts;
+            run.begin_answer(parts, body);
+            return None;
+        }
+        let run = self.runs.remove(index);
+        let first = &run.stages[0];
+        let end = match outcome {
+            HeadOutcome::Served(..) => return None,
+            HeadOutcome::Rejected {
+                fault_address,
+                is_paused,
+            } => {
+                self.record_rejection(fault_address.as_deref(), is_paused, &run.stages);
+                AttemptEnd::Rejected
+            }
+            HeadOutcome::Failed(parts, body) => {
+                self.record_end(AttemptEnd::Failed, "engine failed", log);
+                return Some((parts, body));
+            }
+            HeadOutcome::Foreign => {
+                self.excluded.push(first.id.clone());
+                AttemptEnd::Broken
+            }
+            HeadOutcome::NotSent { is_refused } => {
+                if is_refused {
+                    record_refused_connection(&self.state, &first.id);
+                }
+                self.record_failure(&first.id);
+                AttemptEnd::NotSent
+            }
+            HeadOutcome::Broken => {
+                let now = self.state.clock.now();
+                let mut view = self.state.view.borrow_mut();
+                view.engines.record_broken_answer(&first.id, now);
+                drop(view);
+                self.excluded.push(first.id.clone());
+                self.record_broken_run(&run);
+                AttemptEnd::Broken
+            }
+        };
+        self.record_end(end, end.as_str(), log);
+        None
+    }
+}
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -1,41 +1,39 @@
 //! A model request that is run on a chain of engines, and on further chains if a run fails.
 //!
 //! The relay sends the request to the first engine of a chain, which returns a stream of events with
-//! increasing identifiers. A run fails if its connection breaks, an event is truncated or out of order, or
-//! the chain stalls. The request is then sent to another chain with the identifier of the last forwarded
-//! event, after which that chain continues, so the caller sees one uninterrupted stream. A stream whose
-//! events have no identifiers is not resumed.
+//! increasing identifiers. A run fails if its connection breaks, or an event is truncated or out of order. The
+//! request is then sent to another chain with the identifier of the last forwarded event, after which that
+//! chain continues, so the caller sees one uninterrupted stream. A stream whose events have no identifiers is
+//! not resumed.
+//!
+//! A run that stalls may still go on: a sound engine can be silent for a second or so. Another run is started
+//! beside it, and the first of them that sends a new event ends the others.
 
 mod chain_choice;
+mod chain_run;
 mod crash_wait;
 mod event_forwarding;
+mod failover;
+mod head_outcome;
+mod head_wait;
+mod run_signal;
 mod stall_detection;
 mod stall_reason;
 mod stall_timeouts;
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
 
-use bytes::Bytes;
 use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::chain::FoundChain;
 use dandelionroad_core::relay::AnswerProgress;
-use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::EventSplitter;
 use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::time::MilliTime;
-use hyper::HeaderMap;
-use hyper::Response;
-use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 
-use crate::crash_report::record_refused_connection;
 use crate::engine::LoadGuard;
-use crate::engine::SendError;
-use crate::engine::read_whole;
 use crate::node::NodeState;
 use crate::telemetry::RequestLog;
 use crate::wire::EngineCall;
@@ -46,10 +44,12 @@
 use super::crash_check::record_served;
 use super::open_outcome::OpenOutcome;
 use super::relay_request::RelayRequest;
-use super::response_class::ResponseClass;
 
+use self::chain_run::ChainRun;
+use self::chain_run::RunExchange;
 use self::crash_wait::BrokenHead;
-use self::stall_reason::StallReason;
+use self::head_outcome::HeadOutcome;
+use self::head_wait::HeadWait;
 use self::stall_timeouts::StallTimeouts;
 
 /// A chain is probed if no response has arrived after the target time to the first event divided by this
@@ -63,26 +63,12 @@
 /// healthy, as a multiple of the target time to the first event.
 const FIRST_EVENT_FAILOVER_FACTOR: u64 = 2;
 
-/// A run of the request on one chain.
-struct ChainRun {
-    stages: Vec<ChainStage>,
-    /// The time of a token step of a single request on idle engines, in milliseconds.
-    unloaded_step_ms: f64,
-    /// The start of the current sample for the latency ratio, and the number of events at that time.
-    sample_start: Option<(MilliTime, u64)>,
-    timeouts: StallTimeouts,
-    /// Whether the response has a length or chunks; otherwise only the end of its connection ends it.
-    is_framed: bool,
-    body: Incoming,
-    load: LoadGuard,
-}
-
 /// The outcome of forwarding a run's events.
 enum RunOutcome {
     /// The stream ended regularly.
     Complete,
-    /// The run failed, with the cause as it appears in logs.
-    Broken(&'static str),
+    /// All runs have failed.
+    Broken,
     /// A shared part of the prompt is refused by now because it crashes engines.
     Refused,
     /// The caller has disconnected.
@@ -94,23 +80,27 @@
 /// A model request that is run on one or more chains in turn.
 pub(super) struct StreamRelay {
     state: Rc<NodeState>,
-    relay: RelayRequest,
+    relay: Rc<RelayRequest>,
     plan: AttemptPlan,
     /// The identifiers of the engines that are not used again for this request.
     excluded: Vec<String>,
     /// The addresses of the engines to which the request was sent.
     sent_to: Vec<SocketAddr>,
-    splitter: EventSplitter,
-    /// How far the answer of the present run has come.
-    progress: AnswerProgress,
-    run: Option<ChainRun>,
-    /// The time at which the request was last sent to a chain.
-    sent_at: MilliTime,
+    /// The identifier of the last event that was forwarded, or that the caller already had.
+    last_id: Option<u64>,
+    /// The runs in progress. The caller is served by the first one; the others were started while it stalled.
+    runs: Vec<ChainRun>,
+    /// The pause before another run is started beside stalled ones.
+    crash_wait: Option<Pin<Box<dyn Future<Output = ()>>>>,
     /// The first engine of the last run, if it broke off while its answer had only just begun, until the next
     /// attempt.
     broken_head: Option<BrokenHead>,
     /// Whether a retry was taken from the budget and not used yet.
     holds_retry: bool,
+    /// Whether the log says that the budget had no retry for a stalled run.
+    has_logged_budget: bool,
+    /// The cause of the last attempt's end, as it appears in metrics.
+    last_cause: &'static str,
 }
 
 impl StreamRelay {
@@ -121,16 +111,17 @@
         let last_id = last_event.and_then(|text| text.trim().parse().ok());
         StreamRelay {
             state,
-            relay,
+            relay: Rc::new(relay),
             plan,
             excluded: Vec::new(),
             sent_to: Vec::new(),
-            splitter: EventSplitter::new(last_id),
-            progress: AnswerProgress::new(),
-            run: None,
-            sent_at: MilliTime::default(),
+            last_id,
+            runs: Vec::new(),
+            crash_wait: None,
             broken_head: None,
             holds_retry: false,
+            has_logged_budget: false,
+            last_cause: "",
         }
     }
 
@@ -139,47 +130,44 @@
         &self.relay.caller.id
     }
 
-    /// Sends the request to one chain after the other until one serves it or no further attempt is
-    /// possible.
+    /// Sends the request to chains until one serves it or no further attempt is possible.
     pub(super) async fn open(&mut self, log: &mut RequestLog) -> OpenOutcome {
         let mut failure = None;
         let mut retry_after_ms = None;
         loop {
-            self.await_crash_reports().await;
-            if !self.may_send(log) {
-                break;
-            }
-            let chain = match self.find_chain_or_wait(log).await {
-                Ok(chain) => chain,
-                Err(retry_ms) => {
-                    retry_after_ms = retry_ms;
+            if self.runs.is_empty() {
+                self.await_crash_reports().await;
+                if !self.may_send(log) {
                     break;
                 }
-            };
-            if self.plan.sends() == 0
-                && let Some(kind) = self.relay.withdrawn_permission(&self.state)
-            {
-                return OpenOutcome::Refused(kind, None);
-            }
-            // The part may have been refused while the request waited for capacity.
-            if self.is_refused() {
-                log.add_cause("crashes engines");
-                if !self.plan.may_have_run() {
-                    return OpenOutcome::Refused(RefusalKind::Crasher, None);
+                let chain = match self.find_chain_or_wait(log).await {
+                    Ok(chain) => chain,
+                    Err(retry_ms) => {
+                        retry_after_ms = retry_ms;
+                        break;
+                    }
+                };
+                if self.plan.sends() == 0
+                    && let Some(kind) = self.relay.withdrawn_permission(&self.state)
+                {
+                    return OpenOutcome::Refused(kind, None);
                 }
-                break;
-            }
-            match self.send(chain, log).await {
-                Ok(OpenOutcome::Streaming(parts)) => return OpenOutcome::Streaming(parts),
-                Ok(error_response) => {
-                    self.plan.record_end(AttemptEnd::Failed);
-                    log.add_cause("engine failed");
-                    failure = Some(error_response);
+                // The part may have been refused while the request waited for capacity.
+                if self.is_refused() {
+                    log.add_cause("crashes engines");
+                    if !self.plan.may_have_run() {
+                        return OpenOutcome::Refused(RefusalKind::Crasher, None);
+                    }
+                    break;
                 }
-                Err(end) => {
-                    self.plan.record_end(end);
-                    log.add_cause(end.as_str());
+                self.start_run(chain, log);
+            }
+            match self.await_head(log).await {
+                HeadWait::Served(parts) => return OpenOutcome::Streaming(parts),
+                HeadWait::Failed(parts, body) => {
+                    failure = Some(OpenOutcome::ErrorResponse(parts, body));
                 }
+                HeadWait::Ended => {}
             }
         }
         if let Some(error_response) = failure {
@@ -195,10 +183,10 @@
         }
     }
 
-    /// Forwards events until the stream ends, resuming it on another chain when a run fails.
+    /// Forwards events until the stream ends, resuming it on another chain when all runs have failed.
     pub(super) async fn run(&mut self, caller: &CallerStream, log: &mut RequestLog) {
         loop {
-            let cause = match self.forward_events(caller, log).await {
+            match self.forward_events(caller, log).await {
                 RunOutcome::Complete => {
                     record_parts_served(&self.state, &self.relay);
                     record_served(&self.state, &self.relay);
@@ -216,22 +204,13 @@
                     log.set_outcome("caller-stalled");
                     return;
                 }
-                RunOutcome::Broken(cause) => cause,
-            };
-            log.add_cause(cause);
-            self.plan.record_end(AttemptEnd::Broken);
-            if let Some(run) = self.run.take() {
-                self.record_broken_run(&run.stages);
-                let ids = run.stages.into_iter().map(|stage| stage.id);
-                self.excluded.extend(ids);
+                RunOutcome::Broken => {}
             }
-            self.splitter = EventSplitter::new(self.splitter.last_id());
-            self.progress = AnswerProgress::new();
             // Without event identifiers, another run would repeat events that the caller already has.
-            let may_resume = self.splitter.last_id().is_some() || !log.has_piece();
+            let may_resume = self.last_id.is_some() || !log.has_piece();
             if !may_resume || !self.resume(log).await {
                 // The stream is not finished, so the caller sees that it broke off.
-                self.state.metrics.count_cut_stream(cause);
+                self.state.metrics.count_cut_stream(self.last_cause);
                 log.set_outcome("cut");
                 return;
             }
@@ -243,144 +222,80 @@
         matches!(self.open(log).await, OpenOutcome::Streaming(_))
     }
 
-    /// Sends the request to a chain and waits for the head of the response.
-    async fn send(
-        &mut self,
-        chain: FoundChain,
-        log: &mut RequestLog,
-    ) -> Result<OpenOutcome, AttemptEnd> {
+    /// Sends the request to a chain, as a run beside those in progress.
+    fn start_run(&mut self, chain: FoundChain, log: &mut RequestLog) {
         let unloaded_step_ms = chain.unloaded_step_ms;
-        let chain = chain.stages;
-        let ids: Vec<&str> = chain.iter().map(|stage| stage.id.as_str()).collect();
+        let stages = chain.stages;
+        let ids: Vec<&str> = stages.iter().map(|stage| stage.id.as_str()).collect();
         log.record_send(&ids.join("+"));
         let shape = self.relay.service().model.as_ref();
         let usual_answer = shape.map_or(0.0, |shape| shape.usual_answer);
         let tokens = self.relay.caller.size.reserved_tokens(usual_answer);
         let prompt = f64::from(self.relay.caller.size.prompt_tokens);
-        let load = LoadGuard::for_chain(&self.state, &chain, tokens, prompt);
-        self.sent_at = self.state.clock.now();
-        let left_ms = self.relay.deadline.since(self.sent_at);
-        let last_event = self.splitter.last_id().map(|id| id.to_string());
+        let load = LoadGuard::for_chain(&self.state, &stages, tokens, prompt);
+        let now = self.state.clock.now();
+        let target_ms = self.relay.route().target_ms;
+        let sent = self.send(&stages, now);
+        self.runs.push(ChainRun {
+            stages,
+            unloaded_step_ms,
+            sample_start: None,
+            sent_at: now,
+            timeouts: StallTimeouts::new(
+                now,
+                target_ms / FIRST_EVENT_PROBE_DIVISOR,
+                target_ms * FIRST_EVENT_FAILOVER_FACTOR,
+            ),
+            stall: None,
+            is_recorded: false,
+            splitter: EventSplitter::new(self.last_id),
+            progress: AnswerProgress::new(),
+            forwarded_count: 0,
+            ready: Vec::new(),
+            head: None,
+            exchange: RunExchange::Sent(sent),
+            load,
+        });
+    }
+
+    /// Sends the request to the first engine of a chain; the future ends with the head of the response.
+    ///
+    /// Dropping the future closes the connection.
+    fn send(
+        &mut self,
+        stages: &[ChainStage],
+        now: MilliTime,
+    ) -> Pin<Box<dyn Future<Output = HeadOutcome>>> {
+        let first = &stages[0];
+        let last_event = self.last_id.map(|id| id.to_string());
         let call = EngineCall {
-            expected_id: &chain[0].id,
-            deadline_ms: left_ms,
+            expected_id: &first.id,
+            deadline_ms: self.relay.deadline.since(now),
             account: self.relay.account().map(|account| account.name.as_str()),
             priority: self.relay.priority(),
             last_event: last_event.as_deref(),
-            chain: &chain,
+            chain: stages,
         };
         let headers = self
             .state
             .format
             .encode_request_headers(&self.relay.parts.headers, &call);
         // On a kept connection, a refusal of the first send could not be told from one of the second.
-        let is_again = self.sent_to.contains(&chain[0].address);
-        self.sent_to.push(chain[0].address);
+        let is_again = self.sent_to.contains(&first.address);
+        self.sent_to.push(first.address);
         let sent = self.state.engine_client.send(
-            chain[0].address,
+            first.address,
             &self.relay.parts.method,
             self.relay.path(),
             headers,
             self.relay.body.clone(),
             is_again || self.relay.route().repeat == RepeatRule::AtMostOnce,
         );
-        let target_ms = self.relay.route().target_ms;
-        let mut timeouts = StallTimeouts::new(
-            self.state.clock.now(),
-            target_ms / FIRST_EVENT_PROBE_DIVISOR,
-            target_ms * FIRST_EVENT_FAILOVER_FACTOR,
-        );
-        let mut sent = std::pin::pin!(sent);
-        let response = match self
-            .await_progress(&chain, &mut timeouts, sent.as_mut())
-            .await
-        {
-            Ok(Ok(response)) => response,
-            Ok(Err(SendError::NotSent { is_refused, .. })) => {
-                if is_refused {
-                    record_refused_connection(&self.state, &chain[0].id);
-                }
-                self.record_failure(&chain[0].id);
-                return Err(AttemptEnd::NotSent);
-            }
-            Ok(Err(SendError::Broken { .. })) => {
-                let now = self.state.clock.now();
-                let id = &chain[0].id;
-                self.state
-                    .view
-                    .borrow_mut()
-                    .engines
-                    .record_broken_answer(id, now);
-                self.record_broken_run(&chain);
-                self.excluded.push(id.clone());
-                return Err(AttemptEnd::Broken);
-            }
-            Err(StallReason::Refused) => return Err(AttemptEnd::Broken),
-            Err(_) => {
-                self.record_broken_run(&chain);
-                return Err(AttemptEnd::Broken);
-            }
-        };
-        self.handle_head(chain, unloaded_step_ms, response, load)
-            .await
+        let (state, relay) = (Rc::clone(&self.state), Rc::clone(&self.relay));
+        let engine = first.id.clone();
+        Box::pin(async move {
+            let sent = sent.await;
+            HeadOutcome::read(&state, &engine, &relay.caller.id, sent).await
+        })
     }
-
-    /// Handles the head of a response: starts the run, or records the rejection.
-    async fn handle_head(
-        &mut self,
-        chain: Vec<ChainStage>,
-        unloaded_step_ms: f64,
-        response: Response<Incoming>,
-        load: LoadGuard,
-    ) -> Result<OpenOutcome, AttemptEnd> {
-        let class =
-            ResponseClass::classify(&self.state, &chain[0].id, &self.relay.caller.id, &response);
-        let (parts, body) = response.into_parts();
-        match class {
-            ResponseClass::Served => {
-                let mut view = self.state.view.borrow_mut();
-                for stage in &chain {
-                    view.engines.record_success(&stage.id);
-                }
-                drop(view);
-                self.run = Some(ChainRun {
-                    stages: chain,
-                    unloaded_step_ms,
-                    sample_start: None,
-                    timeouts: self.event_timeouts(),
-                    is_framed: is_framed(&parts.headers),
-                    body,
-                    load,
-                });
-                Ok(OpenOutcome::Streaming(parts))
-            }
-            ResponseClass::Rejected {
-                fault_address,
-                is_paused,
-            } => {
-                self.record_rejection(fault_address.as_deref(), is_paused, &chain);
-                Err(AttemptEnd::Rejected)
-            }
-            ResponseClass::Failed => match self.read_error_body(body).await {
-                Some(body) => Ok(OpenOutcome::ErrorResponse(parts, body)),
-                None => Err(AttemptEnd::Broken),
-            },
-            ResponseClass::Foreign => {
-                self.excluded.push(chain[0].id.clone());
-                Err(AttemptEnd::Broken)
-            }
-        }
-    }
-
-    /// Reads the body of an error response; `None` if it is not whole by the deadline.
-    async fn read_error_body(&self, body: Incoming) -> Option<Bytes> {
-        let left_ms = self.relay.deadline.since(self.state.clock.now());
-        let read = tokio::time::timeout(Duration::from_millis(left_ms), read_whole(body));
-        read.await.ok()?.ok()
-    }
-}
-
-/// Returns whether the end of a response's body can be told from the end of its connection.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
--- a/crates/relay/src/ingress/stream_relay/stall_detection.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_detection.rs
@@ -1,12 +1,9 @@
-//! Detection of runs that stall because an engine of their chain is dead.
+//! Detection of runs that stall because an engine of their chain is dead or silent.
 //!
 //! A chain only shows that it makes no progress, not which engine is dead. After a first time-out, the
-//! first engine is probed: its report names the engines on which its requests wait. If one of the chain's
-//! engines is then suspected, the run fails over at once. After a second time-out it fails over without
-//! evidence. In both cases this happens only if another chain can take over, as the run may still
-//! progress.
+//! first engine is probed: its report names the engines on which its requests wait. A run counts as stalled if
+//! one of the chain's engines is then suspected, or after a second time-out without evidence.
 
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,71 +11,83 @@
 use tokio::task::spawn_local;
 
 use crate::engine::probe_stall;
+use crate::telemetry::RequestLog;
 
 use super::StreamRelay;
+use super::chain_run::next_step;
+use super::run_signal::RunSignal;
 use super::stall_reason::StallReason;
-use super::stall_timeouts::StallTimeouts;
 
 /// The interval at which the first engine is probed again, in milliseconds.
 const REPROBE_INTERVAL_MS: u64 = 150;
 
 impl StreamRelay {
-    /// Waits for progress of a run; gives up at the deadline, if a part of its prompt is refused before its
-    /// answer has begun, or if the run stalls and another chain can take over.
+    /// Waits until something arrives from one of the runs; gives up at the deadline, or if a part of the prompt is
+    /// refused before the answer has begun.
     ///
-    /// A run that waits for a dead engine fails over as soon as the engine is suspected, even if the probe of
-    /// another request led to the suspicion, so that the first event can still be in time.
-    pub(super) async fn await_progress<F: Future>(
-        &mut self,
-        stages: &[ChainStage],
-        timeouts: &mut StallTimeouts,
-        mut progress: Pin<&mut F>,
-    ) -> Result<F::Output, StallReason> {
+    /// Another run is started when all of them stall. A run that waits for a dead engine counts as stalled as soon
+    /// as the engine is suspected, even if the probe of another request led to the suspicion, so that the first
+    /// event can still be in time.
+    pub(super) async fn next_signal(&mut self, log: &mut RequestLog) -> RunSignal {
         let state = Rc::clone(&self.state);
         loop {
+            // An attempt beside stalled runs may just have ended.
+            self.try_fail_over(log);
             let now = state.clock.now();
             let left_ms = self.relay.deadline.since(now);
             if left_ms == 0 {
-                return Err(StallReason::DeadlinePassed);
+                return RunSignal::DeadlinePassed;
             }
-            let next = match timeouts.failover_at {
-                Some(failover_at) => timeouts.probe_at.min(failover_at),
-                None => timeouts.probe_at,
-            };
-            let next_ms = next.since(now);
+            let next = self.runs.iter().map(|run| run.next_check()).min();
+            let next_ms = next.map_or(left_ms, |next| next.since(now).min(left_ms));
+            let is_probed = self.runs.iter().any(|run| run.timeouts.is_probed);
+            let is_unbegun = self.is_unbegun();
             let lost = state.engine_lost.notified();
             let refused = state.parts_refused.notified();
+            let crash_wait = async {
+                match &mut self.crash_wait {
+                    Some(wait) => wait.await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
                 biased;
-                progress = progress.as_mut() => return Ok(progress),
-                () = lost, if timeouts.is_probed => {}
-                () = refused, if self.is_unbegun() => {}
-                () = tokio::time::sleep(Duration::from_millis(next_ms.min(left_ms))) => {}
+                (index, step) = next_step(&mut self.runs) => return RunSignal::Step(index, step),
+                () = crash_wait => {
+                    self.crash_wait = None;
+                    self.start_other_run(log);
+                }
+                () = lost, if is_probed => {}
+                () = refused, if is_unbegun => {}
+                () = tokio::time::sleep(Duration::from_millis(next_ms)) => {}
             }
             if self.is_unbegun() && self.is_refused() {
-                return Err(StallReason::Refused);
+                return RunSignal::Refused;
             }
-            let now = state.clock.now();
-            if now >= timeouts.probe_at {
-                timeouts.is_probed = true;
-                timeouts.probe_at = now.plus(REPROBE_INTERVAL_MS);
-                self.spawn_probe(stages);
+            self.check_runs();
+        }
+    }
+
+    /// Probes the runs whose time has come, and notes which of them stall.
+    fn check_runs(&mut self) {
+        let now = self.state.clock.now();
+        let mut runs = std::mem::take(&mut self.runs);
+        for run in &mut runs {
+            if now >= run.timeouts.probe_at {
+                run.timeouts.is_probed = true;
+                run.timeouts.probe_at = now.plus(REPROBE_INTERVAL_MS);
+                self.spawn_probe(&run.stages);
             }
-            if timeouts.is_probed && self.has_suspected_engine(stages) && self.can_fail_over(stages)
-            {
-                return Err(StallReason::EngineLost);
+            if run.timeouts.is_probed && self.has_suspected_engine(&run.stages) {
+                run.stall.get_or_insert(StallReason::EngineLost);
             }
-            if timeouts
-                .failover_at
-                .is_some_and(|failover_at| now >= failover_at)
-            {
-                timeouts.failover_at = None;
-                if self.can_fail_over(stages) {
-                    self.record_stall(stages);
-                    return Err(StallReason::Stalled);
-                }
+            let failover_at = run.timeouts.failover_at;
+            if failover_at.is_some_and(|failover_at| now >= failover_at) {
+                run.timeouts.failover_at = None;
+                run.stall.get_or_insert(StallReason::Stalled);
             }
         }
+        self.runs = runs;
     }
 
     /// Starts a task that probes the first engine of a stalled run.
@@ -99,7 +108,7 @@
     }
 
     /// Records a stall at each engine of the chain, and logs the engines that are avoided because of it.
-    fn record_stall(&self, stages: &[ChainStage]) {
+    pub(super) fn record_stall(&self, stages: &[ChainStage]) {
         let now = self.state.clock.now();
         let ids: Vec<&str> = stages.iter().map(|stage| stage.id.as_str()).collect();
         let avoided = self.state.view.borrow_mut().engines.record_stall(&ids, now);
--- a/crates/relay/src/ingress/stream_relay/stall_reason.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_reason.rs
@@ -1,12 +1,18 @@
-/// The reason for which waiting for progress of a run was given up.
+/// The reason for which a run counts as stalled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum StallReason {
-    /// The deadline of the request has passed.
-    DeadlinePassed,
-    /// An engine of the chain is suspected of being dead, and another chain can take over.
+    /// An engine of the chain is suspected of being dead.
     EngineLost,
-    /// A shared part of the prompt is refused by now because it crashes engines.
-    Refused,
-    /// The run made no progress within the time-out, and another chain can take over.
+    /// The run made no progress within the time-out.
     Stalled,
 }
+
+impl StallReason {
+    /// Returns the text for logs.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            StallReason::EngineLost => "engine lost",
+            StallReason::Stalled => "stalled",
+        }
+    }
+}
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -28,6 +28,7 @@
     task_failures: IntCounterVec,
     connection_failures: IntCounterVec,
     cut_streams: IntCounterVec,
+    failovers: IntCounterVec,
     first_event: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
@@ -101,6 +102,11 @@
                 "Streams that ended before they were complete, by the cause of the last run's end.",
                 "cause",
             ),
+            failovers: counter(
+                "dandelionroad_failovers_total",
+                "Runs started beside stalled ones, by outcome.",
+                "outcome",
+            ),
             first_event: histogram(
                 "dandelionroad_first_event_ms",
                 "Time to the first piece of a response.",
@@ -198,6 +204,11 @@
         self.cut_streams.with_label_values(&[cause]).inc();
     }
 
+    /// Counts the outcome of a run that was started beside a stalled one.
+    pub fn count_failover(&self, outcome: &str) {
+        self.failovers.with_label_values(&[outcome]).inc();
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.set(version as f64);
