Keep a stalled run until another one has sent an event

Cause: a stalled run was dropped as soon as another chain had room by this process's own figures. If that chain then turned the request away, failed or fell silent, or no further retry was left, nothing served the stream. The class: something that works is let go on suspicion before its successor stands.

Change: a request may have several runs. When all of them stall, another one is started beside them, within the limits of attempts, retries and capacity, for which all standing runs count. A run ends only if it fails itself, or when another run has sent its first new event; the loser is ended at once. Streams without event identifiers are not moved. An engine that answers again after a silence is no longer avoided.

--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -148,6 +148,44 @@
     }
 }
 
+/// Guards against attempts in progress that don't count against the limits of the request.
+#[test]
+fn attempt_plan_counts_standing_attempts() {
+    let plan = AttemptPlan::new(true, 2);
+    assert!(plan.may_send_beside(0));
+    assert!(plan.may_send_beside(1));
+    assert!(!plan.may_send_beside(2));
+    // A request that may run once is never at two endpoints.
+    assert!(!AttemptPlan::new(false, 4).may_send_beside(1));
+    // Rejected attempts have not run, but their number is limited.
+    let mut plan = AttemptPlan::new(true, 9);
+    for _ in 0..3 {
+        plan.record_end(AttemptEnd::Rejected);
+    }
+    assert!(plan.may_send_beside(0));
+    assert!(!plan.may_send_beside(1));
+}
+
+/// Guards against an engine that is avoided after it has answered again, and against one that is used again
+/// although it failed in another way meanwhile.
+#[test]
+fn engine_table_withdraws_suspicion() {
+    let records = (1..3).map(|number| record(number, "a", "large", LayerRange::new(0, 40)));
+    let mut table = table(records.collect());
+    assert!(!table.withdraw_suspicion("e001", NOW));
+    for id in ["e001", "e002"] {
+        assert!(table.suspect(id, NOW));
+    }
+    table.record_failure("e002", NOW.plus(500));
+    let later = NOW.plus(1_000);
+    for id in ["e001", "e002"] {
+        assert!(table.withdraw_suspicion(id, later));
+        assert!(!table.get(id).unwrap().is_suspected(later));
+    }
+    assert!(table.get("e001").unwrap().is_usable(later));
+    assert!(!table.get("e002").unwrap().is_usable(later));
+}
+
 /// Guards against a restarted engine that is avoided or counted as loaded because of its previous
 /// incarnation.
 #[test]
--- a/crates/relay/src/ingress/stream_relay/chain_run.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_run.rs
@@ -3,14 +3,12 @@
 use std::task::Poll;
 use std::task::ready;
 
-use bytes::Bytes;
 use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::relay::AnswerProgress;
 use dandelionroad_core::relay::EventSplitter;
 use dandelionroad_core::time::MilliTime;
 use hyper::HeaderMap;
 use hyper::body::Body;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::TRANSFER_ENCODING;
@@ -18,7 +16,8 @@
 
 use crate::engine::LoadGuard;
 
-use super::head_outcome::HeadOutcome;
+use super::run_exchange::RunExchange;
+use super::run_step::RunStep;
 use super::stall_reason::StallReason;
 use super::stall_timeouts::StallTimeouts;
 
@@ -49,26 +48,6 @@
     pub(super) load: LoadGuard,
 }
 
-/// How far the exchange with the first engine of a run has come.
-pub(super) enum RunExchange {
-    /// The request was sent; the future ends with the head of the response.
-    Sent(Pin<Box<dyn Future<Output = HeadOutcome>>>),
-    /// The chain serves the request.
-    Answering {
-        /// Whether the response has a length or chunks; otherwise only the end of its connection ends it.
-        is_framed: bool,
-        body: Incoming,
-    },
-}
-
-/// What arrived next from the first engine of a run.
-pub(super) enum RunStep {
-    /// The head of the response, or the end of the attempt without one.
-    Head(HeadOutcome),
-    /// A frame of the response's body; `None` at its end.
-    Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
-}
-
 impl ChainRun {
     /// Records that the chain serves the request.
     pub(super) fn begin_answer(&mut self, parts: Parts, body: Incoming) {
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -13,8 +13,8 @@
 use super::super::send_fault::SendFault;
 use super::RunOutcome;
 use super::StreamRelay;
-use super::chain_run::RunStep;
 use super::run_signal::RunSignal;
+use super::run_step::RunStep;
 use super::stall_timeouts::StallTimeouts;
 
 /// The time without an event after which the stream fails over to another chain, as a multiple of the
--- a/crates/relay/src/ingress/stream_relay/failover.rs
+++ b/crates/relay/src/ingress/stream_relay/failover.rs
@@ -165,7 +165,12 @@
     }
 
     /// Records how an attempt ended, with the cause as it appears in logs and metrics.
-    pub(super) fn record_end(&mut self, end: AttemptEnd, cause: &'static str, log: &mut RequestLog) {
+    pub(super) fn record_end(
+        &mut self,
+        end: AttemptEnd,
+        cause: &'static str,
+        log: &mut RequestLog,
+    ) {
         self.plan.record_end(end);
         self.last_cause = cause;
         log.add_cause(cause);
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -8,9 +8,9 @@
 use crate::telemetry::RequestLog;
 
 use super::StreamRelay;
-use super::chain_run::RunStep;
 use super::head_outcome::HeadOutcome;
 use super::run_signal::RunSignal;
+use super::run_step::RunStep;
 
 /// The outcome of waiting for a chain that serves the request.
 pub(super) enum HeadWait {
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -16,7 +16,9 @@
 mod failover;
 mod head_outcome;
 mod head_wait;
+mod run_exchange;
 mod run_signal;
+mod run_step;
 mod stall_detection;
 mod stall_reason;
 mod stall_timeouts;
@@ -46,10 +48,10 @@
 use super::relay_request::RelayRequest;
 
 use self::chain_run::ChainRun;
-use self::chain_run::RunExchange;
 use self::crash_wait::BrokenHead;
 use self::head_outcome::HeadOutcome;
 use self::head_wait::HeadWait;
+use self::run_exchange::RunExchange;
 use self::stall_timeouts::StallTimeouts;
 
 /// A chain is probed if no response has arrived after the target time to the first event divided by this
--- a/crates/relay/src/ingress/stream_relay/run_signal.rs
+++ b/crates/relay/src/ingress/stream_relay/run_signal.rs
@@ -1,5 +1,4 @@
-use super::chain_run::RunStep;
-
+use super::run_step::RunStep;
 /// What ended a wait for the runs of a request.
 pub(super) enum RunSignal {
     /// Something arrived from the first engine of the run with this index.
--- a/crates/relay/tests/silent_engines.rs
+++ b/crates/relay/tests/silent_engines.rs
@@ -131,3 +131,73 @@
         });
     }
 }
+
+/// Without event identifiers, another run can't continue the stream. Guards against a silent run that is given up all
+/// the same, which cuts the stream.
+#[test]
+fn stream_without_identifiers_goes_on_after_silence() {
+    run(async {
+        let world = World::start().await;
+        let (sound, other) = start_pair(&world).await;
+        sound.fault.set(EngineFault::CutUnnumbered);
+        sound.silence.set(Some(EngineSilence {
+            after_event: 3,
+            duration: SILENCE,
+        }));
+        let node = world.start_node("n1").await;
+        let response = world.open(&node, "/model/a", "r1").await;
+        other.hold_layers((0, 40));
+        let answer = read(response).await;
+        // The engine cuts the stream after its fifth event.
+        assert_eq!(answer.body, b"data: token\n\n".repeat(5));
+        assert!(other.runs.borrow().is_empty());
+    });
+}
+
+/// All engines fall silent in turn. Guards against a request that is at more engines than its route allows, and
+/// against one that is cut because none of them is left to try.
+#[test]
+fn stream_stays_within_attempts_of_route() {
+    run(async {
+        let world = World::start().await;
+        let mut engines = Vec::new();
+        for number in 0..5 {
+            let engine = world.start_engine(&format!("e{number}"), (0, 40)).await;
+            engine.silence.set(Some(EngineSilence {
+                after_event: 4,
+                duration: SILENCE,
+            }));
+            engines.push(engine);
+        }
+        let node = world.start_node("n1").await;
+        for request in 0..4 {
+            let id = format!("r{request}");
+            let answer = world.send(&node, "/model/a", &id).await;
+            assert!(answer.is_complete, "{id}");
+            assert_eq!(answer.body, all_events(), "{id}");
+            let of_request = |engine: &Rc<FakeEngine>| engine.runs.borrow().contains(&id);
+            let count = engines.iter().filter(|engine| of_request(engine)).count();
+            assert!(count <= 2, "{id} was at {count} engines");
+        }
+    });
+}
+
+/// Guards against an engine that is avoided for seconds after a silence of a second has ended.
+#[test]
+fn engine_is_used_again_after_silence() {
+    run(async {
+        let world = World::start().await;
+        let engine = world.start_engine("e1", (0, 40)).await;
+        engine.silence.set(Some(EngineSilence {
+            after_event: 4,
+            duration: SILENCE,
+        }));
+        let node = world.start_node("n1").await;
+        let answer = world.send(&node, "/model/a", "r1").await;
+        assert!(answer.is_complete);
+        engine.silence.set(None);
+        let answer = world.send(&node, "/model/a", "r2").await;
+        assert_eq!(answer.status, 200);
+        assert!(answer.is_complete);
+    });
+}
