Don't charge the crossing budget for a look at a chain

A stalled run looks for a chain at each check until it has one and a retry. Each look at a chain that crosses availability zones was charged as a request, so that waiting runs used up the budget of the others.

--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -133,9 +133,19 @@
         self.state.take_retry("stream")
     }
 
-    /// Finds a chain within an availability zone, or one that crosses zones if the crossing budget allows
-    /// it.
+    /// Finds a chain, and charges the crossing budget for its crossings.
     pub(super) fn find_chain(&self) -> Option<FoundChain> {
+        let chain = self.search_chain()?;
+        let shape = self.relay.service().model.as_ref()?;
+        let tokens = self.finder_request(shape).tokens;
+        let mut view = self.state.view.borrow_mut();
+        view.crossing_budget.spend(tokens, chain.crossings);
+        Some(chain)
+    }
+
+    /// Searches for a chain within an availability zone, or one that crosses zones if the crossing budget
+    /// allows it.
+    pub(super) fn search_chain(&self) -> Option<FoundChain> {
         let shape = self.relay.service().model.as_ref()?;
         let service = &self.relay.service().name;
         let mut view = self.state.view.borrow_mut();
@@ -151,9 +161,7 @@
         if !request.may_cross {
             return None;
         }
-        let chain = ChainFinder::new(&view.engines, service, shape).find(&request)?;
-        view.crossing_budget.spend(request.tokens, chain.crossings);
-        Some(chain)
+        ChainFinder::new(&view.engines, service, shape).find(&request)
     }
 
     /// Returns the reason for which no availability zone has a chain, as it appears in logs.
--- a/crates/relay/src/ingress/stream_relay/failover.rs
+++ b/crates/relay/src/ingress/stream_relay/failover.rs
@@ -35,7 +35,7 @@
         let stages = self.runs.iter().flat_map(|run| &run.stages);
         let ids: Vec<String> = stages.map(|stage| stage.id.clone()).collect();
         self.excluded.extend(ids);
-        if self.find_chain().is_none() || !self.hold_retry(log) {
+        if self.search_chain().is_none() || !self.hold_retry(log) {
             self.excluded.truncate(excluded_count);
             return;
         }
