Frame answers to callers by their own bodies, not by an engine's head

What callers saw: a stream whose first engine announced a length and broke off, and that another engine continued, ended at the length of the first one and looked whole, or was cut when the length was longer than the stream.

Cause: caller_response passed on the head of the first engine's response with its content-length, and the HTTP library frames a body by the length that it finds in the head.

Why the fix works: an answer to a caller is made from an AnswerHead, which leaves out all fields that frame a message or concern one connection, whatever the deployment's WireFormat lets through; the library then frames the body by its own size. The head of a stream also leaves out the fields that describe one run's whole body: digests, validators, byte ranges. Refusals are made from the same type. Status, signature and the other headers are passed on as before.

--- a/crates/relay/src/ingress/caller_body.rs
+++ b/crates/relay/src/ingress/caller_body.rs
@@ -9,15 +9,11 @@
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::Response;
 use hyper::body::Frame;
-use hyper::http::response::Parts;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::SendTimeoutError;
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::node::NodeState;
-
 use super::send_fault::SendFault;
 
 /// The body of a response to a caller.
@@ -28,18 +24,6 @@
 /// The number of pieces that are buffered for a caller that reads slowly.
 const PIECE_QUEUE_CAPACITY: usize = 16;
 
-/// Builds the response to the caller from the head of an engine's response.
-pub(super) fn caller_response(
-    state: &NodeState,
-    parts: &Parts,
-    body: CallerBody,
-) -> Response<CallerBody> {
-    let mut response = Response::new(body);
-    *response.status_mut() = parts.status;
-    *response.headers_mut() = state.format.caller_response_headers(&parts.headers);
-    response
-}
-
 /// Returns a body that is known in full.
 pub(super) fn full_body(bytes: Bytes) -> CallerBody {
     Full::new(bytes)
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -8,6 +8,7 @@
 */
 
 mod admission;
+mod answer_head;
 mod caller_body;
 mod caller_server;
 mod capacity_wait;
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -19,8 +19,8 @@
 use crate::wire::EngineCall;
 use crate::wire::RefusalKind;
 
+use super::answer_head::AnswerHead;
 use super::caller_body::CallerBody;
-use super::caller_body::caller_response;
 use super::caller_body::full_body;
 use super::crash_check::is_crasher;
 use super::crash_check::record_broken_run;
@@ -226,7 +226,7 @@
     let Ok(body) = read_whole(body).await else {
         return PlainOutcome::Lost(AttemptEnd::Broken);
     };
-    let response = caller_response(state, &parts, full_body(body));
+    let response = AnswerHead::of_whole(&*state.format, &parts).into_response(full_body(body));
     match class {
         ResponseClass::Failed => PlainOutcome::Failed(response),
         _ => PlainOutcome::Answered(response),
--- a/crates/relay/src/ingress/refusal.rs
+++ b/crates/relay/src/ingress/refusal.rs
@@ -1,10 +1,10 @@
 use bytes::Bytes;
 use hyper::Response;
-use hyper::StatusCode;
 
 use crate::node::NodeState;
 use crate::wire::RefusalKind;
 
+use super::answer_head::AnswerHead;
 use super::caller_body::CallerBody;
 use super::caller_body::full_body;
 
@@ -16,9 +16,6 @@
     retry_after_ms: Option<u64>,
 ) -> Response<CallerBody> {
     let body = serde_json::json!({ "error": kind.as_str() }).to_string();
-    let mut response = Response::new(full_body(Bytes::from(body)));
-    *response.status_mut() =
-        StatusCode::from_u16(kind.status()).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-    *response.headers_mut() = state.format.refusal_headers(request, retry_after_ms);
-    response
+    let headers = state.format.refusal_headers(request, retry_after_ms);
+    AnswerHead::of_refusal(kind, headers).into_response(full_body(Bytes::from(body)))
 }
--- a/crates/relay/src/ingress/stream_driver.rs
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -6,8 +6,8 @@
 use crate::node::NodeState;
 use crate::telemetry::RequestLog;
 
+use super::answer_head::AnswerHead;
 use super::caller_body::CallerBody;
-use super::caller_body::caller_response;
 use super::caller_body::channel_body;
 use super::caller_body::full_body;
 use super::open_outcome::OpenOutcome;
@@ -26,7 +26,7 @@
     match stream.open(&mut log).await {
         OpenOutcome::Streaming(parts) => {
             let (caller, body) = channel_body();
-            let response = caller_response(&state, &parts, body);
+            let response = AnswerHead::of_stream(&*state.format, &parts).into_response(body);
             spawn_local(async move {
                 tokio::select! {
                     () = stream.run(&caller, &mut log) => {}
@@ -39,7 +39,7 @@
         }
         OpenOutcome::ErrorResponse(parts, body) => {
             log.set_outcome("failed");
-            caller_response(&state, &parts, full_body(body))
+            AnswerHead::of_whole(&*state.format, &parts).into_response(full_body(body))
         }
         OpenOutcome::Refused(kind, retry_ms) => {
             let id = stream.request_id().to_owned();
--- a/crates/relay/src/wire/wire_format.rs
+++ b/crates/relay/src/wire/wire_format.rs
@@ -31,6 +31,8 @@
     fn decode_response_head(&self, status: u16, headers: &HeaderMap) -> ResponseHead;
 
     /// Returns the headers of an engine's response that are forwarded to the caller.
+    ///
+    /// The relay removes those that frame the body, as it frames the answer itself.
     fn caller_response_headers(&self, headers: &HeaderMap) -> HeaderMap;
 
     /// Returns the headers of a response with which the relay itself refuses a request.
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod fake_store;
 pub(crate) mod http_fake;
 pub(crate) mod raw_engine;
+pub(crate) mod scripted_engine;
 pub(crate) mod test_wire;
 
 use std::cell::Cell;
