Test answers that stop at any byte, over real sockets

An engine's answer stops after each of its bytes, in the head or in the body, and its connection is closed or reset; it is framed by a length, by chunks or by the end of its connection. Sent to calls that run at most once, to calls that may be repeated and to streams, with a second run that breaks off at the same place, or that is whole. A success that looks complete has to be the engine's whole body. The only exception is an answer without framing that is closed in its body: for a plain call it can't be told from a whole one, and a stream ends between two events.

--- a/crates/relay/tests/answer_framing.rs
+++ b/crates/relay/tests/answer_framing.rs
@@ -3,13 +3,19 @@
 
 mod relay_support;
 
+use std::cell::RefCell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::relay_support::ReadResponse;
 use crate::relay_support::World;
+use crate::relay_support::answer_cut::AnswerCut;
+use crate::relay_support::answer_cut::BodyFraming;
+use crate::relay_support::answer_cut::frame_answer;
 use crate::relay_support::fake_engine::EVENTS;
 use crate::relay_support::fake_engine::event_bytes;
 use crate::relay_support::read_head;
@@ -28,6 +34,9 @@
     content-md5: AA==\r\ncontent-range: bytes 0-9/10\r\ndigest: sha-256=AA==\r\netag: \"run\"\r\n\
     last-modified: Thu, 01 Jan 1970 00:00:00 GMT\r\nrepr-digest: sha-256=:AA==:\r\n";
 
+/// The body of a plain service's answer.
+const PLAIN_BODY: &[u8] = b"{\"order\":\"booked\",\"rope\":12}";
+
 /// The names of the headers in [`BODY_FIELDS`].
 const BODY_FIELD_NAMES: [&str; 8] = [
     "accept-ranges",
@@ -190,3 +199,117 @@
         );
     });
 }
+
+/// What an engine does with a request that was sent to one before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LaterRun {
+    Broken,
+    Whole,
+}
+
+/// Sends a request for each cut of an answer and returns the responses that are wrong.
+///
+/// The answer to the first run of a request is cut, and that to the second one at the same position of its bytes or not
+/// at all; two engines serve the route.
+async fn faulty_cuts(path: &str, body: &'static [u8], later: LaterRun) -> Vec<String> {
+    let cuts = Rc::new(AnswerCut::all(body));
+    let runs = Rc::new(RefCell::new(vec![0; cuts.len()]));
+    let is_stream = path.starts_with("/model/");
+    let service = if is_stream {
+        MODEL_SERVICE
+    } else {
+        PLAIN_SERVICE
+    };
+    let world = World::start().await;
+    for id in ["e1", "e2"] {
+        let (cuts, runs) = (Rc::clone(&cuts), Rc::clone(&runs));
+        start_scripted(&world.store, id, service, move |request| {
+            let index: usize = request.id()[1..].parse().unwrap();
+            let run = runs.borrow()[index];
+            runs.borrow_mut()[index] = run + 1;
+            let had = events(1..=request.after()).len();
+            if run == 0 || later == LaterRun::Broken {
+                return cuts[index].apply(request.id(), &body[had..]);
+            }
+            let bytes = frame_answer(request.id(), BodyFraming::Length, &body[had..]);
+            ScriptedAnswer::closed(bytes)
+        })
+        .await;
+    }
+    let node = world.start_node("n1").await;
+    let mut faults = Vec::new();
+    for (index, cut) in cuts.iter().enumerate() {
+        let answer = world.send(&node, path, &format!("c{index:04}")).await;
+        let run_count = runs.borrow()[index];
+        if !is_sound(*cut, &answer, body, is_stream, later) || run_count == 0 {
+            let text = String::from_utf8_lossy(&answer.body);
+            faults.push(format!(
+                "{path}, {cut:?}, {run_count} runs: status {}, complete: {}, {text:?}",
+                answer.status, answer.is_complete
+            ));
+        }
+    }
+    faults
+}
+
+/// Returns whether a caller may get this answer.
+fn is_sound(
+    cut: AnswerCut,
+    answer: &ReadResponse,
+    body: &[u8],
+    is_stream: bool,
+    later: LaterRun,
+) -> bool {
+    let is_success = answer.status == 200 && answer.is_complete;
+    if let Some(part) = cut.undetected_part(body, is_stream) {
+        return is_success && answer.body == part;
+    }
+    if cut.is_whole(body) || later == LaterRun::Whole {
+        return is_success && answer.body == body;
+    }
+    if is_success {
+        // The second run had less to send, so that its answer may be whole or end between two events.
+        let is_whole = answer.body == body || cut.is_undetected_part(&answer.body);
+        return is_stream && is_whole && body.starts_with(&answer.body);
+    }
+    // Other statuses may promise that the request has not run.
+    answer.status == 502 || is_stream && answer.status == 200
+}
+
+/// Checks the responses to the requests for all cuts of an answer.
+fn check_cuts(path: &str, body: &'static [u8], later: LaterRun) {
+    run(async {
+        let faults = faulty_cuts(path, body, later).await;
+        assert!(faults.is_empty(), "{faults:#?}");
+    });
+}
+
+/// Guards against a part of the answer to a call that runs at most once, as a success that looks complete.
+#[test]
+fn once_call_cut_anywhere() {
+    check_cuts("/once/a", PLAIN_BODY, LaterRun::Broken);
+}
+
+/// Guards against a part of the answer to a call that may be repeated, as a success that looks complete.
+#[test]
+fn repeatable_call_cut_anywhere() {
+    check_cuts("/any/a", PLAIN_BODY, LaterRun::Broken);
+}
+
+/// Guards against the mixed answers of two runs of a call.
+#[test]
+fn repeated_call_cut_anywhere() {
+    check_cuts("/any/a", PLAIN_BODY, LaterRun::Whole);
+}
+
+/// Guards against a stream that broke off and looks complete.
+#[test]
+fn stream_cut_anywhere() {
+    check_cuts("/model/a", events(1..=3).leak(), LaterRun::Broken);
+}
+
+/// Guards against a stream that another engine continues and of which events are missing, repeated or cut.
+#[test]
+fn resumed_stream_cut_anywhere() {
+    check_cuts("/model/a", events(1..=3).leak(), LaterRun::Whole);
+}
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+pub(crate) mod answer_cut;
 pub(crate) mod crash_engine;
 pub(crate) mod fake_engine;
 pub(crate) mod fake_store;
