Keep an attempt of a plain call in progress while another one is made

Callers of routes whose calls may be repeated got 502 although a sound endpoint would have answered well before the deadline: it was silent for a second or so, and the other endpoint then turned the call away, lost its answer or was silent as well.

Cause: an attempt that may be retried got half of the time that was left and was dropped then, before it was known whether another endpoint takes the call or the retry budget has a retry. A class of fault: something is let go on suspicion before its successor stands.

Now an attempt ends only if it has failed itself, its deadline has passed, or another one has answered. After the same time as before, another attempt is made beside it, if plan, budget, permission and crash detector allow it. The first whole answer is forwarded and the others are dropped, which closes their connections. Every attempt in progress counts as a run (AttemptPlan::may_send_beside), so that a call is at no more endpoints than its route allows, and one that may run once at one. An error response is kept and forwarded if nothing better comes until shortly before the deadline.

A silent endpoint is avoided as before (record_failure) until it answers, once per attempt. Its run no longer counts as broken off: the crash detector hears of it only if the connection breaks or the deadline passes. A retry is taken from the budget after an endpoint was found.

With the loop of may_send_beside taken out, call_is_at_allowed_number_of_endpoints failed with (504, 4) in place of (504, 2), and once_call_is_at_one_endpoint with (504, 3) in place of (504, 1).

--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -155,6 +155,11 @@
     assert!(plan.may_send_beside(0));
     assert!(plan.may_send_beside(1));
     assert!(!plan.may_send_beside(2));
+    let mut plan = AttemptPlan::new(true, 2);
+    plan.record_end(AttemptEnd::Rejected);
+    assert!(plan.may_send_beside(1));
+    plan.record_end(AttemptEnd::Broken);
+    assert!(!plan.may_send_beside(1));
     // A request that may run once is never at two endpoints.
     assert!(!AttemptPlan::new(false, 4).may_send_beside(1));
     // Rejected attempts have not run, but their number is limited.
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,6 +8,8 @@
 use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::relay::ServicePicker;
 use dandelionroad_core::route::hash_text;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use hyper::Response;
 use hyper::body::Incoming;
 
@@ -33,8 +36,8 @@
 /// The minimum time until the deadline with which another attempt is started, in milliseconds.
 const MIN_ATTEMPT_MS: u64 = 30;
 
-/// An attempt that may be retried times out after the time until the deadline divided by this number.
-const ATTEMPT_TIMEOUT_DIVISOR: u64 = 2;
+/// Attempts without an answer count as silent after the time until the deadline divided by this number.
+const SILENCE_DIVISOR: u64 = 2;
 
 /// The outcome of one attempt.
 enum PlainOutcome {
@@ -46,96 +49,191 @@
     Lost(AttemptEnd),
 }
 
+/// The state of one call while its attempts are in progress.
+struct PlainCall<'a> {
+    state: &'a Rc<NodeState>,
+    relay: &'a RelayRequest,
+    log: RequestLog,
+    plan: AttemptPlan,
+    /// The endpoints to which the call was sent.
+    tried: Vec<String>,
+    /// The endpoints whose attempts are in progress and don't count as silent.
+    awaited: Vec<String>,
+    /// Whether the next attempt draws on the retry budget; not after one that was not sent.
+    takes_retry: bool,
+    /// Whether the permission, the retry budget or a crash forbids further attempts.
+    is_exhausted: bool,
+    /// An error response, to forward if no attempt succeeds.
+    failure: Option<Response<CallerBody>>,
+}
+
 /// Forwards a request to an endpoint of a plain service, and returns its whole response.
 ///
-/// Tries further endpoints as far as the route's retry rule, the retry budget and the deadline allow.
+/// Tries further endpoints as far as the route's retry rule, the retry budget and the deadline allow. An attempt
+/// that is silent stays in progress beside the next one, since a sound endpoint may be silent for a while. The first
+/// whole answer is forwarded; the other attempts are dropped then, which closes their connections.
 pub(super) async fn drive_plain(
     state: Rc<NodeState>,
     relay: RelayRequest,
-    mut log: RequestLog,
+    log: RequestLog,
 ) -> Response<CallerBody> {
-    let mut plan = AttemptPlan::for_route(relay.route());
-    let mut tried: Vec<String> = Vec::new();
-    let mut failure = None;
+    let mut call = PlainCall::new(&state, &relay, log);
+    let mut attempts = FuturesUnordered::new();
     loop {
-        let now = state.clock.now();
-        let left_ms = relay.deadline.since(now);
-        let has_time = plan.sends() == 0 || left_ms >= MIN_ATTEMPT_MS;
-        if !has_time || !plan.may_send() {
-            break;
-        }
-        let is_retry = plan.sends() > 0 && !plan.is_last_unsent();
-        if is_retry && !state.take_retry("plain") {
-            log.add_cause("no retry left");
-            break;
-        }
-        if plan.sends() > 0 && is_crasher(&state, &relay) {
-            log.add_cause("crashed two endpoints");
-            break;
-        }
-        if plan.sends() > 0
-            && let Some(kind) = relay.withdrawn_permission(&state)
-        {
-            log.add_cause(kind.as_str());
-            break;
-        }
-        let Some((id, address)) = pick_endpoint(&state, &relay, &tried) else {
-            break;
-        };
-        log.record_send(&id);
-        tried.push(id.clone());
-        match send_attempt(
-            &state,
-            &relay,
-            &id,
-            address,
-            left_ms,
-            plan.may_send_after_run(),
-        )
-        .await
-        {
-            PlainOutcome::Answered(response) => {
+        if let Some((id, address)) = call.next_endpoint(attempts.len()) {
+            attempts.push(send_attempt(&state, &relay, id, address));
+        }
+        let wait_ms = call.wait_ms(attempts.len());
+        let wait = Duration::from_millis(wait_ms);
+        match tokio::time::timeout(wait, attempts.next()).await {
+            Ok(Some((id, PlainOutcome::Answered(response)))) => {
                 record_served(&state, &relay);
                 state.view.borrow_mut().engines.record_success(&id);
-                log.record_piece();
-                log.set_outcome("served");
+                call.log.record_piece();
+                call.log.set_outcome("served");
                 return response;
             }
-            PlainOutcome::Failed(response) => {
-                plan.record_end(AttemptEnd::Failed);
-                log.add_cause("endpoint failed");
-                failure = Some(response);
-            }
-            PlainOutcome::Lost(end) => {
-                if end == AttemptEnd::Broken {
-                    record_broken_run(&state, &relay, &[&id], RunPhase::Starting);
-                }
-                plan.record_end(end);
-                log.add_cause(end.as_str());
-                let now = state.clock.now();
-                let mut view = state.view.borrow_mut();
-                let entry = view.engines.get(&id);
-                // An endpoint that has asked for a pause has said itself when it takes requests again.
-                let is_paused = entry.is_some_and(|entry| entry.paused_until > now);
-                if !is_paused {
-                    view.engines.record_failure(&id, now);
-                }
+            Ok(Some((id, PlainOutcome::Failed(response)))) => {
+                call.record_end(&id, AttemptEnd::Failed);
+                call.failure = Some(response);
             }
+            Ok(Some((id, PlainOutcome::Lost(end)))) => call.record_end(&id, end),
+            Ok(None) => break,
+            Err(_) if call.left_ms() < MIN_ATTEMPT_MS && call.failure.is_some() => break,
+            Err(_) => call.record_silence(),
         }
     }
-    if let Some(response) = failure {
-        log.set_outcome("failed");
-        return response;
+    call.refuse_or_fail()
+}
+
+impl<'a> PlainCall<'a> {
+    fn new(state: &'a Rc<NodeState>, relay: &'a RelayRequest, log: RequestLog) -> PlainCall<'a> {
+        PlainCall {
+            state,
+            relay,
+            log,
+            plan: AttemptPlan::for_route(relay.route()),
+            tried: Vec::new(),
+            awaited: Vec::new(),
+            takes_retry: false,
+            is_exhausted: false,
+            failure: None,
+        }
     }
-    let is_late = state.clock.now() >= relay.deadline;
-    let kind = RefusalKind::unanswered(plan.may_have_run(), is_late);
-    let retry_ms =
-        retry_after_ms(kind).map(|retry_ms| pause_left_ms(&state, &relay).unwrap_or(retry_ms));
-    if retry_ms != retry_after_ms(kind) {
-        log.add_cause("endpoints paused");
+
+    /// Returns the time until the deadline, in milliseconds.
+    fn left_ms(&self) -> u64 {
+        self.relay.deadline.since(self.state.clock.now())
+    }
+
+    /// Returns whether another attempt may be made beside `standing` ones.
+    fn may_send(&self, standing: usize) -> bool {
+        let has_time = self.tried.is_empty() || self.left_ms() >= MIN_ATTEMPT_MS;
+        has_time && !self.is_exhausted && self.plan.may_send_beside(standing)
+    }
+
+    /// Chooses the endpoint of an attempt beside `standing` ones, and records the send.
+    fn next_endpoint(&mut self, standing: usize) -> Option<(String, SocketAddr)> {
+        if !self.may_send(standing) {
+            return None;
+        }
+        let (id, address) = pick_endpoint(self.state, self.relay, &self.tried)?;
+        if let Some(cause) = self.retry_obstacle() {
+            self.log.add_cause(cause);
+            self.is_exhausted = true;
+            return None;
+        }
+        self.takes_retry = true;
+        self.log.record_send(&id);
+        self.tried.push(id.clone());
+        self.awaited.push(id.clone());
+        Some((id, address))
+    }
+
+    /// Returns why the call may not be sent again; takes a retry from the budget if it may.
+    fn retry_obstacle(&self) -> Option<&'static str> {
+        if self.tried.is_empty() {
+            return None;
+        }
+        if is_crasher(self.state, self.relay) {
+            return Some("crashed two endpoints");
+        }
+        if let Some(kind) = self.relay.withdrawn_permission(self.state) {
+            return Some(kind.as_str());
+        }
+        let has_retry = !self.takes_retry || self.state.take_retry("plain");
+        (!has_retry).then_some("no retry left")
+    }
+
+    /// Returns the time after which the attempts in progress count as silent or, if an error response is to be
+    /// forwarded before the deadline, are given up, in milliseconds.
+    fn wait_ms(&self, standing: usize) -> u64 {
+        let left_ms = self.left_ms();
+        let wait_ms = match self.may_send(standing) {
+            true => left_ms / SILENCE_DIVISOR,
+            // The attempts end at the deadline themselves.
+            false => u64::MAX,
+        };
+        match self.failure {
+            Some(_) => wait_ms.min((left_ms + 1).saturating_sub(MIN_ATTEMPT_MS)),
+            None => wait_ms,
+        }
+    }
+
+    /// Records that the attempts in progress have not been answered for long.
+    ///
+    /// Their endpoints are not preferred until they answer.
+    fn record_silence(&mut self) {
+        let now = self.state.clock.now();
+        for id in self.awaited.drain(..) {
+            self.log.add_cause("endpoint silent");
+            let mut view = self.state.view.borrow_mut();
+            view.engines.record_failure(&id, now);
+        }
+    }
+
+    /// Records how an attempt ended without an answer that is forwarded at once.
+    fn record_end(&mut self, id: &str, end: AttemptEnd) {
+        let was_awaited = self.awaited.iter().any(|awaited| awaited == id);
+        self.awaited.retain(|awaited| awaited != id);
+        self.plan.record_end(end);
+        self.takes_retry = end != AttemptEnd::NotSent;
+        if end == AttemptEnd::Failed {
+            self.log.add_cause("endpoint failed");
+            return;
+        }
+        if end == AttemptEnd::Broken {
+            record_broken_run(self.state, self.relay, &[id], RunPhase::Starting);
+        }
+        self.log.add_cause(end.as_str());
+        let now = self.state.clock.now();
+        let mut view = self.state.view.borrow_mut();
+        let entry = view.engines.get(id);
+        // An endpoint that has asked for a pause has said itself when it takes requests again.
+        let is_paused = entry.is_some_and(|entry| entry.paused_until > now);
+        // The silence of an endpoint and the end of the same attempt are one failure.
+        if was_awaited && !is_paused {
+            view.engines.record_failure(id, now);
+        }
+    }
+
+    /// Returns the response to a call that no endpoint has served.
+    fn refuse_or_fail(mut self) -> Response<CallerBody> {
+        if let Some(response) = self.failure {
+            self.log.set_outcome("failed");
+            return response;
+        }
+        let (state, relay) = (self.state, self.relay);
+        let is_late = state.clock.now() >= relay.deadline;
+        let kind = RefusalKind::unanswered(self.plan.may_have_run(), is_late);
+        let retry_ms =
+            retry_after_ms(kind).map(|retry_ms| pause_left_ms(state, relay).unwrap_or(retry_ms));
+        if retry_ms != retry_after_ms(kind) {
+            self.log.add_cause("endpoints paused");
+        }
+        self.log.set_outcome(kind.as_str());
+        refuse(state, &relay.caller.id, kind, retry_ms)
     }
-    log.set_outcome(kind.as_str());
-    refuse(&state, &relay.caller.id, kind, retry_ms)
 }
 
 /// Returns the time for which all endpoints of the request's service have asked for a pause, in milliseconds; `None`
@@ -151,7 +249,7 @@
     state: &NodeState,
     relay: &RelayRequest,
     tried: &[String],
-) -> Option<(String, std::net::SocketAddr)> {
+) -> Option<(String, SocketAddr)> {
     let view = state.view.borrow();
     let picker = ServicePicker::new(&view.engines, &relay.service().name);
     let seed = hash_text(tried.len() as u64, &relay.caller.id);
@@ -159,18 +257,18 @@
     Some((entry.record.id.clone(), entry.record.address))
 }
 
+/// Sends the call to an endpoint and waits for the outcome until the deadline.
 async fn send_attempt(
     state: &Rc<NodeState>,
     relay: &RelayRequest,
-    id: &str,
-    address: std::net::SocketAddr,
-    left_ms: u64,
-    may_retry: bool,
-) -> PlainOutcome {
-    let _load = LoadGuard::for_endpoint(state, id);
+    id: String,
+    address: SocketAddr,
+) -> (String, PlainOutcome) {
+    let _load = LoadGuard::for_endpoint(state, &id);
+    let left_ms = relay.deadline.since(state.clock.now());
     let is_once = relay.route().repeat == RepeatRule::AtMostOnce;
     let call = EngineCall {
-        expected_id: id,
+        expected_id: &id,
         deadline_ms: left_ms,
         account: relay.account().map(|account| account.name.as_str()),
         priority: relay.priority(),
@@ -189,24 +287,21 @@
         relay.body.clone(),
         is_once,
     );
-    let wait_ms = match may_retry {
-        true => left_ms / ATTEMPT_TIMEOUT_DIVISOR,
-        false => left_ms,
-    };
     let exchange = async {
         let response = sent.await?;
-        Ok::<PlainOutcome, SendError>(read_response(state, relay, id, response).await)
+        Ok::<PlainOutcome, SendError>(read_response(state, relay, &id, response).await)
     };
-    match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
-        Ok(Ok(end)) => end,
+    let outcome = match tokio::time::timeout(Duration::from_millis(left_ms), exchange).await {
+        Ok(Ok(outcome)) => outcome,
         Ok(Err(SendError::NotSent { is_refused, .. })) => {
             if is_refused {
-                record_refused_connection(state, id);
+                record_refused_connection(state, &id);
             }
             PlainOutcome::Lost(AttemptEnd::NotSent)
         }
         Ok(Err(SendError::Broken { .. })) | Err(_) => PlainOutcome::Lost(AttemptEnd::Broken),
-    }
+    };
+    (id, outcome)
 }
 
 async fn read_response(
--- a/crates/relay/tests/silent_engines.rs
+++ b/crates/relay/tests/silent_engines.rs
@@ -15,6 +15,7 @@
 use crate::relay_support::read;
 use crate::relay_support::run;
 use crate::relay_support::test_wire::MODEL_SERVICE;
+use crate::relay_support::wait_for;
 
 /// The silence of a sound engine: longer than each time-out after which another chain is tried.
 const SILENCE: Duration = Duration::from_millis(1_400);
@@ -201,3 +202,96 @@
         assert!(answer.is_complete);
     });
 }
+
+/// Sends a call with two seconds until its deadline to endpoints with these faults; returns the answer's status and
+/// the number of runs.
+async fn call_endpoints(path: &str, faults: &[EngineFault]) -> (u16, usize) {
+    let world = World::start().await;
+    let mut endpoints = Vec::new();
+    for index in 0..faults.len() {
+        endpoints.push(world.start_endpoint(&format!("p{index}")).await);
+    }
+    let node = world.start_node("n1").await;
+    // The retry budget grows with the number of calls. Those that may run once leave no connections open, on which a
+    // refusal without an identifier would not be trusted.
+    for index in 0..10 {
+        world.send(&node, "/once/book", &format!("s{index}")).await;
+    }
+    for (endpoint, fault) in endpoints.iter().zip(faults) {
+        endpoint.fault.set(*fault);
+        endpoint.runs.borrow_mut().clear();
+    }
+    let headers = [
+        ("host", "shop.example"),
+        ("key", "k1"),
+        ("request", "r1"),
+        ("wait", "2000"),
+    ];
+    let callers = node.settings().caller_address;
+    let answer = world.get(callers, path, &headers).await;
+    let runs = endpoints
+        .iter()
+        .map(|endpoint| endpoint.runs.borrow().len());
+    (answer.status, runs.sum())
+}
+
+/// The first endpoint of a call hangs. Guards against a call that waits for it until the deadline although another
+/// endpoint would answer.
+#[test]
+fn call_is_answered_beside_hanging_endpoint() {
+    run(async {
+        let world = World::start().await;
+        let hanging = world.start_endpoint("p1").await;
+        hanging.fault.set(EngineFault::Hanging);
+        let node = world.start_node("n1").await;
+        let (answer, _other) = tokio::join!(world.send(&node, "/any/stock", "r1"), async {
+            wait_for("the call hangs", async || !hanging.runs.borrow().is_empty()).await;
+            world.start_endpoint("p2").await
+        });
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.headers["signature"], "p2");
+    });
+}
+
+/// Guards against a call that may run once and is sent to a second endpoint while the first one is silent.
+#[test]
+fn once_call_is_at_one_endpoint() {
+    run(async {
+        let silent = [EngineFault::Silent; 3];
+        assert_eq!(call_endpoints("/once/book", &silent).await, (504, 1));
+        // Endpoints that turn the call away have not run it.
+        let faults = [
+            EngineFault::Full,
+            EngineFault::Full,
+            EngineFault::Silent,
+            EngineFault::Silent,
+        ];
+        assert_eq!(call_endpoints("/once/book", &faults).await, (504, 1));
+    });
+}
+
+/// Guards against a call that is at more endpoints at once than its route allows, which are two.
+#[test]
+fn call_is_at_allowed_number_of_endpoints() {
+    run(async {
+        let silent = [EngineFault::Silent; 4];
+        assert_eq!(call_endpoints("/any/stock", &silent).await, (504, 2));
+        let faults = [
+            EngineFault::Full,
+            EngineFault::Silent,
+            EngineFault::Silent,
+            EngineFault::Silent,
+        ];
+        assert_eq!(call_endpoints("/any/stock", &faults).await, (504, 2));
+    });
+}
+
+/// One endpoint answers with an error and the other one hangs. Guards against an error response that is lost because
+/// the call waits for the other endpoint until its deadline.
+#[test]
+fn error_response_is_forwarded_before_deadline() {
+    run(async {
+        let faults = [EngineFault::Failing, EngineFault::Hanging];
+        assert_eq!(call_endpoints("/any/stock", &faults).await, (500, 2));
+    });
+}
