Close idle connections of callers by the limits in force

A caller that used a connection again within the idle time of the configuration in force found it closed, also under a request: the connection was opened before the limit was raised. After a limit was lowered, connections stayed open by the earlier one. A request whose head began shortly before the idle time-out was cut in the middle of its head.

Cause: the HTTP library was given the time-out when the connection was opened, and runs it from the end of the last response to the end of the next head. Class of fault: a copy of a limit that outlives its configuration.

Now the connection records its phase (idle, head, request) as bytes and requests come and go, and is closed by the limits of the present configuration: idle since the last response, or within a head since its first byte. A request that is being read or served has no time-out here. One timer for each connection checks at the end of the time-out, two seconds later at most; the library's timer for each head is gone. A head that takes too long is counted and logged as "slow head". A head has the configured time for heads, no longer the greater one of the two.

Evidence: connection_keeps_to_raised_idle_timeout, connection_is_closed_by_lowered_idle_timeout and the new head_across_idle_timeout_is_served failed before (lines 72, 92 and 118: the call was not answered, the connection not closed within 20 s).

--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -3,24 +3,35 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::relay::CallerLimits;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use crate::internal_server::accept_stream;
 use crate::node::NodeState;
 
+use super::activity_phase::ActivityPhase;
+use super::caller_activity::CallerActivity;
+use super::guarded_body::GuardedBody;
+use super::request_guard::RequestGuard;
 use super::request_handler::handle_request;
+use super::watched_stream::WatchedStream;
 
 /// The minimum buffer size that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// The maximum time between two checks of a connection's time-outs, in milliseconds.
+///
+/// A limit that was lowered, and a head that has begun, are noticed with this delay.
+const CHECK_INTERVAL_MS: u64 = 2_000;
+
 /// The HTTP server for callers.
 pub struct CallerServer {
     /// Tells the connections whether the server is closing.
@@ -90,68 +101,95 @@
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("callers: can't set TCP_NODELAY: {error}");
     }
-    let limits = {
-        let view = state.view.borrow();
-        view.config
-            .as_ref()
-            .map(|config| config.limits)
-            .unwrap_or_default()
-    };
-    let own = Rc::clone(&state);
+    let activity = CallerActivity::new(state.clock);
+    let (own, own_activity) = (Rc::clone(&state), Rc::clone(&activity));
     let service = service_fn(move |request| {
         let state = Rc::clone(&own);
-        async move { Ok::<_, Infallible>(handle_request(state, request).await) }
+        let guard = RequestGuard::new(Rc::clone(&own_activity));
+        async move {
+            let response = handle_request(state, request).await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
+        }
     });
-    let is_closing = *close_signal.borrow();
+    let mut is_closing = *close_signal.borrow();
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
         .keep_alive(!is_closing)
-        // The library has one time-out for receiving the head of a request and for an idle connection, so
-        // the longer of the configured header and idle time-outs applies to both.
-        .header_read_timeout(Duration::from_millis(
-            limits.idle_timeout_ms.max(limits.header_timeout_ms),
-        ))
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        // The library would keep to the limits that were in force when the connection was opened.
+        .header_read_timeout(None)
+        .max_buf_size(caller_limits(&state).header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(
+            TokioIo::new(WatchedStream::new(stream, Rc::clone(&activity))),
+            service,
+        );
     let mut connection = std::pin::pin!(connection);
-    let result = loop {
-        if is_closing {
-            break connection.await;
-        }
-        if *close_signal.borrow() {
-            connection.as_mut().graceful_shutdown();
-            break connection.await;
-        }
+    let mut check = std::pin::pin!(tokio::time::sleep(next_check(&state, &activity)));
+    loop {
         tokio::select! {
-            result = connection.as_mut() => break result,
-            changed = close_signal.changed() => {
-                if changed.is_err() {
-                    break connection.await;
+            // Bytes that have arrived are read before the time-out is checked.
+            biased;
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    record_failure(&state, &error);
                 }
+                return;
+            }
+            signal = close_signal.wait_for(|is_closing| *is_closing), if !is_closing => {
+                is_closing = true;
+                if signal.is_ok() {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+            () = check.as_mut() => {
+                let wait = next_check(&state, &activity);
+                if wait.is_zero() {
+                    record_timeout(&state, activity.phase());
+                    return;
+                }
+                check.as_mut().reset(Instant::now() + wait);
             }
         }
+    }
+}
+
+/// Returns the limits of callers that are in force.
+fn caller_limits(state: &NodeState) -> CallerLimits {
+    let view = state.view.borrow();
+    let config = view.config.as_ref();
+    config.map(|config| config.limits).unwrap_or_default()
+}
+
+/// Returns the time until the next check of a connection's time-outs; zero if one has passed.
+fn next_check(state: &NodeState, activity: &CallerActivity) -> Duration {
+    let now = state.clock.now();
+    let close_time = activity.close_time(&caller_limits(state));
+    let wait_ms = close_time.map_or(CHECK_INTERVAL_MS, |time| time.since(now));
+    Duration::from_millis(wait_ms.min(CHECK_INTERVAL_MS))
+}
+
+/// Counts a connection that is closed by a time-out.
+///
+/// The end of an idle connection is regular, and is only counted.
+fn record_timeout(state: &NodeState, phase: ActivityPhase) {
+    let cause = match phase {
+        ActivityPhase::Idle | ActivityPhase::Request => "idle",
+        ActivityPhase::Head => "slow head",
     };
-    if let Err(error) = result {
-        record_failure(&state, &error);
+    state.metrics.count_connection_failure(cause);
+    if phase == ActivityPhase::Head {
+        spdlog::info!("callers: connection failed: {cause}");
     }
 }
 
 /// Counts and logs the failure of a caller's connection.
-///
-/// Its end by the idle time-out is regular, and is only counted.
 fn record_failure(state: &NodeState, error: &hyper::Error) {
     let cause = failure_cause(error);
     state.metrics.count_connection_failure(cause);
-    if !error.is_timeout() {
-        spdlog::info!("callers: connection failed: {cause}", kv: { detail = error.to_string() });
-    }
+    spdlog::info!("callers: connection failed: {cause}", kv: { detail = error.to_string() });
 }
 
 /// Returns the cause of a connection's failure, as it appears in logs and metrics.
 fn failure_cause(error: &hyper::Error) -> &'static str {
-    if error.is_timeout() {
-        "idle"
-    } else if error.is_parse() {
+    if error.is_parse() {
         "malformed request"
     } else if error.is_incomplete_message() {
         "caller closed within a request"
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -7,22 +7,27 @@
 another chain after the last event that the caller received.
 */
 
+mod activity_phase;
 mod admission;
 mod answer_head;
+mod caller_activity;
 mod caller_body;
 mod caller_server;
 mod capacity_wait;
 mod crash_check;
+mod guarded_body;
 mod open_outcome;
 mod plain_driver;
 mod readiness_server;
 mod refusal;
 mod relay_request;
+mod request_guard;
 mod request_handler;
 mod response_class;
 mod send_fault;
 mod stream_driver;
 mod stream_relay;
+mod watched_stream;
 
 pub use self::caller_server::CallerServer;
 pub use self::readiness_server::serve_readiness;
--- a/crates/relay/tests/idle_connections.rs
+++ b/crates/relay/tests/idle_connections.rs
@@ -11,6 +11,8 @@
 use tokio::net::TcpStream;
 
 use crate::relay_support::World;
+use crate::relay_support::fake_engine::EngineSilence;
+use crate::relay_support::read_head;
 use crate::relay_support::run;
 use crate::relay_support::wait_for;
 
@@ -92,3 +94,81 @@
         assert!(idle_since.elapsed() >= Duration::from_millis(FIRST_IDLE_MS));
     });
 }
+
+/// Guards against a connection that is closed by the idle time-out while the head of a request is received.
+#[test]
+fn head_across_idle_timeout_is_served() {
+    run(async {
+        let world = World::start().await;
+        let _endpoint = world.start_endpoint("p1").await;
+        configure(&world, 1, SECOND_IDLE_MS);
+        let node = world.start_node("n1").await;
+        let mut stream = TcpStream::connect(node.settings().caller_address)
+            .await
+            .unwrap();
+        assert!(is_call_served(&mut stream, "r1").await);
+        tokio::time::sleep(Duration::from_millis(SECOND_IDLE_MS * 4 / 5)).await;
+        stream
+            .write_all(b"GET /any/stock HTTP/1.1\r\n")
+            .await
+            .unwrap();
+        tokio::time::sleep(Duration::from_millis(SECOND_IDLE_MS * 2 / 5)).await;
+        let rest = b"host: shop.example\r\nkey: k1\r\nrequest: r2\r\n\r\n";
+        stream.write_all(rest).await.unwrap();
+        assert!(read_head(&mut stream).await.starts_with("HTTP/1.1 200 "));
+    });
+}
+
+/// Guards against a connection that is closed by the idle time-out while its request is served.
+#[test]
+fn request_longer_than_idle_timeout_is_served() {
+    run(async {
+        let world = World::start().await;
+        let endpoint = world.start_endpoint("p1").await;
+        endpoint.silence.set(Some(EngineSilence {
+            after_event: 0,
+            duration: Duration::from_millis(FIRST_IDLE_MS * 5),
+        }));
+        configure(&world, 1, FIRST_IDLE_MS);
+        let node = world.start_node("n1").await;
+        let mut stream = TcpStream::connect(node.settings().caller_address)
+            .await
+            .unwrap();
+        assert!(is_call_served(&mut stream, "r1").await);
+        // The time that the request took is no idle time.
+        tokio::time::sleep(Duration::from_millis(FIRST_IDLE_MS * 4 / 5)).await;
+        assert!(is_call_served(&mut stream, "r2").await);
+    });
+}
+
+/// Guards against callers that keep connections open by sending heads without end.
+#[test]
+fn endless_head_is_cut() {
+    run(async {
+        let world = World::start().await;
+        configure(&world, 1, FIRST_IDLE_MS);
+        let node = world.start_node("n1").await;
+        let mut stream = TcpStream::connect(node.settings().caller_address)
+            .await
+            .unwrap();
+        let begun = Instant::now();
+        stream
+            .write_all(b"GET /any/stock HTTP/1.1\r\n")
+            .await
+            .unwrap();
+        let mut buffer = [0; 64];
+        let closed = async {
+            loop {
+                let pause = Duration::from_millis(100);
+                match tokio::time::timeout(pause, stream.read(&mut buffer)).await {
+                    Ok(_) => break,
+                    // A failed write means that the connection is closed.
+                    Err(_) => drop(stream.write_all(b"x: y\r\n").await),
+                }
+            }
+        };
+        let closed = tokio::time::timeout(Duration::from_secs(20), closed).await;
+        assert!(closed.is_ok(), "the connection is closed");
+        assert!(begun.elapsed() >= Duration::from_millis(FIRST_IDLE_MS));
+    });
+}
