Check idle connections every ten seconds at most

The check of each two seconds wakes an entry with hundreds of idle connections more often than its requests do. Ten seconds are still below the time after which a slow head was cut before (the idle time-out, 15 s in the deployments).

--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -29,8 +29,9 @@
 
 /// The maximum time between two checks of a connection's time-outs, in milliseconds.
 ///
-/// A limit that was lowered, and a head that has begun, are noticed with this delay.
-const CHECK_INTERVAL_MS: u64 = 2_000;
+/// A limit that was lowered, and a head that has begun, are noticed with this delay. With shorter ones, an entry with
+/// hundreds of idle connections wakes for them more often than for requests.
+const CHECK_INTERVAL_MS: u64 = 10_000;
 
 /// The HTTP server for callers.
 pub struct CallerServer {
