Keep runs beside stalled ones within the limits of their request

Another run is started at most each 100 ms, and not at all once the request is known to crash engines. - A pause for crash reports outlived the runs for which it was begun, and then started a run without a retry beside a sound one. - After an attempt that was not sent, all later runs were free of the retry budget, as the plan's flag described an attempt that had long ended. - A head that arrived, or an event without data, left the run marked as stalled, so that another one was started at once. - A second run that had nothing left to send counted as broken; it ends the answer (stream_ends_at_other_engine_after_last_event). - Engines of failed second runs were chosen again at once. - A part that is refused did not end a second run whose answer had not begun. - The suspicion of an engine was withdrawn after the caller had read the event, which may take seconds, and took an earlier failure with it.

--- a/crates/core/src/relay/attempt_plan.rs
+++ b/crates/core/src/relay/attempt_plan.rs
@@ -54,6 +54,11 @@
         AttemptPlan::new(route.repeat.allows_repeat(), route.max_attempts)
     }
 
+    /// Records that an attempt was started.
+    pub fn record_start(&mut self) {
+        self.is_last_unsent = false;
+    }
+
     /// Records how an attempt ended.
     pub fn record_end(&mut self, end: AttemptEnd) {
         self.sends += 1;
--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -22,6 +22,8 @@
     /// The end of the time in which it counts as dead, because it failed a state probe or another
     /// engine reported it as stalled.
     pub suspected_until: MilliTime,
+    /// The end of its avoidance for other reasons when the suspicion began.
+    pub(super) avoided_before: MilliTime,
     /// Whether it has said in an answer that it leaves.
     pub is_leaving: bool,
     /// The end of the time in which it has asked for no requests.
@@ -77,6 +79,7 @@
             is_missing: false,
             avoided_until: MilliTime::default(),
             suspected_until: MilliTime::default(),
+            avoided_before: MilliTime::default(),
             is_leaving: false,
             paused_until: MilliTime::default(),
             failures: 0,
--- a/crates/core/src/relay/engine_table/mod.rs
+++ b/crates/core/src/relay/engine_table/mod.rs
@@ -135,9 +135,11 @@
     pub fn suspect(&mut self, id: &str, now: MilliTime) -> bool {
         let is_new = self.get(id).is_some_and(|entry| !entry.is_suspected(now));
         if is_new {
+            let avoided_before = self.get(id).map(|entry| entry.avoided_until);
             self.record_failure(id, now);
             if let Some(entry) = self.get_mut(id) {
                 entry.suspected_until = entry.avoided_until;
+                entry.avoided_before = avoided_before.unwrap_or_default();
             }
         }
         is_new
@@ -156,7 +158,7 @@
         }
         // Failures of other kinds may have raised the end of the avoidance since.
         if entry.avoided_until == entry.suspected_until {
-            entry.avoided_until = now;
+            entry.avoided_until = entry.avoided_before;
         }
         entry.suspected_until = now;
         entry.failures = entry.failures.saturating_sub(1);
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -160,6 +160,11 @@
     assert!(plan.may_send_beside(1));
     plan.record_end(AttemptEnd::Broken);
     assert!(!plan.may_send_beside(1));
+    // Only the last attempt that has ended can be one that was not sent.
+    plan.record_end(AttemptEnd::NotSent);
+    assert!(plan.is_last_unsent());
+    plan.record_start();
+    assert!(!plan.is_last_unsent());
     // A request that may run once is never at two endpoints.
     assert!(!AttemptPlan::new(false, 4).may_send_beside(1));
     // Rejected attempts have not run, but their number is limited.
@@ -189,6 +194,12 @@
     }
     assert!(table.get("e001").unwrap().is_usable(later));
     assert!(!table.get("e002").unwrap().is_usable(later));
+    // A failure before the suspicion counts on.
+    table.record_failure("e001", later);
+    table.record_failure("e001", later);
+    assert!(table.suspect("e001", later));
+    assert!(table.withdraw_suspicion("e001", later.plus(10)));
+    assert!(!table.get("e001").unwrap().is_usable(later.plus(10)));
 }
 
 /// Guards against a restarted engine that is avoided or counted as loaded because of its previous
--- a/crates/relay/src/ingress/stream_relay/chain_run.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_run.rs
@@ -35,6 +35,8 @@
     pub(super) stall: Option<StallReason>,
     /// Whether the run was recorded as broken since its last event.
     pub(super) is_recorded: bool,
+    /// Whether the response has ended regularly.
+    pub(super) is_complete: bool,
     pub(super) splitter: EventSplitter,
     /// How far its answer has come.
     pub(super) progress: AnswerProgress,
--- a/crates/relay/src/ingress/stream_relay/crash_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/crash_wait.rs
@@ -32,11 +32,6 @@
 }
 
 impl StreamRelay {
-    /// Returns whether the answer of the first run has not begun.
-    pub(super) fn is_unbegun(&self) -> bool {
-        self.runs.first().is_none_or(ChainRun::is_unbegun)
-    }
-
     /// Returns whether the request is refused by now because a part of its prompt crashes engines.
     pub(super) fn is_refused(&self) -> bool {
         !self.relay.is_probe && has_refused_part(&self.state, &self.relay)
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -37,6 +37,9 @@
             if let Some(outcome) = self.forward_ready(caller, log).await {
                 return outcome;
             }
+            if self.runs[0].is_complete {
+                return RunOutcome::Complete;
+            }
             match self.next_signal(log).await {
                 RunSignal::Step(0, RunStep::Frame(frame)) => {
                     if self.handle_frame(frame, log) {
@@ -120,8 +123,12 @@
             }
         }
         if has_data || has_new_id {
+            run.stall = None;
             self.end_other_runs(log);
         }
+        if has_data && self.runs[0].timeouts.is_probed {
+            self.withdraw_suspicions();
+        }
         let left_ms = self.relay.deadline.since(self.state.clock.now());
         match caller.send(events, left_ms).await {
             Ok(()) => {}
@@ -137,7 +144,7 @@
 
     /// Ends the first run, which has failed. If another run stands, it becomes the first one.
     fn end_first_run(&mut self, cause: &'static str, log: &mut RequestLog) {
-        let run = self.runs.remove(0);
+        let run = self.remove_run(0);
         self.record_end(AttemptEnd::Broken, cause, log);
         self.record_broken_run(&run);
         let ids = run.stages.into_iter().map(|stage| stage.id);
@@ -150,13 +157,8 @@
         let Some(run) = self.runs.first_mut() else {
             return;
         };
-        let was_probed = run.timeouts.is_probed;
         run.timeouts = timeouts;
-        run.stall = None;
         run.is_recorded = false;
-        if was_probed {
-            self.withdraw_suspicions();
-        }
         self.observe_latency_ratio();
     }
 
--- a/crates/relay/src/ingress/stream_relay/failover.rs
+++ b/crates/relay/src/ingress/stream_relay/failover.rs
@@ -24,11 +24,16 @@
 const WENT_ON: &str = "went-on";
 const FAILED: &str = "failed";
 
+/// The minimum time between two runs that are started beside stalled ones, in milliseconds.
+///
+/// The number of attempts is limited, and engines that turn the request away do so within milliseconds.
+const FAILOVER_SPACING_MS: u64 = 100;
+
 impl StreamRelay {
     /// Starts another run if all runs in progress stall, and a chain and a retry are available.
     pub(super) fn try_fail_over(&mut self, log: &mut RequestLog) {
-        let is_stalled = self.runs.iter().all(|run| run.stall.is_some());
-        if !is_stalled || self.crash_wait.is_some() || !self.may_fail_over(log) {
+        let now = self.state.clock.now();
+        if self.crash_wait.is_some() || now < self.next_failover || !self.may_fail_over(log) {
             return;
         }
         let excluded_count = self.excluded.len();
@@ -39,17 +44,17 @@
             self.excluded.truncate(excluded_count);
             return;
         }
+        self.next_failover = now.plus(FAILOVER_SPACING_MS);
         self.record_stalled_runs(log);
         let head = self.broken_head.take();
         let wait = await_crash_reports(Rc::clone(&self.state), Rc::clone(&self.relay), head);
         self.crash_wait = Some(Box::pin(wait));
     }
 
-    /// Sends the request to another chain, unless it was found to crash engines meanwhile or the chain has no room
-    /// any more.
+    /// Sends the request to another chain, if the runs in progress still stall, no part of it was found to crash
+    /// engines, and the chain still has room.
     pub(super) fn start_other_run(&mut self, log: &mut RequestLog) {
-        if is_crasher(&self.state, &self.relay) {
-            log.add_cause("crashes engines");
+        if !self.holds_retry || !self.may_fail_over(log) {
             return;
         }
         if let Some(chain) = self.find_chain() {
@@ -65,8 +70,16 @@
         frame: Option<Result<Frame<Bytes>, hyper::Error>>,
         log: &mut RequestLog,
     ) {
-        let Some(Ok(frame)) = frame else {
-            return self.end_other_run(index, "broken", log);
+        let run = &mut self.runs[index];
+        let frame = match frame {
+            Some(Ok(frame)) => frame,
+            Some(Err(_)) => return self.end_other_run(index, "stream cut", log),
+            // The caller has all events already.
+            None if run.is_framed() && !run.splitter.has_partial_event() => {
+                run.is_complete = true;
+                return self.take_over(index, log);
+            }
+            None => return self.end_other_run(index, "event cut", log),
         };
         let Ok(data) = frame.into_data() else {
             return;
@@ -104,18 +117,31 @@
     }
 
     fn end_other_run(&mut self, index: usize, cause: &'static str, log: &mut RequestLog) {
-        let run = self.runs.remove(index);
+        let run = self.remove_run(index);
         self.record_end(AttemptEnd::Broken, cause, log);
         self.state.metrics.count_failover(FAILED);
         self.record_broken_run(&run);
+        let ids = run.stages.into_iter().map(|stage| stage.id);
+        self.excluded.extend(ids);
     }
 
-    /// Returns whether another run may be started beside those in progress.
-    fn may_fail_over(&self, log: &RequestLog) -> bool {
+    /// Returns whether all runs in progress stall and another one may be started beside them.
+    fn may_fail_over(&mut self, log: &mut RequestLog) -> bool {
+        let is_stalled = !self.runs.is_empty() && self.runs.iter().all(|run| run.stall.is_some());
+        if !is_stalled || self.is_barred {
+            return false;
+        }
         let left_ms = self.relay.deadline.since(self.state.clock.now());
         // Without event identifiers, another run would repeat events that the caller already has.
         let may_resume = self.last_id.is_some() || !log.has_piece();
-        left_ms >= MIN_ATTEMPT_MS && may_resume && self.plan.may_send_beside(self.runs.len())
+        if left_ms < MIN_ATTEMPT_MS || !may_resume || !self.plan.may_send_beside(self.runs.len()) {
+            return false;
+        }
+        self.is_barred = is_crasher(&self.state, &self.relay);
+        if self.is_barred {
+            log.add_cause("crashes engines");
+        }
+        !self.is_barred
     }
 
     /// Takes a retry from the budget, unless the request holds one; returns whether it holds one now.
@@ -146,6 +172,31 @@
         self.runs = runs;
     }
 
+    /// Removes a run. Without any run left, no other one is started beside.
+    pub(super) fn remove_run(&mut self, index: usize) -> ChainRun {
+        let run = self.runs.remove(index);
+        if self.runs.is_empty() {
+            self.crash_wait = None;
+        }
+        run
+    }
+
+    /// Ends the runs that have not begun to answer, as a part of the prompt is refused; returns whether the first
+    /// run is one of them.
+    pub(super) fn end_unbegun_runs(&mut self) -> bool {
+        self.is_barred = true;
+        self.crash_wait = None;
+        let is_first = self.runs.first().is_none_or(ChainRun::is_unbegun);
+        if !is_first {
+            let count = self.runs.len();
+            self.runs.retain(|run| !run.is_unbegun());
+            for _ in self.runs.len()..count {
+                self.plan.record_end(AttemptEnd::Broken);
+            }
+        }
+        is_first
+    }
+
     /// Ends all runs at the deadline.
     pub(super) fn end_runs(&mut self, log: &mut RequestLog) {
         let runs: Vec<ChainRun> = self.runs.drain(..).collect();
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -66,10 +66,14 @@
                 view.engines.record_success(&stage.id);
             }
             run.timeouts = timeouts;
+            run.stall = None;
             run.begin_answer(parts, body);
+            if index == 0 {
+                self.crash_wait = None;
+            }
             return None;
         }
-        let run = self.runs.remove(index);
+        let run = self.remove_run(index);
         let first = &run.stages[0];
         let end = match outcome {
             HeadOutcome::Served(..) => return None,
@@ -82,6 +86,10 @@
             }
             HeadOutcome::Failed(parts, body) => {
                 self.record_end(AttemptEnd::Failed, "engine failed", log);
+                // The other runs may be served elsewhere before the same engine is tried again.
+                if !self.runs.is_empty() {
+                    self.excluded.push(first.id.clone());
+                }
                 return Some((parts, body));
             }
             HeadOutcome::Foreign => {
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -97,6 +97,10 @@
     /// The first engine of the last run, if it broke off while its answer had only just begun, until the next
     /// attempt.
     broken_head: Option<BrokenHead>,
+    /// The earliest time at which another run may be started beside stalled ones.
+    next_failover: MilliTime,
+    /// Whether the request was found to crash engines while it was running, so that no other run is started.
+    is_barred: bool,
     /// Whether a retry was taken from the budget and not used yet.
     holds_retry: bool,
     /// Whether the log says that the budget had no retry for a stalled run.
@@ -121,6 +125,8 @@
             runs: Vec::new(),
             crash_wait: None,
             broken_head: None,
+            next_failover: MilliTime::default(),
+            is_barred: false,
             holds_retry: false,
             has_logged_budget: false,
             last_cause: "",
@@ -190,6 +196,7 @@
         loop {
             match self.forward_events(caller, log).await {
                 RunOutcome::Complete => {
+                    self.end_other_runs(log);
                     record_parts_served(&self.state, &self.relay);
                     record_served(&self.state, &self.relay);
                     log.set_outcome("served");
@@ -238,6 +245,7 @@
         let now = self.state.clock.now();
         let target_ms = self.relay.route().target_ms;
         let sent = self.send(&stages, now);
+        self.plan.record_start();
         self.runs.push(ChainRun {
             stages,
             unloaded_step_ms,
@@ -250,6 +258,7 @@
             ),
             stall: None,
             is_recorded: false,
+            is_complete: false,
             splitter: EventSplitter::new(self.last_id),
             progress: AnswerProgress::new(),
             forwarded_count: 0,
--- a/crates/relay/src/ingress/stream_relay/stall_detection.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_detection.rs
@@ -14,6 +14,7 @@
 use crate::telemetry::RequestLog;
 
 use super::StreamRelay;
+use super::chain_run::ChainRun;
 use super::chain_run::next_step;
 use super::run_signal::RunSignal;
 use super::stall_reason::StallReason;
@@ -41,7 +42,7 @@
             let next = self.runs.iter().map(|run| run.next_check()).min();
             let next_ms = next.map_or(left_ms, |next| next.since(now).min(left_ms));
             let is_probed = self.runs.iter().any(|run| run.timeouts.is_probed);
-            let is_unbegun = self.is_unbegun();
+            let has_unbegun = self.runs.iter().any(ChainRun::is_unbegun);
             let lost = state.engine_lost.notified();
             let refused = state.parts_refused.notified();
             let crash_wait = async {
@@ -58,10 +59,10 @@
                     self.start_other_run(log);
                 }
                 () = lost, if is_probed => {}
-                () = refused, if is_unbegun => {}
+                () = refused, if has_unbegun => {}
                 () = tokio::time::sleep(Duration::from_millis(next_ms)) => {}
             }
-            if self.is_unbegun() && self.is_refused() {
+            if has_unbegun && self.is_refused() && self.end_unbegun_runs() {
                 return RunSignal::Refused;
             }
             self.check_runs();
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -307,6 +307,7 @@
                     return;
                 }
             }
+            engine.fall_silent_after(EVENTS).await;
         });
         answer.header("request", id).header("signature", &self.id)
     }
--- a/crates/relay/tests/silent_engines.rs
+++ b/crates/relay/tests/silent_engines.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::EVENTS;
@@ -183,6 +184,32 @@
     });
 }
 
+/// An engine falls silent between its last event and the end of its answer. Guards against a stream that hangs, or
+/// is cut, although another engine says that no event is left.
+#[test]
+fn stream_ends_at_other_engine_after_last_event() {
+    run(async {
+        let world = World::start().await;
+        let (silent, other) = start_pair(&world).await;
+        silent.silence.set(Some(EngineSilence {
+            after_event: EVENTS,
+            duration: Duration::from_secs(6),
+        }));
+        let node = world.start_node("n1").await;
+        let start = Instant::now();
+        let response = world.open(&node, "/model/a", "r1").await;
+        other.hold_layers((0, 40));
+        let answer = read(response).await;
+        assert!(answer.is_complete);
+        assert_eq!(answer.body, all_events());
+        assert!(
+            start.elapsed() < Duration::from_secs(3),
+            "{:?}",
+            start.elapsed()
+        );
+    });
+}
+
 /// Guards against an engine that is avoided for seconds after a silence of a second has ended.
 #[test]
 fn engine_is_used_again_after_silence() {
