Take no 101 of an engine for an answer

What callers saw: with an engine that writes '101 Switching Protocols', the caller got this status, which ends HTTP on its connection, and no answer. It had not asked for a switch, and the relay doesn't pass such a request on.

Cause: the HTTP library skips all interim responses but 101, and the relay classified it as an error of the engine and passed it on.

Evidence: switch_of_protocols_is_no_answer failed before, '/once/a: left: 101, right: 502'.

Why the fix works: a status below 200 is never the answer to a request. Such a response counts like one of another request: its connection isn't used again, and the run has broken off, so the request is repeated where it may be.

--- a/crates/relay/src/ingress/response_class.rs
+++ b/crates/relay/src/ingress/response_class.rs
@@ -21,7 +21,7 @@
     },
     /// The engine ran the request and responds with an error.
     Failed,
-    /// The response belongs to another request, or a successful one lacks the signature.
+    /// The response belongs to another request, is not a final one, or is a successful one without the signature.
     Foreign,
 }
 
@@ -47,7 +47,8 @@
             Some(named) => named == id,
             None => head.is_not_run && origin.is_some_and(AnswerOrigin::is_first),
         };
-        if !is_own {
+        // The HTTP library passes on a 101 as if it were final; a request never asks for a switch of protocols.
+        if !is_own || status.is_informational() {
             if let Some(origin) = origin {
                 origin.discard_connection();
             }
--- a/crates/relay/tests/answer_framing.rs
+++ b/crates/relay/tests/answer_framing.rs
@@ -200,6 +200,27 @@
     });
 }
 
+/// Guards against a caller that is told to switch protocols, which it didn't ask for, and gets no answer.
+#[test]
+fn switch_of_protocols_is_no_answer() {
+    for (service, path) in [(PLAIN_SERVICE, "/once/a"), (MODEL_SERVICE, "/model/a")] {
+        run(async {
+            let world = World::start().await;
+            start_scripted(&world.store, "e1", service, |request| {
+                let id = request.id();
+                ScriptedAnswer::closed(format!(
+                    "HTTP/1.1 101 Switching Protocols\r\nrequest: {id}\r\nsignature: s1\r\n\
+                     connection: upgrade\r\nupgrade: raw\r\n\r\n"
+                ))
+            })
+            .await;
+            let node = world.start_node("n1").await;
+            let answer = world.send(&node, path, "r1").await;
+            assert_eq!(answer.status, 502, "{path}");
+        });
+    }
+}
+
 /// What an engine does with a request that was sent to one before.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum LaterRun {
