--- a/crates/relay/tests/answer_framing.rs
+++ b/crates/relay/tests/answer_framing.rs
@@ -187,7 +187,7 @@
             assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
             assert!(answer.ends_with("\r\n\r\n"), "{answer}");
             assert!(answer.contains(&format!("request: {id}\r\n")), "{answer}");
-            assert!(!answer.contains("content-length: 0"), "{answer}");
+            assert!(!answer.contains("content-length"), "{answer}");
             assert!(!answer.contains("transfer-encoding"), "{answer}");
         }
         let mut buffer = [0; 1];
