Check the plan of a stop again when the body of a request has arrived

Callers that sent the body of a request seconds after its head, around a planned stop, had it taken, passed on and cut without an answer at the end of the grace period, calls that may run once among them (LOST).

Cause: whether a stopping process admits a request was decided once, at the arrival of its head. A head that came before the signal, or in the first three seconds, let the request in, however late its body was complete. Class of fault: a decision that is kept although what it was based on has changed.

Now the plan is asked again once the request is whole, right before it counts as a request. It has not run by then, so the refusal with a time to retry is true, and another process serves the caller.

Requests with undelayed bodies showed no fault before: the check at the head holds for them.

--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use dandelionroad_core::relay::PartVerdict;
 use dandelionroad_core::relay::PromptPart;
+use dandelionroad_core::time::MilliTime;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -71,14 +72,17 @@
     });
     let deadline = arrival.plus(timeout_ms);
     let is_stream = config.services[service].model.is_some();
-    let shutdown = state.shutdown.get();
-    if shutdown.is_some_and(|plan| !plan.admits(is_stream, arrival, deadline)) {
+    if is_past_stop(&state, is_stream, deadline) {
         return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::Leaving);
     }
     let body = match read_body(body, config.limits.body_bytes, timeout_ms).await {
         Ok(body) => body,
         Err(kind) => return log_and_refuse(&state, &mut log, &caller.id, kind),
     };
+    // A body may arrive seconds after its head, and the process may have been told to stop meanwhile.
+    if is_past_stop(&state, is_stream, deadline) {
+        return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::Leaving);
+    }
     state.view.borrow_mut().retry_budget.credit_request();
     let service_name = &config.services[service].name;
     let shared_parts = caller.shared_parts.iter();
@@ -141,6 +145,13 @@
     refuse(state, request, kind, retry_after_ms(kind))
 }
 
+/// Returns whether the process stops and no longer admits a request that could begin now.
+fn is_past_stop(state: &NodeState, is_stream: bool, deadline: MilliTime) -> bool {
+    let shutdown = state.shutdown.get();
+    let now = state.clock.now();
+    shutdown.is_some_and(|plan| !plan.admits(is_stream, now, deadline))
+}
+
 async fn read_body(
     body: Incoming,
     max_bytes: usize,
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -227,6 +227,8 @@
         };
         let id = text("request").unwrap();
         let after: u64 = text("after").map_or(0, |text| text.parse().unwrap());
+        // The time that the request takes, in milliseconds.
+        let work = Duration::from_millis(text("work").map_or(0, |text| text.parse().unwrap()));
         let fault = match self.fault.get() {
             EngineFault::Crashing if parts.uri.path() != CRASH_PATH => EngineFault::None,
             fault => fault,
@@ -243,6 +245,9 @@
                 .header("pause", &pause_ms.to_string());
         }
         self.runs.borrow_mut().push(id.clone());
+        if self.service == super::test_wire::PLAIN_SERVICE {
+            tokio::time::sleep(work).await;
+        }
         self.fall_silent_after(0).await;
         match fault {
             EngineFault::Silent | EngineFault::Hanging => std::future::pending().await,
@@ -299,7 +304,7 @@
                     engine.closed_streams.set(engine.closed_streams.get() + 1);
                     return;
                 }
-                tokio::time::sleep(EVENT_PAUSE).await;
+                tokio::time::sleep(EVENT_PAUSE.max(work / EVENTS as u32)).await;
                 let is_cut = matches!(fault, EngineFault::CutEvent | EngineFault::CutUnnumbered);
                 if is_cut && event == 5 {
                     // The relay may have closed the connection first.
