--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -2,9 +2,9 @@
 Callers' connections, and the handling of one request from its arrival to the end of its response.
 
 A request is admitted by the configuration and read whole. A call of a plain service is sent to one
-endpoint after the other until one responds. A model request is sent to the first engine of a chain,
-and its events are forwarded as they arrive; when a run breaks off or stalls, the stream is resumed on
-another chain after the last event that the caller received.
+endpoint, and to another one if that fails or, beside it, if it is silent. A model request is sent to
+the first engine of a chain, and its events are forwarded as they arrive; when a run breaks off or
+stalls, the stream is resumed on another chain after the last event that the caller received.
 */
 
 mod activity_phase;
