Bound the sum of the bytes that a process holds for others

One engine answers with bytes without end. Each answer is bounded (8 MiB), but callers of that engine had one each: a process that exceeds the memory of its host is killed, and the requests of all other callers end with it.

Cause: only single buffers had limits. ByteLedger adds up all of them by the party that fills them. Beyond a quarter of limits.memoryMb, the largest buffer of the party with the largest sum is given up until the rest fits, so buffers of parties that take less are never touched. The reader no longer collects frames and then copies them. An engine whose answer was given up is avoided. The library's buffer for a connection to an engine is bounded to 64 KiB (before, about 400 KiB).

Evidence: with 40 callers, endless_answers_of_endpoint_stay_within_budget printed "memory grew by 350628 KiB" before, and endless_errors_of_engine_stay_within_budget "memory grew by 96688 KiB" (limit of the test 65536). With the loop of ByteLedger::end_excess taken out, they print 341820 and 85704 KiB, and both tests of memory_of_callers fail at "dandelionroad_held_bytes <= BUDGET_BYTES". All pass now.

--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -7,9 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use dandelionroad_core::relay::ByteSource;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -29,6 +28,10 @@
 use tower::ServiceExt;
 use tower::util::MapResponse;
 
+use crate::memory::ByteBudget;
+use crate::memory::HeldBytes;
+use crate::memory::ReadFault;
+use crate::memory::read_bounded;
 use crate::wire::EncodedCall;
 
 use super::AnswerCount;
@@ -58,6 +61,11 @@
 /// end fills the memory of the process.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 
+/// The maximum size of the library's buffer for a connection, in bytes.
+///
+/// It bounds the head of a response, and what is read of a body ahead of its reader.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// The maximum number of responses with a status below 200 before the final one.
 ///
 /// The HTTP library skips them, so an engine that sends them without end would keep the process busy until
@@ -76,20 +84,25 @@
     pooled: HttpClient,
     /// Opens a connection for each request, so that a request is never sent twice.
     single: HttpClient,
+    /// The budget of the answers.
+    memory: ByteBudget,
 }
 
 impl EngineClient {
-    /// Creates a client without open connections.
-    pub fn new() -> EngineClient {
+    /// Creates a client without open connections, whose answers are charged to a budget.
+    pub fn new(memory: ByteBudget) -> EngineClient {
         let mut pooled = Client::builder(TokioExecutor::new());
         pooled.pool_timer(TokioTimer::new());
         pooled.pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS));
+        pooled.http1_max_buf_size(MAX_BUFFER_BYTES);
         let mut single = Client::builder(TokioExecutor::new());
+        single.http1_max_buf_size(MAX_BUFFER_BYTES);
         single.pool_max_idle_per_host(0);
         single.retry_canceled_requests(false);
         EngineClient {
             pooled: pooled.build(connector()),
             single: single.build(connector()),
+            memory,
         }
     }
 
@@ -175,8 +188,10 @@
         let exchange = async {
             let response = sent.await.map_err(|error| error.to_string())?;
             let status = response.status().as_u16();
-            let body = read_whole(response.into_body()).await;
-            Ok((status, body.map_err(|error| error.to_string())?))
+            let held = self.memory.hold(ByteSource::Server(address));
+            let body = read_whole(response.into_body(), &held).await;
+            let body = body.map_err(|error| error.to_string())?;
+            Ok((status, held.into_bytes(body)))
         };
         match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
             Ok(result) => result,
@@ -185,23 +200,16 @@
     }
 }
 
-impl Default for EngineClient {
-    fn default() -> EngineClient {
-        EngineClient::new()
-    }
-}
-
-/// Reads a body to its end.
+/// Reads a body of an engine to its end, charged to `held`.
 ///
 /// Dropping the future closes the connection.
 ///
 /// # Errors
 ///
-/// Returns an error if the body breaks off or exceeds 8 MiB. The connection is closed and not
+/// Returns an error if the body breaks off, exceeds 8 MiB, or is ended by the budget. The connection is closed and not
 /// used again.
-pub async fn read_whole(body: Incoming) -> Result<Bytes, Box<dyn Error + Send + Sync>> {
-    let body = Limited::new(body, MAX_BODY_BYTES).collect().await?;
-    Ok(body.to_bytes())
+pub async fn read_whole(body: Incoming, held: &HeldBytes) -> Result<Bytes, ReadFault> {
+    read_bounded(body, MAX_BODY_BYTES, held).await
 }
 
 /// Notifies the returned handle when the responses to a request that are not final exceed their limit.
--- a/crates/relay/src/ingress/caller_body.rs
+++ b/crates/relay/src/ingress/caller_body.rs
@@ -14,6 +14,9 @@
 use tokio::sync::mpsc::error::SendTimeoutError;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::memory::HeldBody;
+use crate::memory::HeldBytes;
+
 use super::send_fault::SendFault;
 
 /// The body of a response to a caller.
@@ -31,6 +34,11 @@
         .boxed_unsync()
 }
 
+/// Returns a whole body that stays charged until the caller has read it.
+pub(super) fn held_body(bytes: Bytes, held: HeldBytes) -> CallerBody {
+    HeldBody::new(bytes, held).boxed_unsync()
+}
+
 /// Returns a body that is streamed from a channel, with its sending side.
 ///
 /// The body ends regularly only after [`CallerStream::finish`]. If the sending side is dropped before, the
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -4,6 +4,7 @@
 
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
+use dandelionroad_core::relay::ByteSource;
 use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::relay::ServicePicker;
@@ -17,6 +18,7 @@
 use crate::engine::LoadGuard;
 use crate::engine::SendError;
 use crate::engine::read_whole;
+use crate::memory::HeldBytes;
 use crate::node::NodeState;
 use crate::telemetry::RequestLog;
 use crate::wire::EngineCall;
@@ -24,7 +26,7 @@
 
 use super::answer_head::AnswerHead;
 use super::caller_body::CallerBody;
-use super::caller_body::full_body;
+use super::caller_body::held_body;
 use super::crash_check::is_crasher;
 use super::crash_check::record_broken_run;
 use super::crash_check::record_served;
@@ -289,7 +291,8 @@
     );
     let exchange = async {
         let response = sent.await?;
-        Ok::<PlainOutcome, SendError>(read_response(state, relay, &id, response).await)
+        let held = state.memory.hold(ByteSource::Server(address));
+        Ok::<PlainOutcome, SendError>(read_response(state, relay, &id, response, held).await)
     };
     let outcome = match tokio::time::timeout(Duration::from_millis(left_ms), exchange).await {
         Ok(Ok(outcome)) => outcome,
@@ -309,6 +312,7 @@
     relay: &RelayRequest,
     id: &str,
     response: Response<Incoming>,
+    held: HeldBytes,
 ) -> PlainOutcome {
     let class = ResponseClass::classify(state, id, &relay.caller.id, &response);
     if matches!(
@@ -318,10 +322,13 @@
         return PlainOutcome::Lost(class.attempt_end());
     }
     let (parts, body) = response.into_parts();
-    let Ok(body) = read_whole(body).await else {
+    let Ok(body) = read_whole(body, &held).await else {
         return PlainOutcome::Lost(AttemptEnd::Broken);
     };
-    let response = AnswerHead::of_whole(&*state.format, &parts).into_response(full_body(body));
+    // The time that the caller takes to read is no fault of the endpoint.
+    held.reassign(relay.byte_source());
+    let body = held_body(body, held);
+    let response = AnswerHead::of_whole(&*state.format, &parts).into_response(body);
     match class {
         ResponseClass::Failed => PlainOutcome::Failed(response),
         _ => PlainOutcome::Answered(response),
--- a/crates/relay/src/ingress/relay_request.rs
+++ b/crates/relay/src/ingress/relay_request.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use dandelionroad_core::relay::ByteSource;
 use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::relay::RelayAccount;
 use dandelionroad_core::relay::RelayConfig;
@@ -52,6 +53,14 @@
         self.account.map(|account| &self.config.accounts[account])
     }
 
+    /// Returns the source to which the buffers of the request are charged.
+    pub(super) fn byte_source(&self) -> ByteSource {
+        ByteSource::Account(
+            self.account()
+                .map_or_else(String::new, |account| account.name.clone()),
+        )
+    }
+
     /// Returns the priority of the account, or else of the route; 0 is the highest.
     pub(super) fn priority(&self) -> u8 {
         let of_account = self.account().and_then(|account| account.priority);
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -2,17 +2,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use dandelionroad_core::relay::ByteSource;
 use dandelionroad_core::relay::PartVerdict;
 use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::time::MilliTime;
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 
+use crate::memory::HeldBytes;
+use crate::memory::ReadFault;
+use crate::memory::read_bounded;
 use crate::node::NodeState;
 use crate::telemetry::RequestLog;
 use crate::wire::RefusalKind;
@@ -75,7 +76,9 @@
     if is_past_stop(&state, is_stream, deadline) {
         return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::Leaving);
     }
-    let body = match read_body(body, config.limits.body_bytes, timeout_ms).await {
+    let name = account.map_or_else(String::new, |account| config.accounts[account].name.clone());
+    let held = state.memory.hold(ByteSource::Account(name));
+    let body = match read_body(body, config.limits.body_bytes, timeout_ms, held).await {
         Ok(body) => body,
         Err(kind) => return log_and_refuse(&state, &mut log, &caller.id, kind),
     };
@@ -156,13 +159,15 @@
     body: Incoming,
     max_bytes: usize,
     timeout_ms: u64,
+    held: HeldBytes,
 ) -> Result<Bytes, RefusalKind> {
-    let read = Limited::new(body, max_bytes).collect();
+    let read = read_bounded(body, max_bytes, &held);
     let read = tokio::time::timeout(Duration::from_millis(timeout_ms), read).await;
     match read.map_err(|_| RefusalKind::SlowBody)? {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::TooLarge),
-        Err(error) => {
+        Ok(body) => Ok(held.into_bytes(body)),
+        Err(ReadFault::TooLong { .. }) => Err(RefusalKind::TooLarge),
+        Err(ReadFault::Ended) => Err(RefusalKind::Overloaded),
+        Err(ReadFault::Broken { detail: error }) => {
             spdlog::debug!("request: can't read the body: {error}");
             Err(RefusalKind::BadRequest)
         }
--- a/crates/relay/src/ingress/stream_driver.rs
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -9,7 +9,7 @@
 use super::answer_head::AnswerHead;
 use super::caller_body::CallerBody;
 use super::caller_body::channel_body;
-use super::caller_body::full_body;
+use super::caller_body::held_body;
 use super::open_outcome::OpenOutcome;
 use super::refusal::refuse;
 use super::relay_request::RelayRequest;
@@ -37,9 +37,9 @@
             });
             response
         }
-        OpenOutcome::ErrorResponse(parts, body) => {
+        OpenOutcome::ErrorResponse(parts, body, held) => {
             log.set_outcome("failed");
-            AnswerHead::of_whole(&*state.format, &parts).into_response(full_body(body))
+            AnswerHead::of_whole(&*state.format, &parts).into_response(held_body(body, held))
         }
         OpenOutcome::Refused(kind, retry_ms) => {
             let id = stream.request_id().to_owned();
--- a/crates/relay/src/ingress/stream_relay/head_outcome.rs
+++ b/crates/relay/src/ingress/stream_relay/head_outcome.rs
@@ -1,12 +1,17 @@
+use std::net::SocketAddr;
+
 use bytes::Bytes;
+use dandelionroad_core::relay::ByteSource;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::http::response::Parts;
 
 use crate::engine::SendError;
 use crate::engine::read_whole;
+use crate::memory::HeldBytes;
 use crate::node::NodeState;
 
+use super::super::relay_request::RelayRequest;
 use super::super::response_class::ResponseClass;
 
 /// The outcome of an attempt once the head of a response has arrived.
@@ -21,7 +26,7 @@
         is_paused: bool,
     },
     /// The chain ran the request and responded with an error.
-    Failed(Parts, Bytes),
+    Failed(Parts, Bytes, HeldBytes),
     /// The response is not whole, or belongs to another request.
     Foreign,
     /// No connection could be opened.
@@ -34,11 +39,12 @@
 }
 
 impl HeadOutcome {
-    /// Reads the outcome of an attempt at the engine `engine` for the request `id`.
+    /// Reads the outcome of an attempt at the engine `engine` with an address.
     pub(super) async fn read(
         state: &NodeState,
+        relay: &RelayRequest,
         engine: &str,
-        id: &str,
+        address: SocketAddr,
         sent: Result<Response<Incoming>, SendError>,
     ) -> HeadOutcome {
         let response = match sent {
@@ -48,7 +54,7 @@
             }
             Err(SendError::Broken { .. }) => return HeadOutcome::Broken,
         };
-        let class = ResponseClass::classify(state, engine, id, &response);
+        let class = ResponseClass::classify(state, engine, &relay.caller.id, &response);
         let (parts, body) = response.into_parts();
         match class {
             ResponseClass::Served => HeadOutcome::Served(parts, body),
@@ -59,10 +65,16 @@
                 fault_address,
                 is_paused,
             },
-            ResponseClass::Failed => match read_whole(body).await {
-                Ok(body) => HeadOutcome::Failed(parts, body),
-                Err(_) => HeadOutcome::Foreign,
-            },
+            ResponseClass::Failed => {
+                let held = state.memory.hold(ByteSource::Server(address));
+                match read_whole(body, &held).await {
+                    Ok(body) => {
+                        held.reassign(relay.byte_source());
+                        HeadOutcome::Failed(parts, body, held)
+                    }
+                    Err(_) => HeadOutcome::Foreign,
+                }
+            }
             ResponseClass::Foreign => HeadOutcome::Foreign,
         }
     }
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -5,6 +5,7 @@
 use hyper::http::response::Parts;
 
 use crate::crash_report::record_refused_connection;
+use crate::memory::HeldBytes;
 use crate::telemetry::RequestLog;
 
 use super::StreamRelay;
@@ -17,7 +18,7 @@
     /// The first run serves the request; the head of its response.
     Served(Parts),
     /// A chain responded with an error. Other runs may be in progress.
-    Failed(Parts, Bytes),
+    Failed(Parts, Bytes, HeldBytes),
     /// No run is in progress any more.
     Ended,
 }
@@ -35,8 +36,8 @@
             }
             match self.next_signal(log).await {
                 RunSignal::Step(index, RunStep::Head(outcome)) => {
-                    if let Some((parts, body)) = self.handle_head(index, outcome, log) {
-                        return HeadWait::Failed(parts, body);
+                    if let Some((parts, body, held)) = self.handle_head(index, outcome, log) {
+                        return HeadWait::Failed(parts, body, held);
                     }
                 }
                 RunSignal::Step(index, RunStep::Frame(frame)) => {
@@ -57,7 +58,7 @@
         index: usize,
         outcome: HeadOutcome,
         log: &mut RequestLog,
-    ) -> Option<(Parts, Bytes)> {
+    ) -> Option<(Parts, Bytes, HeldBytes)> {
         if let HeadOutcome::Served(parts, body) = outcome {
             let timeouts = self.event_timeouts();
             let run = &mut self.runs[index];
@@ -84,13 +85,13 @@
                 self.record_rejection(fault_address.as_deref(), is_paused, &run.stages);
                 AttemptEnd::Rejected
             }
-            HeadOutcome::Failed(parts, body) => {
+            HeadOutcome::Failed(parts, body, held) => {
                 self.record_end(AttemptEnd::Failed, "engine failed", log);
                 // The other runs may be served elsewhere before the same engine is tried again.
                 if !self.runs.is_empty() {
                     self.excluded.push(first.id.clone());
                 }
-                return Some((parts, body));
+                return Some((parts, body, held));
             }
             HeadOutcome::Foreign => {
                 self.excluded.push(first.id.clone());
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -172,8 +172,8 @@
             }
             match self.await_head(log).await {
                 HeadWait::Served(parts) => return OpenOutcome::Streaming(parts),
-                HeadWait::Failed(parts, body) => {
-                    failure = Some(OpenOutcome::ErrorResponse(parts, body));
+                HeadWait::Failed(parts, body, held) => {
+                    failure = Some(OpenOutcome::ErrorResponse(parts, body, held));
                 }
                 HeadWait::Ended => {}
             }
@@ -303,10 +303,10 @@
             is_again || self.relay.route().repeat == RepeatRule::AtMostOnce,
         );
         let (state, relay) = (Rc::clone(&self.state), Rc::clone(&self.relay));
-        let engine = first.id.clone();
+        let (engine, address) = (first.id.clone(), first.address);
         Box::pin(async move {
             let sent = sent.await;
-            HeadOutcome::read(&state, &engine, &relay.caller.id, sent).await
+            HeadOutcome::read(&state, &relay, &engine, address, sent).await
         })
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod ingress;
 mod internal_server;
+pub mod memory;
 pub mod node;
 pub mod order;
 pub mod peer;
--- /dev/null
+++ b/crates/relay/src/memory/holder_signal.rs
@@ -0,0 +1,40 @@
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use tokio::sync::Notify;
+
+/// Tells a holder that it has been ended.
+#[derive(Debug, Default)]
+pub(super) struct HolderSignal {
+    is_ended: AtomicBool,
+    notify: Notify,
+    /// Bytes that are dropped when the holder is ended, also if its task doesn't run.
+    pub(super) data: Mutex<Bytes>,
+}
+
+impl HolderSignal {
+    /// Drops the data and wakes the holder.
+    pub(super) fn end(&self) {
+        self.is_ended.store(true, Ordering::Relaxed);
+        let mut data = self
+            .data
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        *data = Bytes::new();
+        self.notify.notify_one();
+    }
+
+    /// Returns whether the holder has been ended.
+    pub(super) fn is_ended(&self) -> bool {
+        self.is_ended.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the holder is ended.
+    pub(super) async fn ended(&self) {
+        while !self.is_ended() {
+            self.notify.notified().await;
+        }
+    }
+}
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -10,6 +10,7 @@
 use tokio::sync::Notify;
 
 use crate::engine::EngineClient;
+use crate::memory::ByteBudget;
 use crate::peer::PeerTable;
 use crate::telemetry::RelayMetrics;
 use crate::wire::StoreRow;
@@ -38,6 +39,8 @@
     pub peers: RefCell<PeerTable>,
     /// The HTTP client of engines, endpoints and other relay processes.
     pub engine_client: EngineClient,
+    /// The budget of the bytes held for others.
+    pub memory: ByteBudget,
     /// The metrics of the process.
     pub metrics: RelayMetrics,
     /// The number of requests in progress.
@@ -78,6 +81,8 @@
     pub fn new(settings: RelaySettings, format: Box<dyn WireFormat>) -> Rc<NodeState> {
         let view = RefCell::new(RelayView::new(&settings));
         let peers = PeerTable::new(settings.peer_address, &settings.zone, settings.capacity);
+        let metrics = RelayMetrics::new();
+        let memory = ByteBudget::new(settings.bounds.held_limit(), metrics.ended_buffers());
         Rc::new(NodeState {
             run_id: new_run_id(&settings.name),
             bounds: Cell::new(settings.bounds),
@@ -86,8 +91,9 @@
             clock: BootClock,
             view,
             peers: RefCell::new(peers),
-            engine_client: EngineClient::new(),
-            metrics: RelayMetrics::new(),
+            engine_client: EngineClient::new(memory.clone()),
+            memory,
+            metrics,
             running_requests: Cell::new(0),
             queue: RefCell::new(CapacityQueue::new()),
             shutdown: Cell::new(None),
--- a/crates/relay/src/node/running_node.rs
+++ b/crates/relay/src/node/running_node.rs
@@ -9,6 +9,7 @@
 
 use crate::ingress::CallerServer;
 use crate::ingress::serve_readiness;
+use crate::memory::avoid_floods;
 use crate::order::run_orders;
 use crate::peer::run_peers;
 use crate::store::StoreClient;
@@ -83,6 +84,7 @@
         let is_changed = state.bounds.replace(bounds) != bounds;
         if is_changed {
             state.view.borrow_mut().set_bounds(bounds);
+            state.memory.set_limit(bounds.held_limit());
         }
         spdlog::info!("node: settings reloaded", kv: {
             changed = is_changed,
@@ -91,6 +93,7 @@
             retry_percent = bounds.retry_percent,
             retry_slack = bounds.retry_slack,
             grace_ms = bounds.grace_ms,
+            memory_bytes = bounds.memory_bytes,
         });
     }
 
@@ -138,6 +141,10 @@
     tasks.spawn_local(supervise(Rc::clone(state), "metrics", move || {
         serve_metrics(Rc::clone(&own), Rc::clone(&metrics))
     }));
+    let (own, _) = shared();
+    tasks.spawn_local(supervise(Rc::clone(state), "memory", move || {
+        avoid_floods(Rc::clone(&own))
+    }));
     let (own, store_client) = shared();
     tasks.spawn_local(supervise(Rc::clone(state), "config", move || {
         run_config(Rc::clone(&own), Rc::clone(&store_client))
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -29,6 +29,7 @@
     connection_failures: IntCounterVec,
     cut_streams: IntCounterVec,
     failovers: IntCounterVec,
+    ended_buffers: IntCounterVec,
     first_event: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
@@ -42,6 +43,7 @@
     crashes: Gauge,
     refused_parts: Gauge,
     ignored_rows: Gauge,
+    held_bytes: Gauge,
     dropped: Gauge,
 }
 
@@ -107,6 +109,11 @@
                 "Runs started beside stalled ones, by outcome.",
                 "outcome",
             ),
+            ended_buffers: counter(
+                "dandelionroad_buffers_ended_total",
+                "Buffers given up because their source takes the most memory, by kind of source.",
+                "source",
+            ),
             first_event: histogram(
                 "dandelionroad_first_event_ms",
                 "Time to the first piece of a response.",
@@ -156,6 +163,10 @@
                 "dandelionroad_registrations_ignored",
                 "Rows in the list of engines that describe no engine, at the last read of the store.",
             ),
+            held_bytes: gauge(
+                "dandelionroad_held_bytes",
+                "Bytes held for callers, engines and other processes.",
+            ),
             dropped: gauge(
                 "dandelionroad_log_lines_dropped",
                 "Log lines dropped since the start.",
@@ -209,6 +220,11 @@
         self.failovers.with_label_values(&[outcome]).inc();
     }
 
+    /// Returns the counter of the buffers that the budget of held bytes gives up.
+    pub fn ended_buffers(&self) -> IntCounterVec {
+        self.ended_buffers.clone()
+    }
+
     /// Sets the version of the configuration in force.
     pub fn set_config_version(&self, version: u64) {
         self.config_version.set(version as f64);
@@ -245,6 +261,7 @@
         self.crashes.set(view.crashes.len() as f64);
         let refused = view.crashes.parts().refused_count();
         self.refused_parts.set(refused as f64);
+        self.held_bytes.set(state.memory.held_bytes() as f64);
         self.dropped.set(dropped_lines() as f64);
         let mut text = Vec::new();
         if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -259,6 +259,7 @@
                 retry_percent: 100,
                 retry_slack: 1_000,
                 grace_ms: 8_000,
+                memory_bytes: 64 * 1_024 * 1_024,
             },
         };
         RunningNode::start(settings, Box::new(TestWire))
@@ -273,6 +274,19 @@
             .await
     }
 
+    /// Returns a future that sends a request with the key `k1`, reads its response and returns the status.
+    pub(crate) fn send_later(
+        &self,
+        node: &RunningNode,
+        path: &str,
+        id: &str,
+    ) -> impl Future<Output = u16> + use<> {
+        let headers = [("host", "shop.example"), ("key", "k1"), ("request", id)];
+        let request = build_request(node.settings().caller_address, path, &headers);
+        let sent = self.client.request(request);
+        async move { read(sent.await.unwrap()).await.status }
+    }
+
     /// Sends a request with the key `k1` and returns the response once its head has arrived.
     pub(crate) async fn open(
         &self,
