--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -18,16 +18,12 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::TokioExecutor;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tower::ServiceExt;
-use tower::util::MapResponse;
 
+use crate::memory::BodyPieces;
 use crate::memory::ByteBudget;
 use crate::memory::HeldBytes;
 use crate::memory::ReadFault;
@@ -37,13 +33,7 @@
 use super::AnswerCount;
 use super::AnswerOrigin;
 use super::SendError;
-use super::engine_stream::EngineStream;
-
-/// The time-out of opening a connection, in milliseconds.
-///
-/// Engines are in the same or another availability zone and accept a connection within two milliseconds. A
-/// lost packet is retransmitted after some hundred milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 400;
+use super::engine_connector::EngineConnector;
 
 /// The time for which an idle connection is kept, in milliseconds.
 ///
@@ -51,10 +41,6 @@
 /// a connection that the engine is closing.
 const IDLE_TIMEOUT_MS: u64 = 1_500;
 
-/// The time for which sent bytes may stay unacknowledged before a connection is closed as dead, in
-/// milliseconds.
-const UNACKED_TIMEOUT_MS: u64 = 3_000;
-
 /// The maximum size of a body that is read as a whole, in bytes.
 ///
 /// Answers of plain services, reports and lists of engines are smaller. Without a limit, an answer without
@@ -72,8 +58,6 @@
 /// the deadline.
 const MAX_INTERIM_RESPONSES: usize = 16;
 
-type EngineConnector = MapResponse<HttpConnector, fn(TokioIo<TcpStream>) -> EngineStream>;
-
 type HttpClient = Client<EngineConnector, Full<Bytes>>;
 
 /// The HTTP client of engines, endpoints and other relay processes.
@@ -99,9 +83,10 @@
         single.http1_max_buf_size(MAX_BUFFER_BYTES);
         single.pool_max_idle_per_host(0);
         single.retry_canceled_requests(false);
+        let connector = EngineConnector::new(memory.clone());
         EngineClient {
-            pooled: pooled.build(connector()),
-            single: single.build(connector()),
+            pooled: pooled.build(connector.clone()),
+            single: single.build(connector),
             memory,
         }
     }
@@ -191,7 +176,7 @@
             let held = self.memory.hold(ByteSource::Server(address));
             let body = read_whole(response.into_body(), &held).await;
             let body = body.map_err(|error| error.to_string())?;
-            Ok((status, held.into_bytes(body)))
+            Ok((status, held.into_bytes(body.into_bytes())))
         };
         match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
             Ok(result) => result,
@@ -208,7 +193,7 @@
 ///
 /// Returns an error if the body breaks off, exceeds 8 MiB, or is ended by the budget. The connection is closed and not
 /// used again.
-pub async fn read_whole(body: Incoming, held: &HeldBytes) -> Result<Bytes, ReadFault> {
+pub async fn read_whole(body: Incoming, held: &HeldBytes) -> Result<BodyPieces, ReadFault> {
     read_bounded(body, MAX_BODY_BYTES, held).await
 }
 
@@ -237,11 +222,3 @@
     }
     false
 }
-
-fn connector() -> EngineConnector {
-    let mut connector = HttpConnector::new();
-    connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
-    connector.set_nodelay(true);
-    connector.set_tcp_user_timeout(Some(Duration::from_millis(UNACKED_TIMEOUT_MS)));
-    connector.map_response(EngineStream::new)
-}
--- a/crates/relay/src/engine/engine_stream.rs
+++ b/crates/relay/src/engine/engine_stream.rs
@@ -11,6 +11,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::memory::HeldBytes;
+
 use super::AnswerCount;
 
 /// A connection to an engine, whose responses carry the number of responses on it as an extension.
@@ -18,16 +20,34 @@
 pub(super) struct EngineStream {
     stream: TokioIo<TcpStream>,
     answers: AnswerCount,
+    /// The charge of the library's read buffer.
+    held: Option<HeldBytes>,
+    /// The size of that buffer, as far as it is known, in bytes.
+    buffer_bytes: usize,
 }
 
 impl EngineStream {
     /// Wraps a connection that has just been opened.
-    pub(super) fn new(stream: TokioIo<TcpStream>) -> EngineStream {
+    pub(super) fn new(stream: TokioIo<TcpStream>, held: Option<HeldBytes>) -> EngineStream {
         EngineStream {
             stream,
             answers: AnswerCount::default(),
+            held,
+            buffer_bytes: 0,
         }
     }
+
+    /// Charges a read into a buffer of the given size; returns false if the connection has been ended.
+    fn charge(&mut self, buffer_bytes: usize) -> bool {
+        let Some(held) = &self.held else {
+            return true;
+        };
+        if buffer_bytes <= self.buffer_bytes {
+            return !held.is_ended();
+        }
+        self.buffer_bytes = buffer_bytes;
+        held.resize(buffer_bytes)
+    }
 }
 
 impl Connection for EngineStream {
@@ -42,6 +62,10 @@
         context: &mut Context<'_>,
         buffer: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.charge(buffer.remaining()) {
+            let error = "the connection was closed to free memory";
+            return Poll::Ready(Err(io::Error::other(error)));
+        }
         Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
--- a/crates/relay/src/engine/mod.rs
+++ b/crates/relay/src/engine/mod.rs
@@ -5,6 +5,7 @@
 mod answer_count;
 mod answer_origin;
 mod engine_client;
+mod engine_connector;
 mod engine_stream;
 mod fetch_report;
 mod load_guard;
--- a/crates/relay/src/ingress/caller_body.rs
+++ b/crates/relay/src/ingress/caller_body.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc::error::SendTimeoutError;
 use tokio_stream::wrappers::ReceiverStream;
 
+use crate::memory::BodyPieces;
 use crate::memory::HeldBody;
 use crate::memory::HeldBytes;
 
@@ -35,8 +36,8 @@
 }
 
 /// Returns a whole body that stays charged until the caller has read it.
-pub(super) fn held_body(bytes: Bytes, held: HeldBytes) -> CallerBody {
-    HeldBody::new(bytes, held).boxed_unsync()
+pub(super) fn held_body(pieces: BodyPieces, held: HeldBytes) -> CallerBody {
+    HeldBody::new(pieces, held).boxed_unsync()
 }
 
 /// Returns a body that is streamed from a channel, with its sending side.
--- a/crates/relay/src/ingress/open_outcome.rs
+++ b/crates/relay/src/ingress/open_outcome.rs
@@ -1,6 +1,6 @@
-use bytes::Bytes;
 use hyper::http::response::Parts;
 
+use crate::memory::BodyPieces;
 use crate::memory::HeldBytes;
 use crate::wire::RefusalKind;
 
@@ -9,7 +9,7 @@
     /// A chain serves the request; its events follow.
     Streaming(Parts),
     /// An engine responded with an error, whose body is charged to the guard.
-    ErrorResponse(Parts, Bytes, HeldBytes),
+    ErrorResponse(Parts, BodyPieces, HeldBytes),
     /// The request is refused; the caller may retry after the given time, in milliseconds.
     Refused(RefusalKind, Option<u64>),
 }
--- a/crates/relay/src/ingress/stream_relay/head_outcome.rs
+++ b/crates/relay/src/ingress/stream_relay/head_outcome.rs
@@ -1,6 +1,5 @@
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use dandelionroad_core::relay::ByteSource;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -8,6 +7,7 @@
 
 use crate::engine::SendError;
 use crate::engine::read_whole;
+use crate::memory::BodyPieces;
 use crate::memory::HeldBytes;
 use crate::node::NodeState;
 
@@ -26,7 +26,7 @@
         is_paused: bool,
     },
     /// The chain ran the request and responded with an error.
-    Failed(Parts, Bytes, HeldBytes),
+    Failed(Parts, BodyPieces, HeldBytes),
     /// The response is not whole, or belongs to another request.
     Foreign,
     /// No connection could be opened.
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -1,10 +1,10 @@
 //! The wait for a chain that serves the request, and the ends of attempts without an answer.
 
-use bytes::Bytes;
 use dandelionroad_core::relay::AttemptEnd;
 use hyper::http::response::Parts;
 
 use crate::crash_report::record_refused_connection;
+use crate::memory::BodyPieces;
 use crate::memory::HeldBytes;
 use crate::telemetry::RequestLog;
 
@@ -18,7 +18,7 @@
     /// The first run serves the request; the head of its response.
     Served(Parts),
     /// A chain responded with an error. Other runs may be in progress.
-    Failed(Parts, Bytes, HeldBytes),
+    Failed(Parts, BodyPieces, HeldBytes),
     /// No run is in progress any more.
     Ended,
 }
@@ -58,7 +58,7 @@
         index: usize,
         outcome: HeadOutcome,
         log: &mut RequestLog,
-    ) -> Option<(Parts, Bytes, HeldBytes)> {
+    ) -> Option<(Parts, BodyPieces, HeldBytes)> {
         if let HeadOutcome::Served(parts, body) = outcome {
             let timeouts = self.event_timeouts();
             let run = &mut self.runs[index];
--- a/crates/relay/src/memory/held_body.rs
+++ b/crates/relay/src/memory/held_body.rs
@@ -3,17 +3,14 @@
 use std::task::Context;
 use std::task::Poll;
 
-use bytes::Buf;
 use bytes::Bytes;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
+use super::BodyPieces;
 use super::HeldBytes;
 
-/// The maximum size of a piece that is handed to the connection at a time, in bytes.
-const MAX_PIECE_BYTES: usize = 64 * 1024;
-
 /// A whole body that stays charged while it is written.
 ///
 /// A slow reader may take long. If the body is ended meanwhile, its bytes are dropped at once and the connection
@@ -26,16 +23,17 @@
 }
 
 impl HeldBody {
-    /// Creates a body of bytes that are charged to `held`.
-    pub fn new(bytes: Bytes, held: HeldBytes) -> HeldBody {
-        let left = bytes.len();
+    /// Creates a body of pieces that are charged to `held`.
+    pub fn new(mut pieces: BodyPieces, held: HeldBytes) -> HeldBody {
+        pieces.finish();
+        let left = pieces.len();
         let mut data = held
             .signal
             .data
             .lock()
             .unwrap_or_else(|poison| poison.into_inner());
         if !held.is_ended() {
-            *data = bytes;
+            *data = pieces;
         }
         drop(data);
         HeldBody { held, left }
@@ -58,17 +56,14 @@
             .data
             .lock()
             .unwrap_or_else(|poison| poison.into_inner());
-        if data.len() < self.left {
+        let Some(piece) = data.pop() else {
             let error = io::Error::other("the answer was dropped to free memory");
             return Poll::Ready(Some(Err(error)));
-        }
-        let piece = match data.len() > MAX_PIECE_BYTES {
-            // A slice would keep the whole body in memory.
-            true => Bytes::copy_from_slice(&data[..MAX_PIECE_BYTES]),
-            false => Bytes::copy_from_slice(&data),
         };
-        data.advance(piece.len());
+        let left = data.len();
         drop(data);
+        // An ended body has no further pieces.
+        let _ = self.held.resize(left);
         self.left -= piece.len();
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
--- a/crates/relay/src/memory/holder_signal.rs
+++ b/crates/relay/src/memory/holder_signal.rs
@@ -2,16 +2,17 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use bytes::Bytes;
 use tokio::sync::Notify;
 
+use super::BodyPieces;
+
 /// Tells a holder that it has been ended.
 #[derive(Debug, Default)]
 pub(super) struct HolderSignal {
     is_ended: AtomicBool,
     notify: Notify,
-    /// Bytes that are dropped when the holder is ended, also if its task doesn't run.
-    pub(super) data: Mutex<Bytes>,
+    /// A body that is dropped when the holder is ended, also if its task doesn't run.
+    pub(super) data: Mutex<BodyPieces>,
 }
 
 impl HolderSignal {
@@ -22,7 +23,7 @@
             .data
             .lock()
             .unwrap_or_else(|poison| poison.into_inner());
-        *data = Bytes::new();
+        *data = BodyPieces::default();
         self.notify.notify_one();
     }
 
--- a/crates/relay/src/memory/mod.rs
+++ b/crates/relay/src/memory/mod.rs
@@ -8,6 +8,7 @@
 */
 
 mod avoid_floods;
+mod body_pieces;
 mod byte_budget;
 mod held_body;
 mod held_bytes;
@@ -16,6 +17,7 @@
 mod read_fault;
 
 pub use self::avoid_floods::avoid_floods;
+pub use self::body_pieces::BodyPieces;
 pub use self::byte_budget::ByteBudget;
 pub use self::held_body::HeldBody;
 pub use self::held_bytes::HeldBytes;
--- a/crates/relay/src/memory/read_bounded.rs
+++ b/crates/relay/src/memory/read_bounded.rs
@@ -1,7 +1,7 @@
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use super::BodyPieces;
 use super::HeldBytes;
 use super::ReadFault;
 
@@ -16,8 +16,8 @@
     mut body: Incoming,
     max_bytes: usize,
     held: &HeldBytes,
-) -> Result<Bytes, ReadFault> {
-    let mut buffer = Vec::new();
+) -> Result<BodyPieces, ReadFault> {
+    let mut pieces = BodyPieces::default();
     loop {
         let frame = tokio::select! {
             biased;
@@ -25,7 +25,7 @@
             frame = body.frame() => frame,
         };
         let frame = match frame {
-            None => return Ok(Bytes::from(buffer)),
+            None => return Ok(pieces),
             Some(Ok(frame)) => frame,
             Some(Err(error)) => {
                 let detail = error.to_string();
@@ -35,17 +35,12 @@
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if data.len() > max_bytes - buffer.len() {
+        if data.len() > max_bytes - pieces.len() {
             return Err(ReadFault::TooLong { max_bytes });
         }
-        let length = buffer.len() + data.len();
-        if length > buffer.capacity() {
-            let capacity = length.max(buffer.capacity() * 2).min(max_bytes);
-            if !held.resize(capacity) {
-                return Err(ReadFault::Ended);
-            }
-            buffer.reserve_exact(capacity - buffer.len());
+        if !held.resize(pieces.capacity_with(data.len())) {
+            return Err(ReadFault::Ended);
         }
-        buffer.extend_from_slice(&data);
+        pieces.push(&data);
     }
 }
--- a/crates/relay/src/node/relay_bounds.rs
+++ b/crates/relay/src/node/relay_bounds.rs
@@ -2,7 +2,7 @@
 ///
 /// The rest is for the program, the configuration and the list of engines, the buffers of connections and what the
 /// allocator keeps.
-const HELD_DIVISOR: usize = 4;
+const HELD_DIVISOR: usize = 6;
 
 /// The limits and intervals of a process that can be reloaded without a restart.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
