--- a/crates/relay/src/ingress/stream_relay/chain_run.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_run.rs
@@ -85,7 +85,7 @@
         match &mut self.exchange {
             RunExchange::Sent(sent) => {
                 let outcome = ready!(sent.as_mut().poll(context));
-                Poll::Ready(RunStep::Head(outcome))
+                Poll::Ready(RunStep::Head(Box::new(outcome)))
             }
             RunExchange::Answering { body, .. } => {
                 let frame = ready!(Pin::new(body).poll_frame(context));
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -51,7 +51,7 @@
                 }
                 // The caller has the head of the first response, so an error response is of no use to it.
                 RunSignal::Step(index, RunStep::Head(outcome)) => {
-                    self.handle_head(index, outcome, log);
+                    self.handle_head(index, *outcome, log);
                 }
                 RunSignal::DeadlinePassed => self.end_runs(log),
                 RunSignal::Refused => {
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -36,7 +36,7 @@
             }
             match self.next_signal(log).await {
                 RunSignal::Step(index, RunStep::Head(outcome)) => {
-                    if let Some((parts, body, held)) = self.handle_head(index, outcome, log) {
+                    if let Some((parts, body, held)) = self.handle_head(index, *outcome, log) {
                         return HeadWait::Failed(parts, body, held);
                     }
                 }
