Receive the rest of a body whose request was refused

Callers that were still sending the body of a refused request saw their next write fail with "Broken pipe"; one that gives up there loses the refusal. After a body above the limit, the connection ended without notice, and the next request on it was not answered.

Cause: the handler drops the body. The library then reads once and, if the body isn't whole, closes the connection after the response; the kernel answers what arrives later with a reset.

Fix: RequestBody wraps the body of each request. When it is dropped before its end, a task receives and drops the rest, so that the library goes on reading and the connection stays usable; the refusal is sent at once. The rest is limited to the size of a body and the idle time-out in force; past either, the connection ends as before. The connection counts as serving a request meanwhile, or the time-out of heads would end it. Requests with an expectation keep to the former behaviour, since their bodies may never come.

--- a/crates/relay/src/ingress/caller_activity.rs
+++ b/crates/relay/src/ingress/caller_activity.rs
@@ -16,6 +16,8 @@
     clock: BootClock,
     phase: Cell<ActivityPhase>,
     since: Cell<MilliTime>,
+    /// The number of guards of requests.
+    guard_count: Cell<usize>,
 }
 
 impl CallerActivity {
@@ -25,6 +27,7 @@
             clock,
             phase: Cell::new(ActivityPhase::Idle),
             since: Cell::new(clock.now()),
+            guard_count: Cell::new(0),
         })
     }
 
@@ -59,8 +62,23 @@
         }
     }
 
+    /// Records that a guard of a request is created.
+    pub(super) fn begin_request(&self) {
+        self.guard_count.set(self.guard_count.get() + 1);
+        self.enter(ActivityPhase::Request);
+    }
+
+    /// Records that a guard is dropped; the connection is idle after the last one.
+    pub(super) fn end_request(&self) {
+        let count = self.guard_count.get() - 1;
+        self.guard_count.set(count);
+        if count == 0 {
+            self.enter(ActivityPhase::Idle);
+        }
+    }
+
     /// Records that a phase begins.
-    pub(super) fn enter(&self, phase: ActivityPhase) {
+    fn enter(&self, phase: ActivityPhase) {
         self.phase.set(phase);
         self.since.set(self.clock.now());
     }
--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -20,6 +20,7 @@
 use super::activity_phase::ActivityPhase;
 use super::caller_activity::CallerActivity;
 use super::guarded_body::GuardedBody;
+use super::request_body::RequestBody;
 use super::request_guard::RequestGuard;
 use super::request_handler::handle_request;
 use super::watched_stream::WatchedStream;
@@ -107,6 +108,8 @@
     let service = service_fn(move |request| {
         let state = Rc::clone(&own);
         let guard = RequestGuard::new(Rc::clone(&own_activity));
+        let body_guard = RequestGuard::new(Rc::clone(&own_activity));
+        let request = RequestBody::wrap(request, body_guard, caller_limits(&state));
         async move {
             let response = handle_request(state, request).await;
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -21,6 +21,7 @@
 mod readiness_server;
 mod refusal;
 mod relay_request;
+mod request_body;
 mod request_guard;
 mod request_handler;
 mod response_class;
--- a/crates/relay/src/ingress/request_guard.rs
+++ b/crates/relay/src/ingress/request_guard.rs
@@ -1,9 +1,8 @@
 use std::rc::Rc;
 
-use super::activity_phase::ActivityPhase;
 use super::caller_activity::CallerActivity;
 
-/// Marks a connection as serving a request until it is dropped.
+/// Marks a connection as serving a request until its last guard is dropped.
 #[derive(Debug)]
 pub(super) struct RequestGuard {
     activity: Rc<CallerActivity>,
@@ -12,13 +11,13 @@
 impl RequestGuard {
     /// Records that the head of a request is complete.
     pub(super) fn new(activity: Rc<CallerActivity>) -> RequestGuard {
-        activity.enter(ActivityPhase::Request);
+        activity.begin_request();
         RequestGuard { activity }
     }
 }
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.activity.enter(ActivityPhase::Idle);
+        self.activity.end_request();
     }
 }
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -8,7 +8,6 @@
 use dandelionroad_core::time::MilliTime;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::HOST;
 
 use crate::memory::HeldBytes;
@@ -24,6 +23,7 @@
 use super::plain_driver::drive_plain;
 use super::refusal::refuse;
 use super::relay_request::RelayRequest;
+use super::request_body::RequestBody;
 use super::stream_driver::drive_stream;
 
 /// The retry delay sent with refusals whose cause usually passes within a second, in milliseconds.
@@ -40,7 +40,7 @@
 /// Handles one request of a caller and returns the response.
 pub(super) async fn handle_request(
     state: Rc<NodeState>,
-    request: Request<Incoming>,
+    request: Request<RequestBody>,
 ) -> Response<CallerBody> {
     let arrival = state.clock.now();
     let (parts, body) = request.into_parts();
@@ -156,7 +156,7 @@
 }
 
 async fn read_body(
-    body: Incoming,
+    body: RequestBody,
     max_bytes: usize,
     timeout_ms: u64,
     held: HeldBytes,
