--- a/crates/relay/examples/memory_peak.rs
+++ b/crates/relay/examples/memory_peak.rs
@@ -136,7 +136,8 @@
         }
         false => _endpoint = world.start_endpoint("p1").await,
     }
-    let (mut child, callers, readiness) = start_process(&world, memory_mb).await;
+    let mut child = start_process(&world, memory_mb);
+    let (callers, readiness) = read_addresses(&mut child).await;
     wait_for("the process is ready", async || {
         world.get(readiness, "/", &[]).await.status == 200
     })
@@ -175,20 +176,21 @@
     }
 }
 
-/// Starts a relay process; returns it with its addresses for callers and for readiness checks.
-async fn start_process(world: &World, memory_mb: usize) -> (Child, SocketAddr, SocketAddr) {
+/// Starts a relay process.
+fn start_process(world: &World, memory_mb: usize) -> Child {
     let program = std::env::current_exe().expect("the program's path");
-    let mut child = std::process::Command::new(program)
-        .args([
-            NODE_ROLE,
-            &world.store_address().to_string(),
-            &memory_mb.to_string(),
-        ])
+    let store = world.store_address().to_string();
+    std::process::Command::new(program)
+        .args([NODE_ROLE, &store, &memory_mb.to_string()])
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::null())
         .spawn()
-        .expect("the process starts");
+        .expect("the process starts")
+}
+
+/// Returns the addresses of a process for callers and for readiness checks, and reads its log from then on.
+async fn read_addresses(child: &mut Child) -> (SocketAddr, SocketAddr) {
     let output = child.stdout.take().expect("the output is piped");
     let output = tokio::process::ChildStdout::from_std(output).expect("a pipe");
     let mut lines = BufReader::new(output).lines();
@@ -202,7 +204,7 @@
             tokio::task::spawn_local(
                 async move { while let Ok(Some(_)) = lines.next_line().await {} },
             );
-            return (child, callers, readiness);
+            return (callers, readiness);
         }
     }
 }
--- a/crates/relay/src/memory/read_bounded.rs
+++ b/crates/relay/src/memory/read_bounded.rs
@@ -1,5 +1,6 @@
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::Body;
 
 use super::BodyPieces;
 use super::HeldBytes;
@@ -12,11 +13,14 @@
 /// # Errors
 ///
 /// Returns an error if the body breaks off, exceeds `max_bytes` or is ended by the budget.
-pub async fn read_bounded(
-    mut body: Incoming,
+pub async fn read_bounded<B>(
+    mut body: B,
     max_bytes: usize,
     held: &HeldBytes,
-) -> Result<BodyPieces, ReadFault> {
+) -> Result<BodyPieces, ReadFault>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let mut pieces = BodyPieces::default();
     let mut charged = 0;
     loop {
