Charge incomplete events of streams to their engine

An engine that sends an event without end may fill 256 KiB for each stream, and nothing bounded their sum. Each run charges its splitter's buffer, and the events that are not forwarded yet, to its engine; it ends as broken once that is given up, so that the stream may be resumed elsewhere.

With zero charged in place of the buffer's size it printed 'timed out waiting for: events are given up'. The library's buffers for the same connections are charged as well, so some of these streams end as 'stream cut' instead.

--- a/crates/core/src/relay/event_splitter.rs
+++ b/crates/core/src/relay/event_splitter.rs
@@ -156,6 +156,11 @@
         self.data_count
     }
 
+    /// Returns the size of the buffer for an incomplete event, in bytes.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/relay/src/ingress/stream_relay/chain_run.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_run.rs
@@ -15,6 +15,7 @@
 use hyper::http::response::Parts;
 
 use crate::engine::LoadGuard;
+use crate::memory::HeldBytes;
 
 use super::run_exchange::RunExchange;
 use super::run_step::RunStep;
@@ -48,6 +49,9 @@
     pub(super) head: Option<Parts>,
     pub(super) exchange: RunExchange,
     pub(super) load: LoadGuard,
+    /// The charge of the events that are not complete or not forwarded.
+    pub(super) held: HeldBytes,
+    pub(super) charged_bytes: usize,
 }
 
 impl ChainRun {
@@ -81,7 +85,20 @@
         failover_at.map_or(probe_at, |failover_at| probe_at.min(failover_at))
     }
 
+    /// Charges the buffers of events. If that ends the holder, so does the next step the run.
+    pub(super) fn charge_buffers(&mut self) {
+        let bytes = self.splitter.buffered_bytes() + self.ready.capacity();
+        if bytes != self.charged_bytes {
+            self.charged_bytes = bytes;
+            // The next step looks whether the holder is ended, which others may have caused as well.
+            let _ = self.held.resize(bytes);
+        }
+    }
+
     fn poll_step(&mut self, context: &mut Context<'_>) -> Poll<RunStep> {
+        if self.held.is_ended() {
+            return Poll::Ready(RunStep::OutOfBudget);
+        }
         match &mut self.exchange {
             RunExchange::Sent(sent) => {
                 let outcome = ready!(sent.as_mut().poll(context));
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -13,6 +13,7 @@
 use super::super::send_fault::SendFault;
 use super::RunOutcome;
 use super::StreamRelay;
+use super::failover::OUT_OF_BUDGET;
 use super::run_signal::RunSignal;
 use super::run_step::RunStep;
 use super::stall_timeouts::StallTimeouts;
@@ -53,6 +54,10 @@
                 RunSignal::Step(index, RunStep::Head(outcome)) => {
                     self.handle_head(index, *outcome, log);
                 }
+                RunSignal::Step(0, RunStep::OutOfBudget) => self.end_first_run(OUT_OF_BUDGET, log),
+                RunSignal::Step(index, RunStep::OutOfBudget) => {
+                    self.end_other_run(index, OUT_OF_BUDGET, log);
+                }
                 RunSignal::DeadlinePassed => self.end_runs(log),
                 RunSignal::Refused => {
                     self.drop_runs();
@@ -89,7 +94,10 @@
         };
         if let Ok(data) = frame.into_data() {
             match run.splitter.push(&data) {
-                Ok(complete) => run.ready = complete,
+                Ok(complete) => {
+                    run.ready = complete;
+                    run.charge_buffers();
+                }
                 Err(fault) => self.end_first_run(fault_cause(fault), log),
             }
         }
--- a/crates/relay/src/ingress/stream_relay/failover.rs
+++ b/crates/relay/src/ingress/stream_relay/failover.rs
@@ -24,6 +24,9 @@
 const WENT_ON: &str = "went-on";
 const FAILED: &str = "failed";
 
+/// The cause of the end of a run whose buffers were given up, as it appears in logs and metrics.
+pub(super) const OUT_OF_BUDGET: &str = "out of memory budget";
+
 /// The minimum time between two runs that are started beside stalled ones, in milliseconds.
 ///
 /// The number of attempts is limited, and engines that turn the request away do so within milliseconds.
@@ -86,7 +89,10 @@
         };
         let run = &mut self.runs[index];
         match run.splitter.push(&data) {
-            Ok(complete) => run.ready.extend_from_slice(&complete),
+            Ok(complete) => {
+                run.ready.extend_from_slice(&complete);
+                run.charge_buffers();
+            }
             Err(fault) => return self.end_other_run(index, fault_cause(fault), log),
         }
         if !run.is_unbegun() {
@@ -116,7 +122,12 @@
         self.crash_wait = None;
     }
 
-    fn end_other_run(&mut self, index: usize, cause: &'static str, log: &mut RequestLog) {
+    pub(super) fn end_other_run(
+        &mut self,
+        index: usize,
+        cause: &'static str,
+        log: &mut RequestLog,
+    ) {
         let run = self.remove_run(index);
         self.record_end(AttemptEnd::Broken, cause, log);
         self.state.metrics.count_failover(FAILED);
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -9,6 +9,7 @@
 use crate::telemetry::RequestLog;
 
 use super::StreamRelay;
+use super::failover::OUT_OF_BUDGET;
 use super::head_outcome::HeadOutcome;
 use super::run_signal::RunSignal;
 use super::run_step::RunStep;
@@ -43,6 +44,9 @@
                 RunSignal::Step(index, RunStep::Frame(frame)) => {
                     self.handle_other_frame(index, frame, log);
                 }
+                RunSignal::Step(index, RunStep::OutOfBudget) => {
+                    self.end_other_run(index, OUT_OF_BUDGET, log);
+                }
                 RunSignal::DeadlinePassed => self.end_runs(log),
                 RunSignal::Refused => {
                     log.add_cause("crashes engines");
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -31,6 +31,7 @@
 use dandelionroad_core::chain::FoundChain;
 use dandelionroad_core::relay::AnswerProgress;
 use dandelionroad_core::relay::AttemptPlan;
+use dandelionroad_core::relay::ByteSource;
 use dandelionroad_core::relay::EventSplitter;
 use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::time::MilliTime;
@@ -246,7 +247,13 @@
         let target_ms = self.relay.route().target_ms;
         let sent = self.send(&stages, now);
         self.plan.record_start();
+        let held = self
+            .state
+            .memory
+            .hold(ByteSource::Server(stages[0].address));
         self.runs.push(ChainRun {
+            held,
+            charged_bytes: 0,
             stages,
             unloaded_step_ms,
             sample_start: None,
--- a/crates/relay/src/ingress/stream_relay/run_step.rs
+++ b/crates/relay/src/ingress/stream_relay/run_step.rs
@@ -9,4 +9,6 @@
     Head(Box<HeadOutcome>),
     /// A frame of the response's body; `None` at its end.
     Frame(Option<Result<Frame<Bytes>, hyper::Error>>),
+    /// The buffers of the run are given up, as its engine takes the most memory.
+    OutOfBudget,
 }
--- a/crates/relay/tests/memory_budget.rs
+++ b/crates/relay/tests/memory_budget.rs
@@ -24,6 +24,9 @@
 /// connections and of the fake engines. Without a budget, the answers take [`CALLERS`] times 8 MiB.
 const MAX_GROWTH_KIB: usize = 64 * 1_024;
 
+/// The budget for incomplete events, in bytes: seven of them exceed it.
+const PARTIAL_BUDGET_BYTES: usize = 1_400 * 1_024;
+
 const FAILED_HEAD: &str = "HTTP/1.1 500 Failed\r\nrequest: {id}\r\n";
 
 const SERVED_HEAD: &str = "HTTP/1.1 200 OK\r\nrequest: {id}\r\nsignature: p\r\n";
@@ -158,3 +161,35 @@
         assert_eq!(response.status, 200, "request {number} after the flood");
     }
 }
+
+/// The engine of a model sends events that don't end to many callers. Those beyond the budget must be given up before
+/// they reach the limit of a single event.
+#[test]
+fn partial_events_stay_within_budget() {
+    run(async {
+        let world = World::start().await;
+        let start = format!("{SERVED_HEAD}\r\nid: 1\ndata: {}", "x".repeat(200 * 1_024));
+        let answer = RawAnswer {
+            start: start.leak(),
+            filler: "x",
+            pause: Duration::from_millis(50),
+        };
+        let _flooding = RawEngine::start(&world.store, "e1", MODEL_SERVICE, (0, 40), answer).await;
+        let node = world.start_node("n1").await;
+        let mut settings = node.settings().clone();
+        settings.bounds.memory_bytes = 6 * PARTIAL_BUDGET_BYTES;
+        node.reload(&settings);
+        let mut calls = JoinSet::new();
+        for number in 0..10 {
+            let address = node.settings().caller_address;
+            calls.spawn_local(world.send_to(address, "/model/a", &format!("r{number}")));
+        }
+        let ended = "dandelionroad_streams_cut_total{cause=\"out of memory budget\"} ";
+        relay_support::wait_for("events are given up", async || {
+            world.metric(&node, ended).await >= 1.0
+        })
+        .await;
+        let held = world.metric(&node, "dandelionroad_held_bytes ").await;
+        assert!(held <= PARTIAL_BUDGET_BYTES as f64, "{held}");
+    });
+}
--- a/crates/relay/tests/memory_of_callers.rs
+++ b/crates/relay/tests/memory_of_callers.rs
@@ -29,14 +29,6 @@
 /// the budget.
 const ANSWER_BYTES: usize = 8_000_000;
 
-async fn metric(world: &World, node: &RunningNode, name: &str) -> f64 {
-    let address = node.settings().metrics_address;
-    let text = world.get(address, "/metrics", &[]).await.body;
-    let text = String::from_utf8(text).unwrap();
-    let value = text.lines().find_map(|line| line.strip_prefix(name));
-    value.map_or(0.0, |value| value.trim().parse().unwrap())
-}
-
 async fn send_head(node: &RunningNode, head: &str) -> TcpStream {
     let mut stream = TcpStream::connect(node.settings().caller_address)
         .await
@@ -62,12 +54,12 @@
             let mut stream = send_head(&node, &head).await;
             // The connection of a refused body is closed before it is whole.
             let _ = stream.write_all(&vec![b'x'; BODY_BYTES - 1]).await;
-            assert!(metric(&world, &node, "dandelionroad_held_bytes ").await <= BUDGET_BYTES);
+            assert!(world.metric(&node, "dandelionroad_held_bytes ").await <= BUDGET_BYTES);
             streams.push(stream);
         }
         let ended = "dandelionroad_buffers_ended_total{source=\"account\"} ";
         wait_for("the excess is refused", async || {
-            metric(&world, &node, ended).await >= 4.0
+            world.metric(&node, ended).await >= 4.0
         })
         .await;
         assert!(endpoint.runs.borrow().is_empty());
@@ -91,7 +83,7 @@
         );
         assert_eq!(endpoint.runs.borrow().len(), served + 1);
         wait_for("all is released", async || {
-            metric(&world, &node, "dandelionroad_held_bytes ").await == 0.0
+            world.metric(&node, "dandelionroad_held_bytes ").await == 0.0
         })
         .await;
     });
@@ -122,11 +114,11 @@
             let mut stream = send_head(&node, &head).await;
             // The endpoint's answer is whole, and is written to the caller.
             stream.read_exact(&mut [0; 64]).await.unwrap();
-            assert!(metric(&world, &node, "dandelionroad_held_bytes ").await <= BUDGET_BYTES);
+            assert!(world.metric(&node, "dandelionroad_held_bytes ").await <= BUDGET_BYTES);
             streams.push(stream);
         }
         let ended = "dandelionroad_buffers_ended_total{source=\"account\"} ";
-        assert!(metric(&world, &node, ended).await >= 4.0);
+        assert!(world.metric(&node, ended).await >= 4.0);
         assert!(world.knows_engines(&node, 1).await);
         let other = world.send(&node, "/any/stock", "other").await;
         assert!(other.is_complete && other.body.len() == ANSWER_BYTES);
@@ -138,13 +130,13 @@
             let _ = tokio::time::timeout(Duration::from_secs(1), part).await;
             whole += usize::from(read.len() >= ANSWER_BYTES);
         }
-        let ended = metric(&world, &node, ended).await as usize;
+        let ended = world.metric(&node, ended).await as usize;
         assert!(
             whole + ended <= IDLE_READERS,
             "{ended} ended, {whole} look whole"
         );
         wait_for("all is released", async || {
-            metric(&world, &node, "dandelionroad_held_bytes ").await == 0.0
+            world.metric(&node, "dandelionroad_held_bytes ").await == 0.0
         })
         .await;
     });
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -210,6 +210,14 @@
         text.lines().any(|found| found == line)
     }
 
+    /// Returns the value of a metric of a process, 0 if there is none; `name` includes the labels and a space.
+    pub(crate) async fn metric(&self, node: &RunningNode, name: &str) -> f64 {
+        let address = node.settings().metrics_address;
+        let text = String::from_utf8(self.get(address, "/metrics", &[]).await.body).unwrap();
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(0.0, |value| value.parse().unwrap())
+    }
+
     async fn start_node_with(
         &self,
         name: &str,
