Check the heads of requests by the limit in force

After a configuration had raised the limit on heads, callers that used a connection opened before got a 431 for a head within the new limit, and the connection ended. A lowered limit wasn't in force there either.

Cause: the HTTP library keeps to the buffer size that is set when a connection is opened, and answers longer heads itself. The log had the line "callers: connection failed: malformed request" with the detail "message head is too large", and none of the request.

Evidence: header_limits failed in both cases before: raised, "left: HTTP/1.1 431 Request Header Fields Too Large, right: HTTP/1.1 404 Not Found"; lowered, "HTTP/1.1 404 Not Found".

Fix: the library's buffer holds 64 KiB at least, and the relay compares each head with the limit in force. It refuses longer ones with 431, as `large-head`, with a line of the request; while the configuration may be out of date, as stale-config, as with routes and keys. A limit that is raised beyond 64 KiB still reaches new connections only.

--- a/crates/relay/src/ingress/admission.rs
+++ b/crates/relay/src/ingress/admission.rs
@@ -1,5 +1,6 @@
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::time::MilliTime;
+use hyper::http::request::Parts;
 
 use crate::node::RelayView;
 use crate::wire::CallerRequest;
@@ -22,7 +23,7 @@
     config: &RelayConfig,
     caller: &CallerRequest,
     host: &str,
-    path: &str,
+    parts: &Parts,
     now: MilliTime,
 ) -> Result<Admitted, RefusalKind> {
     let is_fresh = view.config_age.is_fresh(now);
@@ -30,9 +31,12 @@
         true => kind,
         false => RefusalKind::StaleConfig,
     };
+    if head_bytes(parts) > config.limits.header_bytes {
+        return Err(denial(RefusalKind::LargeHead));
+    }
     let route = view
         .routes
-        .find(host, path)
+        .find(host, parts.uri.path())
         .ok_or(denial(RefusalKind::NoRoute))?;
     let spec = &config.routes[route];
     let account = if config.accounts.is_empty() || spec.is_public {
@@ -53,3 +57,13 @@
         .map_err(|_| RefusalKind::NoEngine)?;
     Ok((route, service, account))
 }
+
+/// Returns the size of a request's head, in bytes.
+fn head_bytes(parts: &Parts) -> usize {
+    let target = parts.uri.path_and_query();
+    let target_bytes = target.map_or(0, |target| target.as_str().len());
+    let line_bytes = parts.method.as_str().len() + target_bytes + "  HTTP/1.1\r\n".len();
+    let headers = parts.headers.iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len());
+    line_bytes + headers.sum::<usize>() + "\r\n".len()
+}
--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -25,8 +25,11 @@
 use super::request_handler::handle_request;
 use super::watched_stream::WatchedStream;
 
-/// The minimum buffer size that the HTTP library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8_192;
+/// The minimum size of a connection's buffer, in bytes.
+///
+/// The library keeps to the size that was set when the connection was opened, so it leaves room for a limit on heads that
+/// is raised later; the limit in force is checked for each request.
+const MIN_BUFFER_BYTES: usize = 65_536;
 
 /// The maximum time between two checks of a connection's time-outs, in milliseconds.
 ///
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -59,7 +59,7 @@
     let host = request_host(&parts);
     let admitted = {
         let view = state.view.borrow();
-        admit(&view, &config, &caller, &host, parts.uri.path(), arrival)
+        admit(&view, &config, &caller, &host, &parts, arrival)
     };
     let (route, service, account) = match admitted {
         Ok(admitted) => admitted,
@@ -128,6 +128,7 @@
         RefusalKind::BadRequest
         | RefusalKind::UnknownKey
         | RefusalKind::NoRoute
+        | RefusalKind::LargeHead
         | RefusalKind::TooLarge
         | RefusalKind::SlowBody
         // A retry would be refused again.
--- a/crates/relay/src/wire/refusal_kind.rs
+++ b/crates/relay/src/wire/refusal_kind.rs
@@ -7,6 +7,8 @@
     UnknownKey,
     /// No route matches the host and path.
     NoRoute,
+    /// The head exceeds the configured limit.
+    LargeHead,
     /// The body exceeds the configured limit.
     TooLarge,
     /// The body was not whole by the deadline.
@@ -43,6 +45,7 @@
             RefusalKind::BadRequest => "bad-request",
             RefusalKind::UnknownKey => "unknown-key",
             RefusalKind::NoRoute => "no-route",
+            RefusalKind::LargeHead => "large-head",
             RefusalKind::TooLarge => "too-large",
             RefusalKind::SlowBody => "slow-body",
             RefusalKind::StaleConfig => "stale-config",
@@ -61,6 +64,7 @@
             RefusalKind::BadRequest => 400,
             RefusalKind::UnknownKey => 401,
             RefusalKind::NoRoute => 404,
+            RefusalKind::LargeHead => 431,
             RefusalKind::TooLarge => 413,
             RefusalKind::SlowBody => 408,
             RefusalKind::StaleConfig
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -315,7 +315,10 @@
 
 /// Returns the default limits with the document's time-out of idle connections, if it has one.
 fn caller_limits(doc: &Value) -> CallerLimits {
-    let limits = CallerLimits::default();
+    let mut limits = CallerLimits::default();
+    if let Some(header_bytes) = doc["headers"].as_u64() {
+        limits.header_bytes = header_bytes as usize;
+    }
     match doc["idle"].as_u64() {
         Some(idle_timeout_ms) => CallerLimits {
             header_timeout_ms: idle_timeout_ms,
