Log what a refused request lacked, and each avoidance of an engine with its cause

A request that was refused after waiting behind others had the cause 'others wait' alone, and an engine that was avoided because it had turned a request away, or couldn't be reached, left no line. The logs could not tell whether requests were refused for engines that had refused others, for silences that had ended, or for the head of the queue.

The line of a refused request now also names what it lacked itself at that time, 'chain free' if nothing, and dandelionroad_engine_avoidances_total counts avoidances by cause. No decision changes.

--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -41,17 +41,18 @@
     let report = fetch_report(&state, &first.id, first.address, REPORT_TIMEOUT_MS).await;
     let now = state.clock.now();
     let mut view = state.view.borrow_mut();
-    let (suspects, cause) = match report {
+    let (suspects, cause, label) = match report {
         Ok(report) => {
             let entry_at = |address: &String| view.engines.at_address(address);
             let stalled = report.stalled_on.iter().filter_map(entry_at);
             let ids: Vec<String> = stalled.map(|entry| entry.record.id.clone()).collect();
-            (ids, "reported as stalled".to_owned())
+            (ids, "reported as stalled".to_owned(), "reported")
         }
-        Err(error) => (vec![first.id.clone()], error),
+        Err(error) => (vec![first.id.clone()], error, "no-report"),
     };
     for id in suspects {
         if view.engines.suspect(&id, now) {
+            state.metrics.count_avoidance(label);
             spdlog::info!("engines: avoided: {cause}", kv: {
                 engine = id.as_str(),
                 asked = first.id.as_str(),
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
 use dandelionroad_core::chain::ZoneShortage;
+use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::route::hash_text;
 
@@ -56,13 +57,9 @@
     ) -> Result<FoundChain, Option<u64>> {
         let has_run = self.plan.may_have_run();
         let skips_queue = has_run || self.state.queue.borrow().is_empty();
-        let shortage = match skips_queue {
-            true => match self.find_chain() {
-                Some(chain) => return Ok(chain),
-                None => self.shortage(),
-            },
-            false => "others wait".to_owned(),
-        };
+        if skips_queue && let Some(chain) = self.find_chain() {
+            return Ok(chain);
+        }
         if let Some(retry_ms) = self.pause_beyond_wait(log) {
             return Err(Some(retry_ms));
         }
@@ -76,11 +73,16 @@
         let until = until.min(self.relay.deadline);
         // All requests without an account count as one account in the fair queue.
         let account = self.relay.account.map_or(0, |index| index as u64 + 1);
-        let found = wait_for_capacity(&state, priority, account, until, || self.find_chain());
-        let found = found.await;
+        let found = wait_for_capacity(&state, priority, account, until, || self.find_chain()).await;
         log.add_wait(state.clock.now().since(start));
         found.map_err(|retry_ms| {
-            log.add_cause(&shortage);
+            if !skips_queue {
+                log.add_cause("others wait");
+            }
+            log.add_cause(&match self.search_chain() {
+                Some(_) => "chain free".to_owned(),
+                None => self.shortage(),
+            });
             Some(retry_ms)
         })
     }
@@ -164,7 +166,7 @@
         ChainFinder::new(&view.engines, service, shape).find(&request)
     }
 
-    /// Returns the reason for which no availability zone has a chain, as it appears in logs.
+    /// Returns the reason for which no availability zone has a chain at present, as it appears in logs.
     fn shortage(&self) -> String {
         let Some(shape) = self.relay.service().model.as_ref() else {
             return "no model".to_owned();
@@ -175,9 +177,14 @@
     }
 
     /// Records a failure of an engine, and excludes it for this request.
-    pub(super) fn record_failure(&mut self, id: &str) {
+    pub(super) fn record_failure(&mut self, id: &str, cause: &'static str) {
         let now = self.state.clock.now();
         self.state.view.borrow_mut().engines.record_failure(id, now);
+        self.state.metrics.count_avoidance(cause);
+        spdlog::info!("engines: avoided: {cause}", kv: {
+            engine = id,
+            request = self.relay.caller.id.as_str(),
+        });
         self.excluded.push(id.to_owned());
     }
 
@@ -196,7 +203,7 @@
         let id = reported.unwrap_or(&chain[0]).id.clone();
         match is_paused && id == chain[0].id {
             true => self.excluded.push(id),
-            false => self.record_failure(&id),
+            false => self.record_failure(&id, AttemptEnd::Rejected.as_str()),
         }
     }
 
@@ -225,5 +232,8 @@
         )
     };
     let texts: Vec<String> = shortages.iter().map(text).collect();
-    texts.join(", ")
+    match texts.is_empty() {
+        true => "no engine".to_owned(),
+        false => texts.join(", "),
+    }
 }
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -105,7 +105,7 @@
                 if is_refused {
                     record_refused_connection(&self.state, &first.id);
                 }
-                self.record_failure(&first.id);
+                self.record_failure(&first.id, AttemptEnd::NotSent.as_str());
                 AttemptEnd::NotSent
             }
             HeadOutcome::Broken => {
--- a/crates/relay/src/ingress/stream_relay/stall_detection.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_detection.rs
@@ -114,6 +114,7 @@
         let ids: Vec<&str> = stages.iter().map(|stage| stage.id.as_str()).collect();
         let avoided = self.state.view.borrow_mut().engines.record_stall(&ids, now);
         for id in avoided {
+            self.state.metrics.count_avoidance("stalled");
             spdlog::info!("engines: avoided: runs stall", kv: {
                 engine = id.as_str(),
                 request = self.relay.caller.id.as_str(),
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -29,6 +29,7 @@
     connection_failures: IntCounterVec,
     cut_streams: IntCounterVec,
     failovers: IntCounterVec,
+    avoidances: IntCounterVec,
     ended_buffers: IntCounterVec,
     first_event: Histogram,
     whole_answer: Histogram,
@@ -109,6 +110,11 @@
                 "Runs started beside stalled ones, by outcome.",
                 "outcome",
             ),
+            avoidances: counter(
+                "dandelionroad_engine_avoidances_total",
+                "Times that an engine was avoided from then on, by cause.",
+                "cause",
+            ),
             ended_buffers: counter(
                 "dandelionroad_buffers_ended_total",
                 "Buffers given up because their source takes the most memory, by kind of source.",
@@ -220,6 +226,11 @@
         self.failovers.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts that an engine is avoided from now on.
+    pub fn count_avoidance(&self, cause: &str) {
+        self.avoidances.with_label_values(&[cause]).inc();
+    }
+
     /// Returns the counter of the buffers that the budget of held bytes gives up.
     pub fn ended_buffers(&self) -> IntCounterVec {
         self.ended_buffers.clone()
