End the suspicion of an engine with its first sign of life

What callers saw: while half of the engines of a model fell silent for a second in turn, new requests were refused with 'layer at failed engines', as engines that had long gone on were still avoided.

Cause: a mark outlived what it stood for. An engine without a report within 250 ms was suspected for two to six seconds. Only an event of a run that had been probed itself ended that; an event of another run, or the answer to a later probe, did not, and a probe that was sent before the silence ended could suspect the engine again. The mark for stalled runs and that of a silent endpoint of a plain service ended by time only.

Change: EngineMarks holds the reasons to send an engine nothing, each with its end. Each event of an answer ends the suspicion of all engines that took part, a report that of an engine that had returned none, and a stalled run that goes on the mark of stalls. What was asked before a sign of life suspects nobody. A silent endpoint of a plain service counts as suspected until it answers. Waiting requests look again when a mark ends.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -68,36 +68,38 @@
     /// Returns why each availability zone has no chain, at its first layer that no engine can run.
     pub fn shortages(&self, request: &FinderRequest<'_>) -> Vec<ZoneShortage<'a>> {
         let candidates = self.candidates(request);
-        let mut zones: Vec<&str> = self.engines().map(zone_of).collect();
-        zones.sort_unstable();
-        zones.dedup();
         let shortage = |zone| ZoneShortage {
             zone,
             shortage: self.zone_shortage(zone, &candidates, request),
         };
-        zones.into_iter().map(shortage).collect()
+        self.zones().into_iter().map(shortage).collect()
     }
 
     /// Returns the time until which no availability zone has a chain because of the pauses that its engines have asked
     /// for; `None` if some zone has one without them, or if all engines of a layer are gone.
     pub fn pause_end(&self, now: MilliTime) -> Option<MilliTime> {
-        let mut zones: Vec<&str> = self.engines().map(zone_of).collect();
-        zones.sort_unstable();
-        zones.dedup();
-        let ends = zones.into_iter().filter_map(|zone| self.zone_start(zone));
+        let paused_until = |entry: &EngineEntry| Some(entry.paused_until);
+        let ends = self
+            .zones()
+            .into_iter()
+            .filter_map(|zone| self.zone_start(zone, paused_until));
         ends.min().filter(|end| *end > now)
     }
 
-    /// Returns the earliest time at which each layer has an engine in a zone that does not pause; `None` if a layer
-    /// has no engine there.
-    fn zone_start(&self, zone: &str) -> Option<MilliTime> {
+    /// Returns the earliest time at which each layer has an engine in a zone, each of which is usable from the time
+    /// that `usable_at` returns; `None` if a layer has none.
+    fn zone_start(
+        &self,
+        zone: &str,
+        usable_at: impl Fn(&EngineEntry) -> Option<MilliTime>,
+    ) -> Option<MilliTime> {
         let mut start = MilliTime::default();
         for layer in 0..self.shape.layers {
             let covers = |range: LayerRange| range.first <= layer && layer < range.end;
             let holders = self
                 .engines()
                 .filter(|entry| zone_of(entry) == zone && covers(entry.record.layers));
-            start = start.max(holders.map(|entry| entry.paused_until).min()?);
+            start = start.max(holders.filter_map(&usable_at).min()?);
         }
         Some(start)
     }
@@ -146,6 +148,14 @@
         !request.excluded.contains(&entry.record.id) && entry.is_usable(request.now)
     }
 
+    /// Returns the availability zones of the engines, sorted.
+    fn zones(&self) -> Vec<&'a str> {
+        let mut zones: Vec<&str> = self.engines().map(zone_of).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
     fn engines(&self) -> impl Iterator<Item = &'a EngineEntry> + Clone + use<'a> {
         let (service, shape) = (self.service, self.shape);
         let entries = self.table.entries().iter();
--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -1,6 +1,7 @@
 use crate::route::hash_text;
 use crate::time::MilliTime;
 
+use super::EngineMarks;
 use super::EngineRecord;
 
 /// A listed engine with this process's records of its load and failures.
@@ -17,19 +18,12 @@
     pub listed_at: MilliTime,
     /// Whether the newest listing, which may be incomplete, lacks the engine.
     pub(in crate::relay) is_missing: bool,
-    /// The end of the time in which no new work is sent to it after a failure.
-    pub avoided_until: MilliTime,
-    /// The end of the time in which it counts as dead, because it failed a state probe or another
-    /// engine reported it as stalled.
-    pub suspected_until: MilliTime,
-    /// The end of its avoidance for other reasons when the suspicion began.
-    pub(super) avoided_before: MilliTime,
+    /// The reasons for which no new work is sent to it.
+    pub marks: EngineMarks,
     /// Whether it has said in an answer that it leaves.
     pub is_leaving: bool,
     /// The end of the time in which it has asked for no requests.
     pub paused_until: MilliTime,
-    /// The number of failures since the last success.
-    pub failures: u32,
     /// The number of answers since the last success that broke off before their heads arrived.
     pub broken_answers: u32,
     /// The number of runs that were aborted there as stalled since the last first event.
@@ -77,12 +71,9 @@
             record,
             listed_at: now,
             is_missing: false,
-            avoided_until: MilliTime::default(),
-            suspected_until: MilliTime::default(),
-            avoided_before: MilliTime::default(),
+            marks: EngineMarks::default(),
             is_leaving: false,
             paused_until: MilliTime::default(),
-            failures: 0,
             broken_answers: 0,
             stalls: 0,
             last_stall: None,
@@ -104,7 +95,7 @@
 
     /// Returns whether new work may be sent to it.
     pub fn is_usable(&self, now: MilliTime) -> bool {
-        self.accepts_work(now) && self.avoided_until <= now
+        self.accepts_work(now) && self.marks.avoided_until() <= now
     }
 
     /// Returns whether it takes new work, by its row in the list and by its answers.
@@ -123,11 +114,6 @@
         self.own_prefill + self.peer_prefill
     }
 
-    /// Returns whether it counts as dead now.
-    pub fn is_suspected(&self, now: MilliTime) -> bool {
-        self.suspected_until > now
-    }
-
     /// Returns the number of requests that it runs for all processes, as far as they are reported.
     pub fn requests(&self) -> u32 {
         self.own_requests + self.peer_requests
--- /dev/null
+++ b/crates/core/src/relay/engine_marks.rs
@@ -0,0 +1,130 @@
+use crate::time::MilliTime;
+
+use super::LifeSign;
+use super::SuspicionCause;
+
+/// The time for which an engine is avoided after one failure, in milliseconds.
+///
+/// Requests that depend on a dead engine stall for two seconds before they are cut off, so a
+/// shorter time would send several rounds of requests to it.
+const AVOID_MS: u64 = 2_000;
+
+/// The maximum time for which an engine is avoided, in milliseconds.
+const MAX_AVOID_MS: u64 = 6_000;
+
+/// Why this process sends an engine no new work, each reason with its end.
+///
+/// A suspicion ends with the first sign of life, not only by time.
+///
+/// # Example
+///
+/// ```
+/// use dandelionroad_core::relay::EngineMarks;
+/// use dandelionroad_core::relay::LifeSign;
+/// use dandelionroad_core::relay::SuspicionCause;
+/// use dandelionroad_core::time::MilliTime;
+///
+/// let now = MilliTime::from_millis(10_000);
+/// let mut marks = EngineMarks::default();
+/// assert!(marks.suspect(SuspicionCause::NoReport, now, now));
+/// assert!(marks.avoided_until() > now);
+/// assert!(marks.record_sign(LifeSign::Report, now.plus(300)));
+/// assert!(marks.avoided_until() <= now.plus(300));
+/// // A report that was asked for before says nothing new.
+/// assert!(!marks.suspect(SuspicionCause::NoReport, now.plus(200), now.plus(450)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct EngineMarks {
+    /// The number of failures since the last success.
+    failures: u32,
+    failed_until: MilliTime,
+    stalled_until: MilliTime,
+    suspected_until: MilliTime,
+    /// The cause of the last suspicion.
+    suspicion: Option<SuspicionCause>,
+    /// The time of the last answer in which it took part.
+    answered_at: Option<MilliTime>,
+    /// The time of its last report.
+    reported_at: Option<MilliTime>,
+}
+
+impl EngineMarks {
+    /// Returns the end of the time in which no new work is sent to the engine.
+    pub fn avoided_until(&self) -> MilliTime {
+        self.failed_until
+            .max(self.stalled_until)
+            .max(self.suspected_until)
+    }
+
+    /// Returns whether the engine counts as dead now, because it returned no report or another engine reported it
+    /// as stalled.
+    pub fn is_suspected(&self, now: MilliTime) -> bool {
+        self.suspected_until > now
+    }
+
+    /// Counts a failure and avoids the engine for a time that grows with consecutive failures.
+    pub fn record_failure(&mut self, now: MilliTime) {
+        self.failed_until = self.failed_until.max(self.count_failure(now));
+    }
+
+    /// Avoids the engine because its runs stall.
+    pub fn record_stalls(&mut self, now: MilliTime) {
+        self.stalled_until = self.stalled_until.max(self.count_failure(now));
+    }
+
+    /// Avoids the engine as dead; returns whether this is new.
+    ///
+    /// Nothing changes if there was a sign of life since `asked_at`, when what led to the suspicion was asked.
+    pub fn suspect(&mut self, cause: SuspicionCause, asked_at: MilliTime, now: MilliTime) -> bool {
+        let heard_at = match cause {
+            SuspicionCause::NoReport => self.answered_at.max(self.reported_at),
+            // An engine that others report as stalled may return reports all the while.
+            SuspicionCause::Reported => self.answered_at,
+        };
+        let is_alive = heard_at.is_some_and(|heard_at| heard_at >= asked_at);
+        if is_alive || self.is_suspected(now) {
+            return false;
+        }
+        self.suspected_until = self.count_failure(now);
+        self.suspicion = Some(cause);
+        true
+    }
+
+    /// Records a sign of life; returns whether it ends an avoidance.
+    pub fn record_sign(&mut self, sign: LifeSign, now: MilliTime) -> bool {
+        let is_over = match sign {
+            LifeSign::Report => {
+                self.reported_at = Some(now);
+                self.suspicion == Some(SuspicionCause::NoReport)
+            }
+            LifeSign::Answer | LifeSign::StalledAnswer => {
+                self.answered_at = Some(now);
+                true
+            }
+        };
+        let mut ended = false;
+        if is_over && self.is_suspected(now) {
+            self.suspected_until = now;
+            self.failures = self.failures.saturating_sub(1);
+            ended = true;
+        }
+        if sign == LifeSign::StalledAnswer && self.stalled_until > now {
+            self.stalled_until = now;
+            self.failures = self.failures.saturating_sub(1);
+            ended = true;
+        }
+        ended
+    }
+
+    /// Resets the count of failures after a success.
+    pub fn record_success(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Counts a failure; returns the end of the avoidance that follows from it.
+    fn count_failure(&mut self, now: MilliTime) -> MilliTime {
+        self.failures += 1;
+        let avoid_ms = AVOID_MS.saturating_mul(u64::from(self.failures));
+        now.plus(avoid_ms.min(MAX_AVOID_MS))
+    }
+}
--- a/crates/core/src/relay/engine_table/mod.rs
+++ b/crates/core/src/relay/engine_table/mod.rs
@@ -6,17 +6,10 @@
 
 use super::EngineAvailability;
 use super::EngineEntry;
+use super::LifeSign;
+use super::SuspicionCause;
 use super::listing_grace::ListingGrace;
 
-/// The time for which an engine is avoided after one failure, in milliseconds.
-///
-/// Requests that depend on a dead engine stall for two seconds before they are cut off, so a
-/// shorter time would send several rounds of requests to it.
-const AVOID_MS: u64 = 2_000;
-
-/// The maximum time for which an engine is avoided, in milliseconds.
-const MAX_AVOID_MS: u64 = 6_000;
-
 /// The number of consecutive broken answers after which an engine is avoided.
 ///
 /// An engine that loses 40 % of its answers reaches it after 65 answers on average.
@@ -32,6 +25,11 @@
 /// The window in which the stalled runs of an engine count as one, in milliseconds.
 const STALL_WINDOW_MS: u64 = 300;
 
+/// The time for which a sign of life may end a suspicion, or a probe that leads to one, in milliseconds.
+///
+/// It covers the longest avoidance.
+const SIGN_WAIT_MS: u64 = 6_000;
+
 /// The multiple of the mean latency ratio from which on an engine counts as slow.
 ///
 /// Load alone changes the latency ratios of chains by at most a factor of two.
@@ -63,6 +61,8 @@
     grace: ListingGrace,
     /// What engines say in their answers, copied into the entries.
     availability: EngineAvailability,
+    /// The time until which signs of life may end a suspicion.
+    signs_until: MilliTime,
 }
 
 impl EngineTable {
@@ -104,11 +104,7 @@
     /// Counts a failure and avoids the engine for a time that grows with consecutive failures.
     pub fn record_failure(&mut self, id: &str, now: MilliTime) {
         if let Some(entry) = self.get_mut(id) {
-            entry.failures += 1;
-            let avoid_ms = AVOID_MS
-                .saturating_mul(u64::from(entry.failures))
-                .min(MAX_AVOID_MS);
-            entry.avoided_until = entry.avoided_until.max(now.plus(avoid_ms));
+            entry.marks.record_failure(now);
         }
     }
 
@@ -129,40 +125,38 @@
         }
     }
 
-    /// Avoids an engine that counts as dead after a state probe; returns whether this is new.
+    /// Avoids an engine that counts as dead; returns whether this is new.
     ///
-    /// Several requests find the same engine dead, which counts once.
-    pub fn suspect(&mut self, id: &str, now: MilliTime) -> bool {
-        let is_new = self.get(id).is_some_and(|entry| !entry.is_suspected(now));
+    /// Several requests find the same engine dead, which counts once. `asked_at` is the time at which the report
+    /// was asked for that leads to the suspicion; see [`EngineMarks::suspect`](crate::relay::EngineMarks::suspect).
+    pub fn suspect(
+        &mut self,
+        id: &str,
+        cause: SuspicionCause,
+        asked_at: MilliTime,
+        now: MilliTime,
+    ) -> bool {
+        let entry = self.get_mut(id);
+        let is_new = entry.is_some_and(|entry| entry.marks.suspect(cause, asked_at, now));
         if is_new {
-            let avoided_before = self.get(id).map(|entry| entry.avoided_until);
-            self.record_failure(id, now);
-            if let Some(entry) = self.get_mut(id) {
-                entry.suspected_until = entry.avoided_until;
-                entry.avoided_before = avoided_before.unwrap_or_default();
-            }
+            self.await_signs(SIGN_WAIT_MS, now);
         }
         is_new
     }
 
-    /// Ends the suspicion of an engine that answers again after a silence; returns whether it was suspected.
-    ///
-    /// A sound engine may be silent for a second or so. Without this, it would be avoided for longer than
-    /// it was silent.
-    pub fn withdraw_suspicion(&mut self, id: &str, now: MilliTime) -> bool {
-        let Some(entry) = self.get_mut(id) else {
-            return false;
-        };
-        if !entry.is_suspected(now) {
-            return false;
-        }
-        // Failures of other kinds may have raised the end of the avoidance since.
-        if entry.avoided_until == entry.suspected_until {
-            entry.avoided_until = entry.avoided_before;
-        }
-        entry.suspected_until = now;
-        entry.failures = entry.failures.saturating_sub(1);
-        true
+    /// Returns whether signs of life matter at present, because some engine is suspected or was asked for a report.
+    pub fn awaits_signs(&self, now: MilliTime) -> bool {
+        self.signs_until > now
+    }
+
+    /// Records a sign of life of an engine; returns whether it is not avoided any more for that reason.
+    pub fn record_sign(&mut self, id: &str, sign: LifeSign, now: MilliTime) -> bool {
+        self.get_mut(id)
+            .is_some_and(|entry| entry.marks.record_sign(sign, now))
+    }
+
+    fn await_signs(&mut self, wait_ms: u64, now: MilliTime) {
+        self.signs_until = self.signs_until.max(now.plus(wait_ms));
     }
 
     /// Counts a stalled run that was aborted; returns the engines that are avoided from now on.
@@ -171,7 +165,10 @@
     /// engine of the run is avoided already, since that explains the stall, and runs that stall
     /// together count once.
     pub fn record_stall(&mut self, ids: &[&str], now: MilliTime) -> Vec<String> {
-        let is_avoided = |id: &&str| self.get(id).is_some_and(|entry| entry.avoided_until > now);
+        let is_avoided = |id: &&str| {
+            self.get(id)
+                .is_some_and(|entry| entry.marks.avoided_until() > now)
+        };
         if ids.iter().any(is_avoided) {
             return Vec::new();
         }
@@ -190,7 +187,7 @@
             entry.stalls += 1;
             if entry.stalls >= STALL_LIMIT {
                 entry.stalls = 0;
-                self.record_failure(id, now);
+                entry.marks.record_stalls(now);
                 avoided.push((*id).to_owned());
             }
         }
@@ -208,6 +205,7 @@
             .is_none_or(|probed| now.since(probed) >= interval_ms);
         if is_due {
             entry.last_probe = Some(now);
+            self.await_signs(SIGN_WAIT_MS, now);
         }
         is_due
     }
@@ -255,7 +253,7 @@
     /// Records a success, which resets all failure counts.
     pub fn record_success(&mut self, id: &str) {
         if let Some(entry) = self.get_mut(id) {
-            entry.failures = 0;
+            entry.marks.record_success();
             entry.broken_answers = 0;
             entry.stalls = 0;
         }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -8,8 +8,8 @@
 
 Several processes forward to the same engines without a coordinator. Each one holds the list of
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
-[`EngineTable`] with the listed engines, their failures and the load that all processes report, and
-uses only its share of the free KV memory between two reports. [`EngineAvailability`] holds what engines say in
+[`EngineTable`] with the listed engines, the reasons to send them nothing ([`EngineMarks`]) and the load that all
+processes report, and uses only its share of the free KV memory between two reports. [`EngineAvailability`] holds what engines say in
 their answers: that they leave, or want no requests for a time. Requests that find no free memory
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
@@ -32,12 +32,14 @@
 mod engine_crash;
 mod engine_entry;
 mod engine_listing;
+mod engine_marks;
 mod engine_record;
 mod engine_table;
 mod event_fault;
 mod event_splitter;
 mod key_index;
 mod late_losses;
+mod life_sign;
 mod listing_change;
 mod listing_delta;
 mod listing_grace;
@@ -68,6 +70,7 @@
 mod shutdown_plan;
 mod suspect_crash;
 mod suspect_part;
+mod suspicion_cause;
 
 pub use self::accelerator_kind::AcceleratorKind;
 pub use self::answer_progress::AnswerProgress;
@@ -84,11 +87,13 @@
 pub use self::engine_crash::EngineCrash;
 pub use self::engine_entry::EngineEntry;
 pub use self::engine_listing::EngineListing;
+pub use self::engine_marks::EngineMarks;
 pub use self::engine_record::EngineRecord;
 pub use self::engine_table::EngineTable;
 pub use self::event_fault::EventFault;
 pub use self::event_splitter::EventSplitter;
 pub use self::key_index::KeyIndex;
+pub use self::life_sign::LifeSign;
 pub use self::listing_change::ListingChange;
 pub use self::listing_delta::ListingDelta;
 pub use self::listing_plan::ListingPlan;
@@ -114,3 +119,4 @@
 pub use self::service_share::ServiceShare;
 pub use self::shared_load::SharedLoad;
 pub use self::shutdown_plan::ShutdownPlan;
+pub use self::suspicion_cause::SuspicionCause;
--- a/crates/core/src/relay/service_picker.rs
+++ b/crates/core/src/relay/service_picker.rs
@@ -32,7 +32,8 @@
         usable
             .min_by_key(|entry| load_sort_key(entry, seed))
             .or_else(|| {
-                listed().min_by_key(|entry| (entry.avoided_until, load_sort_key(entry, seed)))
+                listed()
+                    .min_by_key(|entry| (entry.marks.avoided_until(), load_sort_key(entry, seed)))
             })
     }
 
--- /dev/null
+++ b/crates/core/tests/engine_marks.rs
@@ -0,0 +1,94 @@
+//! Guards against engines that stay closed to requests after the reason for it is over, or because of another request.
+
+mod chain_support;
+
+use dandelionroad_core::relay::EngineTable;
+use dandelionroad_core::relay::LifeSign;
+use dandelionroad_core::relay::SuspicionCause;
+use dandelionroad_core::stream::LayerRange;
+
+use crate::chain_support::NOW;
+use crate::chain_support::record;
+use crate::chain_support::table;
+
+/// Guards against an engine that is avoided after it has answered again, and against one that is used again
+/// although it failed in another way meanwhile.
+#[test]
+fn record_sign_ends_suspicion() {
+    let records = (1..3).map(|number| record(number, "a", "large", LayerRange::new(0, 40)));
+    let mut table = table(records.collect());
+    let suspect = |table: &mut EngineTable, id: &str, now| {
+        table.suspect(id, SuspicionCause::NoReport, now, now)
+    };
+    assert!(!table.record_sign("e001", LifeSign::Answer, NOW));
+    for id in ["e001", "e002"] {
+        assert!(suspect(&mut table, id, NOW.plus(1)));
+    }
+    table.record_failure("e002", NOW.plus(500));
+    let later = NOW.plus(1_000);
+    for id in ["e001", "e002"] {
+        assert!(table.record_sign(id, LifeSign::Answer, later));
+        assert!(!table.get(id).unwrap().marks.is_suspected(later));
+    }
+    assert!(table.get("e001").unwrap().is_usable(later));
+    assert!(!table.get("e002").unwrap().is_usable(later));
+    // A failure before the suspicion counts on.
+    table.record_failure("e001", later);
+    table.record_failure("e001", later);
+    assert!(suspect(&mut table, "e001", later.plus(1)));
+    assert!(table.record_sign("e001", LifeSign::Answer, later.plus(10)));
+    assert!(!table.get("e001").unwrap().is_usable(later.plus(10)));
+}
+
+/// Guards against an engine that is suspected by a probe that was sent before it answered again.
+#[test]
+fn suspect_after_sign() {
+    let mut table = table(vec![record(1, "a", "large", LayerRange::new(0, 40))]);
+    let asked = NOW.plus(100);
+    table.record_sign("e001", LifeSign::Answer, NOW.plus(200));
+    let later = NOW.plus(350);
+    for cause in [SuspicionCause::NoReport, SuspicionCause::Reported] {
+        assert!(!table.suspect("e001", cause, asked, later));
+        assert!(table.get("e001").unwrap().is_usable(later));
+    }
+    assert!(table.suspect("e001", SuspicionCause::NoReport, NOW.plus(201), later));
+}
+
+/// Guards against an engine that isn't suspected as stalled because it returns the report that says so.
+#[test]
+fn suspect_by_own_report() {
+    let mut table = table(vec![record(1, "a", "large", LayerRange::new(0, 40))]);
+    table.record_sign("e001", LifeSign::Report, NOW.plus(10));
+    assert!(!table.suspect("e001", SuspicionCause::NoReport, NOW, NOW.plus(10)));
+    assert!(table.suspect("e001", SuspicionCause::Reported, NOW, NOW.plus(10)));
+}
+
+/// Guards against an engine that hangs with its requests and is used again because it returns reports.
+#[test]
+fn record_sign_of_report() {
+    let records = (1..3).map(|number| record(number, "a", "large", LayerRange::new(0, 40)));
+    let mut table = table(records.collect());
+    assert!(table.suspect("e001", SuspicionCause::NoReport, NOW, NOW));
+    assert!(table.suspect("e002", SuspicionCause::Reported, NOW, NOW));
+    let later = NOW.plus(300);
+    assert!(table.record_sign("e001", LifeSign::Report, later));
+    assert!(!table.record_sign("e002", LifeSign::Report, later));
+    assert!(table.get("e001").unwrap().is_usable(later));
+    assert!(!table.get("e002").unwrap().is_usable(later));
+}
+
+/// Guards against an engine that stays avoided for its stalled runs although one of them goes on.
+#[test]
+fn record_sign_of_stalled_answer() {
+    let mut table = table(vec![record(1, "a", "large", LayerRange::new(0, 40))]);
+    let mut now = NOW;
+    for _ in 0..2 {
+        assert!(table.record_stall(&["e001"], now).is_empty());
+        now = now.plus(400);
+    }
+    assert_eq!(table.record_stall(&["e001"], now), ["e001"]);
+    assert!(!table.record_sign("e001", LifeSign::Answer, now.plus(50)));
+    assert!(!table.get("e001").unwrap().is_usable(now.plus(50)));
+    assert!(table.record_sign("e001", LifeSign::StalledAnswer, now.plus(100)));
+    assert!(table.get("e001").unwrap().is_usable(now.plus(100)));
+}
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -17,6 +17,7 @@
 use dandelionroad_core::relay::RouteIndex;
 use dandelionroad_core::relay::ServicePicker;
 use dandelionroad_core::relay::ServiceShare;
+use dandelionroad_core::relay::SuspicionCause;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
 use rand::Rng;
@@ -176,32 +177,6 @@
     assert!(!plan.may_send_beside(1));
 }
 
-/// Guards against an engine that is avoided after it has answered again, and against one that is used again
-/// although it failed in another way meanwhile.
-#[test]
-fn engine_table_withdraws_suspicion() {
-    let records = (1..3).map(|number| record(number, "a", "large", LayerRange::new(0, 40)));
-    let mut table = table(records.collect());
-    assert!(!table.withdraw_suspicion("e001", NOW));
-    for id in ["e001", "e002"] {
-        assert!(table.suspect(id, NOW));
-    }
-    table.record_failure("e002", NOW.plus(500));
-    let later = NOW.plus(1_000);
-    for id in ["e001", "e002"] {
-        assert!(table.withdraw_suspicion(id, later));
-        assert!(!table.get(id).unwrap().is_suspected(later));
-    }
-    assert!(table.get("e001").unwrap().is_usable(later));
-    assert!(!table.get("e002").unwrap().is_usable(later));
-    // A failure before the suspicion counts on.
-    table.record_failure("e001", later);
-    table.record_failure("e001", later);
-    assert!(table.suspect("e001", later));
-    assert!(table.withdraw_suspicion("e001", later.plus(10)));
-    assert!(!table.get("e001").unwrap().is_usable(later.plus(10)));
-}
-
 /// Guards against a restarted engine that is avoided or counted as loaded because of its previous
 /// incarnation.
 #[test]
@@ -283,7 +258,7 @@
             "runs that stall together count once"
         );
     }
-    assert!(table.suspect("e003", NOW));
+    assert!(table.suspect("e003", SuspicionCause::NoReport, NOW, NOW));
     for step in 1..4 {
         assert!(
             table.record_stall(&chain, NOW.plus(step * 400)).is_empty(),
--- a/crates/relay/src/engine/mod.rs
+++ b/crates/relay/src/engine/mod.rs
@@ -23,4 +23,5 @@
 pub use self::loss_check::check_engine_loss;
 pub use self::send_error::SendError;
 pub use self::stall_probe::probe_stall;
+pub use self::stall_probe::record_life_sign;
 pub use self::work_notice::record_work_notice;
--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -1,6 +1,9 @@
+use std::net::SocketAddr;
 use std::rc::Rc;
 
-use dandelionroad_core::chain::ChainStage;
+use dandelionroad_core::relay::LifeSign;
+use dandelionroad_core::relay::SuspicionCause;
+use dandelionroad_core::time::MilliTime;
 
 use crate::node::NodeState;
 
@@ -19,46 +22,76 @@
 /// Requests the report of the first engine of a stalled chain, and marks the engines on which that engine
 /// is waiting as suspected.
 ///
-/// If the first engine returns no report, it is suspected itself. A stall alone is not sufficient evidence:
+/// If the engine returns no report, it is suspected itself. A stall alone is not sufficient evidence:
 /// a burst of long prompts stalls live engines as well, and avoiding these would move the burst to other
-/// engines.
-pub async fn probe_stall(state: Rc<NodeState>, stages: Vec<ChainStage>, request: String) {
-    let Some(first) = stages.first() else { return };
-    let now = state.clock.now();
+/// engines. A report of an engine that was suspected for the lack of one ends the suspicion.
+pub async fn probe_stall(state: Rc<NodeState>, id: String, address: SocketAddr, request: String) {
+    let asked_at = state.clock.now();
     let may_probe = {
         let mut view = state.view.borrow_mut();
-        let entry = view.engines.get(&first.id);
+        let entry = view.engines.get(&id);
         // An engine that has asked for a pause wants no probes either.
-        let is_paused = entry.is_some_and(|entry| entry.paused_until > now);
+        let is_paused = entry.is_some_and(|entry| entry.paused_until > asked_at);
         !is_paused
             && view
                 .engines
-                .try_start_probe(&first.id, MIN_PROBE_INTERVAL_MS, now)
+                .try_start_probe(&id, MIN_PROBE_INTERVAL_MS, asked_at)
     };
     if !may_probe {
         return;
     }
-    let report = fetch_report(&state, &first.id, first.address, REPORT_TIMEOUT_MS).await;
-    let now = state.clock.now();
-    let mut view = state.view.borrow_mut();
-    let (suspects, cause, label) = match report {
+    let report = fetch_report(&state, &id, address, REPORT_TIMEOUT_MS).await;
+    let (suspects, cause, text) = match report {
         Ok(report) => {
+            record_life_sign(&state, &id, LifeSign::Report, &request);
+            let view = state.view.borrow();
             let entry_at = |address: &String| view.engines.at_address(address);
             let stalled = report.stalled_on.iter().filter_map(entry_at);
             let ids: Vec<String> = stalled.map(|entry| entry.record.id.clone()).collect();
-            (ids, "reported as stalled".to_owned(), "reported")
+            let text = "reported as stalled".to_owned();
+            (ids, SuspicionCause::Reported, text)
         }
-        Err(error) => (vec![first.id.clone()], error, "no-report"),
+        Err(error) => (vec![id.clone()], SuspicionCause::NoReport, error),
     };
-    for id in suspects {
-        if view.engines.suspect(&id, now) {
-            state.metrics.count_avoidance(label);
-            spdlog::info!("engines: avoided: {cause}", kv: {
-                engine = id.as_str(),
-                asked = first.id.as_str(),
+    for suspect in suspects {
+        if record_suspicion(&state, &suspect, cause, asked_at) {
+            spdlog::info!("engines: avoided: {text}", kv: {
+                engine = suspect.as_str(),
+                asked = id.as_str(),
                 request = request.as_str(),
             });
-            state.engine_lost.notify_waiters();
         }
     }
 }
+
+/// Records a sign of life of an engine. Requests that wait are sent to it if it was avoided for its silence.
+pub fn record_life_sign(state: &NodeState, id: &str, sign: LifeSign, request: &str) {
+    let now = state.clock.now();
+    if state.view.borrow_mut().engines.record_sign(id, sign, now) {
+        spdlog::info!("engines: not avoided any more: answers again", kv: {
+            engine = id,
+            request = request,
+        });
+        state.capacity_freed.notify_waiters();
+    }
+}
+
+/// Suspects an engine of being dead; returns whether this is new.
+fn record_suspicion(
+    state: &NodeState,
+    id: &str,
+    cause: SuspicionCause,
+    asked_at: MilliTime,
+) -> bool {
+    let now = state.clock.now();
+    let mut view = state.view.borrow_mut();
+    let is_new = view.engines.suspect(id, cause, asked_at, now);
+    if is_new {
+        state.metrics.count_avoidance(match cause {
+            SuspicionCause::NoReport => "no report",
+            SuspicionCause::Reported => "reported",
+        });
+        state.engine_lost.notify_waiters();
+    }
+    is_new
+}
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -5,9 +5,11 @@
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::AttemptPlan;
 use dandelionroad_core::relay::ByteSource;
+use dandelionroad_core::relay::LifeSign;
 use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::relay::ServicePicker;
+use dandelionroad_core::relay::SuspicionCause;
 use dandelionroad_core::route::hash_text;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -18,6 +20,7 @@
 use crate::engine::LoadGuard;
 use crate::engine::SendError;
 use crate::engine::read_whole;
+use crate::engine::record_life_sign;
 use crate::memory::HeldBytes;
 use crate::node::NodeState;
 use crate::telemetry::RequestLog;
@@ -91,6 +94,7 @@
             Ok(Some((id, PlainOutcome::Answered(response)))) => {
                 record_served(&state, &relay);
                 state.view.borrow_mut().engines.record_success(&id);
+                record_life_sign(&state, &id, LifeSign::Answer, &relay.caller.id);
                 call.log.record_piece();
                 call.log.set_outcome("served");
                 return response;
@@ -190,7 +194,8 @@
         for id in self.awaited.drain(..) {
             self.log.add_cause("endpoint silent");
             let mut view = self.state.view.borrow_mut();
-            view.engines.record_failure(&id, now);
+            view.engines
+                .suspect(&id, SuspicionCause::NoReport, now, now);
         }
     }
 
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -10,6 +10,7 @@
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::route::hash_text;
+use dandelionroad_core::time::MilliTime;
 
 use crate::telemetry::RequestLog;
 
@@ -56,27 +57,26 @@
         log: &mut RequestLog,
     ) -> Result<FoundChain, Option<u64>> {
         let has_run = self.plan.may_have_run();
-        let skips_queue = has_run || self.state.queue.borrow().is_empty();
-        if skips_queue && let Some(chain) = self.find_chain() {
+        let is_held_up = !has_run && !self.state.queue.borrow().is_empty();
+        if !is_held_up && let Some(chain) = self.find_chain() {
             return Ok(chain);
         }
         if let Some(retry_ms) = self.pause_beyond_wait(log) {
             return Err(Some(retry_ms));
         }
-        let wait_ms = self.relay.route().target_ms / CAPACITY_WAIT_DIVISOR;
         let state = Rc::clone(&self.state);
         let start = state.clock.now();
-        let (until, priority) = match has_run {
-            true => (start.plus(RESUME_WAIT_MS), RESUME_PRIORITY),
-            false => (log.arrival().plus(wait_ms), self.relay.priority()),
+        let priority = match has_run {
+            true => RESUME_PRIORITY,
+            false => self.relay.priority(),
         };
-        let until = until.min(self.relay.deadline);
         // All requests without an account count as one account in the fair queue.
         let account = self.relay.account.map_or(0, |index| index as u64 + 1);
+        let until = self.wait_end(has_run, log);
         let found = wait_for_capacity(&state, priority, account, until, || self.find_chain()).await;
         log.add_wait(state.clock.now().since(start));
         found.map_err(|retry_ms| {
-            if !skips_queue {
+            if is_held_up {
                 log.add_cause("others wait");
             }
             log.add_cause(&match self.search_chain() {
@@ -87,6 +87,19 @@
         })
     }
 
+    /// Returns the time until which the request waits for a chain.
+    fn wait_end(&self, has_run: bool, log: &RequestLog) -> MilliTime {
+        let now = self.state.clock.now();
+        let end = match has_run {
+            true => now.plus(RESUME_WAIT_MS),
+            false => {
+                let wait_ms = self.relay.route().target_ms / CAPACITY_WAIT_DIVISOR;
+                log.arrival().plus(wait_ms)
+            }
+        };
+        end.min(self.relay.deadline)
+    }
+
     /// Returns the time after which the caller should retry, in milliseconds, if engines have asked for pauses that
     /// last longer than the request may wait.
     fn pause_beyond_wait(&self, log: &mut RequestLog) -> Option<u64> {
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -3,8 +3,10 @@
 use bytes::Bytes;
 use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::EventFault;
+use dandelionroad_core::relay::LifeSign;
 use hyper::body::Frame;
 
+use crate::engine::record_life_sign;
 use crate::telemetry::RequestLog;
 
 use super::super::caller_body::CallerStream;
@@ -130,12 +132,13 @@
                 record_parts_served(&self.state, &self.relay);
             }
         }
+        let was_stalled = run.stall.is_some();
         if has_data || has_new_id {
             run.stall = None;
             self.end_other_runs(log);
         }
-        if has_data && self.runs[0].timeouts.is_probed {
-            self.withdraw_suspicions();
+        if has_data {
+            self.record_life_signs(was_stalled);
         }
         let left_ms = self.relay.deadline.since(self.state.clock.now());
         match caller.send(events, left_ms).await {
@@ -170,17 +173,18 @@
         self.observe_latency_ratio();
     }
 
-    /// Ends the suspicion of the first run's engines, which have answered after a silence.
-    fn withdraw_suspicions(&self) {
+    /// Records that the engines of the first run have answered, if some engine is suspected or was probed lately.
+    fn record_life_signs(&self, was_stalled: bool) {
         let now = self.state.clock.now();
-        let mut view = self.state.view.borrow_mut();
+        if !self.state.view.borrow().engines.awaits_signs(now) {
+            return;
+        }
+        let sign = match was_stalled {
+            true => LifeSign::StalledAnswer,
+            false => LifeSign::Answer,
+        };
         for stage in self.runs.iter().take(1).flat_map(|run| &run.stages) {
-            if view.engines.withdraw_suspicion(&stage.id, now) {
-                spdlog::info!("engines: not avoided any more: answers again", kv: {
-                    engine = stage.id.as_str(),
-                    request = self.relay.caller.id.as_str(),
-                });
-            }
+            record_life_sign(&self.state, &stage.id, sign, &self.relay.caller.id);
         }
     }
 
--- a/crates/relay/src/ingress/stream_relay/stall_detection.rs
+++ b/crates/relay/src/ingress/stream_relay/stall_detection.rs
@@ -93,9 +93,10 @@
 
     /// Starts a task that probes the first engine of a stalled run.
     fn spawn_probe(&self, stages: &[ChainStage]) {
+        let Some(first) = stages.first() else { return };
         let state = Rc::clone(&self.state);
         let request = self.relay.caller.id.clone();
-        spawn_local(probe_stall(state, stages.to_vec(), request));
+        spawn_local(probe_stall(state, first.id.clone(), first.address, request));
     }
 
     /// Returns whether an engine of the chain is suspected of being dead.
@@ -105,7 +106,7 @@
         let mut engines = stages
             .iter()
             .filter_map(|stage| view.engines.get(&stage.id));
-        engines.any(|entry| entry.is_suspected(now))
+        engines.any(|entry| entry.marks.is_suspected(now))
     }
 
     /// Records a stall at each engine of the chain, and logs the engines that are avoided because of it.
--- a/crates/relay/src/memory/avoid_floods.rs
+++ b/crates/relay/src/memory/avoid_floods.rs
@@ -16,7 +16,7 @@
             if view
                 .engines
                 .get(&id)
-                .is_some_and(|entry| entry.avoided_until > now)
+                .is_some_and(|entry| entry.marks.avoided_until() > now)
             {
                 continue;
             }
