Count the refusal of a request against requests like it only

Cause: a refusal counted as a failure of its engine, which was avoided for two to six seconds for all requests. A run that looks for a successor each 100 ms collects up to three refusals.

Change: a refusal says that the engine has no room for requests that need as much memory. It counts for the time that a failure does, for requests that are at least as large, until one as large is taken. The refusal of a resumed stream, which has to be read again, counts against resumed streams only.

--- a/crates/bench/src/chain/world_entries.rs
+++ b/crates/bench/src/chain/world_entries.rs
@@ -51,6 +51,7 @@
         let own = &self.entries[entry];
         let finder_request = FinderRequest {
             tokens: state.size.reserved_tokens(self.setup.shape.usual_answer),
+            is_resumed: false,
             zone: &own.zone,
             excluded: &[],
             may_cross: false,
--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -170,7 +170,10 @@
     fn candidates(&self, request: &FinderRequest<'_>) -> Vec<ChainCandidate<'a>> {
         let mut candidates = Vec::new();
         for entry in self.engines() {
-            if !self.is_eligible(entry, request) {
+            let is_full = entry
+                .marks
+                .is_full_for(request.tokens, request.is_resumed, request.now);
+            if is_full || !self.is_eligible(entry, request) {
                 continue;
             }
             let kind = entry
--- a/crates/core/src/chain/finder_request.rs
+++ b/crates/core/src/chain/finder_request.rs
@@ -5,6 +5,8 @@
 pub struct FinderRequest<'a> {
     /// The number of tokens of context for which each stage needs free KV memory.
     pub tokens: f64,
+    /// Whether it continues a stream that another chain has begun.
+    pub is_resumed: bool,
     /// The availability zone of the process that sends the request.
     pub zone: &'a str,
     /// The identifiers of engines that the chain must not use.
--- a/crates/core/src/relay/engine_marks.rs
+++ b/crates/core/src/relay/engine_marks.rs
@@ -2,6 +2,7 @@
 
 use super::LifeSign;
 use super::SuspicionCause;
+use super::refused_size::RefusedSize;
 
 /// The time for which an engine is avoided after one failure, in milliseconds.
 ///
@@ -14,7 +15,8 @@
 
 /// Why this process sends an engine no new work, each reason with its end.
 ///
-/// A suspicion ends with the first sign of life, not only by time.
+/// A reason ends as soon as what it stands for is over, not only by time: a suspicion with the first sign of
+/// life, a refusal when a request of its size is taken.
 ///
 /// # Example
 ///
@@ -32,6 +34,11 @@
 /// assert!(marks.avoided_until() <= now.plus(300));
 /// // A report that was asked for before says nothing new.
 /// assert!(!marks.suspect(SuspicionCause::NoReport, now.plus(200), now.plus(450)));
+/// // The refusal of a resumed stream counts for resumed streams that are as large.
+/// marks.record_refusal(500.0, true, now);
+/// assert!(marks.is_full_for(600.0, true, now));
+/// assert!(!marks.is_full_for(400.0, true, now));
+/// assert!(!marks.is_full_for(600.0, false, now));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct EngineMarks {
@@ -46,6 +53,8 @@
     answered_at: Option<MilliTime>,
     /// The time of its last report.
     reported_at: Option<MilliTime>,
+    refused_new: RefusedSize,
+    refused_resumed: RefusedSize,
 }
 
 impl EngineMarks {
@@ -116,6 +125,34 @@
         ended
     }
 
+    /// Records that the engine turned a request of `tokens` of context away as full.
+    ///
+    /// An engine without room for a new request has none for a resumed one either. It may refuse a resumed one,
+    /// whose earlier answer it has to read again, and take a new one.
+    pub fn record_refusal(&mut self, tokens: f64, is_resumed: bool, now: MilliTime) {
+        self.refused_resumed
+            .record(tokens, AVOID_MS, MAX_AVOID_MS, now);
+        if !is_resumed {
+            self.refused_new.record(tokens, AVOID_MS, MAX_AVOID_MS, now);
+        }
+    }
+
+    /// Returns whether the engine has lately turned away a request that needs at most as much as one of `tokens`.
+    pub fn is_full_for(&self, tokens: f64, is_resumed: bool, now: MilliTime) -> bool {
+        match is_resumed {
+            true => self.refused_resumed.covers(tokens, now),
+            false => self.refused_new.covers(tokens, now),
+        }
+    }
+
+    /// Records that the engine has taken a request of `tokens` of context.
+    pub fn record_taken(&mut self, tokens: f64, is_resumed: bool) {
+        self.refused_new.record_taken(tokens);
+        if is_resumed {
+            self.refused_resumed.record_taken(tokens);
+        }
+    }
+
     /// Resets the count of failures after a success.
     pub fn record_success(&mut self) {
         self.failures = 0;
--- a/crates/core/src/relay/engine_table/mod.rs
+++ b/crates/core/src/relay/engine_table/mod.rs
@@ -155,6 +155,14 @@
             .is_some_and(|entry| entry.marks.record_sign(sign, now))
     }
 
+    /// Records that an engine turned a request of `tokens` of context away as full; see
+    /// [`EngineMarks::record_refusal`](crate::relay::EngineMarks::record_refusal).
+    pub fn record_refusal(&mut self, id: &str, tokens: f64, is_resumed: bool, now: MilliTime) {
+        if let Some(entry) = self.get_mut(id) {
+            entry.marks.record_refusal(tokens, is_resumed, now);
+        }
+    }
+
     fn await_signs(&mut self, wait_ms: u64, now: MilliTime) {
         self.signs_until = self.signs_until.max(now.plus(wait_ms));
     }
@@ -250,10 +258,11 @@
         }
     }
 
-    /// Records a success, which resets all failure counts.
-    pub fn record_success(&mut self, id: &str) {
+    /// Records that an engine has taken a request of `tokens` of context, which resets all failure counts.
+    pub fn record_success(&mut self, id: &str, tokens: f64, is_resumed: bool) {
         if let Some(entry) = self.get_mut(id) {
             entry.marks.record_success();
+            entry.marks.record_taken(tokens, is_resumed);
             entry.broken_answers = 0;
             entry.stalls = 0;
         }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -53,6 +53,7 @@
 mod part_report;
 mod part_verdict;
 mod prompt_part;
+mod refused_size;
 mod relay_account;
 mod relay_config;
 mod relay_route;
--- a/crates/core/tests/capacity_division.rs
+++ b/crates/core/tests/capacity_division.rs
@@ -105,6 +105,7 @@
     fn send_request(&mut self, process: usize, now: u64) {
         let request = FinderRequest {
             tokens: TOKENS,
+            is_resumed: false,
             zone: "a",
             excluded: &[],
             may_cross: false,
--- a/crates/core/tests/chain_finder.rs
+++ b/crates/core/tests/chain_finder.rs
@@ -27,6 +27,7 @@
 fn request(tokens: f64, excluded: &[String]) -> FinderRequest<'_> {
     FinderRequest {
         tokens,
+        is_resumed: false,
         zone: "a",
         excluded,
         may_cross: true,
--- a/crates/core/tests/chain_placement.rs
+++ b/crates/core/tests/chain_placement.rs
@@ -37,6 +37,7 @@
 fn request(zone: &str) -> FinderRequest<'_> {
     FinderRequest {
         tokens: 1_000.0,
+        is_resumed: false,
         zone,
         excluded: &[],
         may_cross: true,
--- a/crates/core/tests/engine_marks.rs
+++ b/crates/core/tests/engine_marks.rs
@@ -2,15 +2,51 @@
 
 mod chain_support;
 
+use dandelionroad_core::chain::ChainFinder;
+use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::LifeSign;
 use dandelionroad_core::relay::SuspicionCause;
 use dandelionroad_core::stream::LayerRange;
+use dandelionroad_core::time::MilliTime;
 
 use crate::chain_support::NOW;
+use crate::chain_support::SERVICE;
 use crate::chain_support::record;
+use crate::chain_support::shape;
 use crate::chain_support::table;
 
+/// The size of a request, in tokens.
+const TOKENS: f64 = 500.0;
+
+/// Returns a table of `groups` pairs of engines; the first engine of a pair holds the first half of the model.
+fn engine_pairs(groups: u16) -> EngineTable {
+    let half = shape().layers / 2;
+    let pair = |group: u16| {
+        [
+            record(2 * group - 1, "a", "large", LayerRange::new(0, half)),
+            record(2 * group, "a", "large", LayerRange::new(half, 2 * half)),
+        ]
+    };
+    table((1..=groups).flat_map(pair).collect())
+}
+
+fn has_chain(table: &EngineTable, tokens: f64, is_resumed: bool, now: MilliTime) -> bool {
+    let request = FinderRequest {
+        tokens,
+        is_resumed,
+        zone: "a",
+        excluded: &[],
+        may_cross: true,
+        max_wait_ms: f64::MAX,
+        seed: 0,
+        now,
+    };
+    ChainFinder::new(table, SERVICE, &shape())
+        .find(&request)
+        .is_some()
+}
+
 /// Guards against an engine that is avoided after it has answered again, and against one that is used again
 /// although it failed in another way meanwhile.
 #[test]
@@ -92,3 +128,38 @@
     assert!(table.record_sign("e001", LifeSign::StalledAnswer, now.plus(100)));
     assert!(table.get("e001").unwrap().is_usable(now.plus(100)));
 }
+
+/// Guards against new requests that are refused because the engines have turned resumed streams away.
+#[test]
+fn record_refusal_of_resumed_stream() {
+    let mut table = engine_pairs(1);
+    table.record_refusal("e001", TOKENS, true, NOW);
+    assert!(!has_chain(&table, TOKENS, true, NOW));
+    assert!(has_chain(&table, TOKENS, false, NOW));
+    assert!(has_chain(&table, TOKENS / 2.0, true, NOW));
+}
+
+/// Guards against small requests that are refused because a large one found no room.
+#[test]
+fn record_refusal_of_large_request() {
+    let mut table = engine_pairs(1);
+    table.record_refusal("e001", TOKENS, false, NOW);
+    for is_resumed in [false, true] {
+        assert!(!has_chain(&table, TOKENS, is_resumed, NOW));
+        assert!(has_chain(&table, TOKENS - 1.0, is_resumed, NOW));
+    }
+    // A second refusal shows that there is less room.
+    table.record_refusal("e001", TOKENS / 2.0, false, NOW);
+    assert!(!has_chain(&table, TOKENS - 1.0, false, NOW));
+}
+
+/// Guards against an engine that counts as full although it has taken such a request.
+#[test]
+fn record_refusal_ends() {
+    let mut table = engine_pairs(1);
+    table.record_refusal("e001", TOKENS, false, NOW);
+    table.record_success("e001", TOKENS / 2.0, false);
+    assert!(!has_chain(&table, TOKENS, false, NOW));
+    table.record_success("e001", TOKENS, false);
+    assert!(has_chain(&table, TOKENS, false, NOW));
+}
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -342,7 +342,7 @@
         usable += u64::from(table.get("e001").unwrap().is_usable(now));
         match rng.random_bool(0.4) {
             true => table.record_broken_answer("e001", now),
-            false => table.record_success("e001"),
+            false => table.record_success("e001", 0.0, false),
         }
     }
     assert!(
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -93,7 +93,11 @@
         match tokio::time::timeout(wait, attempts.next()).await {
             Ok(Some((id, PlainOutcome::Answered(response)))) => {
                 record_served(&state, &relay);
-                state.view.borrow_mut().engines.record_success(&id);
+                state
+                    .view
+                    .borrow_mut()
+                    .engines
+                    .record_success(&id, 0.0, false);
                 record_life_sign(&state, &id, LifeSign::Answer, &relay.caller.id);
                 call.log.record_piece();
                 call.log.set_outcome("served");
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -7,7 +7,6 @@
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
 use dandelionroad_core::chain::ZoneShortage;
-use dandelionroad_core::relay::AttemptEnd;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
@@ -201,7 +200,7 @@
         self.excluded.push(id.to_owned());
     }
 
-    /// Records a failure of the chain's engine at an address, or of its first engine if there is none.
+    /// Records that the chain's engine at an address turned the request away, or its first engine if there is none.
     ///
     /// A first engine that has asked for a pause has said itself when it takes requests again.
     pub(super) fn record_rejection(
@@ -214,15 +213,34 @@
             .iter()
             .find(|stage| Some(stage.address.to_string().as_str()) == address);
         let id = reported.unwrap_or(&chain[0]).id.clone();
-        match is_paused && id == chain[0].id {
-            true => self.excluded.push(id),
-            false => self.record_failure(&id, AttemptEnd::Rejected.as_str()),
+        if !(is_paused && id == chain[0].id) {
+            let (tokens, is_resumed) = (self.reserved_tokens(), self.last_id.is_some());
+            let now = self.state.clock.now();
+            let mut view = self.state.view.borrow_mut();
+            view.engines.record_refusal(&id, tokens, is_resumed, now);
+            drop(view);
+            self.state.metrics.count_avoidance("full");
+            spdlog::info!("engines: full: turned a request away", kv: {
+                engine = id.as_str(),
+                request = self.relay.caller.id.as_str(),
+                tokens = tokens,
+                is_resumed = is_resumed,
+            });
         }
+        self.excluded.push(id);
+    }
+
+    /// Returns the context for which the request needs KV memory, in tokens.
+    pub(super) fn reserved_tokens(&self) -> f64 {
+        let shape = self.relay.service().model.as_ref();
+        let usual_answer = shape.map_or(0.0, |shape| shape.usual_answer);
+        self.relay.caller.size.reserved_tokens(usual_answer)
     }
 
     fn finder_request(&self, shape: &ModelShape) -> FinderRequest<'_> {
         FinderRequest {
             tokens: self.relay.caller.size.reserved_tokens(shape.usual_answer),
+            is_resumed: self.last_id.is_some(),
             zone: &self.state.settings.zone,
             excluded: &self.excluded,
             may_cross: false,
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -65,10 +65,11 @@
     ) -> Option<(Parts, BodyPieces, HeldBytes)> {
         if let HeadOutcome::Served(parts, body) = outcome {
             let timeouts = self.event_timeouts();
+            let (tokens, is_resumed) = (self.reserved_tokens(), self.last_id.is_some());
             let run = &mut self.runs[index];
             let mut view = self.state.view.borrow_mut();
             for stage in &run.stages {
-                view.engines.record_success(&stage.id);
+                view.engines.record_success(&stage.id, tokens, is_resumed);
             }
             run.timeouts = timeouts;
             run.stall = None;
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -238,9 +238,7 @@
         let stages = chain.stages;
         let ids: Vec<&str> = stages.iter().map(|stage| stage.id.as_str()).collect();
         log.record_send(&ids.join("+"));
-        let shape = self.relay.service().model.as_ref();
-        let usual_answer = shape.map_or(0.0, |shape| shape.usual_answer);
-        let tokens = self.relay.caller.size.reserved_tokens(usual_answer);
+        let tokens = self.reserved_tokens();
         let prompt = f64::from(self.relay.caller.size.prompt_tokens);
         let load = LoadGuard::for_chain(&self.state, &stages, tokens, prompt);
         let now = self.state.clock.now();
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -1,5 +1,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -72,11 +73,17 @@
     store: Rc<FakeStore>,
     address: Cell<Option<SocketAddr>>,
     layers: Cell<(u64, u64)>,
+    /// The number of requests that it runs at a time, as it is listed.
+    pub(crate) slots: Cell<u64>,
     orders: Cell<u64>,
     /// The silence in each of its answers.
     pub(crate) silence: Cell<Option<EngineSilence>>,
     /// The end of its last silence.
     silent_until: Cell<Option<Instant>>,
+    /// The end of a time in which it sends nothing on any connection.
+    mute_until: Cell<Option<Instant>>,
+    /// Whether it turns the next resumed streams away, in the order of their arrival; it takes the others.
+    pub(crate) resumption_refusals: RefCell<VecDeque<bool>>,
     /// The time that it takes to return its state.
     pub(crate) report_delay: Cell<Duration>,
     /// Its behavior towards requests.
@@ -111,9 +118,12 @@
             store: Rc::clone(store),
             address: Cell::new(None),
             layers: Cell::new(layers),
+            slots: Cell::new(8),
             orders: Cell::new(0),
             silence: Cell::default(),
             silent_until: Cell::default(),
+            mute_until: Cell::default(),
+            resumption_refusals: RefCell::default(),
             report_delay: Cell::default(),
             fault: Cell::new(EngineFault::None),
             is_leaving: Cell::new(false),
@@ -140,7 +150,7 @@
         let (first, end) = self.layers.get();
         let doc = json!({
             "service": self.service, "address": address, "draining": is_draining,
-            "first": first, "end": end,
+            "first": first, "end": end, "slots": self.slots.get(),
         });
         self.store.put("engines", &self.id, &doc);
     }
@@ -170,6 +180,7 @@
                 if let Some(end) = self.silent_until.get() {
                     tokio::time::sleep_until(end.into()).await;
                 }
+                self.wait_while_mute().await;
                 tokio::time::sleep(self.report_delay.get()).await;
                 let (first, end) = self.layers.get();
                 let stalled: Vec<SocketAddr> = self.waits_for.get().into_iter().collect();
@@ -207,6 +218,24 @@
         }
     }
 
+    /// Lets the engine send nothing on any connection for a time.
+    pub(crate) fn fall_mute(&self, duration: Duration) {
+        self.mute_until.set(Some(Instant::now() + duration));
+    }
+
+    /// Returns whether it sends nothing at present.
+    pub(crate) fn is_mute(&self) -> bool {
+        self.mute_until
+            .get()
+            .is_some_and(|end| end > Instant::now())
+    }
+
+    async fn wait_while_mute(&self) {
+        while let Some(end) = self.mute_until.get().filter(|end| *end > Instant::now()) {
+            tokio::time::sleep_until(end.into()).await;
+        }
+    }
+
     fn accept_order(&self, order: &Value) -> FakeResponse {
         if order["orders"].as_u64() != Some(self.orders.get()) {
             return FakeResponse::new(409, "");
@@ -234,9 +263,15 @@
             fault => fault,
         };
         self.last_head.replace(Some(parts));
+        self.wait_while_mute().await;
         if fault == EngineFault::Full {
             return FakeResponse::new(503, "full").header("not-run", "1");
         }
+        if after > 0 && self.resumption_refusals.borrow_mut().pop_front() == Some(true) {
+            return FakeResponse::new(503, "full")
+                .header("request", &id)
+                .header("not-run", "1");
+        }
         if let Some(pause_ms) = self.pause_ms.get() {
             self.paused_arrivals.set(self.paused_arrivals.get() + 1);
             return FakeResponse::new(503, "full")
@@ -290,6 +325,7 @@
                 if event > 1 {
                     engine.fall_silent_after(event - 1).await;
                 }
+                engine.wait_while_mute().await;
                 let mut piece = event_bytes(event);
                 if fault == EngineFault::SilentStream && event > 4 {
                     sender.closed().await;
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -280,7 +280,7 @@
                 .map_err(|error| DecodeError::new("listing", error))?,
             zone: "a".to_owned(),
             is_draining: doc["draining"].as_bool().unwrap_or(false),
-            slots: 8,
+            slots: doc["slots"].as_u64().unwrap_or(8) as u32,
             kind: Some("large".to_owned()),
             layers: range(&doc),
             started_ms: 1,
