Let requests pass one that waits for a reason of its own

Cause: the head held up all others, also if it had none for a reason that was not theirs: engines that had refused it or failed it before, or another service's engines. Requests that arrived queued up without a look.

Change: the queue is kept by service, and a waiting request whose own history is in the way is passable: those behind it look for a chain, and it counts neither against new requests nor in their expected wait. A large request that waits for memory is still not overtaken.

--- a/crates/bench/src/chain/chain_world.rs
+++ b/crates/bench/src/chain/chain_world.rs
@@ -207,7 +207,9 @@
             return;
         }
         let wait_ms = self.requests[request].target_ms / CAPACITY_WAIT_DIVISOR;
-        let offered = self.entries[entry].queue.offer(1, account as u64, wait_ms);
+        let offered = self.entries[entry]
+            .queue
+            .offer(0, 1, account as u64, wait_ms);
         match offered {
             Some(number) => {
                 self.entries[entry]
--- a/crates/core/src/relay/capacity_queue.rs
+++ b/crates/core/src/relay/capacity_queue.rs
@@ -24,10 +24,14 @@
 
 #[derive(Clone, Copy, Debug)]
 struct QueuedRequest {
+    /// The service whose engines it waits for.
+    service: u64,
     priority: u8,
     /// The fair-queueing round in which it is served; each account has one request in each round.
     round: u64,
     number: u64,
+    /// Whether it waits for a reason of its own, so that others may be served before it.
+    is_passable: bool,
 }
 
 /// An account with a recent request and the round of its newest request.
@@ -44,7 +48,8 @@
 /// otherwise it is refused at once with the time at which memory is expected. Requests are served
 /// by priority and, within a priority, by fair-queueing rounds with one request of each client
 /// account, so that the burst of a large account does not delay small accounts by its whole length.
-/// A large request at the head is not overtaken, as small ones would starve it.
+/// A large request at the head is not overtaken, as small ones would starve it. One that waits for a reason of
+/// its own, such as engines that have refused it, holds up no others, and neither does one of another service.
 ///
 /// # Example
 ///
@@ -54,20 +59,21 @@
 ///
 /// let mut queue = CapacityQueue::new();
 /// let now = MilliTime::from_millis(0);
-/// let late = queue.offer(2, 7, 300).unwrap();
-/// let later = queue.offer(2, 7, 300).unwrap();
-/// let other = queue.offer(2, 8, 300).unwrap();
-/// let urgent = queue.offer(1, 7, 300).unwrap();
+/// let service = 1;
+/// let late = queue.offer(service, 2, 7, 300).unwrap();
+/// let later = queue.offer(service, 2, 7, 300).unwrap();
+/// let other = queue.offer(service, 2, 8, 300).unwrap();
+/// let urgent = queue.offer(service, 1, 7, 300).unwrap();
 /// for number in [urgent, late, other, later] {
-///     assert_eq!(queue.first(), Some(number));
+///     assert!(queue.is_turn(number));
 ///     queue.remove(number);
 /// }
 /// // With a release every 200 ms, a second request would wait for too long.
 /// for step in 0..50 {
 ///     queue.record_release(now.plus(step * 200));
 /// }
-/// assert!(queue.offer(2, 7, 300).is_some());
-/// assert_eq!(queue.offer(2, 8, 300), None);
+/// assert!(queue.offer(service, 2, 7, 300).is_some());
+/// assert_eq!(queue.offer(service, 2, 8, 300), None);
 /// // Refused callers get successive retry times.
 /// assert!(queue.retry_after_ms(now) < queue.retry_after_ms(now));
 /// ```
@@ -101,9 +107,15 @@
         }
     }
 
-    /// Adds a request of a client account that can wait for `max_wait_ms`; returns its number, or
-    /// `None` if its expected wait is longer.
-    pub fn offer(&mut self, priority: u8, account: u64, max_wait_ms: u64) -> Option<u64> {
+    /// Adds a request of a client account that can wait for the engines of `service` for `max_wait_ms`; returns its
+    /// number, or `None` if its expected wait is longer.
+    pub fn offer(
+        &mut self,
+        service: u64,
+        priority: u8,
+        account: u64,
+        max_wait_ms: u64,
+    ) -> Option<u64> {
         let known = self
             .account_rounds
             .binary_search_by_key(&account, |entry| entry.account);
@@ -114,16 +126,21 @@
         let position = self
             .waiting
             .partition_point(|queued| (queued.priority, queued.round) <= (priority, round));
-        let expected_ms = (position + 1) as f64 * self.interval_ms;
+        let ahead = self.waiting[..position]
+            .iter()
+            .filter(|queued| queued.holds_up(service));
+        let expected_ms = (ahead.count() + 1) as f64 * self.interval_ms;
         if expected_ms > max_wait_ms as f64 {
             return None;
         }
         let number = self.next_number;
         self.next_number += 1;
         let queued = QueuedRequest {
+            service,
             priority,
             round,
             number,
+            is_passable: false,
         };
         self.waiting.insert(position, queued);
         match known {
@@ -167,9 +184,36 @@
         self.waiting.first().map(|queued| queued.number)
     }
 
-    /// Returns whether the queue is empty.
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+    /// Returns whether a request may look for engines, as none before it holds it up.
+    pub fn is_turn(&self, number: u64) -> bool {
+        let position = self
+            .waiting
+            .iter()
+            .position(|queued| queued.number == number);
+        let Some(position) = position else {
+            return false;
+        };
+        let service = self.waiting[position].service;
+        let mut ahead = self.waiting[..position].iter();
+        !ahead.any(|queued| queued.holds_up(service))
+    }
+
+    /// Returns whether a new request would be held up by those that wait for the engines of `service`.
+    pub fn holds_up(&self, service: u64) -> bool {
+        self.waiting.iter().any(|queued| queued.holds_up(service))
+    }
+
+    /// Sets whether a request waits for a reason of its own, so that it holds up no others; returns whether it
+    /// held them up until now.
+    pub fn set_passable(&mut self, number: u64, is_passable: bool) -> bool {
+        let queued = self
+            .waiting
+            .iter_mut()
+            .find(|queued| queued.number == number);
+        queued.is_some_and(|queued| {
+            let was_passable = std::mem::replace(&mut queued.is_passable, is_passable);
+            is_passable && !was_passable
+        })
     }
 
     /// Records the end of a request, which releases its KV memory.
@@ -182,6 +226,12 @@
     }
 }
 
+impl QueuedRequest {
+    fn holds_up(&self, service: u64) -> bool {
+        self.service == service && !self.is_passable
+    }
+}
+
 impl Default for CapacityQueue {
     fn default() -> CapacityQueue {
         CapacityQueue::new()
--- a/crates/relay/src/ingress/capacity_wait.rs
+++ b/crates/relay/src/ingress/capacity_wait.rs
@@ -19,36 +19,67 @@
     }
 }
 
-/// Queues a request for engine capacity until it is first in the queue and `find` succeeds.
+/// The result of a look for engine capacity.
+pub(super) enum CapacitySearch<T> {
+    /// Engines with room.
+    Found(T),
+    /// No engine has room for the request, and none would have for another one like it.
+    Short,
+    /// Engines have room, but not for this request, as they have refused it or failed it before.
+    Unsuitable,
+}
+
+/// The place of a request in the queue for engine capacity.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct QueuePlace {
+    /// The service whose engines it waits for.
+    pub(super) service: u64,
+    /// Its priority; 0 is the highest.
+    pub(super) priority: u8,
+    /// Its client account in the fair queue.
+    pub(super) account: u64,
+    /// The time until which it waits.
+    pub(super) until: MilliTime,
+}
+
+/// Queues a request for engine capacity until `find` succeeds, which is called when no other request holds it up.
 ///
 /// # Errors
 ///
 /// Returns the delay after which the caller should retry, in milliseconds, if no capacity becomes free
-/// before `until`, or if none is expected to.
+/// in time, or if none is expected to.
 pub(super) async fn wait_for_capacity<T>(
     state: &Rc<NodeState>,
-    priority: u8,
-    account: u64,
-    until: MilliTime,
-    mut find: impl FnMut() -> Option<T>,
+    place: QueuePlace,
+    mut find: impl FnMut() -> CapacitySearch<T>,
 ) -> Result<T, u64> {
-    let max_wait_ms = until.since(state.clock.now());
-    let queued = state
-        .queue
-        .borrow_mut()
-        .offer(priority, account, max_wait_ms);
+    let max_wait_ms = place.until.since(state.clock.now());
+    let queued =
+        state
+            .queue
+            .borrow_mut()
+            .offer(place.service, place.priority, place.account, max_wait_ms);
     let Some(number) = queued else {
         return Err(retry_after_ms(state));
     };
     let slot = QueueSlot { state, number };
     loop {
         let freed = state.capacity_freed.notified();
-        if state.queue.borrow().first() == Some(slot.number)
-            && let Some(found) = find()
-        {
-            return Ok(found);
+        if state.queue.borrow().is_turn(slot.number) {
+            let is_passable = match find() {
+                CapacitySearch::Found(found) => return Ok(found),
+                CapacitySearch::Short => false,
+                CapacitySearch::Unsuitable => true,
+            };
+            let lets_pass = state
+                .queue
+                .borrow_mut()
+                .set_passable(slot.number, is_passable);
+            if lets_pass {
+                state.capacity_freed.notify_waiters();
+            }
         }
-        let left_ms = until.since(state.clock.now());
+        let left_ms = place.until.since(state.clock.now());
         let wait_result = tokio::time::timeout(Duration::from_millis(left_ms), freed).await;
         if wait_result.is_err() {
             return Err(retry_after_ms(state));
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -13,6 +13,8 @@
 
 use crate::telemetry::RequestLog;
 
+use super::super::capacity_wait::CapacitySearch;
+use super::super::capacity_wait::QueuePlace;
 use super::super::capacity_wait::wait_for_capacity;
 use super::super::crash_check::is_crasher;
 use super::StreamRelay;
@@ -56,7 +58,8 @@
         log: &mut RequestLog,
     ) -> Result<FoundChain, Option<u64>> {
         let has_run = self.plan.may_have_run();
-        let is_held_up = !has_run && !self.state.queue.borrow().is_empty();
+        let service = hash_text(0, &self.relay.service().name);
+        let is_held_up = !has_run && self.state.queue.borrow().holds_up(service);
         if !is_held_up && let Some(chain) = self.find_chain() {
             return Ok(chain);
         }
@@ -65,14 +68,17 @@
         }
         let state = Rc::clone(&self.state);
         let start = state.clock.now();
-        let priority = match has_run {
-            true => RESUME_PRIORITY,
-            false => self.relay.priority(),
+        let place = QueuePlace {
+            service,
+            priority: match has_run {
+                true => RESUME_PRIORITY,
+                false => self.relay.priority(),
+            },
+            // All requests without an account count as one account in the fair queue.
+            account: self.relay.account.map_or(0, |index| index as u64 + 1),
+            until: self.wait_end(has_run, log),
         };
-        // All requests without an account count as one account in the fair queue.
-        let account = self.relay.account.map_or(0, |index| index as u64 + 1);
-        let until = self.wait_end(has_run, log);
-        let found = wait_for_capacity(&state, priority, account, until, || self.find_chain()).await;
+        let found = wait_for_capacity(&state, place, || self.search_capacity()).await;
         log.add_wait(state.clock.now().since(start));
         found.map_err(|retry_ms| {
             if is_held_up {
@@ -99,6 +105,33 @@
         end.min(self.relay.deadline)
     }
 
+    /// Searches for a chain for the waiting request. If only its own history is in the way, it holds up no others.
+    fn search_capacity(&self) -> CapacitySearch<FoundChain> {
+        if let Some(chain) = self.find_chain() {
+            return CapacitySearch::Found(chain);
+        }
+        let has_history = !self.excluded.is_empty() || self.last_id.is_some();
+        match has_history && self.has_chain_for_new() {
+            true => CapacitySearch::Unsuitable,
+            false => CapacitySearch::Short,
+        }
+    }
+
+    /// Returns whether a new request of the same size would find a chain.
+    fn has_chain_for_new(&self) -> bool {
+        let Some(shape) = self.relay.service().model.as_ref() else {
+            return false;
+        };
+        let request = FinderRequest {
+            excluded: &[],
+            is_resumed: false,
+            ..self.finder_request(shape)
+        };
+        let view = self.state.view.borrow();
+        let finder = ChainFinder::new(&view.engines, &self.relay.service().name, shape);
+        finder.find(&request).is_some()
+    }
+
     /// Returns the time after which the caller should retry, in milliseconds, if engines have asked for pauses that
     /// last longer than the request may wait.
     fn pause_beyond_wait(&self, log: &mut RequestLog) -> Option<u64> {
