Wait for silent engines as long as a sound engine may be silent

What callers saw: while all engines of a model were silent for a second, new requests were refused after half of the target time to the first event, although their deadlines were far away.

Cause: an engine that is suspected was treated as lost at once, and nothing asked it again unless a run stood there.

Change: if no availability zone has a chain only because engines are suspected, a request waits until 1.5 s after their suspicion, its deadline at the latest. Meanwhile up to eight silent engines are asked for a report each 150 ms, and the first that answers is used. Engines that were silent for longer count as lost, so that requests are refused as before.

new_requests_wait_for_silent_engines failed before (503 for the requests that came after the suspicion) and passes.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -86,6 +86,21 @@
         ends.min().filter(|end| *end > now)
     }
 
+    /// Returns the time until which no availability zone has a chain because engines are silent that may be sound;
+    /// `None` if some zone has one, or if none will have one then.
+    pub fn silence_end(&self, now: MilliTime) -> Option<MilliTime> {
+        let usable_at = |entry: &EngineEntry| match entry.is_usable(now) {
+            true => Some(MilliTime::default()),
+            false if entry.accepts_work(now) => entry.marks.silence_end(now),
+            false => None,
+        };
+        let ends = self
+            .zones()
+            .into_iter()
+            .filter_map(|zone| self.zone_start(zone, usable_at));
+        ends.min().filter(|end| *end > now)
+    }
+
     /// Returns the earliest time at which each layer has an engine in a zone, each of which is usable from the time
     /// that `usable_at` returns; `None` if a layer has none.
     fn zone_start(
--- a/crates/core/src/relay/engine_marks.rs
+++ b/crates/core/src/relay/engine_marks.rs
@@ -13,6 +13,11 @@
 /// The maximum time for which an engine is avoided, in milliseconds.
 const MAX_AVOID_MS: u64 = 6_000;
 
+/// The time from its suspicion on within which a sound engine that is silent goes on, in milliseconds.
+///
+/// Sound engines may be silent for a second or so.
+const SILENCE_MS: u64 = 1_500;
+
 /// Why this process sends an engine no new work, each reason with its end.
 ///
 /// A reason ends as soon as what it stands for is over, not only by time: a suspicion with the first sign of
@@ -47,8 +52,8 @@
     failed_until: MilliTime,
     stalled_until: MilliTime,
     suspected_until: MilliTime,
-    /// The cause of the last suspicion.
-    suspicion: Option<SuspicionCause>,
+    /// The cause and the beginning of the last suspicion.
+    suspicion: Option<(SuspicionCause, MilliTime)>,
     /// The time of the last answer in which it took part.
     answered_at: Option<MilliTime>,
     /// The time of its last report.
@@ -71,6 +76,15 @@
         self.suspected_until > now
     }
 
+    /// Returns the time until which the engine may go on if it is sound and only silent; `None` if it is not
+    /// suspected, if it was silent for longer, or if it is avoided for another reason.
+    pub fn silence_end(&self, now: MilliTime) -> Option<MilliTime> {
+        let (_, start) = self.suspicion.filter(|_| self.is_suspected(now))?;
+        let end = start.plus(SILENCE_MS);
+        let is_failed = self.failed_until > now || self.stalled_until > now;
+        (end > now && !is_failed).then_some(end)
+    }
+
     /// Counts a failure and avoids the engine for a time that grows with consecutive failures.
     pub fn record_failure(&mut self, now: MilliTime) {
         self.failed_until = self.failed_until.max(self.count_failure(now));
@@ -95,7 +109,7 @@
             return false;
         }
         self.suspected_until = self.count_failure(now);
-        self.suspicion = Some(cause);
+        self.suspicion = Some((cause, now));
         true
     }
 
@@ -104,7 +118,8 @@
         let is_over = match sign {
             LifeSign::Report => {
                 self.reported_at = Some(now);
-                self.suspicion == Some(SuspicionCause::NoReport)
+                self.suspicion
+                    .is_some_and(|(cause, _)| cause == SuspicionCause::NoReport)
             }
             LifeSign::Answer | LifeSign::StalledAnswer => {
                 self.answered_at = Some(now);
--- a/crates/core/tests/engine_marks.rs
+++ b/crates/core/tests/engine_marks.rs
@@ -163,3 +163,21 @@
     table.record_success("e001", TOKENS, false);
     assert!(has_chain(&table, TOKENS, false, NOW));
 }
+
+/// Guards against requests that are refused while all engines are silent and may be sound, and against those that wait
+/// for engines that are dead.
+#[test]
+fn silence_end_of_suspected_engines() {
+    let mut table = engine_pairs(2);
+    let shape = shape();
+    let end = |table: &EngineTable, now| ChainFinder::new(table, SERVICE, &shape).silence_end(now);
+    assert_eq!(end(&table, NOW), None, "engines are usable");
+    table.suspect("e001", SuspicionCause::NoReport, NOW, NOW);
+    assert_eq!(end(&table, NOW), None, "the other pair is usable");
+    table.record_failure("e003", NOW);
+    let silence_end = end(&table, NOW).unwrap();
+    assert!(silence_end > NOW.plus(1_000));
+    assert_eq!(end(&table, silence_end), None, "it was silent for too long");
+    table.record_failure("e001", NOW.plus(10));
+    assert_eq!(end(&table, NOW.plus(10)), None, "both have failed");
+}
--- a/crates/relay/src/engine/mod.rs
+++ b/crates/relay/src/engine/mod.rs
@@ -22,6 +22,7 @@
 pub use self::load_guard::LoadGuard;
 pub use self::loss_check::check_engine_loss;
 pub use self::send_error::SendError;
+pub use self::stall_probe::probe_silent_engines;
 pub use self::stall_probe::probe_stall;
 pub use self::stall_probe::record_life_sign;
 pub use self::work_notice::record_work_notice;
--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -1,9 +1,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use dandelionroad_core::relay::LifeSign;
 use dandelionroad_core::relay::SuspicionCause;
 use dandelionroad_core::time::MilliTime;
+use tokio::task::spawn_local;
 
 use crate::node::NodeState;
 
@@ -19,6 +21,9 @@
 /// A report is some hundred milliseconds old, so the first one may not show a loss yet.
 const MIN_PROBE_INTERVAL_MS: u64 = 150;
 
+/// The maximum number of silent engines that are probed at once for a request that waits for them.
+const MAX_SILENT_PROBES: usize = 8;
+
 /// Requests the report of the first engine of a stalled chain, and marks the engines on which that engine
 /// is waiting as suspected.
 ///
@@ -64,6 +69,26 @@
     }
 }
 
+/// Probes the silent engines of a service until the future is dropped, so that requests that wait for them are sent
+/// as soon as one answers again.
+pub async fn probe_silent_engines(state: Rc<NodeState>, service: String, request: String) {
+    loop {
+        let now = state.clock.now();
+        let silent: Vec<(String, SocketAddr)> = {
+            let view = state.view.borrow();
+            let entries = view.engines.entries().iter().filter(|entry| {
+                entry.record.service == service && entry.marks.silence_end(now).is_some()
+            });
+            let entries = entries.map(|entry| (entry.record.id.clone(), entry.record.address));
+            entries.take(MAX_SILENT_PROBES).collect()
+        };
+        for (id, address) in silent {
+            spawn_local(probe_stall(Rc::clone(&state), id, address, request.clone()));
+        }
+        tokio::time::sleep(Duration::from_millis(MIN_PROBE_INTERVAL_MS)).await;
+    }
+}
+
 /// Records a sign of life of an engine. Requests that wait are sent to it if it was avoided for its silence.
 pub fn record_life_sign(state: &NodeState, id: &str, sign: LifeSign, request: &str) {
     let now = state.clock.now();
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -11,6 +11,7 @@
 use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
 
+use crate::engine::probe_silent_engines;
 use crate::telemetry::RequestLog;
 
 use super::super::capacity_wait::CapacitySearch;
@@ -78,7 +79,16 @@
             account: self.relay.account.map_or(0, |index| index as u64 + 1),
             until: self.wait_end(has_run, log),
         };
-        let found = wait_for_capacity(&state, place, || self.search_capacity()).await;
+        let probes = probe_silent_engines(
+            Rc::clone(&state),
+            self.relay.service().name.clone(),
+            self.relay.caller.id.clone(),
+        );
+        let found = tokio::select! {
+            biased;
+            found = wait_for_capacity(&state, place, || self.search_capacity()) => found,
+            () = probes => return Err(None),
+        };
         log.add_wait(state.clock.now().since(start));
         found.map_err(|retry_ms| {
             if is_held_up {
@@ -93,6 +103,9 @@
     }
 
     /// Returns the time until which the request waits for a chain.
+    ///
+    /// Engines that are silent may be sound. If they all are, the request waits for as long as a sound engine may
+    /// be silent, since its caller would come back later than that.
     fn wait_end(&self, has_run: bool, log: &RequestLog) -> MilliTime {
         let now = self.state.clock.now();
         let end = match has_run {
@@ -102,6 +115,12 @@
                 log.arrival().plus(wait_ms)
             }
         };
+        let view = self.state.view.borrow();
+        let model = self.relay.service().model.as_ref();
+        let silence_end = model.and_then(|shape| {
+            ChainFinder::new(&view.engines, &self.relay.service().name, shape).silence_end(now)
+        });
+        let end = silence_end.map_or(end, |silence_end| end.max(silence_end));
         end.min(self.relay.deadline)
     }
 
--- a/crates/relay/tests/refused_resumptions.rs
+++ b/crates/relay/tests/refused_resumptions.rs
@@ -21,6 +21,7 @@
 use crate::relay_support::fake_engine::FakeEngine;
 use crate::relay_support::fake_engine::event_bytes;
 use crate::relay_support::run;
+use crate::relay_support::wait_for;
 
 const ENGINES: usize = 8;
 const CALLERS: usize = 16;
@@ -148,3 +149,39 @@
         "{refused} of {total}, {refused_share} refused, seed {seed}"
     );
 }
+
+/// Guards against requests that are refused because all engines are silent for a second, although their deadlines are
+/// far away and the silence ends before.
+#[test]
+fn new_requests_wait_for_silent_engines() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let engine = world.start_engine("e1", (0, 40)).await;
+        engine.slots.set(SLOTS);
+        engine.hold_layers((0, 40));
+        let node = Rc::new(world.start_node("n1").await);
+        let mut callers = Vec::new();
+        let mut send = |id: &str| {
+            let (world, node, id) = (Rc::clone(&world), Rc::clone(&node), id.to_owned());
+            callers.push(spawn_local(
+                async move { send_stream(&world, &node, &id).await },
+            ));
+        };
+        send("standing");
+        wait_for("the stream stands", async || {
+            !engine.runs.borrow().is_empty()
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        engine.fall_mute(Duration::from_millis(1_000));
+        while engine.is_mute() {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            send("r");
+        }
+        for (number, caller) in callers.into_iter().enumerate() {
+            let answer = caller.await.unwrap();
+            assert_eq!(answer.status, 200, "request {number}");
+            assert_eq!(answer.body, all_events(), "request {number}");
+        }
+    });
+}
