Refuse connections of processes of another cluster

Cause: nothing at the internal interface named a cluster. A process that reached an address of another cluster, by its seeds or because a port was used again, exchanged gossip with it and merged its members and its configuration. With equal process names, a killed member stayed live, as the other cluster's process answered its probes; among processes older than ten seconds, the earlier of two of one name yielded and left for good. Model requests and calls to such an address were run by the other cluster.

What operators saw: a replacement that never became live ("a live member was not reached within 20s" in the tests), in both clusters at the same time.

A process names its cluster in a header when it opens a connection; the server answers another cluster with 421 before it reads a message, counts it (dandelionroad.refused_connections) and logs each such cluster once with both names; the process that connects logs each such address once. A connection without the header counts as of the default cluster, so that versions work together. The name is in the connection rather than in each message, because it then covers requests as well as gossip and probes, and costs no bytes in them. Each cluster of the tests has a name of its own.

--- a/crates/daemon/examples/stream_times/chain_star.rs
+++ b/crates/daemon/examples/stream_times/chain_star.rs
@@ -13,6 +13,7 @@
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::stream::StepPayload;
 use dandelionroad_daemon::node::PeerPool;
+use dandelionroad_settings::NodeSettings;
 use jsonrpsee::RpcModule;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
@@ -83,7 +84,7 @@
     for _ in ranges {
         links.push(start_star_stage().await);
     }
-    let peers = PeerPool::new();
+    let peers = PeerPool::new(NodeSettings::DEFAULT_CLUSTER);
     let mut meter = TokenMeter::default();
     let mut answer: Vec<String> = Vec::new();
     for position in 0..TOKENS {
--- a/crates/daemon/examples/stream_times/restart.rs
+++ b/crates/daemon/examples/stream_times/restart.rs
@@ -32,7 +32,7 @@
 /// Returns the time from the fault to the next new token of the restarted request.
 pub(crate) async fn measure_restart(case: &FaultCase, prompt: &str) -> Duration {
     let cluster = start_cluster().await;
-    let peers = PeerPool::new();
+    let peers = PeerPool::new(&cluster.entry.context.settings.cluster);
     // The first route starts, as at the entry, with the last endpoint of each pair of overlapping
     // ranges, which gives the longest ranges.
     let first = build_route(&cluster, &[1, 3, 5], &[0, 6, 9, 12]);
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -6,6 +6,9 @@
 view of configuration and members, and the connections to outside systems and other processes.
 */
 
+mod cluster_guard;
+mod guarded_service;
+mod logged_names;
 mod node_clients;
 mod node_clock;
 mod node_context;
--- a/crates/daemon/src/node/node_handle.rs
+++ b/crates/daemon/src/node/node_handle.rs
@@ -19,6 +19,8 @@
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tower::ServiceBuilder;
+use tower::layer::layer_fn;
 
 use crate::control;
 use crate::control::ControlHandle;
@@ -36,6 +38,8 @@
 use super::PeerPool;
 use super::RequestCounter;
 use super::StartError;
+use super::cluster_guard::ClusterGuard;
+use super::guarded_service::GuardedService;
 use super::node_gauges::record_gauges;
 use super::start_error::BindSnafu;
 use super::start_error::NameSnafu;
@@ -87,7 +91,7 @@
         };
         let context = Arc::new(new_context(settings, clients, internal)?);
         let methods = new_methods(&context)?;
-        let server = serve_internal(listener, methods)?;
+        let server = serve_internal(listener, methods, &context.settings.cluster)?;
         control::start(&context);
         tokio::spawn(record_gauges(context.clone()));
         let mut handle = NodeHandle {
@@ -177,10 +181,10 @@
         limits: EntryLimits::new(),
         call_loads: CallLoads::new(rand::random()),
         crash_tracker: CrashTracker::new(),
+        peers: PeerPool::new(&settings.cluster),
         settings,
         clock,
         clients,
-        peers: PeerPool::new(),
         requests: RequestCounter::new(),
         local_record: watch::Sender::new(record),
         config: watch::Sender::new(Arc::new(ConfigState::new())),
@@ -207,6 +211,7 @@
 fn serve_internal(
     listener: TcpListener,
     methods: RpcModule<()>,
+    cluster: &str,
 ) -> Result<ServerHandle, StartError> {
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_MESSAGE_BYTES)
@@ -216,7 +221,10 @@
     let listener = listener.into_std().context(BindSnafu {
         address: "internal",
     })?;
-    let builder = ServerBuilder::with_config(config);
+    let guard = Arc::new(ClusterGuard::new(cluster));
+    let guarded = layer_fn(move |service| GuardedService::new(guard.clone(), service));
+    let builder = ServerBuilder::with_config(config)
+        .set_http_middleware(ServiceBuilder::new().layer(guarded));
     let server = builder.build_from_tcp(listener).context(BindSnafu {
         address: "internal",
     })?;
--- a/crates/daemon/src/node/peer_pool.rs
+++ b/crates/daemon/src/node/peer_pool.rs
@@ -3,10 +3,18 @@
 use std::time::Duration;
 
 use dandelionroad_messages::MAX_MESSAGE_BYTES;
+use hyper::StatusCode;
+use jsonrpsee::client_transport::ws::WsHandshakeError;
 use jsonrpsee::core::client::Error;
+use jsonrpsee::ws_client::HeaderMap;
+use jsonrpsee::ws_client::HeaderValue;
 use jsonrpsee::ws_client::PingConfig;
 use jsonrpsee::ws_client::WsClient;
 use jsonrpsee::ws_client::WsClientBuilder;
+use spdlog::warn;
+
+use super::cluster_guard::CLUSTER_HEADER;
+use super::logged_names::LoggedNames;
 
 /// The timeout of a connection attempt, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -21,30 +29,52 @@
 const INACTIVE_LIMIT_MS: u64 = 2_000;
 
 /// A pool of WebSocket connections to other processes: one for each address, opened on demand.
-#[derive(Default)]
 pub struct PeerPool {
+    /// The cluster that each connection names.
+    cluster: String,
+    /// The addresses of other clusters that were named in the log.
+    refusing: LoggedNames,
     /// Sorted by address.
     clients: Mutex<Vec<(String, Arc<WsClient>)>>,
 }
 
 impl PeerPool {
-    /// Creates an empty pool.
-    pub fn new() -> PeerPool {
-        PeerPool::default()
+    /// Creates an empty pool, whose connections name `cluster`, the cluster of this process.
+    pub fn new(cluster: &str) -> PeerPool {
+        PeerPool {
+            cluster: cluster.to_owned(),
+            refusing: LoggedNames::default(),
+            clients: Mutex::default(),
+        }
     }
 
     /// Returns the connection to `address`, opening a new one if there is none or it is closed.
     ///
     /// # Errors
     ///
-    /// Returns the transport's error if the process can't be reached within 500 ms.
+    /// Returns the transport's error if the process can't be reached within 500 ms, or if it
+    /// belongs to another cluster.
     pub async fn client(&self, address: &str) -> Result<Arc<WsClient>, Error> {
         if let Some(client) = self.open_client(address) {
             return Ok(client);
         }
-        let client = Arc::new(connect(address).await?);
-        self.insert(address, client.clone());
-        Ok(client)
+        match connect(address, &self.cluster).await {
+            Ok(client) => {
+                let client = Arc::new(client);
+                self.insert(address, client.clone());
+                Ok(client)
+            }
+            Err(error) => {
+                if is_other_cluster(&error) && self.refusing.insert(address) {
+                    warn!(
+                        "gossip: the process at {address} belongs to another cluster and refuses \
+                         this process of cluster {}; its log names both clusters",
+                        self.cluster
+                    );
+                }
+                Err(error)
+            }
+        }
     }
 
     /// Removes the connection to `address` from the pool, so that the next use opens a new one.
@@ -98,8 +128,11 @@
     }
 }
 
-/// Opens a connection with keepalive pings.
-async fn connect(address: &str) -> Result<WsClient, Error> {
+/// Opens a connection with keepalive pings, which names `cluster`.
+async fn connect(address: &str, cluster: &str) -> Result<WsClient, Error> {
+    let name = HeaderValue::from_str(cluster).map_err(|error| Error::Custom(error.to_string()))?;
+    let mut headers = HeaderMap::new();
+    headers.insert(CLUSTER_HEADER, name);
     let ping = PingConfig::new()
         .ping_interval(Duration::from_millis(PING_INTERVAL_MS))
         .inactive_limit(Duration::from_millis(INACTIVE_LIMIT_MS))
@@ -109,6 +142,7 @@
         .request_timeout(Duration::from_millis(REQUEST_TIMEOUT_MS))
         .max_request_size(MAX_MESSAGE_BYTES)
         .max_response_size(MAX_MESSAGE_BYTES)
+        .set_headers(headers)
         .enable_ws_ping(ping);
     let connecting = builder.build(format!("ws://{address}"));
     match tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connecting).await {
@@ -116,3 +150,15 @@
         Err(_) => Err(Error::RequestTimeout),
     }
 }
+
+/// Returns whether the other process refused the connection because of its cluster.
+fn is_other_cluster(error: &Error) -> bool {
+    let Error::Transport(cause) = error else {
+        return false;
+    };
+    let refused = StatusCode::MISDIRECTED_REQUEST.as_u16();
+    matches!(
+        cause.downcast_ref::<WsHandshakeError>(),
+        Some(WsHandshakeError::Rejected { status_code }) if *status_code == refused
+    )
+}
--- a/crates/daemon/src/telemetry/metric_set.rs
+++ b/crates/daemon/src/telemetry/metric_set.rs
@@ -17,6 +17,8 @@
     /// The time between two tokens of an answer, in milliseconds.
     pub(super) token_gap: Histogram<f64>,
     requests: Counter<u64>,
+    /// The connections of processes of other clusters that were refused.
+    pub(super) refused_connections: Counter<u64>,
     queue_units: Gauge<u64>,
     revision: Gauge<u64>,
     bound: Gauge<u64>,
@@ -33,6 +35,9 @@
             first_token: histogram("dandelionroad.first_token"),
             token_gap: histogram("dandelionroad.token_gap"),
             requests: meter.u64_counter("dandelionroad.requests").build(),
+            refused_connections: meter
+                .u64_counter("dandelionroad.refused_connections")
+                .build(),
             queue_units: gauge("dandelionroad.queue_units", "units"),
             revision: gauge("dandelionroad.revision", "1"),
             bound: gauge("dandelionroad.bound", "tokens/s"),
--- a/crates/daemon/src/telemetry/mod.rs
+++ b/crates/daemon/src/telemetry/mod.rs
@@ -29,6 +29,13 @@
     }
 }
 
+/// Counts a connection of a process of another cluster that was refused.
+pub fn record_refused_connection() {
+    if let Some(hub) = TelemetryHub::installed() {
+        hub.metrics().refused_connections.add(1, &[]);
+    }
+}
+
 /// Records the time from the arrival of a request to its first token, in milliseconds.
 pub fn record_first_token(elapsed_ms: f64) {
     if let Some(hub) = TelemetryHub::installed() {
--- a/crates/daemon/tests/calls/support.rs
+++ b/crates/daemon/tests/calls/support.rs
@@ -76,6 +76,8 @@
     pub(crate) booking: BookingStandin,
     pub(crate) entries: Vec<TestNode>,
     pub(crate) endpoints: Vec<TestNode>,
+    /// The name of the cluster, unlike those of other tests, which may get a port of this one.
+    cluster: String,
     object: ObjectStandin,
     hosts: HostStandin,
     client: Client<hyper_util::client::legacy::connect::HttpConnector, Full<Bytes>>,
@@ -89,6 +91,7 @@
         let mut cluster = CallCluster {
             table: TableStandin::start(any_port).await.unwrap(),
             booking: BookingStandin::start(any_port).await.unwrap(),
+            cluster: format!("test-{:016x}", rand::random::<u64>()),
             entries: Vec::new(),
             endpoints: Vec::new(),
             object: ObjectStandin::start(any_port).await.unwrap(),
@@ -135,6 +138,7 @@
 
     async fn start_node(&self, settings: NodeSettings) -> TestNode {
         let settings = NodeSettings {
+            cluster: self.cluster.clone(),
             admin_token: ADMIN_TOKEN.to_owned(),
             table_url: self.table.url(),
             object_url: self.object.url(),
--- a/crates/daemon/tests/control_support/mod.rs
+++ b/crates/daemon/tests/control_support/mod.rs
@@ -35,15 +35,20 @@
     pub(crate) table: TableStandin,
     pub(crate) hosts: HostStandin,
     pub(crate) nodes: Vec<NodeHandle>,
+    /// The name of the cluster, unlike those of other tests, which may get a port of this one.
+    pub(crate) cluster: String,
 }
 
 impl ControlSystem {
     /// Starts the stand-ins without any node.
     pub(crate) async fn start() -> ControlSystem {
+        let table = TableStandin::start(any_port()).await.unwrap();
+        let port = table.url().rsplit(':').next().unwrap().to_owned();
         ControlSystem {
-            table: TableStandin::start(any_port()).await.unwrap(),
+            table,
             hosts: HostStandin::start(any_port()).await.unwrap(),
             nodes: Vec::new(),
+            cluster: format!("test-{port}"),
         }
     }
 
@@ -57,6 +62,10 @@
             engine: None,
             service: None,
         };
+        let settings = NodeSettings {
+            cluster: self.cluster.clone(),
+            ..settings
+        };
         let handle = NodeHandle::start(settings, clients).await.unwrap();
         let record = handle.context.local_record.borrow().clone();
         self.hosts.change(|list| {
--- a/crates/daemon/tests/processes/command_line.rs
+++ b/crates/daemon/tests/processes/command_line.rs
@@ -7,6 +7,7 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::time::Duration;
 
 use dandelionroad_standins::load::CallerClient;
 use serde_json::Value;
@@ -114,3 +115,43 @@
     let line = line.unwrap_or_else(|| panic!("{request} is not in {log}"));
     assert_eq!(line["kv"]["reason"], "unauthorized");
 }
+
+/// Guards against refusals between clusters that one of the logs does not tell, and against a line
+/// for each attempt of a process that tries again each second.
+#[tokio::test]
+async fn entries_of_two_clusters_log_the_refusal_once() {
+    let any = "127.0.0.1:0";
+    let listen = [
+        "--public-listen",
+        any,
+        "--admin-listen",
+        any,
+        "--internal-listen",
+        any,
+    ];
+    let names = ["entry", "--name", "entry-1", "--zone", "talca"];
+    let drain = ["--drain-notice-ms", "1"];
+    let variables = URLS.map(|(name, value)| (name, value.to_owned()));
+    let common = [&names[..], &listen, &drain].concat();
+    let args = [&common[..], &["--cluster", "north"]].concat();
+    let mut north = NodeProcess::spawn_with(&args, &variables, Stdio::piped()).await;
+    let seeds = ["--cluster", "south", "--seeds", &north.internal];
+    let args = [&common[..], &seeds].concat();
+    let mut south = NodeProcess::spawn_with(&args, &variables, Stdio::piped()).await;
+    // Some attempts, one a second.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    for (node, parts) in [
+        (&mut north, ["cluster south", "cluster north"]),
+        (&mut south, ["cluster south", "belongs to another cluster"]),
+    ] {
+        node.signal("TERM");
+        let log = node.read_log().await;
+        assert!(node.wait_for_exit().await.success());
+        let lines = log.lines().filter(|line| line.contains("cluster"));
+        let lines: Vec<&str> = lines.collect();
+        assert_eq!(lines.len(), 1, "{log}");
+        for part in parts {
+            assert!(lines[0].contains(part), "{part:?} is not in {log}");
+        }
+    }
+}
--- a/crates/daemon/tests/processes/process_support/process_cluster.rs
+++ b/crates/daemon/tests/processes/process_support/process_cluster.rs
@@ -31,6 +31,8 @@
     pub(crate) entries: Vec<NodeProcess>,
     /// The endpoints of the stages, followed by those of the booking service.
     pub(crate) endpoints: Vec<NodeProcess>,
+    /// The name of the cluster, unlike those of other tests, which may get a port of this one.
+    cluster: String,
     object: ObjectStandin,
     layout: DemoLayout,
     step_deadline_ms: u64,
@@ -61,6 +63,7 @@
             hosts: HostStandin::start(any_port).await.unwrap(),
             booking: BookingStandin::start(any_port).await.unwrap(),
             engines,
+            cluster: format!("test-{:016x}", rand::random::<u64>()),
             entries: Vec::new(),
             endpoints: Vec::new(),
             layout,
@@ -171,6 +174,7 @@
 
     fn variables(&self) -> Vec<(&'static str, String)> {
         vec![
+            ("DANDELIONROAD_CLUSTER", self.cluster.clone()),
             ("DANDELIONROAD_TABLE_URL", self.table.url()),
             ("DANDELIONROAD_OBJECT_URL", self.object.url()),
             ("DANDELIONROAD_HOSTS_URL", self.hosts.url()),
--- a/crates/daemon/tests/stream_support/cluster.rs
+++ b/crates/daemon/tests/stream_support/cluster.rs
@@ -108,6 +108,8 @@
         delay: Duration,
         end_at: u32,
     ) -> TestCluster {
+        // Unlike the names of other tests, which may get a port of this one.
+        let cluster_name = format!("test-{:016x}", rand::random::<u64>());
         let mut stages = Vec::new();
         for (index, range) in ranges.iter().enumerate() {
             let name = format!("stage-{index}");
@@ -117,7 +119,7 @@
             } else {
                 EngineKind::LayerRange
             };
-            let settings = settings(&name, NodeRole::Endpoint, kind);
+            let settings = settings(&cluster_name, &name, NodeRole::Endpoint, kind);
             let clients = clients(Some(engine.clone()));
             let node = NodeHandle::start(settings, clients).await.unwrap();
             let link = LinkProxy::start(node.internal, delay).await;
@@ -129,7 +131,12 @@
                 node,
             });
         }
-        let settings = settings("entry-0", NodeRole::Entry, EngineKind::LayerRange);
+        let settings = settings(
+            &cluster_name,
+            "entry-0",
+            NodeRole::Entry,
+            EngineKind::LayerRange,
+        );
         let table = Arc::new(MemoryTable::default());
         let mut clients = clients(None);
         clients.table = table.clone();
@@ -287,8 +294,9 @@
     ModelName::parse("palm").unwrap()
 }
 
-fn settings(name: &str, role: NodeRole, kind: EngineKind) -> NodeSettings {
+fn settings(cluster: &str, name: &str, role: NodeRole, kind: EngineKind) -> NodeSettings {
     NodeSettings {
+        cluster: cluster.to_owned(),
         role,
         host: format!("host-{name}"),
         zone: "talca".to_owned(),
--- a/crates/demo/src/demo_cluster.rs
+++ b/crates/demo/src/demo_cluster.rs
@@ -205,6 +205,7 @@
 
     async fn start_node(&self, settings: NodeSettings) -> Result<NodeHandle, DemoError> {
         let settings = NodeSettings {
+            cluster: cluster_name(&self.table.url()),
             table_url: self.table.url(),
             object_url: self.object.url(),
             hosts_url: self.hosts.url(),
@@ -238,3 +239,9 @@
     let port = if is_fixed { port } else { 0 };
     SocketAddr::from(([127, 0, 0, 1], port))
 }
+
+/// Returns a name that no other demonstration on this host has, from the port of its table service.
+fn cluster_name(table_url: &str) -> String {
+    let port = table_url.rsplit(':').next().unwrap_or_default();
+    format!("demo-{port}")
+}
--- a/crates/settings/src/common_flags.rs
+++ b/crates/settings/src/common_flags.rs
@@ -11,6 +11,7 @@
 ///
 /// `argh` can't share flags between commands, so each role declares all of them.
 pub(crate) struct CommonFlags<'a> {
+    pub(crate) cluster: &'a Option<String>,
     pub(crate) name: &'a Option<String>,
     pub(crate) host: &'a Option<String>,
     pub(crate) zone: &'a Option<String>,
@@ -30,6 +31,7 @@
 impl CommonFlags<'_> {
     /// Reads the flags into `settings`; the host defaults to the name.
     pub(crate) fn read(&self, reader: &mut SettingsReader<'_>, settings: &mut NodeSettings) {
+        reader.optional_name("cluster", self.cluster, &mut settings.cluster);
         reader.name("name", self.name, &mut settings.name);
         settings.host.clone_from(&settings.name);
         reader.optional_name("host", self.host, &mut settings.host);
--- a/crates/settings/src/endpoint_flags.rs
+++ b/crates/settings/src/endpoint_flags.rs
@@ -21,6 +21,10 @@
     error_code(2, "The settings are invalid; all faults are printed.")
 )]
 pub struct EndpointFlags {
+    /// the name of the cluster, 1 to 64 characters of a-z, 0-9 and -; processes of other clusters
+    /// are refused; default: dandelionroad
+    #[argh(option)]
+    pub cluster: Option<String>,
     /// the unique name of this process, 1 to 64 characters of a-z, 0-9 and -
     #[argh(option)]
     pub name: Option<String>,
@@ -99,6 +103,7 @@
             ..NodeSettings::endpoint("", EngineKind::LayerRange, "")
         };
         let common = CommonFlags {
+            cluster: &self.cluster,
             name: &self.name,
             host: &self.host,
             zone: &self.zone,
--- a/crates/settings/src/entry_flags.rs
+++ b/crates/settings/src/entry_flags.rs
@@ -25,6 +25,10 @@
     error_code(2, "The settings are invalid; all faults are printed.")
 )]
 pub struct EntryFlags {
+    /// the name of the cluster, 1 to 64 characters of a-z, 0-9 and -; processes of other clusters
+    /// are refused; default: dandelionroad
+    #[argh(option)]
+    pub cluster: Option<String>,
     /// the unique name of this process, 1 to 64 characters of a-z, 0-9 and -
     #[argh(option)]
     pub name: Option<String>,
@@ -109,6 +113,7 @@
             ..NodeSettings::entry("")
         };
         let common = CommonFlags {
+            cluster: &self.cluster,
             name: &self.name,
             host: &self.host,
             zone: &self.zone,
--- a/crates/settings/src/node_settings.rs
+++ b/crates/settings/src/node_settings.rs
@@ -11,6 +11,8 @@
 pub struct NodeSettings {
     /// The role of the process.
     pub role: NodeRole,
+    /// The name of the cluster; processes of other clusters are refused at the internal interface.
+    pub cluster: String,
     /// The name of the endpoint or of the entry.
     pub name: String,
     /// The name of the host.
@@ -65,6 +67,9 @@
 }
 
 impl NodeSettings {
+    /// The name of the cluster where none is set.
+    pub const DEFAULT_CLUSTER: &'static str = "dandelionroad";
+
     /// Returns the default settings of an entry that listens on free ports of loopback.
     ///
     /// The base URLs and the secret of the administration API are empty.
@@ -72,6 +77,7 @@
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         NodeSettings {
             role: NodeRole::Entry,
+            cluster: NodeSettings::DEFAULT_CLUSTER.to_owned(),
             name: name.to_owned(),
             host: name.to_owned(),
             zone: "local".to_owned(),
--- a/crates/settings/tests/flags.rs
+++ b/crates/settings/tests/flags.rs
@@ -31,6 +31,7 @@
     let settings = flags.read(&variable).unwrap();
     assert_eq!(settings.zone, "curico");
     assert_eq!(settings.drain_notice_ms, 50);
+    assert_eq!(settings.cluster, "dandelionroad");
     assert_eq!(settings.name, "entry-1");
     assert_eq!(settings.host, "entry-1");
     assert_eq!(settings.table_url, "http://127.0.0.1:8100");
@@ -82,6 +83,7 @@
     let settings = read(&engine).unwrap();
     assert_eq!(settings.engine_kind, EngineKind::WholeModel);
     for (flag, value) in [
+        ("--cluster", "North 1"),
         ("--internal-listen", "0.0.0.0:7401"),
         ("--concurrency", "0"),
         ("--queue-units", "many"),
