Remove AttemptPlan::may_send_after_run, which has no caller

Whether another run may be started is asked with may_send_beside. No test used the function. The 16 tests of crates/core/tests/relay.rs pass.

--- a/crates/core/src/relay/attempt_plan.rs
+++ b/crates/core/src/relay/attempt_plan.rs
@@ -75,13 +75,6 @@
             && (self.runs == 0 || self.allows_repeat && self.runs < self.max_runs)
     }
 
-    /// Returns whether the request could be sent again after one more attempt that may have run.
-    pub fn may_send_after_run(&self) -> bool {
-        let mut next = *self;
-        next.record_end(AttemptEnd::Broken);
-        next.may_send()
-    }
-
     /// Returns whether the request may be sent while `standing` attempts are in progress, each of which may have run.
     pub fn may_send_beside(&self, standing: usize) -> bool {
         let mut next = *self;
