Test that a search for a chain leaves the crossing budget as it is

A stalled request whose only other chain crosses availability zones takes the crossing budget of a second; a search that charges the budget takes it from the run that the search is for.

The zone of a listed engine and the length of a prompt can be set in tests.

--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -86,7 +86,7 @@
             key: text("key").map(str::to_owned),
             last_event: text("after").map(str::to_owned),
             size: RequestSize {
-                prompt_tokens: 100,
+                prompt_tokens: text("tokens").map_or(100, |text| text.parse().unwrap()),
                 max_output_tokens: 100,
                 output_estimate: None,
             },
@@ -278,7 +278,7 @@
             address: text("address")
                 .parse()
                 .map_err(|error| DecodeError::new("listing", error))?,
-            zone: "a".to_owned(),
+            zone: doc["zone"].as_str().unwrap_or("a").to_owned(),
             is_draining: doc["draining"].as_bool().unwrap_or(false),
             slots: doc["slots"].as_u64().unwrap_or(8) as u32,
             kind: Some("large".to_owned()),
--- /dev/null
+++ b/crates/relay/tests/runs_beside_stalled.rs
@@ -0,0 +1,90 @@
+//! Guards against runs that are started beside stalled ones although their request may have no further run, and
+//! against what the choice of such a run costs the process and other requests.
+
+mod relay_support;
+
+use std::rc::Rc;
+
+use dandelionroad_relay::node::RunningNode;
+use serde_json::json;
+use tokio::task::JoinHandle;
+use tokio::task::spawn_local;
+
+use crate::relay_support::ReadResponse;
+use crate::relay_support::World;
+use crate::relay_support::fake_engine::EVENTS;
+use crate::relay_support::fake_engine::EngineFault;
+use crate::relay_support::fake_engine::FakeEngine;
+use crate::relay_support::fake_engine::event_bytes;
+use crate::relay_support::run;
+use crate::relay_support::test_wire::MODEL_SERVICE;
+use crate::relay_support::wait_for;
+
+fn all_events() -> Vec<u8> {
+    (1..=EVENTS).flat_map(event_bytes).collect()
+}
+
+/// Sends a request with further headers, and reads the whole response.
+async fn send_with(
+    world: &World,
+    node: &RunningNode,
+    path: &str,
+    id: &str,
+    further: &[(&str, &str)],
+) -> ReadResponse {
+    let mut headers = vec![("host", "shop.example"), ("key", "k1"), ("request", id)];
+    headers.extend(further);
+    let address = node.settings().caller_address;
+    world.get(address, path, &headers).await
+}
+
+/// Does the same in a task of its own, and waits until the engine runs the request.
+async fn begin_at(
+    engine: &FakeEngine,
+    world: &Rc<World>,
+    node: &Rc<RunningNode>,
+    path: &'static str,
+    further: &'static [(&'static str, &'static str)],
+) -> JoinHandle<ReadResponse> {
+    let (world, node) = (Rc::clone(world), Rc::clone(node));
+    let sent = spawn_local(async move { send_with(&world, &node, path, "r1", further).await });
+    wait_for("the request is at its first engine", async || {
+        !engine.runs.borrow().is_empty()
+    })
+    .await;
+    sent
+}
+
+/// The only other chain of a stalled request crosses availability zones, and the request takes the crossing budget of
+/// a second. Guards against a search that charges the budget, so that neither this request nor another one may cross.
+#[test]
+fn search_leaves_crossing_budget() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let silent = world.start_engine("e1", (0, 40)).await;
+        silent.fault.set(EngineFault::Silent);
+        let node = Rc::new(world.start_node("n1").await);
+        let _peer = world.start_node("n2").await;
+        wait_for("both processes are live", async || {
+            let line = "dandelionroad_processes_live 2";
+            world.has_metric_line(&node, line).await
+        })
+        .await;
+        let long = &[("tokens", "9000")];
+        let sent = begin_at(&silent, &world, &node, "/model/a", long).await;
+        // Under other names than their own, the engines turn placement orders away.
+        for (name, zone, first, end) in [("e2", "a", 0, 20), ("e3", "b", 20, 40)] {
+            let half = world.start_engine("half", (first, end)).await;
+            world.store.remove("engines", "half");
+            let doc = json!({
+                "service": MODEL_SERVICE, "address": half.address().to_string(), "zone": zone,
+                "draining": false, "first": first, "end": end,
+            });
+            world.store.put("engines", name, &doc);
+        }
+        let answer = sent.await.unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+        assert!(answer.is_complete, "{answer:?}");
+        assert_eq!(answer.body, all_events());
+    });
+}
