Test that a refused part ends a second run that has not begun

A request has begun to answer at a stalled engine and is at a second one when two other engines crash for a part of its prompt.

With the line 'self.runs.retain(|run| !run.is_unbegun());' of end_unbegun_runs taken out, refused_part_ends_second_run printed "runs that went on with the part: left: 1.0, right: 0.0".

--- a/crates/relay/tests/runs_beside_stalled.rs
+++ b/crates/relay/tests/runs_beside_stalled.rs
@@ -4,6 +4,7 @@
 mod relay_support;
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use dandelionroad_relay::node::RunningNode;
 use serde_json::json;
@@ -12,18 +13,30 @@
 
 use crate::relay_support::ReadResponse;
 use crate::relay_support::World;
+use crate::relay_support::crash_engine::CrashEngine;
 use crate::relay_support::fake_engine::EVENTS;
 use crate::relay_support::fake_engine::EngineFault;
+use crate::relay_support::fake_engine::EngineSilence;
 use crate::relay_support::fake_engine::FakeEngine;
 use crate::relay_support::fake_engine::event_bytes;
 use crate::relay_support::run;
 use crate::relay_support::test_wire::MODEL_SERVICE;
 use crate::relay_support::wait_for;
 
+/// The part that crashes engines.
+const FATAL_PART: &str = "bad0";
+
 fn all_events() -> Vec<u8> {
     (1..=EVENTS).flat_map(event_bytes).collect()
 }
 
+fn silence(after_event: u64, millis: u64) -> Option<EngineSilence> {
+    Some(EngineSilence {
+        after_event,
+        duration: Duration::from_millis(millis),
+    })
+}
+
 /// Sends a request with further headers, and reads the whole response.
 async fn send_with(
     world: &World,
@@ -55,6 +68,50 @@
     sent
 }
 
+/// A request has begun to answer at a stalled engine and waits at a second one when a part of its prompt is refused.
+/// Guards against leaving the second engine to begin with the part, which crashes it.
+#[test]
+fn refused_part_ends_second_run() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let first = world.start_engine("e1", (0, 40)).await;
+        first.silence.set(silence(1, 5_000));
+        let node = Rc::new(world.start_node("n1").await);
+        let parts = &[("parts", "f1,bad0,own1")];
+        let sent = begin_at(&first, &world, &node, "/model/a", parts).await;
+        let second = world.start_engine("e2", (0, 40)).await;
+        second.silence.set(silence(0, 4_000));
+        wait_for("the request is at the second engine", async || {
+            !second.runs.borrow().is_empty()
+        })
+        .await;
+        for engine in [&first, &second] {
+            engine.list(true);
+        }
+        let log = Rc::default();
+        for id in ["e3", "e4"] {
+            CrashEngine::start(&world.store, id, FATAL_PART, &log).await;
+        }
+        wait_for("the crashing engines are listed", async || {
+            world.knows_engines(&node, 2).await
+        })
+        .await;
+        let fatal = [("parts", "f2,bad0,own2")];
+        send_with(&world, &node, "/model/b", "r2", &fatal).await;
+        wait_for("the part is refused", async || {
+            let line = "dandelionroad_prompt_parts_refused 1";
+            world.has_metric_line(&node, line).await
+        })
+        .await;
+        let answer = sent.await.unwrap();
+        let name = "dandelionroad_failovers_total{outcome=\"taken-over\"} ";
+        let taken_over = world.metric(&node, name).await;
+        assert_eq!(taken_over, 0.0, "runs that went on with the part");
+        assert!(answer.is_complete, "{answer:?}");
+        assert_eq!(answer.body, all_events());
+    });
+}
+
 /// The only other chain of a stalled request crosses availability zones, and the request takes the crossing budget of
 /// a second. Guards against a search that charges the budget, so that neither this request nor another one may cross.
 #[test]
