Test that a pause for crash reports ends with the run that it was begun for

A run stalls, and fails in the 100 ms that pass before another one is started beside it; the request is then sent elsewhere.

Taken out together, as each of them covers for the others: the check '!self.holds_retry || !self.may_fail_over(log)' of start_other_run, and 'self.crash_wait = None' in remove_run and in handle_head. pause_ends_with_stalled_run printed "runs after 430 ms: left: 2, right: 1": the request was at three engines, where its route allows two.

--- a/crates/relay/tests/runs_beside_stalled.rs
+++ b/crates/relay/tests/runs_beside_stalled.rs
@@ -14,6 +14,7 @@
 use crate::relay_support::ReadResponse;
 use crate::relay_support::World;
 use crate::relay_support::crash_engine::CrashEngine;
+use crate::relay_support::fake_engine::CRASH_PATH;
 use crate::relay_support::fake_engine::EVENTS;
 use crate::relay_support::fake_engine::EngineFault;
 use crate::relay_support::fake_engine::EngineSilence;
@@ -68,6 +69,47 @@
     sent
 }
 
+/// A stalled run fails during the pause before another run is started beside it. Guards against a pause that goes on
+/// without that run: the request is then at one more engine than its route allows, beside a sound one.
+#[test]
+fn pause_ends_with_stalled_run() {
+    for silence_ms in [430, 460, 490] {
+        run(async {
+            let world = Rc::new(World::start().await);
+            let crashing = world.start_engine("e0", (0, 40)).await;
+            crashing.fault.set(EngineFault::Crashing);
+            let node = Rc::new(world.start_node("n1").await);
+            let fatal = [("parts", "f1,bad0,own0")];
+            let crashed = send_with(&world, &node, CRASH_PATH, "r0", &fatal).await;
+            assert_eq!(crashed.status, 502, "{crashed:?}");
+            wait_for("the crash is known", async || {
+                let line = "dandelionroad_engine_crashes_known 1";
+                world.has_metric_line(&node, line).await
+            })
+            .await;
+            // The run counts as stalled after 400 ms, and the pause for a suspected part takes 100 ms.
+            let lost = world.start_engine("e1", (0, 40)).await;
+            lost.silence.set(silence(0, silence_ms));
+            lost.fault.set(EngineFault::LostAnswer);
+            wait_for("the engine is listed", async || {
+                world.knows_engines(&node, 1).await
+            })
+            .await;
+            let suspected = &[("parts", "f1,bad0,own1")];
+            let sent = begin_at(&lost, &world, &node, "/model/a", suspected).await;
+            let others = [
+                world.start_engine("e2", (0, 40)).await,
+                world.start_engine("e3", (0, 40)).await,
+            ];
+            let answer = sent.await.unwrap();
+            let runs = others.iter().map(|engine| engine.runs.borrow().len());
+            assert_eq!(runs.sum::<usize>(), 1, "runs after {silence_ms} ms");
+            assert!(answer.is_complete, "{answer:?}");
+            assert_eq!(answer.body, all_events());
+        });
+    }
+}
+
 /// A request has begun to answer at a stalled engine and waits at a second one when a part of its prompt is refused.
 /// Guards against leaving the second engine to begin with the part, which crashes it.
 #[test]
