Test that a stalled request that crashes engines doesn't block its process

Equal requests crash two engines while a run of the request is in progress, and the run then stalls.

--- a/crates/relay/tests/runs_beside_stalled.rs
+++ b/crates/relay/tests/runs_beside_stalled.rs
@@ -3,8 +3,10 @@
 
 mod relay_support;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use dandelionroad_relay::node::RunningNode;
 use serde_json::json;
@@ -69,6 +71,62 @@
     sent
 }
 
+/// Returns the longest time for which no task of the thread ran.
+fn watch_thread() -> Rc<Cell<Duration>> {
+    let longest: Rc<Cell<Duration>> = Rc::default();
+    let found = Rc::clone(&longest);
+    spawn_local(async move {
+        loop {
+            let start = Instant::now();
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            found.set(found.get().max(start.elapsed()));
+        }
+    });
+    longest
+}
+
+/// A stalled request is found to crash engines, as equal ones have crashed two. Guards against a process that asks for
+/// another run of it without end, which blocks all other requests until the deadline, and against a further crash.
+#[test]
+fn stalled_crasher_does_not_block_process() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let silent = world.start_engine("e1", (0, 40)).await;
+        silent.silence.set(silence(8, 1_500));
+        let node = Rc::new(world.start_node("n1").await);
+        // An event each 200 ms, which is no stall.
+        let slow = &[("work", "2400")];
+        let sent = begin_at(&silent, &world, &node, CRASH_PATH, slow).await;
+        silent.list(true);
+        for id in ["e2", "e3"] {
+            let engine = world.start_engine(id, (0, 40)).await;
+            engine.fault.set(EngineFault::Crashing);
+        }
+        wait_for("both engines are listed", async || {
+            world.knows_engines(&node, 2).await
+        })
+        .await;
+        let equal = send_with(&world, &node, CRASH_PATH, "r2", slow).await;
+        assert_eq!(equal.status, 502, "{equal:?}");
+        wait_for("both crashes are known", async || {
+            let line = "dandelionroad_engine_crashes_known 2";
+            world.has_metric_line(&node, line).await
+        })
+        .await;
+        let other = world.start_engine("e4", (0, 40)).await;
+        let longest = watch_thread();
+        let answer = sent.await.unwrap();
+        assert!(
+            longest.get() < Duration::from_secs(3),
+            "the process was blocked for {:?}",
+            longest.get()
+        );
+        assert_eq!(other.runs.borrow().len(), 0, "runs at a further engine");
+        assert!(answer.is_complete, "{answer:?}");
+        assert_eq!(answer.body, all_events());
+    });
+}
+
 /// A stalled run fails during the pause before another run is started beside it. Guards against a pause that goes on
 /// without that run: the request is then at one more engine than its route allows, beside a sound one.
 #[test]
