Open another connection beside one that doesn't open

What callers saw: 503 (no-engine) for a call whose only endpoint was sound, when the first packet of the connection was lost; with others, the endpoint was avoided for seconds.

Cause: an attempt to connect was given up after 400 ms, but the system sends a lost first packet again after a second only. The class: something is let go on suspicion before its successor stands.

Change: while no connection is open, another one is opened beside it after 120 and 240 ms, three at most, to the same address. The first one that opens is handed to the HTTP library, the others are closed without a byte, so that a request is never sent on two. The time-out stays at 400 ms in all, so a dead engine is found as early as before; a failure such as a refused connection ends the wait at once.

Evidence: request_is_served_after_lost_first_packet, with a real listener whose queue is full for the first 60 ms, failed before at its first path ("/once/book: left: 503, right: 200", 402 ms, cause "not sent"). Now each of the three paths is served after 122 or 123 ms, and the engine reads one request within the 1.2 s after it; five runs of five. request_is_refused_without_connection passed before as well and keeps the time-out.

Not covered: an address that takes no connection for longer than 400 ms. The request is then sent elsewhere or refused as not run, as before.

--- a/crates/relay/src/engine/engine_connector.rs
+++ b/crates/relay/src/engine/engine_connector.rs
@@ -14,14 +14,26 @@
 
 /// The time-out of opening a connection, in milliseconds.
 ///
-/// Engines are in the same or another availability zone and accept a connection within two milliseconds. A
-/// lost packet is retransmitted after some hundred milliseconds.
+/// Engines are in the same or another availability zone and accept a connection within two milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 
+/// The time after which another connection is opened beside those that are not open yet, in milliseconds.
+///
+/// The system sends a lost first packet again after a second only, which is beyond the time-out.
+const CONNECT_INTERVAL_MS: u64 = 120;
+
+/// The maximum number of connections that are opened at a time for one.
+const MAX_CONNECTS: usize = 3;
+
 /// The time for which sent bytes may stay unacknowledged before a connection is closed as dead, in
 /// milliseconds.
 const UNACKED_TIMEOUT_MS: u64 = 3_000;
 
+type Connecting = <HttpConnector as Service<Uri>>::Future;
+
+type ConnectResult =
+    Result<<HttpConnector as Service<Uri>>::Response, <HttpConnector as Service<Uri>>::Error>;
+
 /// Opens connections to engines, whose read buffers are charged to a budget.
 #[derive(Clone, Debug)]
 pub(super) struct EngineConnector {
@@ -50,7 +62,7 @@
 
     fn call(&mut self, uri: Uri) -> Self::Future {
         let memory = self.memory.clone();
-        let opened = self.connector.call(uri);
+        let opened = open_connection(self.connector.clone(), uri);
         Box::pin(async move {
             let stream = opened.await?;
             let held = stream.inner().peer_addr().ok();
@@ -59,3 +71,33 @@
         })
     }
 }
+
+/// Opens a connection, and further ones beside it while none is open; returns the one that opens first.
+///
+/// Nothing is sent on the others, which are closed.
+async fn open_connection(mut connector: HttpConnector, uri: Uri) -> ConnectResult {
+    let mut connects = vec![connector.call(uri.clone())];
+    loop {
+        let has_more = connects.len() < MAX_CONNECTS;
+        tokio::select! {
+            biased;
+            opened = next_result(&mut connects) => return opened,
+            () = tokio::time::sleep(Duration::from_millis(CONNECT_INTERVAL_MS)), if has_more => {
+                connects.push(connector.call(uri.clone()));
+            }
+        }
+    }
+}
+
+/// Waits until one of the connections is open or has failed.
+async fn next_result(connects: &mut [Connecting]) -> ConnectResult {
+    std::future::poll_fn(|context| {
+        for connect in connects.iter_mut() {
+            if let Poll::Ready(opened) = Pin::new(connect).poll(context) {
+                return Poll::Ready(opened);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
