Count each engine that a request crashes late, whichever process notices it

Cause: a process counted the second late loss of a request as a crash of the second engine. A process that had a stalled run of the request on an engine which the run of another process then crashed recorded the same loss. If that was the second one at both, both pairs were the same crash, and each process began its next pair from nothing.

What callers saw: five or six engines lost to equal requests in place of four, with the streams that ran on them.

Change: an engine lost during an established run counts half a crash, and each engine counts once. A process announces such losses of a request once it knows two engines of it, its own or reported ones, in a datagram of its own kind (LateLosses). A request on three lost engines is still served. CrashLedger loses two methods that nothing calls any more.

Tests: two cases of crash_detector, without I/O.

--- a/crates/core/src/admit/crash_ledger.rs
+++ b/crates/core/src/admit/crash_ledger.rs
@@ -137,22 +137,6 @@
         }
     }
 
-    /// Withdraws a run of a request that turned out not to have crashed.
-    pub fn withdraw(&mut self, fingerprint: &str, run: &str) {
-        if let Ok(index) = self.index(fingerprint) {
-            let record = &mut self.records[index];
-            record.runs.retain(|(known, _)| known != run);
-            self.remove_if_empty(index);
-        }
-    }
-
-    /// Returns whether a request is refused if the crashed runs for which `is_excused` holds don't count.
-    pub fn is_refused_without(&self, fingerprint: &str, is_excused: impl Fn(&str) -> bool) -> bool {
-        let runs = self.runs(fingerprint).iter();
-        let counted = runs.filter(|(run, _)| !is_excused(run));
-        counted.count() >= CRASHES_UNTIL_REFUSAL
-    }
-
     /// Returns the number of fingerprints with a crash or a run in progress.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/core/src/relay/crash_detector.rs
+++ b/crates/core/src/relay/crash_detector.rs
@@ -1,4 +1,3 @@
-use crate::admit::CrashLedger;
 use crate::time::MilliTime;
 
 use super::EngineCrash;
@@ -34,6 +33,12 @@
 /// A crash of an engine breaks off about 200 runs at most.
 const MAX_RECORDS: usize = 512;
 
+/// The number of crashes after which a request is refused.
+const CRASHES_UNTIL_REFUSAL: usize = 2;
+
+/// The number of engines lost during established runs of a request that count as one crash.
+const LATE_LOSSES_PER_CRASH: usize = 2;
+
 /// A run that broke off.
 #[derive(Clone, Debug)]
 struct BrokenRun {
@@ -48,6 +53,8 @@
 #[derive(Clone, Debug)]
 struct KnownCrash {
     crash: EngineCrash,
+    /// The phase of the run on the engine; the earlier one if there were several.
+    phase: RunPhase,
     seen_at: MilliTime,
     /// The time at which this process learned of the crash.
     recorded_at: MilliTime,
@@ -60,9 +67,10 @@
 /// A broken answer alone is weak evidence, as connections are reset and answers get lost. A crash
 /// is counted only if an engine of the run is lost at about the same time and its answer had only just begun
 /// ([`RunPhase::Starting`]), since a request crashes an engine when it begins to run. Two engines that are lost
-/// during established runs of a request count as one crash. A request is refused after two crashes
-/// ([`CrashLedger`]); an answer to an equal request clears it. Requests that share only a part of their
-/// prompt are found by a [`PartLedger`], by their starting runs.
+/// during established runs of a request count as one crash, whichever processes noticed them: each engine counts
+/// once. A process keeps the first such loss of a request to itself until it learns of another engine. A
+/// request is refused after two crashes; an answer to an equal request clears it. Requests that share only a
+/// part of their prompt are found by a [`PartLedger`], by their starting runs.
 ///
 /// # Example
 ///
@@ -83,7 +91,6 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct CrashDetector {
-    ledger: CrashLedger,
     /// The runs that broke off within the crash window, sorted by time.
     broken: Vec<BrokenRun>,
     /// The engines that were lost within the crash window, sorted by time.
@@ -127,15 +134,25 @@
     ///
     /// Engines that a refused prompt part crashed don't count: the request may have run beside it.
     pub fn should_refuse(&mut self, fingerprint: &str, now: MilliTime) -> bool {
-        let is_explained = |engine: &str| self.parts.explains(engine);
-        let is_refused = self.ledger.is_refused_without(fingerprint, is_explained);
+        let mut starting = 0;
+        let mut late = 0;
+        let counted = self.known.iter().filter(|known| {
+            known.crash.fingerprint == fingerprint && !self.parts.explains(&known.crash.engine)
+        });
+        for known in counted {
+            match known.phase {
+                RunPhase::Starting => starting += 1,
+                RunPhase::Established => late += 1,
+            }
+        }
+        let is_refused = starting + late / LATE_LOSSES_PER_CRASH >= CRASHES_UNTIL_REFUSAL;
         if is_refused {
             self.extend_retention(fingerprint, now);
         }
         is_refused
     }
 
-    /// Records a run that broke off in a phase; returns the crash if this proves a new one.
+    /// Records a run that broke off in a phase; returns the crashes that this proves.
     pub fn record_broken_run(
         &mut self,
         fingerprint: &str,
@@ -143,7 +160,7 @@
         engines: &[String],
         phase: RunPhase,
         now: MilliTime,
-    ) -> Option<EngineCrash> {
+    ) -> Vec<EngineCrash> {
         let run = BrokenRun {
             fingerprint: fingerprint.to_owned(),
             parts: parts.to_vec(),
@@ -155,13 +172,13 @@
         let mut lost = self.lost.iter().filter(is_recent);
         if let Some((engine, _)) = lost.find(|(lost, _)| engines.contains(lost)) {
             let engine = engine.clone();
-            return self.record_crashes(&engine, vec![run], now).pop();
+            return self.record_crashes(&engine, vec![run], now);
         }
         if self.broken.len() >= MAX_RECORDS {
             self.broken.remove(0);
         }
         self.broken.push(run);
-        None
+        Vec::new()
     }
 
     /// Records the loss of an engine, which refuses connections, was restarted or is no longer
@@ -190,9 +207,6 @@
         let of_engine =
             |known: &mut KnownCrash| known.crash.engine == engine && known.recorded_at < sent_at;
         let withdrawn: Vec<KnownCrash> = self.known.extract_if(.., of_engine).collect();
-        for known in &withdrawn {
-            self.ledger.withdraw(&known.crash.fingerprint, engine);
-        }
         self.late.withdraw_engine(engine, sent_at);
         let has_parts = self.parts.withdraw_engine(engine, sent_at, now);
         if self.lost.len() == lost_before && withdrawn.is_empty() && !has_parts {
@@ -206,12 +220,13 @@
 
     /// Adds a crash that another process announced; returns whether it was new.
     pub fn merge(&mut self, crash: &EngineCrash, now: MilliTime) -> bool {
-        let is_answering = self.answering.contains(&crash.engine);
-        if is_answering || self.known.iter().any(|known| known.crash == *crash) {
-            return false;
-        }
-        self.insert(crash.clone(), now);
-        true
+        self.merge_in_phase(crash, RunPhase::Starting, now)
+    }
+
+    /// Adds the loss of an engine during an established run that another process announced; returns whether it
+    /// was new.
+    pub fn merge_late(&mut self, crash: &EngineCrash, now: MilliTime) -> bool {
+        self.merge_in_phase(crash, RunPhase::Established, now)
     }
 
     /// Clears a request that was answered; returns whether a crash was known for it.
@@ -221,7 +236,6 @@
         let count_before = self.known.len();
         self.known
             .retain(|known| known.crash.fingerprint != fingerprint);
-        self.ledger.complete(fingerprint);
         self.known.len() < count_before
     }
 
@@ -230,7 +244,22 @@
     ///
     /// A lost engine breaks off many runs, and each of them may be the one at fault.
     pub fn take_reports(&mut self, limit: usize, now: MilliTime) -> Vec<EngineCrash> {
-        let recent = self.known.iter_mut();
+        self.take_reports_in_phase(limit, RunPhase::Starting, now)
+    }
+
+    /// Returns at most `limit` losses during established runs to send to the other processes now, chosen as in
+    /// [`take_reports`](CrashDetector::take_reports).
+    pub fn take_late_reports(&mut self, limit: usize, now: MilliTime) -> Vec<EngineCrash> {
+        self.take_reports_in_phase(limit, RunPhase::Established, now)
+    }
+
+    fn take_reports_in_phase(
+        &mut self,
+        limit: usize,
+        phase: RunPhase,
+        now: MilliTime,
+    ) -> Vec<EngineCrash> {
+        let recent = self.known.iter_mut().filter(|known| known.phase == phase);
         let mut recent: Vec<&mut KnownCrash> = recent
             .filter(|known| now.since(known.seen_at) <= ANNOUNCE_MS)
             .collect();
@@ -251,10 +280,14 @@
             .retain(|run| now.since(run.ended_at) <= CRASH_WINDOW_MS);
         self.lost
             .retain(|(_, lost)| now.since(*lost) <= CRASH_WINDOW_MS);
-        let is_old = |known: &mut KnownCrash| now.since(known.seen_at) > RETENTION_MS;
-        for old in self.known.extract_if(.., is_old) {
-            self.ledger.complete(&old.crash.fingerprint);
-        }
+        self.known
+            .retain(|known| now.since(known.seen_at) <= RETENTION_MS);
+    }
+
+    /// Returns whether a crash of a request is known.
+    fn is_suspect(&self, fingerprint: &str) -> bool {
+        let mut known = self.known.iter();
+        known.any(|known| known.crash.fingerprint == fingerprint)
     }
 
     /// Counts a crash for the requests whose runs an engine broke off; returns the new crashes.
@@ -270,48 +303,82 @@
         for run in runs.iter().filter(|run| run.phase == RunPhase::Starting) {
             self.parts.record_crash(&run.parts, engine, run.ended_at);
         }
-        let is_suspect = |run: &BrokenRun| !self.ledger.runs(&run.fingerprint).is_empty();
-        let has_suspect = runs.iter().any(is_suspect);
+        let has_suspect = runs.iter().any(|run| self.is_suspect(&run.fingerprint));
         let mut new_crashes = Vec::new();
         for run in runs {
             let fingerprint = run.fingerprint;
-            if has_suspect && self.ledger.runs(&fingerprint).is_empty() {
+            if has_suspect && !self.is_suspect(&fingerprint) {
                 continue;
             }
-            let counts = match run.phase {
-                RunPhase::Starting => true,
-                RunPhase::Established => self.late.record(&fingerprint, engine, now),
-            };
-            if !counts {
-                continue;
-            }
-            let engine = engine.to_owned();
-            let crash = EngineCrash {
-                fingerprint,
-                engine,
-            };
-            if self.merge(&crash, now) {
-                new_crashes.push(crash);
+            match run.phase {
+                RunPhase::Starting => {
+                    let crash = EngineCrash {
+                        fingerprint: fingerprint.clone(),
+                        engine: engine.to_owned(),
+                    };
+                    if self.insert(&crash, run.phase, now) {
+                        new_crashes.push(crash);
+                    }
+                }
+                RunPhase::Established => {
+                    if !self.late.record(&fingerprint, engine, now)
+                        && !self.is_suspect(&fingerprint)
+                    {
+                        continue;
+                    }
+                }
             }
+            new_crashes.extend(self.count_late_losses(&fingerprint, now));
         }
         new_crashes
     }
 
-    fn insert(&mut self, crash: EngineCrash, now: MilliTime) {
+    fn merge_in_phase(&mut self, crash: &EngineCrash, phase: RunPhase, now: MilliTime) -> bool {
+        let is_new = !self.answering.contains(&crash.engine) && self.insert(crash, phase, now);
+        if is_new {
+            self.count_late_losses(&crash.fingerprint, now);
+        }
+        is_new
+    }
+
+    /// Counts the losses during established runs of a request that more than one engine was lost with; returns
+    /// the new ones.
+    fn count_late_losses(&mut self, fingerprint: &str, now: MilliTime) -> Vec<EngineCrash> {
+        let engines = self.late.take_request(fingerprint).into_iter();
+        let crashes = engines.map(|engine| EngineCrash {
+            fingerprint: fingerprint.to_owned(),
+            engine,
+        });
+        crashes
+            .filter(|crash| self.insert(crash, RunPhase::Established, now))
+            .collect()
+    }
+
+    /// Adds the loss of an engine to a request; returns whether it is new or in an earlier phase than known.
+    fn insert(&mut self, crash: &EngineCrash, phase: RunPhase, now: MilliTime) -> bool {
+        let mut known = self.known.iter_mut();
+        if let Some(known) = known.find(|known| known.crash == *crash) {
+            let is_earlier = phase == RunPhase::Starting && known.phase != phase;
+            if is_earlier {
+                known.phase = phase;
+                known.sends = 0;
+            }
+            return is_earlier;
+        }
         if self.known.len() >= MAX_RECORDS {
             let old = self.known[0].crash.fingerprint.clone();
             self.clear_request(&old);
         }
-        self.ledger
-            .merge(&crash.fingerprint, &[&crash.engine], true);
         // All crashes of a request expire together.
         self.extend_retention(&crash.fingerprint, now);
         self.known.push(KnownCrash {
-            crash,
+            crash: crash.clone(),
+            phase,
             seen_at: now,
             recorded_at: now,
             sends: 0,
         });
+        true
     }
 
     /// Keeps the crashes of a request for [`RETENTION_MS`] from `now`.
--- a/crates/core/src/relay/late_losses.rs
+++ b/crates/core/src/relay/late_losses.rs
@@ -14,7 +14,7 @@
     at: MilliTime,
 }
 
-/// The engines that were lost while established runs of requests were on them.
+/// The engines that were lost while established runs of requests were on them, for requests that have only one.
 ///
 /// Hundreds of sound streams run on an engine that fails, so one such loss tells nothing about a request. Only
 /// few requests are on two of them before they are served.
@@ -25,27 +25,35 @@
 }
 
 impl LateLosses {
-    /// Records a loss; returns whether it is the second one of the request, which is then kept no longer.
+    /// Records a loss; returns whether the request now has losses of two engines.
     pub(super) fn record(&mut self, fingerprint: &str, engine: &str, now: MilliTime) -> bool {
         let mut known = self.losses.iter();
-        match known.position(|loss| loss.fingerprint == fingerprint) {
-            Some(index) if self.losses[index].engine != engine => {
-                self.losses.remove(index);
-                true
-            }
-            Some(_) => false,
-            None => {
-                if self.losses.len() >= MAX_LOSSES {
-                    self.losses.remove(0);
-                }
-                self.losses.push(LateLoss {
-                    fingerprint: fingerprint.to_owned(),
-                    engine: engine.to_owned(),
-                    at: now,
-                });
-                false
-            }
+        if known.any(|loss| loss.fingerprint == fingerprint && loss.engine == engine) {
+            return false;
         }
+        let has_other = self.has_request(fingerprint);
+        if self.losses.len() >= MAX_LOSSES {
+            self.losses.remove(0);
+        }
+        self.losses.push(LateLoss {
+            fingerprint: fingerprint.to_owned(),
+            engine: engine.to_owned(),
+            at: now,
+        });
+        has_other
+    }
+
+    /// Returns whether a loss of a request is kept.
+    pub(super) fn has_request(&self, fingerprint: &str) -> bool {
+        let mut known = self.losses.iter();
+        known.any(|loss| loss.fingerprint == fingerprint)
+    }
+
+    /// Removes the losses of a request; returns their engines, in the order in which they were recorded.
+    pub(super) fn take_request(&mut self, fingerprint: &str) -> Vec<String> {
+        let of_request = |loss: &mut LateLoss| loss.fingerprint == fingerprint;
+        let taken = self.losses.extract_if(.., of_request);
+        taken.map(|loss| loss.engine).collect()
     }
 
     /// Forgets the losses of a request that was served.
--- a/crates/core/tests/crash_detector.rs
+++ b/crates/core/tests/crash_detector.rs
@@ -25,7 +25,7 @@
     fingerprint: &str,
     engine: &str,
     now: MilliTime,
-) -> Option<EngineCrash> {
+) -> Vec<EngineCrash> {
     detector.record_broken_run(
         fingerprint,
         &[],
@@ -65,7 +65,7 @@
     let mut detector = CrashDetector::new();
     detector.record_engine_loss("e1", START);
     let crashed = record_broken_run(&mut detector, "aa", "e1", START.plus(300));
-    assert_eq!(crashed, Some(crash("aa", "e1")));
+    assert_eq!(crashed, [crash("aa", "e1")]);
 }
 
 /// Guards against counting one crash twice. Requests without a body are often equal, so that one
@@ -198,6 +198,87 @@
     assert!(detector.should_refuse("aa", START));
 }
 
+/// Has processes report all that they announce to each other.
+fn exchange_reports(detectors: &mut [CrashDetector], now: MilliTime) {
+    // What a process learns may have it announce more.
+    for _ in 0..2 {
+        for sender in 0..detectors.len() {
+            let crashes = detectors[sender].take_reports(usize::MAX, now);
+            let late = detectors[sender].take_late_reports(usize::MAX, now);
+            for detector in detectors.iter_mut() {
+                for crash in &crashes {
+                    detector.merge(crash, now);
+                }
+                for crash in &late {
+                    detector.merge_late(crash, now);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against counting the second loss of both processes once because it is the same engine, so that six
+/// engines are lost, and against refusing a stream that was on three lost engines.
+#[test]
+fn crash_detector_counts_late_engines_of_all_processes() {
+    let mut detectors = [CrashDetector::new(), CrashDetector::new()];
+    for (engine, processes) in [("e1", [0].as_slice()), ("e2", &[1]), ("e3", &[0, 1])] {
+        for process in processes {
+            lose_established(&mut detectors[*process], "aa", engine, START);
+        }
+        exchange_reports(&mut detectors, START);
+        for detector in &mut detectors {
+            assert!(!detector.should_refuse("aa", START), "{engine}");
+        }
+    }
+    lose_established(&mut detectors[0], "aa", "e4", START);
+    exchange_reports(&mut detectors, START);
+    for detector in &mut detectors {
+        assert!(detector.should_refuse("aa", START));
+    }
+}
+
+/// Guards against more than four engines that a request crashes late in its answer, and against refusing requests
+/// that were on at most three of them.
+///
+/// Requests come at two processes, and each crash is known before the next request comes. A process may have given up
+/// a run of the request on an engine that the run of the other one crashes.
+#[test]
+fn crash_detector_random_late_crashes() {
+    for seed in 0..10_000 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut detectors = [CrashDetector::new(), CrashDetector::new()];
+        let mut now = START;
+        let mut crashes = 0;
+        for turn in 0..30 {
+            now = now.plus(random.random_range(50..400));
+            let own = random.random_range(0..detectors.len());
+            if detectors[own].should_refuse("bad", now) {
+                continue;
+            }
+            crashes += 1;
+            let engine = format!("e{turn}");
+            let has_other = random.random_bool(0.3);
+            for (process, detector) in detectors.iter_mut().enumerate() {
+                let engines = [engine.clone()];
+                let phase = RunPhase::Established;
+                if process == own || has_other {
+                    detector.record_broken_run("bad", &[], &engines, phase, now);
+                }
+                if process == own && turn < 3 {
+                    detector.record_broken_run("good", &[], &engines, phase, now);
+                }
+                detector.record_engine_loss(&engine, now);
+            }
+            exchange_reports(&mut detectors, now);
+            for detector in &mut detectors {
+                assert!(!detector.should_refuse("good", now), "seed {seed}");
+            }
+        }
+        assert!(crashes <= 4, "seed {seed}: {crashes} engines crashed");
+    }
+}
+
 /// Guards against counting established runs of a request that was served since, long ago, or on an engine that
 /// ran on.
 #[test]
--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -74,14 +74,14 @@
         parts = relay.caller.shared_parts.join(","),
         phase = phase.as_str(),
     });
-    let crash = {
+    let crashes = {
         let mut view = state.view.borrow_mut();
         let engines = engines.iter().map(|id| view.engines.incarnation(id));
         let engines: Vec<String> = engines.collect();
         view.crashes
             .record_broken_run(&fingerprint, &relay.shared_parts, &engines, phase, now)
     };
-    report_crashes(state, crash.as_slice(), "its engine was lost before");
+    report_crashes(state, &crashes, "its engine was lost before");
     publish_part_changes(state);
 }
 
--- a/crates/relay/src/peer/crash_exchange.rs
+++ b/crates/relay/src/peer/crash_exchange.rs
@@ -5,6 +5,7 @@
 
 use dandelionroad_core::relay::EngineCrash;
 use dandelionroad_core::relay::PartReport;
+use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::time::MilliTime;
 use tokio::net::UdpSocket;
 
@@ -48,15 +49,21 @@
             send_to_all(socket, addresses, &PeerDatagram::Served(cleared)).await;
         }
         let now = state.clock.now();
-        let crashes = {
+        let (crashes, late) = {
             let mut view = state.view.borrow_mut();
-            view.crashes.expire(now);
-            view.crashes.take_reports(MAX_CRASHES_AT_ONCE, now)
+            let crashes = &mut view.crashes;
+            crashes.expire(now);
+            let late = crashes.take_late_reports(MAX_CRASHES_AT_ONCE, now);
+            (crashes.take_reports(MAX_CRASHES_AT_ONCE, now), late)
         };
         if !crashes.is_empty() {
             let targets = state.peers.borrow().round_targets(round, now);
             send_to_all(socket, targets, &PeerDatagram::Crashes(crashes)).await;
         }
+        if !late.is_empty() {
+            let targets = state.peers.borrow().round_targets(round, now);
+            send_to_all(socket, targets, &PeerDatagram::LateLosses(late)).await;
+        }
         let is_repeat = now.since(repeated_at) >= PART_INTERVAL_MS;
         if is_repeat {
             repeated_at = now;
@@ -73,11 +80,15 @@
     }
 }
 
-pub(super) fn merge_crashes(state: &NodeState, crashes: &[EngineCrash]) {
+pub(super) fn merge_crashes(state: &NodeState, crashes: &[EngineCrash], phase: RunPhase) {
     let now = state.clock.now();
     let mut view = state.view.borrow_mut();
     for crash in crashes {
-        if view.crashes.merge(crash, now) {
+        let is_new = match phase {
+            RunPhase::Starting => view.crashes.merge(crash, now),
+            RunPhase::Established => view.crashes.merge_late(crash, now),
+        };
+        if is_new {
             state.crashes_changed.notify_one();
             spdlog::info!("request: may have crashed an engine, as another process reports", kv: {
                 engine = crash.engine.as_str(),
--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -51,6 +51,8 @@
     Served(Vec<String>),
     /// What the sender knows about prompt parts that may crash engines.
     Parts(Vec<PartReport>),
+    /// Engines lost during established runs of requests that more than one engine was lost with.
+    LateLosses(Vec<EngineCrash>),
 }
 
 impl PeerDatagram {
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::relay::SharedLoad;
 use dandelionroad_core::route::mix_seed;
 use dandelionroad_core::time::MilliTime;
@@ -171,7 +172,12 @@
                         .record_message(address, message, now);
                 }
                 Ok(PeerDatagram::Confirm(message)) => apply_confirmation(state, &message),
-                Ok(PeerDatagram::Crashes(crashes)) => merge_crashes(state, &crashes),
+                Ok(PeerDatagram::Crashes(crashes)) => {
+                    merge_crashes(state, &crashes, RunPhase::Starting);
+                }
+                Ok(PeerDatagram::LateLosses(losses)) => {
+                    merge_crashes(state, &losses, RunPhase::Established);
+                }
                 Ok(PeerDatagram::Served(fingerprints)) => clear_served(state, &fingerprints),
                 Ok(PeerDatagram::Parts(reports)) => {
                     answer_parts(state, socket, address, &reports).await;
