Check at once whether a suspected request lost another engine late

Cause: the loss of an engine during an established run was known only when the engine refused another connection or its registration lapsed. A request that crashes engines late and comes again within that time was admitted as if the last loss had not happened.

What callers saw: a fifth engine lost, with the streams that ran on it.

Change: if an established run of a request breaks off and an equal request lost an engine before, a connection to the engine tells at once whether it is gone, as it does for starting runs.

Test: equal_requests_without_pause_that_crash_late_are_refused.

--- a/crates/core/src/relay/crash_detector.rs
+++ b/crates/core/src/relay/crash_detector.rs
@@ -229,6 +229,11 @@
         self.merge_in_phase(crash, RunPhase::Established, now)
     }
 
+    /// Returns whether an engine was lost while a run of the request was on it.
+    pub fn has_loss(&self, fingerprint: &str) -> bool {
+        self.is_suspect(fingerprint) || self.late.has_request(fingerprint)
+    }
+
     /// Clears a request that was answered; returns whether a crash was known for it.
     pub fn clear_request(&mut self, fingerprint: &str) -> bool {
         self.broken.retain(|run| run.fingerprint != fingerprint);
--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -39,6 +39,12 @@
     part_verdict(state, relay) == PartVerdict::Refused
 }
 
+/// Returns whether no request is known to have been served with one of the shared parts of the prompt.
+pub(super) fn has_unproven_part(state: &NodeState, relay: &RelayRequest) -> bool {
+    let view = state.view.borrow();
+    view.crashes.parts().has_unproven(&relay.shared_parts)
+}
+
 /// Returns how a request may be handled in view of the shared parts of its prompt.
 pub(super) fn part_verdict(state: &NodeState, relay: &RelayRequest) -> PartVerdict {
     let view = state.view.borrow();
@@ -85,6 +91,12 @@
     publish_part_changes(state);
 }
 
+/// Returns whether an engine was lost while a run of an equal request was on it.
+pub(super) fn has_engine_loss(state: &NodeState, relay: &RelayRequest) -> bool {
+    let fingerprint = relay.fingerprint();
+    state.view.borrow().crashes.has_loss(&fingerprint)
+}
+
 /// Records that the engines of a chain answer a request that was sent to them at `sent_at`, which withdraws the
 /// crashes of those that counted as lost.
 pub(super) fn record_answer_begun(state: &NodeState, engines: &[ChainStage], sent_at: MilliTime) {
--- a/crates/relay/src/ingress/stream_relay/crash_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/crash_wait.rs
@@ -10,7 +10,9 @@
 use crate::engine::check_engine_loss;
 use crate::node::NodeState;
 
+use super::super::crash_check::has_engine_loss;
 use super::super::crash_check::has_refused_part;
+use super::super::crash_check::has_unproven_part;
 use super::super::crash_check::part_verdict;
 use super::super::crash_check::record_broken_run;
 use super::super::relay_request::RelayRequest;
@@ -24,11 +26,12 @@
 /// once brings down a second engine, often the first one of another availability zone.
 const SETTLE_MS: u64 = 100;
 
-/// The first engine of a run that broke off while its answer had only just begun.
+/// The first engine of a run that broke off.
 #[derive(Debug)]
 pub(super) struct BrokenHead {
     id: String,
     address: SocketAddr,
+    phase: RunPhase,
 }
 
 impl StreamRelay {
@@ -44,10 +47,10 @@
             let ids: Vec<&str> = run.stages.iter().map(|stage| stage.id.as_str()).collect();
             record_broken_run(&self.state, &self.relay, &ids, phase);
         }
-        let first = run.stages.first().filter(|_| phase == RunPhase::Starting);
-        self.broken_head = first.map(|stage| BrokenHead {
+        self.broken_head = run.stages.first().map(|stage| BrokenHead {
             id: stage.id.clone(),
             address: stage.address,
+            phase,
         });
     }
 
@@ -61,7 +64,8 @@
 /// Waits until it is known whether a run crashed its engine and, if so, until other processes have reported what
 /// they know about the parts of the prompt.
 ///
-/// Requests whose parts were all served before don't wait.
+/// Requests whose parts were all served before don't wait, nor do those whose answer was under way unless an
+/// engine was lost with an equal request before: hundreds of sound streams run on an engine that fails.
 pub(super) async fn await_crash_reports(
     state: Rc<NodeState>,
     relay: Rc<RelayRequest>,
@@ -70,16 +74,16 @@
     let Some(head) = head else {
         return;
     };
-    let has_unproven = {
-        let view = state.view.borrow();
-        let parts = view.crashes.parts();
-        parts.has_unproven(&relay.shared_parts)
+    let is_suspect = match head.phase {
+        RunPhase::Starting => has_unproven_part(&state, &relay),
+        RunPhase::Established => has_engine_loss(&state, &relay),
     };
-    if !has_unproven {
+    if !is_suspect {
         return;
     }
     check_engine_loss(&state, &head.id, head.address).await;
-    if part_verdict(&state, &relay) == PartVerdict::Suspected {
+    let is_starting = head.phase == RunPhase::Starting;
+    if is_starting && part_verdict(&state, &relay) == PartVerdict::Suspected {
         tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
     }
 }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -95,8 +95,7 @@
     runs: Vec<ChainRun>,
     /// The pause before another run is started beside stalled ones.
     crash_wait: Option<Pin<Box<dyn Future<Output = ()>>>>,
-    /// The first engine of the last run, if it broke off while its answer had only just begun, until the next
-    /// attempt.
+    /// The first engine of the last run that broke off, until the next attempt.
     broken_head: Option<BrokenHead>,
     /// The earliest time at which another run may be started beside stalled ones.
     next_failover: MilliTime,
--- a/crates/relay/tests/crashes_in_answer.rs
+++ b/crates/relay/tests/crashes_in_answer.rs
@@ -97,6 +97,32 @@
     });
 }
 
+/// Equal requests that come right behind each other. Guards against admitting the next one before it is known that the
+/// last one crashed its engine, which stays listed for some time.
+#[test]
+fn equal_requests_without_pause_that_crash_late_are_refused() {
+    run(async {
+        let world = World::start().await;
+        let log: Rc<RefCell<CrashLog>> = Rc::default();
+        let fatal = FatalPrompt {
+            part: FATAL_PART,
+            events: 4,
+            pause: Duration::from_millis(200),
+        };
+        for index in 0..ENGINES {
+            CrashEngine::start_with(&world.store, &format!("e{index}"), fatal, &log).await;
+        }
+        let node = world.start_node("n1").await;
+        for index in 0..REQUESTS {
+            let id = format!("r{index}");
+            let answer = send(&world, &node, "/model/fatal", &id, "f1,bad0,own").await;
+            assert!(answer.status != 200 || !answer.is_complete, "{answer:?}");
+        }
+        let crashes = log.borrow().crashes.len();
+        assert!(crashes <= 4, "{crashes} engines were lost");
+    });
+}
+
 /// Equal requests whose engines crash when the answer has been under way for some time. Sound requests lose engines
 /// in this way as well, so it takes more of them.
 #[test]
