Run requests with a suspected prompt part one after the other

Cause: each request decided for itself, by a pause of 100 ms, when a part that may have crashed an engine runs again. Two requests whose engines were lost within 20 ms, which counts as one loss, were retried at the same time; on a busy machine the pause of one ended before the run of the other. And the loss of a run's engine was not looked at while another run of the request stood.

What callers saw: a third and a fourth engine lost to a fatal part, with the streams that ran on them.

Change: while a part is suspected, requests with it are on trial one after the other (core::relay::PartTrials), new ones and retries, until one is served or the part is refused; a request waits for a second at most. A run that breaks off beside others has its engine checked at once. What is checked before an attempt are all runs that broke off since the last event, not the last one.

retry_with_suspected_part_waits_for_reports is changed. It now sends the second request when the first engine is lost, so that the losses are a prefill apart, and asks for the same two arrivals and two lost engines.

--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -2,6 +2,7 @@
 
 use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::relay::PartVerdict;
+use dandelionroad_core::relay::PromptPart;
 use dandelionroad_core::relay::RunPhase;
 use dandelionroad_core::time::MilliTime;
 
@@ -39,6 +40,16 @@
     part_verdict(state, relay) == PartVerdict::Refused
 }
 
+/// Returns the shared parts of the prompt that may have crashed an engine and are not refused.
+pub(super) fn suspected_parts(state: &NodeState, relay: &RelayRequest) -> Vec<PromptPart> {
+    let view = state.view.borrow();
+    let ledger = view.crashes.parts();
+    let parts = relay.shared_parts.iter().copied();
+    parts
+        .filter(|part| ledger.verdict(&[*part]) == PartVerdict::Suspected)
+        .collect()
+}
+
 /// Returns whether no request is known to have been served with one of the shared parts of the prompt.
 pub(super) fn has_unproven_part(state: &NodeState, relay: &RelayRequest) -> bool {
     let view = state.view.borrow();
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -17,6 +17,7 @@
 mod crash_check;
 mod guarded_body;
 mod open_outcome;
+mod part_trial;
 mod plain_driver;
 mod readiness_server;
 mod refusal;
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -130,6 +130,7 @@
             }
             if run.progress.record_event(self.state.clock.now()) {
                 record_parts_served(&self.state, &self.relay);
+                self.trial = None;
             }
         }
         let was_stalled = run.stall.is_some();
--- a/crates/relay/src/ingress/stream_relay/failover.rs
+++ b/crates/relay/src/ingress/stream_relay/failover.rs
@@ -49,8 +49,8 @@
         }
         self.next_failover = now.plus(FAILOVER_SPACING_MS);
         self.record_stalled_runs(log);
-        let head = self.broken_head.take();
-        let wait = await_crash_reports(Rc::clone(&self.state), Rc::clone(&self.relay), head);
+        let heads = std::mem::take(&mut self.broken_heads);
+        let wait = await_crash_reports(Rc::clone(&self.state), Rc::clone(&self.relay), heads);
         self.crash_wait = Some(Box::pin(wait));
     }
 
@@ -103,6 +103,8 @@
     /// Ends the runs that were started beside the first one, as that one goes on.
     pub(super) fn end_other_runs(&mut self, log: &mut RequestLog) {
         self.crash_wait = None;
+        // Until the next attempt, their engines may be back under the same names.
+        self.broken_heads.clear();
         for _ in self.runs.drain(1..) {
             self.plan.record_end(AttemptEnd::Broken);
             self.state.metrics.count_failover(WENT_ON);
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -46,6 +46,7 @@
 use super::crash_check::record_parts_served;
 use super::crash_check::record_served;
 use super::open_outcome::OpenOutcome;
+use super::part_trial::PartTrial;
 use super::relay_request::RelayRequest;
 
 use self::chain_run::ChainRun;
@@ -95,8 +96,10 @@
     runs: Vec<ChainRun>,
     /// The pause before another run is started beside stalled ones.
     crash_wait: Option<Pin<Box<dyn Future<Output = ()>>>>,
-    /// The first engine of the last run that broke off, until the next attempt.
-    broken_head: Option<BrokenHead>,
+    /// The first engines of the runs that broke off, until the next attempt.
+    broken_heads: Vec<BrokenHead>,
+    /// The trial of unproven prompt parts, until the answer has outlasted its start.
+    trial: Option<PartTrial>,
     /// The earliest time at which another run may be started beside stalled ones.
     next_failover: MilliTime,
     /// Whether the request was found to crash engines while it was running, so that no other run is started.
@@ -124,7 +127,8 @@
             last_id,
             runs: Vec::new(),
             crash_wait: None,
-            broken_head: None,
+            broken_heads: Vec::new(),
+            trial: None,
             next_failover: MilliTime::default(),
             is_barred: false,
             holds_retry: false,
@@ -145,6 +149,7 @@
         loop {
             if self.runs.is_empty() {
                 self.await_crash_reports().await;
+                self.await_trials().await;
                 if !self.may_send(log) {
                     break;
                 }
@@ -242,6 +247,7 @@
         let load = LoadGuard::for_chain(&self.state, &stages, tokens, prompt);
         let now = self.state.clock.now();
         let target_ms = self.relay.route().target_ms;
+        self.begin_trial();
         let sent = self.send(&stages, now);
         self.plan.record_start();
         let held = self
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -5,6 +5,7 @@
 use std::time::UNIX_EPOCH;
 
 use dandelionroad_core::relay::CapacityQueue;
+use dandelionroad_core::relay::PartTrials;
 use dandelionroad_core::relay::ShutdownPlan;
 use dandelionroad_core::route::hash_text;
 use tokio::sync::Notify;
@@ -66,6 +67,10 @@
     pub cleared_fingerprints: RefCell<Vec<String>>,
     /// Wakes the requests in progress when a prompt part is refused.
     pub parts_refused: Notify,
+    /// The requests that are about to show whether their prompt parts crash engines.
+    pub part_trials: RefCell<PartTrials>,
+    /// Wakes the requests that wait for the end of such a trial.
+    pub trial_ended: Notify,
     /// Wakes the stalled requests when an engine is found dead.
     pub engine_lost: Notify,
     /// The version of the newest configuration that another process has reported.
@@ -105,6 +110,8 @@
             crashes_changed: Notify::new(),
             cleared_fingerprints: RefCell::default(),
             parts_refused: Notify::new(),
+            part_trials: RefCell::default(),
+            trial_ended: Notify::new(),
             engine_lost: Notify::new(),
             newest_config_version: Cell::new(0),
             config_rows: RefCell::default(),
--- a/crates/relay/tests/crashing_parts.rs
+++ b/crates/relay/tests/crashing_parts.rs
@@ -196,8 +196,8 @@
     });
 }
 
-/// A request with a fatal part crashes its engine while another one is about to crash the next. Guards against
-/// a retry of the first at once, which crashes a third engine.
+/// A request with a fatal part comes when another one has just crashed its engine. Guards against a third engine that is
+/// lost because the first one is retried at once, or beside the second one.
 #[test]
 fn retry_with_suspected_part_waits_for_reports() {
     run(async {
@@ -211,7 +211,11 @@
             let (world, node) = (Rc::clone(&world), Rc::clone(&node));
             spawn_local(async move { send_prompt(&world, &node, "r1", "f1,bad0,own1").await })
         };
-        tokio::time::sleep(Duration::from_millis(60)).await;
+        // Losses at the same time count once, so the second engine must not be lost right with the first one.
+        wait_for("the first engine is lost", async || {
+            !log.borrow().crashes.is_empty()
+        })
+        .await;
         let second = send_prompt(&world, &node, "r2", "f2,bad0,own2").await;
         assert!(!second.is_complete || second.status != 200);
         first.await.unwrap();
@@ -221,6 +225,41 @@
     });
 }
 
+/// Several requests with a fatal part crash their engines at the same time, which counts as one loss. Guards against
+/// retries of all of them at the same time, each of which crashes another engine.
+#[test]
+fn retries_with_suspected_part_run_in_turn() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let log: Rc<RefCell<CrashLog>> = Rc::default();
+        let mut engines = Vec::new();
+        for index in 0..8 {
+            let id = format!("e{index}");
+            engines.push(CrashEngine::start(&world.store, &id, FATAL_PART, &log).await);
+        }
+        let node = Rc::new(world.start_node("n1").await);
+        let mut sending = Vec::new();
+        for index in 0..2 {
+            let (world, node) = (Rc::clone(&world), Rc::clone(&node));
+            sending.push(spawn_local(async move {
+                let prompt = format!("f{index},{FATAL_PART},own{index}");
+                send_prompt(&world, &node, &format!("r{index}"), &prompt).await
+            }));
+        }
+        wait_for("both requests are at engines", async || {
+            log.borrow().fatal_arrivals.len() == 2
+        })
+        .await;
+        for sent in sending {
+            let answer = sent.await.unwrap();
+            let is_whole = answer.status == 200 && answer.is_complete;
+            assert!(!is_whole, "no engine serves the part");
+        }
+        let log = log.borrow();
+        assert!(log.crashes.len() <= 3, "{log:?}");
+    });
+}
+
 /// Guards against refusing sound requests whose runs are broken off by lost engines: none of their parts was
 /// served before, and the engines were not lost because of them.
 #[test]
