Read a body of unknown length in a task of its own

Cause: the body of a plain answer was read within the task of the caller's connection. Each chunk woke that task, which polled the connection, its timer and close signal, the set of attempts and two time-outs, and set up a select with a Notified of the budget, before it came to the chunk.

What callers saw: an answer in chunks of 64 bytes took the processor for 5 s; beside other load it was given up by the time-out of the route (8 s), with another status than 502.

Change: a body without a declared length is read by a task of its own, which ends with the read. The end of a holder is polled with a waker that is registered when the body is pending, instead of a Notified for each frame.

--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -13,6 +13,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::ext::on_informational;
 use hyper::header::CONTENT_TYPE;
@@ -22,6 +23,7 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use tokio::sync::Notify;
+use tokio::task::JoinSet;
 
 use crate::memory::BodyPieces;
 use crate::memory::ByteBudget;
@@ -174,8 +176,8 @@
             let response = sent.await.map_err(|error| error.to_string())?;
             let status = response.status().as_u16();
             let held = self.memory.hold(ByteSource::Server(address));
-            let body = read_whole(response.into_body(), &held).await;
-            let body = body.map_err(|error| error.to_string())?;
+            let read = read_whole(response.into_body(), held).await;
+            let (body, held) = read.map_err(|error| error.to_string())?;
             Ok((status, held.into_bytes(body.into_bytes())))
         };
         match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
@@ -185,7 +187,7 @@
     }
 }
 
-/// Reads a body of an engine to its end, charged to `held`.
+/// Reads a body of an engine to its end, charged to `held`, which is returned with it.
 ///
 /// Dropping the future closes the connection.
 ///
@@ -193,8 +195,28 @@
 ///
 /// Returns an error if the body breaks off, exceeds 8 MiB, or is ended by the budget. The connection is closed and not
 /// used again.
-pub async fn read_whole(body: Incoming, held: &HeldBytes) -> Result<BodyPieces, ReadFault> {
-    read_bounded(body, MAX_BODY_BYTES, held).await
+pub async fn read_whole(
+    body: Incoming,
+    held: HeldBytes,
+) -> Result<(BodyPieces, HeldBytes), ReadFault> {
+    let has_length = body.size_hint().exact().is_some();
+    let read = async move {
+        let pieces = read_bounded(body, MAX_BODY_BYTES, &held).await?;
+        Ok((pieces, held))
+    };
+    if has_length {
+        return read.await;
+    }
+    // The body may come in chunks of a few bytes, each of which wakes the task that reads it. A task of its own does
+    // only that, and ends with the set.
+    let mut tasks = JoinSet::new();
+    tasks.spawn_local(read);
+    match tasks.join_next().await {
+        Some(Ok(read)) => read,
+        ended => Err(ReadFault::Broken {
+            detail: format!("the reader ended: {ended:?}"),
+        }),
+    }
 }
 
 /// Notifies the returned handle when the responses to a request that are not final exceed their limit.
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -331,7 +331,7 @@
         return PlainOutcome::Lost(class.attempt_end());
     }
     let (parts, body) = response.into_parts();
-    let Ok(body) = read_whole(body, &held).await else {
+    let Ok((body, held)) = read_whole(body, held).await else {
         return PlainOutcome::Lost(AttemptEnd::Broken);
     };
     // The time that the caller takes to read is no fault of the endpoint.
--- a/crates/relay/src/ingress/stream_relay/head_outcome.rs
+++ b/crates/relay/src/ingress/stream_relay/head_outcome.rs
@@ -67,8 +67,8 @@
             },
             ResponseClass::Failed => {
                 let held = state.memory.hold(ByteSource::Server(address));
-                match read_whole(body, &held).await {
-                    Ok(body) => {
+                match read_whole(body, held).await {
+                    Ok((body, held)) => {
                         held.reassign(relay.byte_source());
                         HeadOutcome::Failed(parts, body, held)
                     }
--- a/crates/relay/src/memory/held_bytes.rs
+++ b/crates/relay/src/memory/held_bytes.rs
@@ -1,4 +1,6 @@
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 
 use bytes::Bytes;
 use dandelionroad_core::relay::ByteSource;
@@ -52,9 +54,11 @@
         self.signal.is_ended()
     }
 
-    /// Waits until the holder is ended.
-    pub async fn ended(&self) {
-        self.signal.ended().await;
+    /// Polls whether the holder has been ended; otherwise the task is woken once it is.
+    ///
+    /// Only the task that polled last is woken.
+    pub fn poll_ended(&self, context: &mut Context<'_>) -> Poll<()> {
+        self.signal.poll_ended(context)
     }
 
     /// Returns bytes that stay charged until their last clone is dropped, and are not ended before.
--- a/crates/relay/src/memory/holder_signal.rs
+++ b/crates/relay/src/memory/holder_signal.rs
@@ -1,8 +1,10 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 
-use tokio::sync::Notify;
+use futures_util::task::AtomicWaker;
 
 use super::BodyPieces;
 
@@ -10,7 +12,8 @@
 #[derive(Debug, Default)]
 pub(super) struct HolderSignal {
     is_ended: AtomicBool,
-    notify: Notify,
+    /// The task that reads the buffer.
+    waker: AtomicWaker,
     /// A body that is dropped when the holder is ended, also if its task doesn't run.
     pub(super) data: Mutex<BodyPieces>,
 }
@@ -24,7 +27,7 @@
             .lock()
             .unwrap_or_else(|poison| poison.into_inner());
         *data = BodyPieces::default();
-        self.notify.notify_one();
+        self.waker.wake();
     }
 
     /// Returns whether the holder has been ended.
@@ -32,10 +35,12 @@
         self.is_ended.load(Ordering::Relaxed)
     }
 
-    /// Waits until the holder is ended.
-    pub(super) async fn ended(&self) {
-        while !self.is_ended() {
-            self.notify.notified().await;
+    /// Polls whether the holder has been ended; otherwise the task is woken once it is.
+    pub(super) fn poll_ended(&self, context: &mut Context<'_>) -> Poll<()> {
+        self.waker.register(context.waker());
+        match self.is_ended() {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
         }
     }
 }
--- a/crates/relay/src/memory/read_bounded.rs
+++ b/crates/relay/src/memory/read_bounded.rs
@@ -1,5 +1,8 @@
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::task::Poll;
+
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use hyper::body::Body;
 
 use super::BodyPieces;
@@ -24,12 +27,11 @@
     let mut pieces = BodyPieces::default();
     let mut charged = 0;
     loop {
-        let frame = tokio::select! {
-            biased;
-            frame = body.frame() => frame,
-            () = held.ended() => return Err(ReadFault::Ended),
-        };
-        let frame = match frame {
+        let frame = poll_fn(|context| match Pin::new(&mut body).poll_frame(context) {
+            Poll::Ready(frame) => Poll::Ready(Ok(frame)),
+            Poll::Pending => held.poll_ended(context).map(|()| Err(ReadFault::Ended)),
+        });
+        let frame = match frame.await? {
             None => return Ok(pieces),
             Some(Ok(frame)) => frame,
             Some(Err(error)) => {
