Notice that a caller left behind a request that is not begun

The HTTP library looks for the end of a caller's connection by reading, and stops to read once it holds bytes of a further request. A caller that had sent two requests behind each other and left was noticed only when the next event was written to it: a stream on a silent engine kept its engines for the rest of the silence, and they worked on for it.

The connection now watches the end of the caller's side apart from reading. A caller that ends its side within a request counts as gone, as it did without a request behind it.

Before, `caller_with_request_behind_stream_leaves` printed "the request still runs", 1 s after the caller had left.

--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -37,6 +37,9 @@
 /// hundreds of idle connections wakes for them more often than for requests.
 const CHECK_INTERVAL_MS: u64 = 10_000;
 
+/// The cause of a failure in logs and metrics.
+const CALLER_CLOSED: &str = "caller closed within a request";
+
 /// The HTTP server for callers.
 pub struct CallerServer {
     /// Tells the connections whether the server is closing.
@@ -119,15 +122,14 @@
         }
     });
     let mut is_closing = *close_signal.borrow();
+    let stream = WatchedStream::new(stream, Rc::clone(&activity));
+    let mut caller_left = std::pin::pin!(stream.caller_left());
     let connection = http1::Builder::new()
         .keep_alive(!is_closing)
         // The library would keep to the limits that were in force when the connection was opened.
         .header_read_timeout(None)
         .max_buf_size(caller_limits(&state).header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(
-            TokioIo::new(WatchedStream::new(stream, Rc::clone(&activity))),
-            service,
-        );
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut check = std::pin::pin!(tokio::time::sleep(next_check(&state, &activity)));
     loop {
@@ -146,6 +148,12 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            // The library doesn't see the end of a connection behind a request that it has not begun.
+            () = caller_left.as_mut() => {
+                state.metrics.count_connection_failure(CALLER_CLOSED);
+                spdlog::info!("callers: connection failed: {CALLER_CLOSED}");
+                return;
+            }
             () = check.as_mut() => {
                 let wait = next_check(&state, &activity);
                 if wait.is_zero() {
@@ -199,7 +207,7 @@
     if error.is_parse() {
         "malformed request"
     } else if error.is_incomplete_message() {
-        "caller closed within a request"
+        CALLER_CLOSED
     } else if error.is_user() {
         "response broke off"
     } else {
--- a/crates/relay/src/ingress/watched_stream.rs
+++ b/crates/relay/src/ingress/watched_stream.rs
@@ -3,32 +3,78 @@
 use std::rc::Rc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::io::Interest;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::tcp::OwnedWriteHalf;
 
+use super::activity_phase::ActivityPhase;
 use super::caller_activity::CallerActivity;
 
+/// The time after which a connection with bytes that are not read yet is checked again, in milliseconds.
+const UNREAD_CHECK_MS: u64 = 200;
+
 /// A caller's connection that records when bytes are received and sent.
 #[derive(Debug)]
 pub(super) struct WatchedStream {
-    stream: TcpStream,
+    reader: OwnedReadHalf,
+    writer: Rc<OwnedWriteHalf>,
     activity: Rc<CallerActivity>,
 }
 
 impl WatchedStream {
     /// Wraps a connection that has just been opened.
     pub(super) fn new(stream: TcpStream, activity: Rc<CallerActivity>) -> WatchedStream {
-        WatchedStream { stream, activity }
+        let (reader, writer) = stream.into_split();
+        WatchedStream {
+            reader,
+            writer: Rc::new(writer),
+            activity,
+        }
     }
 
-    fn record_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if matches!(written, Poll::Ready(Ok(length)) if length > 0) {
-            self.activity.record_write();
+    /// Returns a future that ends when the caller has closed the connection during a request, also if bytes before the
+    /// end are not read.
+    pub(super) fn caller_left(&self) -> impl Future<Output = ()> + use<> {
+        let (stream, activity) = (Rc::clone(&self.writer), Rc::clone(&self.activity));
+        async move {
+            loop {
+                let ready = stream.ready(Interest::READABLE).await;
+                let is_closed = ready.as_ref().map_or(true, |ready| ready.is_read_closed());
+                if is_closed && activity.phase() == ActivityPhase::Request {
+                    return;
+                }
+                // Unread bytes and the end stay ready.
+                if is_closed || ready.is_ok_and(|ready| ready.is_readable()) {
+                    tokio::time::sleep(Duration::from_millis(UNREAD_CHECK_MS)).await;
+                }
+            }
+        }
+    }
+
+    /// Writes with `write` as soon as the connection takes bytes.
+    fn poll_written(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&OwnedWriteHalf) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            std::task::ready!(self.writer.as_ref().as_ref().poll_write_ready(context))?;
+            match write(&self.writer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => {
+                    if matches!(written, Ok(length) if length > 0) {
+                        self.activity.record_write();
+                    }
+                    return Poll::Ready(written);
+                }
+            }
         }
-        written
     }
 }
 
@@ -39,7 +85,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let filled = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let result = Pin::new(&mut self.reader).poll_read(context, buffer);
         if buffer.filled().len() > filled {
             self.activity.record_read();
         }
@@ -49,32 +95,31 @@
 
 impl AsyncWrite for WatchedStream {
     fn poll_write(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.record_write(written)
+        self.poll_written(context, |writer| writer.try_write(bytes))
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    /// The connection is shut down when its last handle is dropped, which follows.
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        true
     }
 
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
-        self.record_write(written)
+        self.poll_written(context, |writer| writer.try_write_vectored(buffers))
     }
 }
