Answer requests that wait behind another one when a process stops

A stopping process told the HTTP library to close each connection after its current request. A request that the caller had sent behind that one, seconds before, was dropped with the connection: the head of the first answer was out already, so nothing said that the second was not read.

A connection with a request in progress now stays open until it is idle. Answers that begin after the process has begun to close its connections carry `Connection: close`, so a request behind the current one is answered or refused, and what follows that is known not to be read.

Before, `stop_answers_request_behind_stream` printed "the call is refused" as a failure after the last event: the connection ended without a second answer.

--- a/crates/relay/src/ingress/caller_activity.rs
+++ b/crates/relay/src/ingress/caller_activity.rs
@@ -3,6 +3,7 @@
 
 use dandelionroad_core::relay::CallerLimits;
 use dandelionroad_core::time::MilliTime;
+use tokio::sync::Notify;
 
 use crate::node::BootClock;
 
@@ -18,6 +19,8 @@
     since: Cell<MilliTime>,
     /// The number of guards of requests.
     guard_count: Cell<usize>,
+    /// Notified at the end of each request.
+    ended: Notify,
 }
 
 impl CallerActivity {
@@ -28,6 +31,7 @@
             phase: Cell::new(ActivityPhase::Idle),
             since: Cell::new(clock.now()),
             guard_count: Cell::new(0),
+            ended: Notify::new(),
         })
     }
 
@@ -74,6 +78,17 @@
         self.guard_count.set(count);
         if count == 0 {
             self.enter(ActivityPhase::Idle);
+            self.ended.notify_one();
+        }
+    }
+
+    /// Waits for the end of a request after which none has been received.
+    pub(super) async fn wait_idle(&self) {
+        loop {
+            self.ended.notified().await;
+            if self.phase.get() == ActivityPhase::Idle {
+                return;
+            }
         }
     }
 
--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use dandelionroad_core::relay::CallerLimits;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -75,7 +77,7 @@
         server
     }
 
-    /// Closes each open connection after its current request; new connections serve one request each.
+    /// Closes each open connection after the requests that it has received; new connections serve one request each.
     ///
     /// New connections are still served, because the load balancer sends them to stopping processes while
     /// all processes of a zone are replaced.
@@ -111,13 +113,19 @@
     }
     let activity = CallerActivity::new(state.clock);
     let (own, own_activity) = (Rc::clone(&state), Rc::clone(&activity));
+    let closing = close_signal.clone();
     let service = service_fn(move |request| {
         let state = Rc::clone(&own);
         let guard = RequestGuard::new(Rc::clone(&own_activity));
         let body_guard = RequestGuard::new(Rc::clone(&own_activity));
         let request = RequestBody::wrap(request, body_guard, caller_limits(&state));
+        let closing = closing.clone();
         async move {
-            let response = handle_request(state, request).await;
+            let mut response = handle_request(state, request).await;
+            if *closing.borrow() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(response.map(|body| GuardedBody::new(body, guard)))
         }
     });
@@ -144,10 +152,12 @@
             }
             signal = close_signal.wait_for(|is_closing| *is_closing), if !is_closing => {
                 is_closing = true;
-                if signal.is_ok() {
+                // A request that waits behind the current one is answered, too.
+                if signal.is_ok() && activity.phase() != ActivityPhase::Request {
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            () = activity.wait_idle(), if is_closing => connection.as_mut().graceful_shutdown(),
             // The library doesn't see the end of a connection behind a request that it has not begun.
             () = caller_left.as_mut() => {
                 state.metrics.count_connection_failure(CALLER_CLOSED);
--- a/crates/relay/tests/pipelined_requests.rs
+++ b/crates/relay/tests/pipelined_requests.rs
@@ -5,8 +5,10 @@
 
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::LocalSet;
 
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::EngineSilence;
@@ -33,6 +35,38 @@
     assert!(read_head(stream).await.starts_with("HTTP/1.1 200 "));
 }
 
+/// A process is told to stop while a stream runs and a call waits behind it. Guards against a call that is read and gets
+/// neither an answer nor a refusal.
+#[test]
+fn stop_answers_request_behind_stream() {
+    run(async {
+        let world = World::start().await;
+        let _engine = world.start_engine("e1", (0, 40)).await;
+        let _endpoint = world.start_endpoint("p1").await;
+        let process = LocalSet::new();
+        let node = process.run_until(world.start_node("n1")).await;
+        let address = node.settings().caller_address;
+        let caller = async {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            send_pair(&mut stream).await;
+            let mut rest = Vec::new();
+            stream.read_to_end(&mut rest).await.unwrap();
+            String::from_utf8(rest).unwrap()
+        };
+        let stopping = process.run_until(async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            node.stop().await;
+        });
+        let (rest, ()) = tokio::join!(caller, stopping);
+        assert!(rest.contains("token 12\n"), "the stream is whole: {rest}");
+        assert!(
+            rest.contains("HTTP/1.1 503 "),
+            "the call is refused: {rest}"
+        );
+        assert!(rest.to_ascii_lowercase().contains("connection: close"));
+    });
+}
+
 /// A caller leaves while its stream is silent and a call waits behind it. Guards against engines that go on with the
 /// stream, as the end of the connection is not seen behind the bytes of the call.
 #[test]
