Wait for a caller's leaving in a task of its own

The task that serves a connection wakes for each piece of an answer, and looked for the caller's leaving each time. The connection's own task now waits for it, and wakes only when the caller sends or leaves; the serving task is aborted then.

--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -66,7 +66,7 @@
                 let stream = accept_stream(&listener, "callers").await;
                 count.set(count.get() + 1);
                 let (count, ended) = (Rc::clone(&count), Rc::clone(&ended));
-                let connection = serve(Rc::clone(&state), stream, close_signal.clone());
+                let connection = serve_watched(Rc::clone(&state), stream, close_signal.clone());
                 let guard = ConnectionGuard { count, ended };
                 spawn_local(async move {
                     connection.await;
@@ -107,11 +107,40 @@
     }
 }
 
-async fn serve(state: Rc<NodeState>, stream: TcpStream, mut close_signal: watch::Receiver<bool>) {
+/// Serves a connection until it ends or its caller leaves within a request.
+///
+/// The library doesn't see the end of a connection behind a request that it has not begun. A task of its own waits for
+/// it, as the one that serves the connection wakes for each piece of an answer.
+async fn serve_watched(
+    state: Rc<NodeState>,
+    stream: TcpStream,
+    close_signal: watch::Receiver<bool>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         spdlog::debug!("callers: can't set TCP_NODELAY: {error}");
     }
     let activity = CallerActivity::new(state.clock);
+    let stream = WatchedStream::new(stream, Rc::clone(&activity));
+    let caller_left = stream.caller_left();
+    let mut serving = spawn_local(serve(Rc::clone(&state), stream, activity, close_signal));
+    tokio::select! {
+        biased;
+        // A panic ends the connection, and is reported by the runtime.
+        _ = &mut serving => {}
+        () = caller_left => {
+            serving.abort();
+            state.metrics.count_connection_failure(CALLER_CLOSED);
+            spdlog::info!("callers: connection failed: {CALLER_CLOSED}");
+        }
+    }
+}
+
+async fn serve(
+    state: Rc<NodeState>,
+    stream: WatchedStream,
+    activity: Rc<CallerActivity>,
+    mut close_signal: watch::Receiver<bool>,
+) {
     let (own, own_activity) = (Rc::clone(&state), Rc::clone(&activity));
     let closing = close_signal.clone();
     let service = service_fn(move |request| {
@@ -130,8 +159,6 @@
         }
     });
     let mut is_closing = *close_signal.borrow();
-    let stream = WatchedStream::new(stream, Rc::clone(&activity));
-    let mut caller_left = std::pin::pin!(stream.caller_left());
     let connection = http1::Builder::new()
         .keep_alive(!is_closing)
         // The library would keep to the limits that were in force when the connection was opened.
@@ -158,12 +185,6 @@
                 }
             }
             () = activity.wait_idle(), if is_closing => connection.as_mut().graceful_shutdown(),
-            // The library doesn't see the end of a connection behind a request that it has not begun.
-            () = caller_left.as_mut() => {
-                state.metrics.count_connection_failure(CALLER_CLOSED);
-                spdlog::info!("callers: connection failed: {CALLER_CLOSED}");
-                return;
-            }
             () = check.as_mut() => {
                 let wait = next_check(&state, &activity);
                 if wait.is_zero() {
