--- a/crates/relay/src/ingress/capacity_wait.rs
+++ b/crates/relay/src/ingress/capacity_wait.rs
@@ -1,10 +1,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dandelionroad_core::time::MilliTime;
-
 use crate::node::NodeState;
 
+use super::capacity_search::CapacitySearch;
+use super::queue_place::QueuePlace;
+
 /// The slot of a request in the queue for engine capacity; it leaves the queue when it is dropped.
 struct QueueSlot<'a> {
     state: &'a NodeState,
@@ -19,29 +20,6 @@
     }
 }
 
-/// The result of a look for engine capacity.
-pub(super) enum CapacitySearch<T> {
-    /// Engines with room.
-    Found(T),
-    /// No engine has room for the request, and none would have for another one like it.
-    Short,
-    /// Engines have room, but not for this request, as they have refused it or failed it before.
-    Unsuitable,
-}
-
-/// The place of a request in the queue for engine capacity.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct QueuePlace {
-    /// The service whose engines it waits for.
-    pub(super) service: u64,
-    /// Its priority; 0 is the highest.
-    pub(super) priority: u8,
-    /// Its client account in the fair queue.
-    pub(super) account: u64,
-    /// The time until which it waits.
-    pub(super) until: MilliTime,
-}
-
 /// Queues a request for engine capacity until `find` succeeds, which is called when no other request holds it up.
 ///
 /// # Errors
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -14,10 +14,10 @@
 use crate::engine::probe_silent_engines;
 use crate::telemetry::RequestLog;
 
-use super::super::capacity_wait::CapacitySearch;
-use super::super::capacity_wait::QueuePlace;
+use super::super::capacity_search::CapacitySearch;
 use super::super::capacity_wait::wait_for_capacity;
 use super::super::crash_check::is_crasher;
+use super::super::queue_place::QueuePlace;
 use super::StreamRelay;
 
 /// A request waits for capacity until the target time to the first event, divided by this number, has
