Suspect a silent endpoint only if it has not answered since the call was sent

Cause: a call without an answer after half of its time marked its endpoint as suspected, also if the endpoint had answered other calls all the while. The time of the mark was given in place of the time of the call.

Found by reading (review of the suspicion of engines); the picker prefers other endpoints then, so that no call was refused. The comparison itself is tested by suspect_after_sign.

--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -11,6 +11,7 @@
 use dandelionroad_core::relay::ServicePicker;
 use dandelionroad_core::relay::SuspicionCause;
 use dandelionroad_core::route::hash_text;
+use dandelionroad_core::time::MilliTime;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::Response;
@@ -62,8 +63,8 @@
     plan: AttemptPlan,
     /// The endpoints to which the call was sent.
     tried: Vec<String>,
-    /// The endpoints whose attempts are in progress and don't count as silent.
-    awaited: Vec<String>,
+    /// The endpoints whose attempts are in progress and don't count as silent, and the times of the attempts.
+    awaited: Vec<(String, MilliTime)>,
     /// Whether the next attempt draws on the retry budget; not after one that was not sent.
     takes_retry: bool,
     /// Whether the permission, the retry budget or a crash forbids further attempts.
@@ -156,7 +157,7 @@
         self.takes_retry = true;
         self.log.record_send(&id);
         self.tried.push(id.clone());
-        self.awaited.push(id.clone());
+        self.awaited.push((id.clone(), self.state.clock.now()));
         Some((id, address))
     }
 
@@ -195,18 +196,18 @@
     /// Their endpoints are not preferred until they answer.
     fn record_silence(&mut self) {
         let now = self.state.clock.now();
-        for id in self.awaited.drain(..) {
+        for (id, sent_at) in self.awaited.drain(..) {
             self.log.add_cause("endpoint silent");
             let mut view = self.state.view.borrow_mut();
             view.engines
-                .suspect(&id, SuspicionCause::NoReport, now, now);
+                .suspect(&id, SuspicionCause::NoReport, sent_at, now);
         }
     }
 
     /// Records how an attempt ended without an answer that is forwarded at once.
     fn record_end(&mut self, id: &str, end: AttemptEnd) {
-        let was_awaited = self.awaited.iter().any(|awaited| awaited == id);
-        self.awaited.retain(|awaited| awaited != id);
+        let was_awaited = self.awaited.iter().any(|(awaited, _)| awaited == id);
+        self.awaited.retain(|(awaited, _)| awaited != id);
         self.plan.record_end(end);
         self.takes_retry = end != AttemptEnd::NotSent;
         if end == AttemptEnd::Failed {
