Use the engines of a run that went on after a stall again

Cause: the head of a response ends the stall of its run, so that the first event after it didn't end the mark of stalled runs; and the engines of a stalled run stayed excluded for the rest of the request, though the run had gone on. In a service with two engines a later break found no chain.

--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -133,10 +133,14 @@
                 self.trial = None;
             }
         }
-        let was_stalled = run.stall.is_some();
+        // The head of a response ends the stall, not what was recorded of it.
+        let was_stalled = run.stall.is_some() || run.is_recorded;
         if has_data || has_new_id {
             run.stall = None;
             self.end_other_runs(log);
+            if was_stalled {
+                self.readmit_engines();
+            }
         }
         if has_data {
             self.record_life_signs(was_stalled);
@@ -174,6 +178,13 @@
         self.observe_latency_ratio();
     }
 
+    /// Lets the request use the engines of the first run again, which has gone on after a stall.
+    fn readmit_engines(&mut self) {
+        let stages = &self.runs[0].stages;
+        self.excluded
+            .retain(|id| stages.iter().all(|stage| stage.id != *id));
+    }
+
     /// Records that the engines of the first run have answered, if some engine is suspected or was probed lately.
     fn record_life_signs(&self, was_stalled: bool) {
         let now = self.state.clock.now();
