Let smaller requests pass one that engines have refused

Cause: the marks that a refusal leaves keep large requests from a chain, so the request at the head of the queue counted as short of memory and held up all others. Only exclusions of the request itself made it passable.

Change: a waiting request is passable if a search that ignores refusals and its exclusions finds a chain, also one that crosses availability zones. A lack of memory by the estimates still holds up the others, so that large requests are not starved.

The marks themselves end better: a refusal of a smaller request, or one long after the last, counts as the first of its kind, and the refusal of a new request counts against resumed streams only while it counts against new ones.

Before, small_requests_pass_refused_large_one, record_refusal_of_small_after_large and record_refusal_of_new_ends_for_resumed failed.

--- a/crates/bench/src/chain/world_entries.rs
+++ b/crates/bench/src/chain/world_entries.rs
@@ -52,6 +52,7 @@
         let finder_request = FinderRequest {
             tokens: state.size.reserved_tokens(self.setup.shape.usual_answer),
             is_resumed: false,
+            ignores_refusals: false,
             zone: &own.zone,
             excluded: &[],
             may_cross: false,
--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -188,7 +188,7 @@
             let is_full = entry
                 .marks
                 .is_full_for(request.tokens, request.is_resumed, request.now);
-            if is_full || !self.is_eligible(entry, request) {
+            if is_full && !request.ignores_refusals || !self.is_eligible(entry, request) {
                 continue;
             }
             let kind = entry
--- a/crates/core/src/chain/finder_request.rs
+++ b/crates/core/src/chain/finder_request.rs
@@ -7,6 +7,8 @@
     pub tokens: f64,
     /// Whether it continues a stream that another chain has begun.
     pub is_resumed: bool,
+    /// Whether engines that have lately turned such requests away count as well.
+    pub ignores_refusals: bool,
     /// The availability zone of the process that sends the request.
     pub zone: &'a str,
     /// The identifiers of engines that the chain must not use.
--- a/crates/core/src/relay/engine_marks.rs
+++ b/crates/core/src/relay/engine_marks.rs
@@ -145,19 +145,17 @@
     /// An engine without room for a new request has none for a resumed one either. It may refuse a resumed one,
     /// whose earlier answer it has to read again, and take a new one.
     pub fn record_refusal(&mut self, tokens: f64, is_resumed: bool, now: MilliTime) {
-        self.refused_resumed
-            .record(tokens, AVOID_MS, MAX_AVOID_MS, now);
-        if !is_resumed {
-            self.refused_new.record(tokens, AVOID_MS, MAX_AVOID_MS, now);
-        }
+        let refused = match is_resumed {
+            true => &mut self.refused_resumed,
+            false => &mut self.refused_new,
+        };
+        refused.record(tokens, AVOID_MS, MAX_AVOID_MS, now);
     }
 
     /// Returns whether the engine has lately turned away a request that needs at most as much as one of `tokens`.
     pub fn is_full_for(&self, tokens: f64, is_resumed: bool, now: MilliTime) -> bool {
-        match is_resumed {
-            true => self.refused_resumed.covers(tokens, now),
-            false => self.refused_new.covers(tokens, now),
-        }
+        self.refused_new.covers(tokens, now)
+            || is_resumed && self.refused_resumed.covers(tokens, now)
     }
 
     /// Records that the engine has taken a request of `tokens` of context.
--- a/crates/core/src/relay/refused_size.rs
+++ b/crates/core/src/relay/refused_size.rs
@@ -13,15 +13,19 @@
 }
 
 impl RefusedSize {
-    /// Records a refusal, which counts for `base_ms` times the number of refusals, at most `max_ms`.
+    /// Records a refusal, which counts for `base_ms` times the number of refusals in a row, at most `max_ms`.
     pub(super) fn record(&mut self, tokens: f64, base_ms: u64, max_ms: u64, now: MilliTime) {
+        // A refusal of a smaller request, or after a long time, is the first of its kind.
+        if tokens < self.tokens || now > self.until.plus(max_ms) {
+            self.count = 0;
+        }
         self.tokens = match self.until > now {
             true => self.tokens.min(tokens),
             false => tokens,
         };
         self.count += 1;
         let length_ms = base_ms.saturating_mul(u64::from(self.count)).min(max_ms);
-        self.until = self.until.max(now.plus(length_ms));
+        self.until = now.plus(length_ms);
     }
 
     /// Returns whether the refusal counts against a request of `tokens`.
--- a/crates/core/tests/capacity_division.rs
+++ b/crates/core/tests/capacity_division.rs
@@ -106,6 +106,7 @@
         let request = FinderRequest {
             tokens: TOKENS,
             is_resumed: false,
+            ignores_refusals: false,
             zone: "a",
             excluded: &[],
             may_cross: false,
--- a/crates/core/tests/chain_finder.rs
+++ b/crates/core/tests/chain_finder.rs
@@ -28,6 +28,7 @@
     FinderRequest {
         tokens,
         is_resumed: false,
+        ignores_refusals: false,
         zone: "a",
         excluded,
         may_cross: true,
--- a/crates/core/tests/chain_placement.rs
+++ b/crates/core/tests/chain_placement.rs
@@ -38,6 +38,7 @@
     FinderRequest {
         tokens: 1_000.0,
         is_resumed: false,
+        ignores_refusals: false,
         zone,
         excluded: &[],
         may_cross: true,
--- a/crates/core/tests/engine_marks.rs
+++ b/crates/core/tests/engine_marks.rs
@@ -4,6 +4,7 @@
 
 use dandelionroad_core::chain::ChainFinder;
 use dandelionroad_core::chain::FinderRequest;
+use dandelionroad_core::relay::EngineMarks;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::LifeSign;
 use dandelionroad_core::relay::SuspicionCause;
@@ -35,6 +36,7 @@
     let request = FinderRequest {
         tokens,
         is_resumed,
+        ignores_refusals: false,
         zone: "a",
         excluded: &[],
         may_cross: true,
@@ -181,3 +183,27 @@
     table.record_failure("e001", NOW.plus(10));
     assert_eq!(end(&table, NOW.plus(10)), None, "both have failed");
 }
+
+/// Guards against an engine that is closed to small requests for as long as large ones were refused.
+#[test]
+fn record_refusal_of_small_after_large() {
+    let mut marks = EngineMarks::default();
+    for step in 0..3 {
+        marks.record_refusal(5_000.0, false, NOW.plus(step * 7_000));
+    }
+    // A minute later, one small request is refused.
+    let later = NOW.plus(60_000);
+    marks.record_refusal(100.0, false, later);
+    assert!(!marks.is_full_for(100.0, false, later.plus(2_500)));
+}
+
+/// Guards against an engine that is closed to resumed streams for the refusal of a new request, after it has taken a
+/// larger new one.
+#[test]
+fn record_refusal_of_new_ends_for_resumed() {
+    let mut marks = EngineMarks::default();
+    marks.record_refusal(500.0, false, NOW);
+    marks.record_taken(600.0, false);
+    assert!(!marks.is_full_for(500.0, false, NOW.plus(1)));
+    assert!(!marks.is_full_for(500.0, true, NOW.plus(1)));
+}
--- a/crates/relay/src/ingress/capacity_search.rs
+++ b/crates/relay/src/ingress/capacity_search.rs
@@ -4,6 +4,6 @@
     Found(T),
     /// No engine has room for the request, and none would have for another one like it.
     Short,
-    /// Engines have room, but not for this request, as they have refused it or failed it before.
+    /// Engines have room by the estimates, but have refused the request or one like it, or have failed it before.
     Unsuitable,
 }
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -124,33 +124,26 @@
         end.min(self.relay.deadline)
     }
 
-    /// Searches for a chain for the waiting request. If only its own history is in the way, it holds up no others.
+    /// Searches for a chain for the waiting request. If only refusals and its own history are in the way, it holds up
+    /// no others: engines that have turned it away may take smaller requests.
     fn search_capacity(&self) -> CapacitySearch<FoundChain> {
         if let Some(chain) = self.find_chain() {
             return CapacitySearch::Found(chain);
         }
-        let has_history = !self.excluded.is_empty() || self.last_id.is_some();
-        match has_history && self.has_chain_for_new() {
+        let is_room_estimated = self.relay.service().model.as_ref().is_some_and(|shape| {
+            let request = FinderRequest {
+                excluded: &[],
+                ignores_refusals: true,
+                ..self.finder_request(shape)
+            };
+            self.search_chain_for(shape, request).is_some()
+        });
+        match is_room_estimated {
             true => CapacitySearch::Unsuitable,
             false => CapacitySearch::Short,
         }
     }
 
-    /// Returns whether a new request of the same size would find a chain.
-    fn has_chain_for_new(&self) -> bool {
-        let Some(shape) = self.relay.service().model.as_ref() else {
-            return false;
-        };
-        let request = FinderRequest {
-            excluded: &[],
-            is_resumed: false,
-            ..self.finder_request(shape)
-        };
-        let view = self.state.view.borrow();
-        let finder = ChainFinder::new(&view.engines, &self.relay.service().name, shape);
-        finder.find(&request).is_some()
-    }
-
     /// Returns the time after which the caller should retry, in milliseconds, if engines have asked for pauses that
     /// last longer than the request may wait.
     fn pause_beyond_wait(&self, log: &mut RequestLog) -> Option<u64> {
@@ -213,9 +206,16 @@
     /// allows it.
     pub(super) fn search_chain(&self) -> Option<FoundChain> {
         let shape = self.relay.service().model.as_ref()?;
+        self.search_chain_for(shape, self.finder_request(shape))
+    }
+
+    fn search_chain_for(
+        &self,
+        shape: &ModelShape,
+        mut request: FinderRequest<'_>,
+    ) -> Option<FoundChain> {
         let service = &self.relay.service().name;
         let mut view = self.state.view.borrow_mut();
-        let mut request = self.finder_request(shape);
         let local_chain = ChainFinder::new(&view.engines, service, shape).find(&request);
         if local_chain.is_some() {
             return local_chain;
@@ -293,6 +293,7 @@
         FinderRequest {
             tokens: self.relay.caller.size.reserved_tokens(shape.usual_answer),
             is_resumed: self.last_id.is_some(),
+            ignores_refusals: false,
             zone: &self.state.settings.zone,
             excluded: &self.excluded,
             may_cross: false,
--- a/crates/relay/tests/refused_resumptions.rs
+++ b/crates/relay/tests/refused_resumptions.rs
@@ -185,3 +185,52 @@
         }
     });
 }
+
+/// Guards against small requests that wait behind a large one that all engines have refused, although they would be
+/// taken.
+#[test]
+fn small_requests_pass_refused_large_one() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        for id in ["e1", "e2"] {
+            let engine = world.start_engine(id, (0, 40)).await;
+            engine.slots.set(SLOTS);
+            engine.hold_layers((0, 40));
+            engine.refused_tokens.set(Some(2_000));
+        }
+        let node = Rc::new(world.start_node("n1").await);
+        let send = |id: String, tokens: &'static str| {
+            let (world, node) = (Rc::clone(&world), Rc::clone(&node));
+            spawn_local(async move {
+                let headers = [
+                    ("host", "shop.example"),
+                    ("key", "k1"),
+                    ("request", id.as_str()),
+                    ("wait", "20000"),
+                    ("tokens", tokens),
+                ];
+                let start = Instant::now();
+                let answer = world
+                    .get(node.settings().caller_address, "/model/a", &headers)
+                    .await;
+                (answer.status, start.elapsed())
+            })
+        };
+        send("first".to_owned(), "3000").await.unwrap();
+        let large = send("large".to_owned(), "3000");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let small: Vec<_> = (0..5)
+            .map(|number| send(format!("small{number}"), "100"))
+            .collect();
+        let mut answers = Vec::new();
+        for answer in small {
+            answers.push(answer.await.unwrap());
+        }
+        println!("small: {answers:?}, large: {:?}", large.await.unwrap());
+        for (status, elapsed) in answers {
+            assert_eq!(status, 200);
+            // An answer takes some 200 ms.
+            assert!(elapsed < Duration::from_millis(400), "{elapsed:?}");
+        }
+    });
+}
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -84,6 +84,8 @@
     mute_until: Cell<Option<Instant>>,
     /// Whether it turns the next resumed streams away, in the order of their arrival; it takes the others.
     pub(crate) resumption_refusals: RefCell<VecDeque<bool>>,
+    /// The number of prompt tokens from which on it turns requests away.
+    pub(crate) refused_tokens: Cell<Option<u64>>,
     /// The time that it takes to return its state.
     pub(crate) report_delay: Cell<Duration>,
     /// Its behavior towards requests.
@@ -124,6 +126,7 @@
             silent_until: Cell::default(),
             mute_until: Cell::default(),
             resumption_refusals: RefCell::default(),
+            refused_tokens: Cell::default(),
             report_delay: Cell::default(),
             fault: Cell::new(EngineFault::None),
             is_leaving: Cell::new(false),
@@ -258,6 +261,7 @@
         let after: u64 = text("after").map_or(0, |text| text.parse().unwrap());
         // The time that the request takes, in milliseconds.
         let work = Duration::from_millis(text("work").map_or(0, |text| text.parse().unwrap()));
+        let tokens: u64 = text("tokens").map_or(0, |text| text.parse().unwrap());
         let fault = match self.fault.get() {
             EngineFault::Crashing if parts.uri.path() != CRASH_PATH => EngineFault::None,
             fault => fault,
@@ -272,6 +276,15 @@
                 .header("request", &id)
                 .header("not-run", "1");
         }
+        if self
+            .refused_tokens
+            .get()
+            .is_some_and(|limit| tokens >= limit)
+        {
+            return FakeResponse::new(503, "full")
+                .header("request", &id)
+                .header("not-run", "1");
+        }
         if let Some(pause_ms) = self.pause_ms.get() {
             self.paused_arrivals.set(self.paused_arrivals.get() + 1);
             return FakeResponse::new(503, "full")
