Ask engines that others report as stalled, and keep the start of a silence

Cause: only an event ended a suspicion by another engine's report. The engine itself was not asked, so that its own silence and its return were not known. Besides, each new suspicion began a new silence, so that requests waited again and again for an engine that gave no sign of life; probes for waiting requests took the same eight engines each time; and the wait counted engines that the request may not use.

Change: an engine that is reported as stalled is asked at once. If it returns no report it was silent itself, and its next report ends the suspicion; one that hangs and returns reports stays suspected. The start of a silence is kept until a sign of life. The engines asked longest ago are probed first.

--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -87,9 +87,10 @@
     }
 
     /// Returns the time until which no availability zone has a chain because engines are silent that may be sound;
-    /// `None` if some zone has one, or if none will have one then.
-    pub fn silence_end(&self, now: MilliTime) -> Option<MilliTime> {
+    /// `None` if some zone has one, or if none will have one then. Engines in `excluded` are left out.
+    pub fn silence_end(&self, excluded: &[String], now: MilliTime) -> Option<MilliTime> {
         let usable_at = |entry: &EngineEntry| match entry.is_usable(now) {
+            _ if excluded.contains(&entry.record.id) => None,
             true => Some(MilliTime::default()),
             false if entry.accepts_work(now) => entry.marks.silence_end(now),
             false => None,
--- a/crates/core/src/relay/engine_marks.rs
+++ b/crates/core/src/relay/engine_marks.rs
@@ -52,8 +52,10 @@
     failed_until: MilliTime,
     stalled_until: MilliTime,
     suspected_until: MilliTime,
-    /// The cause and the beginning of the last suspicion.
-    suspicion: Option<(SuspicionCause, MilliTime)>,
+    /// The cause of the last suspicion.
+    suspicion: Option<SuspicionCause>,
+    /// The beginning of the first suspicion since the last sign of life.
+    silent_since: Option<MilliTime>,
     /// The time of the last answer in which it took part.
     answered_at: Option<MilliTime>,
     /// The time of its last report.
@@ -79,7 +81,7 @@
     /// Returns the time until which the engine may go on if it is sound and only silent; `None` if it is not
     /// suspected, if it was silent for longer, or if it is avoided for another reason.
     pub fn silence_end(&self, now: MilliTime) -> Option<MilliTime> {
-        let (_, start) = self.suspicion.filter(|_| self.is_suspected(now))?;
+        let start = self.silent_since.filter(|_| self.is_suspected(now))?;
         let end = start.plus(SILENCE_MS);
         let is_failed = self.failed_until > now || self.stalled_until > now;
         (end > now && !is_failed).then_some(end)
@@ -105,11 +107,19 @@
             SuspicionCause::Reported => self.answered_at,
         };
         let is_alive = heard_at.is_some_and(|heard_at| heard_at >= asked_at);
-        if is_alive || self.is_suspected(now) {
+        if is_alive {
+            return false;
+        }
+        if self.is_suspected(now) {
+            // It is silent itself, so that its next report shows that the silence is over.
+            if cause == SuspicionCause::NoReport {
+                self.suspicion = Some(cause);
+            }
             return false;
         }
         self.suspected_until = self.count_failure(now);
-        self.suspicion = Some((cause, now));
+        self.suspicion = Some(cause);
+        self.silent_since.get_or_insert(now);
         true
     }
 
@@ -118,8 +128,7 @@
         let is_over = match sign {
             LifeSign::Report => {
                 self.reported_at = Some(now);
-                self.suspicion
-                    .is_some_and(|(cause, _)| cause == SuspicionCause::NoReport)
+                self.suspicion == Some(SuspicionCause::NoReport)
             }
             LifeSign::Answer | LifeSign::StalledAnswer => {
                 self.answered_at = Some(now);
@@ -127,6 +136,9 @@
             }
         };
         let mut ended = false;
+        if is_over {
+            self.silent_since = None;
+        }
         if is_over && self.is_suspected(now) {
             self.suspected_until = now;
             self.failures = self.failures.saturating_sub(1);
@@ -169,6 +181,7 @@
     /// Resets the count of failures after a success.
     pub fn record_success(&mut self) {
         self.failures = 0;
+        self.silent_since = None;
     }
 
     /// Counts a failure; returns the end of the avoidance that follows from it.
--- a/crates/core/tests/engine_marks.rs
+++ b/crates/core/tests/engine_marks.rs
@@ -172,7 +172,8 @@
 fn silence_end_of_suspected_engines() {
     let mut table = engine_pairs(2);
     let shape = shape();
-    let end = |table: &EngineTable, now| ChainFinder::new(table, SERVICE, &shape).silence_end(now);
+    let end =
+        |table: &EngineTable, now| ChainFinder::new(table, SERVICE, &shape).silence_end(&[], now);
     assert_eq!(end(&table, NOW), None, "engines are usable");
     table.suspect("e001", SuspicionCause::NoReport, NOW, NOW);
     assert_eq!(end(&table, NOW), None, "the other pair is usable");
@@ -184,6 +185,16 @@
     assert_eq!(end(&table, NOW.plus(10)), None, "both have failed");
 }
 
+/// Guards against requests that wait again and again for an engine that has given no sign of life for long.
+#[test]
+fn silence_end_of_engine_suspected_again() {
+    let mut marks = EngineMarks::default();
+    assert!(marks.suspect(SuspicionCause::NoReport, NOW, NOW));
+    let later = NOW.plus(2_500);
+    assert!(marks.suspect(SuspicionCause::NoReport, later, later));
+    assert_eq!(marks.silence_end(later), None);
+}
+
 /// Guards against an engine that is closed to small requests for as long as large ones were refused.
 #[test]
 fn record_refusal_of_small_after_large() {
@@ -207,3 +218,13 @@
     assert!(!marks.is_full_for(500.0, false, NOW.plus(1)));
     assert!(!marks.is_full_for(500.0, true, NOW.plus(1)));
 }
+
+/// Guards against an engine that was silent itself and stays avoided because another one reported it.
+#[test]
+fn record_sign_of_reported_engine_that_was_silent() {
+    let mut marks = EngineMarks::default();
+    assert!(marks.suspect(SuspicionCause::Reported, NOW, NOW));
+    assert!(!marks.suspect(SuspicionCause::NoReport, NOW, NOW.plus(250)));
+    assert!(marks.record_sign(LifeSign::Report, NOW.plus(900)));
+    assert!(marks.avoided_until() <= NOW.plus(900));
+}
--- a/crates/relay/src/engine/stall_probe.rs
+++ b/crates/relay/src/engine/stall_probe.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -59,12 +60,16 @@
         Err(error) => (vec![id.clone()], SuspicionCause::NoReport, error),
     };
     for suspect in suspects {
-        if record_suspicion(&state, &suspect, cause, asked_at) {
-            spdlog::info!("engines: avoided: {text}", kv: {
-                engine = suspect.as_str(),
-                asked = id.as_str(),
-                request = request.as_str(),
-            });
+        if !record_suspicion(&state, &suspect, cause, asked_at) {
+            continue;
+        }
+        spdlog::info!("engines: avoided: {text}", kv: {
+            engine = suspect.as_str(),
+            asked = id.as_str(),
+            request = request.as_str(),
+        });
+        if cause == SuspicionCause::Reported {
+            spawn_probe(&state, suspect, &request);
         }
     }
 }
@@ -74,21 +79,36 @@
 pub async fn probe_silent_engines(state: Rc<NodeState>, service: String, request: String) {
     loop {
         let now = state.clock.now();
-        let silent: Vec<(String, SocketAddr)> = {
+        let silent: Vec<String> = {
             let view = state.view.borrow();
-            let entries = view.engines.entries().iter().filter(|entry| {
-                entry.record.service == service && entry.marks.silence_end(now).is_some()
-            });
-            let entries = entries.map(|entry| (entry.record.id.clone(), entry.record.address));
-            entries.take(MAX_SILENT_PROBES).collect()
+            let entries = view.engines.entries().iter();
+            let mut silent: Vec<_> = entries
+                .filter(|entry| entry.record.service == service && entry.marks.is_suspected(now))
+                .collect();
+            silent.sort_by_key(|entry| entry.last_probe);
+            let ids = silent.iter().map(|entry| entry.record.id.clone());
+            ids.take(MAX_SILENT_PROBES).collect()
         };
-        for (id, address) in silent {
-            spawn_local(probe_stall(Rc::clone(&state), id, address, request.clone()));
+        for id in silent {
+            spawn_probe(&state, id, &request);
         }
         tokio::time::sleep(Duration::from_millis(MIN_PROBE_INTERVAL_MS)).await;
     }
 }
 
+/// Starts a task that probes an engine. One that others report as stalled is told from one that is silent itself.
+fn spawn_probe(state: &Rc<NodeState>, id: String, request: &str) {
+    let address = {
+        let view = state.view.borrow();
+        view.engines.get(&id).map(|entry| entry.record.address)
+    };
+    if let Some(address) = address {
+        let probe = probe_stall(Rc::clone(state), id, address, request.to_owned());
+        let probe: Pin<Box<dyn Future<Output = ()>>> = Box::pin(probe);
+        spawn_local(probe);
+    }
+}
+
 /// Records a sign of life of an engine. Requests that wait are sent to it if it was avoided for its silence.
 pub fn record_life_sign(state: &NodeState, id: &str, sign: LifeSign, request: &str) {
     let now = state.clock.now();
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -118,7 +118,8 @@
         let view = self.state.view.borrow();
         let model = self.relay.service().model.as_ref();
         let silence_end = model.and_then(|shape| {
-            ChainFinder::new(&view.engines, &self.relay.service().name, shape).silence_end(now)
+            ChainFinder::new(&view.engines, &self.relay.service().name, shape)
+                .silence_end(&self.excluded, now)
         });
         let end = silence_end.map_or(end, |silence_end| end.max(silence_end));
         end.min(self.relay.deadline)
--- a/crates/relay/tests/refused_resumptions.rs
+++ b/crates/relay/tests/refused_resumptions.rs
@@ -18,6 +18,7 @@
 use crate::relay_support::ReadResponse;
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::EVENTS;
+use crate::relay_support::fake_engine::EngineFault;
 use crate::relay_support::fake_engine::FakeEngine;
 use crate::relay_support::fake_engine::event_bytes;
 use crate::relay_support::run;
@@ -234,3 +235,29 @@
         }
     });
 }
+
+/// The last engine of a chain is silent and no request is there any more. Guards against requests that wait for it
+/// although it has answered again: they ask it themselves.
+#[test]
+fn waiting_requests_probe_silent_engine() {
+    run(async {
+        let world = Rc::new(World::start().await);
+        let first = world.start_engine("e1", (0, 20)).await;
+        let second = world.start_engine("e2", (20, 40)).await;
+        let node = Rc::new(world.start_node("n1").await);
+        first.fault.set(EngineFault::Hanging);
+        first.waits_for.set(Some(second.address()));
+        second.fall_mute(Duration::from_millis(1_000));
+        let standing = {
+            let (world, node) = (Rc::clone(&world), Rc::clone(&node));
+            spawn_local(async move { send_stream(&world, &node, "standing").await })
+        };
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        standing.abort();
+        first.fault.set(EngineFault::None);
+        first.waits_for.set(None);
+        let answer = send_stream(&world, &node, "next").await;
+        assert_eq!(answer.status, 200);
+        assert_eq!(answer.body, all_events());
+    });
+}
