--- a/crates/core/src/relay/refused_size.rs
+++ b/crates/core/src/relay/refused_size.rs
@@ -8,7 +8,7 @@
     /// The context of the request, in tokens.
     tokens: f64,
     until: MilliTime,
-    /// The number of refusals since a request of this size was taken.
+    /// The number of refusals in a row.
     count: u32,
 }
 
--- a/crates/relay/src/ingress/caller_server.rs
+++ b/crates/relay/src/ingress/caller_server.rs
@@ -77,7 +77,8 @@
         server
     }
 
-    /// Closes each open connection after the requests that it has received; new connections serve one request each.
+    /// Closes each open connection after its current request, and after the requests behind it if the answer to the
+    /// current one has begun; new connections serve one request each.
     ///
     /// New connections are still served, because the load balancer sends them to stopping processes while
     /// all processes of a zone are replaced.
