--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -252,6 +252,7 @@
             version: doc["version"].as_u64().unwrap_or(0),
             routes: vec![
                 route("/model/", MODEL_SERVICE, RepeatRule::Resumable),
+                route("/model-once/", MODEL_SERVICE, RepeatRule::AtMostOnce),
                 route("/once/", PLAIN_SERVICE, RepeatRule::AtMostOnce),
                 route("/any/", PLAIN_SERVICE, RepeatRule::Idempotent),
             ],
@@ -347,7 +348,7 @@
     RelayRoute {
         host: "shop.example".to_owned(),
         prefix: prefix.to_owned(),
-        is_stream: repeat == RepeatRule::Resumable,
+        is_stream: service == MODEL_SERVICE,
         repeat,
         timeout_ms: 8_000,
         target_ms: TARGET_MS,
