--- a/crates/core/src/relay/config_check/account_checks.rs
+++ b/crates/core/src/relay/config_check/account_checks.rs
@@ -20,7 +20,6 @@
     let mut findings = Vec::new();
     for (position, account) in accounts.iter().enumerate() {
         let faults = check_keys(account).into_iter();
-        let faults = faults.chain(find_shared(&accounts[..position], account));
         let priority = account
             .priority
             .filter(|priority| *priority > LOWEST_PRIORITY);
@@ -30,6 +29,7 @@
             fault,
         }));
     }
+    findings.extend(find_shared(accounts));
     findings
 }
 
@@ -51,12 +51,26 @@
     faults
 }
 
-/// Returns a fault for each earlier account that holds a key of `account`.
-fn find_shared(earlier: &[RelayAccount], account: &RelayAccount) -> Vec<ConfigFault> {
-    let shares_key = |other: &RelayAccount| other.keys.iter().any(|key| account.keys.contains(key));
-    let others = earlier.iter().enumerate();
-    let others = others.filter(|(_, other)| shares_key(other));
-    others
-        .map(|(other, _)| ConfigFault::SharedKey { other })
-        .collect()
+/// Returns a finding for each account that holds a key of an earlier one.
+fn find_shared(accounts: &[RelayAccount]) -> Vec<ConfigFinding> {
+    let positions = accounts.iter().enumerate();
+    let mut holders: Vec<(&str, usize)> = positions
+        .flat_map(|(position, account)| {
+            let keys = account.keys.iter();
+            keys.map(move |key| (key.as_str(), position))
+        })
+        .collect();
+    holders.sort_unstable();
+    let same_key = holders.windows(2).filter(|pair| pair[0].0 == pair[1].0);
+    let mut pairs: Vec<(usize, usize)> = same_key
+        .map(|pair| (pair[1].1, pair[0].1))
+        .filter(|(later, earlier)| later != earlier)
+        .collect();
+    pairs.sort_unstable();
+    pairs.dedup();
+    let finding = |(position, other)| ConfigFinding {
+        place: ConfigPlace::Account(position),
+        fault: ConfigFault::SharedKey { other },
+    };
+    pairs.into_iter().map(finding).collect()
 }
