--- a/crates/bench/src/chain/placement_strategy.rs
+++ b/crates/bench/src/chain/placement_strategy.rs
@@ -4,6 +4,7 @@
 use dandelionroad_core::chain::PlacementPlanner;
 use dandelionroad_core::chain::RequestProfile;
 use dandelionroad_core::chain::ThroughputBound;
+use dandelionroad_core::relay::AcceleratorKind;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::stream::LayerRange;
 
@@ -26,6 +27,12 @@
     Greedy,
     /// The assignment of [`PlacementPlanner`].
     Plan,
+    /// The assignment of the planner, with groups of engines of similar memory instead of similar speed.
+    ByMemory,
+    /// The assignment of the planner, with groups of engines of similar speed per memory.
+    BySpeedPerMemory,
+    /// The assignment of the planner, with engines of all kinds in each group.
+    Mixed,
     /// The assignment of [`PlacementPlanner`], improved by moves of single layers that raise the throughput
     /// bound.
     Search,
@@ -33,11 +40,14 @@
 
 impl PlacementStrategy {
     /// All strategies.
-    pub const ALL: [PlacementStrategy; 5] = [
+    pub const ALL: [PlacementStrategy; 8] = [
         PlacementStrategy::Even,
         PlacementStrategy::Pace,
         PlacementStrategy::Greedy,
         PlacementStrategy::Plan,
+        PlacementStrategy::ByMemory,
+        PlacementStrategy::BySpeedPerMemory,
+        PlacementStrategy::Mixed,
         PlacementStrategy::Search,
     ];
 
@@ -48,6 +58,9 @@
             PlacementStrategy::Pace => "pace",
             PlacementStrategy::Greedy => "greedy",
             PlacementStrategy::Plan => "plan",
+            PlacementStrategy::ByMemory => "by-memory",
+            PlacementStrategy::BySpeedPerMemory => "by-speed-per-memory",
+            PlacementStrategy::Mixed => "mixed",
             PlacementStrategy::Search => "search",
         }
     }
@@ -70,6 +83,13 @@
                 kind.map_or(0.0, |kind| 1.0 / kind.step_factor.max(1e-9))
             }),
             PlacementStrategy::Greedy => place_greedily(shape, engines),
+            PlacementStrategy::ByMemory => {
+                plan_by_key(shape, engines, |kind| 1.0 / kind.memory_mb.max(1e-9))
+            }
+            PlacementStrategy::BySpeedPerMemory => {
+                plan_by_key(shape, engines, |kind| kind.step_factor * kind.memory_mb)
+            }
+            PlacementStrategy::Mixed => plan_mixed(shape, engines),
             PlacementStrategy::Search => search(shape, plan, profile),
         }
     }
@@ -83,7 +103,9 @@
             .into_iter()
             .find(|strategy| strategy.as_str() == text);
         found.ok_or_else(|| {
-            format!("unknown placement strategy {text:?}; use even, pace, greedy, plan or search")
+            let names = PlacementStrategy::ALL.map(PlacementStrategy::as_str);
+            let names = names.join(", ");
+            format!("unknown placement strategy {text:?}; use one of {names}")
         })
     }
 }
@@ -100,6 +122,40 @@
     placed
 }
 
+/// Returns the plan for engines in the order of `key`, which replaces the step factor of their kinds.
+fn plan_by_key(
+    shape: &ModelShape,
+    engines: &[PlacementEngine],
+    key: impl Fn(&AcceleratorKind) -> f64,
+) -> Vec<PlacementEngine> {
+    let mut ordered = shape.clone();
+    for kind in &mut ordered.kinds {
+        kind.step_factor = key(kind);
+    }
+    apply_plan(&ordered, engines)
+}
+
+/// Returns the plan for engines in an order in which each kind is spread evenly over its availability zone.
+///
+/// The planner orders engines with equal step factors by identifier, so that engines get other identifiers while it
+/// plans.
+fn plan_mixed(shape: &ModelShape, engines: &[PlacementEngine]) -> Vec<PlacementEngine> {
+    let mut renamed = engines.to_vec();
+    for (index, engine) in engines.iter().enumerate() {
+        let is_same =
+            |other: &&PlacementEngine| other.zone == engine.zone && other.kind == engine.kind;
+        let before = engines[..index].iter().filter(is_same).count();
+        let count = engines.iter().filter(is_same).count();
+        let position = (before as f64 + 0.5) / count as f64;
+        renamed[index].id = format!("{position:.6} {}", engine.id);
+    }
+    let mut placed = plan_by_key(shape, &renamed, |_| 1.0);
+    for (engine, original) in placed.iter_mut().zip(engines) {
+        engine.id.clone_from(&original.id);
+    }
+    placed
+}
+
 /// Returns the maximum number of layers that the baselines and the search assign to an engine.
 fn max_assigned_layers(shape: &ModelShape, engine: &PlacementEngine) -> u16 {
     let memory_mb = shape.memory_mb(&engine.kind);
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -43,7 +43,8 @@
     /// path of a file with the fleet and its load; see crates/bench/fleets
     #[argh(option)]
     fleet: PathBuf,
-    /// placement strategy for layers: even, pace, greedy, plan or search (default: all)
+    /// placement strategy for layers: even, pace, greedy, plan, by-memory, by-speed-per-memory, mixed
+    /// or search (default: all)
     #[argh(option)]
     placement: Option<PlacementStrategy>,
     /// how entries share their loads: alone, fixed-shares, reports, divided-reports or truth
--- a/crates/bench/tests/chains.rs
+++ b/crates/bench/tests/chains.rs
@@ -11,13 +11,23 @@
 use dandelionroad_bench::chain::SharingPolicy;
 use dandelionroad_core::chain::PlacementEngine;
 use dandelionroad_core::chain::ThroughputBound;
+use dandelionroad_core::route::hash_text;
 
 /// The names of the fleet files in `fleets`.
-const FLEETS: [&str; 4] = [
+const FLEETS: [&str; 5] = [
     "engines-33-entries-5",
     "engines-33-entries-6",
     "engines-52-entries-31",
     "engines-52-entries-32",
+    "engines-56-entries-11",
+];
+
+/// The fleets whose order of kinds by speed is their order by memory, each with a digest of its planned placement.
+const EVEN_PLANS: [(&str, u32); 4] = [
+    ("engines-33-entries-5", 411_667_640),
+    ("engines-33-entries-6", 411_667_640),
+    ("engines-52-entries-31", 883_586_328),
+    ("engines-52-entries-32", 100_982_467),
 ];
 
 fn fleet(name: &str) -> FleetFile {
@@ -91,6 +101,23 @@
     }
 }
 
+/// Guards against a changed placement of fleets whose kinds are even, for which a deployment would have to be
+/// measured again.
+#[test]
+fn plan_of_even_kinds_unchanged() {
+    let digests = EVEN_PLANS.map(|(name, _)| {
+        let fleet = fleet(name);
+        assert!(!fleet.shape().has_uneven_kinds(), "{name}");
+        let plan = place(&fleet, PlacementStrategy::Plan).into_iter();
+        let lines = plan.map(|engine| {
+            let layers = engine.layers;
+            format!("{} {}..{}\n", engine.id, layers.first, layers.end)
+        });
+        (name, hash_text(0, &lines.collect::<String>()) as u32)
+    });
+    assert_eq!(digests, EVEN_PLANS);
+}
+
 /// Guards against requests that are late or refused although the load is below the throughput bound,
 /// and against a bound that the simulation exceeds.
 #[test]
