--- a/crates/bench/tests/chains.rs
+++ b/crates/bench/tests/chains.rs
@@ -10,6 +10,7 @@
 use dandelionroad_bench::chain::PlacementStrategy;
 use dandelionroad_bench::chain::SharingPolicy;
 use dandelionroad_core::chain::PlacementEngine;
+use dandelionroad_core::chain::PlacementPlanner;
 use dandelionroad_core::chain::ThroughputBound;
 use dandelionroad_core::route::hash_text;
 
@@ -19,9 +20,12 @@
     "engines-33-entries-6",
     "engines-52-entries-31",
     "engines-52-entries-32",
-    "engines-56-entries-11",
+    UNEVEN_FLEET,
 ];
 
+/// The fleet whose order of kinds by speed is not their order by memory.
+const UNEVEN_FLEET: &str = "engines-56-entries-11";
+
 /// The fleets whose order of kinds by speed is their order by memory, each with a digest of its planned placement.
 const EVEN_PLANS: [(&str, u32); 4] = [
     ("engines-33-entries-5", 411_667_640),
@@ -44,6 +48,11 @@
     )
 }
 
+/// Returns the throughput bound of an availability zone, in requests a second.
+fn zone_rate(fleet: &FleetFile, engines: &[PlacementEngine], zone: &str) -> f64 {
+    ThroughputBound::new(&fleet.shape()).zone_rate(engines, zone, &fleet.mean_request())
+}
+
 /// Simulates six seconds of a fleet with the planned placement.
 fn simulate(fleet: &FleetFile, policy: SharingPolicy, load: f64, surge: f64) -> ChainReport {
     chain::run(&ChainSetup {
@@ -118,6 +127,54 @@
     assert_eq!(digests, EVEN_PLANS);
 }
 
+/// Guards against engines of uneven kinds that stay outside the groups of zone c although its groups would serve more
+/// with them: its bound was 183 requests a second then.
+#[test]
+fn plan_of_uneven_kinds_uses_all_engines() {
+    let fleet = fleet(UNEVEN_FLEET);
+    assert!(fleet.shape().has_uneven_kinds());
+    let rate = zone_rate(&fleet, &place(&fleet, PlacementStrategy::Plan), "c");
+    assert!(rate >= 300.0, "only {rate} requests a second in zone c");
+}
+
+/// Guards against another plan for the same uneven engines in another order, and against orders of a restarted planner
+/// for engines that serve.
+#[test]
+fn plan_of_uneven_kinds_stable() {
+    let fleet = fleet(UNEVEN_FLEET);
+    let shape = fleet.shape();
+    let mut reversed = fleet.placement_engines(1);
+    reversed.reverse();
+    let mut other = PlacementStrategy::Plan.place(&shape, &reversed, &fleet.mean_request());
+    other.reverse();
+    let engines = place(&fleet, PlacementStrategy::Plan);
+    assert_eq!(engines, other);
+    assert_eq!(PlacementPlanner::new(&shape).orders(&engines), []);
+}
+
+/// Guards against a zone that serves little after the loss of its two fastest engines, as zone c did with a bound of
+/// 63 requests a second, and against moves of engines that go on serving then.
+#[test]
+fn plan_of_uneven_kinds_survives_loss_of_fastest() {
+    let fleet = fleet(UNEVEN_FLEET);
+    for zone in ["a", "b", "c"] {
+        let mut engines = place(&fleet, PlacementStrategy::Plan);
+        for _ in 0..2 {
+            let is_fastest =
+                |engine: &PlacementEngine| engine.zone == zone && engine.kind == "a100";
+            let fastest = engines.iter().position(is_fastest);
+            fastest.map(|index| engines.remove(index));
+        }
+        let orders = PlacementPlanner::new(&fleet.shape()).orders(&engines);
+        assert_eq!(orders, [], "zone {zone}");
+        let rate = zone_rate(&fleet, &engines, zone);
+        assert!(
+            rate >= 100.0,
+            "only {rate} requests a second in zone {zone}"
+        );
+    }
+}
+
 /// Guards against requests that are late or refused although the load is below the throughput bound,
 /// and against a bound that the simulation exceeds.
 #[test]
--- a/crates/core/src/chain/mod.rs
+++ b/crates/core/src/chain/mod.rs
@@ -20,6 +20,7 @@
 mod crossing_budget;
 mod finder_request;
 mod found_chain;
+mod group_former;
 mod placement_engine;
 mod placement_group;
 mod placement_order;
--- a/crates/core/src/chain/placement_planner.rs
+++ b/crates/core/src/chain/placement_planner.rs
@@ -3,18 +3,11 @@
 
 use super::PlacementEngine;
 use super::PlacementOrder;
+use super::group_former::GroupFormer;
+use super::group_former::MIN_GROUP_REQUESTS;
 use super::placement_group::split_layers;
 use super::range_finder::RangeFinder;
 
-/// The number of mean requests for which a group should have memory beside the weights.
-///
-/// In a smaller group, the weights take more of the memory, which leaves less for requests.
-const GROUP_REQUESTS: f64 = 60.0;
-
-/// The minimum number of mean requests for which a group, or an engine that takes over more layers, must
-/// have memory beside the weights.
-const MIN_GROUP_REQUESTS: f64 = 25.0;
-
 /// Assigns layer ranges to engines.
 ///
 /// The engines of an availability zone form groups, each of which covers the model once. Groups consist
@@ -234,83 +227,17 @@
             let zones = left.zone.cmp(&right.zone).then(factors);
             zones.then_with(|| left.id.cmp(&right.id))
         });
+        let former = GroupFormer::new(self.shape);
         let mut orders = Vec::new();
         for zone in sorted.chunk_by(|left, right| left.zone == right.zone) {
-            orders.extend(self.form_groups(zone));
+            orders.extend(former.form(zone));
         }
         if orders.is_empty() {
-            orders = self.form_groups(&sorted);
-        }
-        orders
-    }
-
-    /// Divides engines, in order, into groups.
-    ///
-    /// If there is memory for several groups that each use all slots of an engine, all engines join a
-    /// group, since any memory beside the weights serves requests. Otherwise each group takes the next
-    /// fastest engines until it has memory for enough requests, and the remaining engines are spares for
-    /// lost ones: slow engines would make the requests of a group slower, and a zone with little memory
-    /// has no other replacement for a lost engine.
-    fn form_groups(&self, engines: &[&PlacementEngine]) -> Vec<PlacementOrder> {
-        let weights_mb = f64::from(self.shape.layers) * self.shape.layer_mb;
-        let request_mb = self.shape.mean_tokens() * self.shape.token_bytes / 1e6;
-        let target_mb = weights_mb + GROUP_REQUESTS * request_mb;
-        let min_mb = weights_mb + MIN_GROUP_REQUESTS * request_mb;
-        let full_mb = weights_mb + f64::from(self.shape.slots) * request_mb;
-        let memory = |engine: &PlacementEngine| self.shape.memory_mb(&engine.kind);
-        let total: f64 = engines.iter().map(|engine| memory(engine)).sum();
-        let max_groups = (total / full_mb).floor() as usize;
-        let mut counts = (2..=max_groups).rev();
-        if let Some(orders) = counts.find_map(|count| self.even_groups(engines, count, min_mb)) {
-            return orders;
-        }
-        let mut orders = Vec::new();
-        let mut start = 0;
-        let mut held = 0.0;
-        for end in 1..=engines.len() {
-            held += memory(engines[end - 1]);
-            let is_last = end == engines.len();
-            if held < target_mb && !(is_last && held >= min_mb) {
-                continue;
-            }
-            if let Some(group) = split_layers(self.shape, &engines[start..end]) {
-                orders.extend(group);
-                start = end;
-                held = 0.0;
-            }
+            orders = former.form(&sorted);
         }
         orders
     }
 
-    /// Divides engines, in order, into `count` groups with about the same memory; none if a group has
-    /// less than `min_mb` or can't hold the model.
-    fn even_groups(
-        &self,
-        engines: &[&PlacementEngine],
-        count: usize,
-        min_mb: f64,
-    ) -> Option<Vec<PlacementOrder>> {
-        let memory = |engine: &&PlacementEngine| self.shape.memory_mb(&engine.kind);
-        let total: f64 = engines.iter().map(memory).sum();
-        let mut groups = vec![Vec::new(); count];
-        let mut taken = 0.0;
-        for engine in engines {
-            let middle = taken + memory(engine) / 2.0;
-            let group = (middle / total.max(1e-9) * count as f64) as usize;
-            groups[group.min(count - 1)].push(*engine);
-            taken += memory(engine);
-        }
-        let mut orders = Vec::new();
-        for group in groups {
-            let held: f64 = group.iter().map(memory).sum();
-            if held < min_mb {
-                return None;
-            }
-            orders.extend(split_layers(self.shape, &group)?);
-        }
-        Some(orders)
-    }
-
     /// Assigns to each empty engine the layers by which it raises the capacity of its zone the most.
     fn fill(&self, engines: &mut [PlacementEngine]) -> Vec<PlacementOrder> {
         let mut orders = Vec::new();
--- a/crates/core/src/chain/throughput_bound.rs
+++ b/crates/core/src/chain/throughput_bound.rs
@@ -101,6 +101,12 @@
         self.rate(&own, profile)
     }
 
+    /// Returns the bound for chains of the engines of one group, in requests a second.
+    pub(super) fn group_rate(&self, engines: &[PlacementEngine], profile: &RequestProfile) -> f64 {
+        let all: Vec<&PlacementEngine> = engines.iter().collect();
+        self.rate(&all, profile)
+    }
+
     fn rate(&self, engines: &[&PlacementEngine], profile: &RequestProfile) -> f64 {
         let Some(run_ms) = self.min_run_ms(engines, profile) else {
             return 0.0;
