--- a/crates/bench/src/chain/world_entries.rs
+++ b/crates/bench/src/chain/world_entries.rs
@@ -3,6 +3,7 @@
 use dandelionroad_core::chain::ChainFinder;
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
+use dandelionroad_core::chain::RoomLimits;
 use dandelionroad_core::relay::SharedLoad;
 use rand::Rng;
 
@@ -56,7 +57,7 @@
             zone: &own.zone,
             excluded: &[],
             may_cross: false,
-            max_wait_ms: state.target_ms as f64 / QUEUE_TIME_DIVISOR,
+            limits: RoomLimits::whole(state.target_ms as f64 / QUEUE_TIME_DIVISOR),
             seed: request as u64,
             now: self.now(),
         };
--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -8,6 +8,7 @@
 use super::ChainShortage;
 use super::FinderRequest;
 use super::FoundChain;
+use super::RoomShortage;
 use super::ZoneShortage;
 use super::chain_candidate::ChainCandidate;
 use super::chain_search::ChainSearch;
@@ -53,6 +54,10 @@
         }
     }
 
+    pub(super) fn shape(&self) -> &'a ModelShape {
+        self.shape
+    }
+
     /// Returns the chain with the lowest cost; none if no chain can run the request.
     pub fn find(&self, request: &FinderRequest<'_>) -> Option<FoundChain> {
         let candidates = self.candidates(request);
@@ -146,7 +151,9 @@
             if !candidates.iter().any(|candidate| {
                 zone_of(candidate.entry) == zone && covers(candidate.layers, layer)
             }) {
-                return ChainShortage::Full(layer);
+                let reasons = holders.filter_map(|entry| self.candidate(entry, request).err());
+                let nearest = reasons.max_by_key(|reason| reason.nearness());
+                return ChainShortage::Full(layer, nearest.unwrap_or(RoomShortage::Refused));
             }
         }
         ChainShortage::NoFreeSlot
@@ -160,19 +167,19 @@
         tokens / self.shape.chunk_tokens.max(1.0) * step_ms * self.shape.pass_steps
     }
 
-    fn is_eligible(&self, entry: &EngineEntry, request: &FinderRequest<'_>) -> bool {
+    pub(super) fn is_eligible(&self, entry: &EngineEntry, request: &FinderRequest<'_>) -> bool {
         !request.excluded.contains(&entry.record.id) && entry.is_usable(request.now)
     }
 
     /// Returns the availability zones of the engines, sorted.
-    fn zones(&self) -> Vec<&'a str> {
+    pub(super) fn zones(&self) -> Vec<&'a str> {
         let mut zones: Vec<&str> = self.engines().map(zone_of).collect();
         zones.sort_unstable();
         zones.dedup();
         zones
     }
 
-    fn engines(&self) -> impl Iterator<Item = &'a EngineEntry> + Clone + use<'a> {
+    pub(super) fn engines(&self) -> impl Iterator<Item = &'a EngineEntry> + Clone + use<'a> {
         let (service, shape) = (self.service, self.shape);
         let entries = self.table.entries().iter();
         entries.filter(move |entry| {
@@ -183,57 +190,77 @@
         })
     }
 
+    /// Returns the engines that have room for the request.
     fn candidates(&self, request: &FinderRequest<'_>) -> Vec<ChainCandidate<'a>> {
-        let mut candidates = Vec::new();
-        for entry in self.engines() {
-            let is_full = entry
-                .marks
-                .is_full_for(request.tokens, request.is_resumed, request.now);
-            if is_full && !request.ignores_refusals || !self.is_eligible(entry, request) {
-                continue;
-            }
-            let kind = entry
-                .record
-                .kind
-                .as_deref()
-                .and_then(|kind| self.shape.kind(kind));
-            let Some(kind) = kind else { continue };
-            let held = entry.record.layers.len();
-            let capacity = self.shape.kv_capacity_units(kind.memory_mb, held) * MEMORY_SHARE;
-            let free = (capacity - entry.units()).max(0.0);
-            let max_layers = (free / request.tokens.max(1.0)).min(f64::from(u16::MAX)) as u16;
-            let mean_units = self.shape.mean_tokens() * f64::from(held);
-            if max_layers == 0 || entry.remaining_share(capacity, mean_units) <= 0.0 {
-                continue;
-            }
-            let used_share = 1.0 - (free / capacity.max(1.0)).clamp(0.0, 1.0);
-            let requests = f64::from(entry.requests());
-            let context = self.shape.usual_prompt + self.shape.usual_answer / 2.0;
-            let decode_ms = self.shape.decode_ms(context);
-            let loaded_ms = (self.shape.step_ms + decode_ms * requests) * kind.step_factor;
-            let jitter = f64::from(mix_seed(request.seed ^ u64::from(entry.tag)) as u32);
-            let jitter = 1.0 + MAX_JITTER * jitter / f64::from(u32::MAX);
-            let layer_ms =
-                loaded_ms * entry.slowdown * jitter * (1.0 + FULL_ENGINE_PENALTY * used_share)
-                    / f64::from(self.shape.layers.max(1));
-            let slots = f64::from(entry.record.slots);
-            let prefill_wait_ms =
-                self.prefill_ms(entry.prefill_tokens(), layer_ms * f64::from(held));
-            if prefill_wait_ms > request.max_wait_ms {
-                continue;
-            }
-            candidates.push(ChainCandidate {
-                entry,
-                layers: entry.record.layers,
-                layer_ms,
-                unloaded_ms: self.shape.step_ms * kind.step_factor
-                    / f64::from(self.shape.layers.max(1)),
-                prefill_wait_ms,
-                max_layers: max_layers.min(held),
-                has_free_slot: requests < slots,
+        let engines = self.engines();
+        engines
+            .filter_map(|entry| self.candidate(entry, request).ok())
+            .collect()
+    }
+
+    /// Returns an engine as a candidate for a stage.
+    ///
+    /// # Errors
+    ///
+    /// Returns what it lacks for the request.
+    pub(super) fn candidate(
+        &self,
+        entry: &'a EngineEntry,
+        request: &FinderRequest<'_>,
+    ) -> Result<ChainCandidate<'a>, RoomShortage> {
+        let is_full = entry
+            .marks
+            .is_full_for(request.tokens, request.is_resumed, request.now);
+        if is_full && !request.ignores_refusals || !self.is_eligible(entry, request) {
+            return Err(RoomShortage::Refused);
+        }
+        let kind = entry.record.kind.as_deref();
+        let kind = kind.and_then(|kind| self.shape.kind(kind));
+        let kind = kind.ok_or(RoomShortage::Refused)?;
+        let held = entry.record.layers.len();
+        let capacity = self.shape.kv_capacity_units(kind.memory_mb, held)
+            * MEMORY_SHARE
+            * request.limits.memory_share;
+        let reserved = request.limits.reserved_tokens * f64::from(held);
+        let free = (capacity - entry.units() - reserved).max(0.0);
+        let max_layers = (free / request.tokens.max(1.0)).min(f64::from(u16::MAX)) as u16;
+        if max_layers == 0 {
+            let missing_units = request.tokens - free;
+            return Err(RoomShortage::Memory { missing_units });
+        }
+        let mean_units = self.shape.mean_tokens() * f64::from(held);
+        if entry.remaining_share(capacity, mean_units) <= 0.0 {
+            return Err(RoomShortage::Share);
+        }
+        let used_share = 1.0 - (free / capacity.max(1.0)).clamp(0.0, 1.0);
+        let requests = f64::from(entry.requests());
+        let context = self.shape.usual_prompt + self.shape.usual_answer / 2.0;
+        let decode_ms = self.shape.decode_ms(context);
+        let loaded_ms = (self.shape.step_ms + decode_ms * requests) * kind.step_factor;
+        let jitter = f64::from(mix_seed(request.seed ^ u64::from(entry.tag)) as u32);
+        let jitter = 1.0 + MAX_JITTER * jitter / f64::from(u32::MAX);
+        let layer_ms =
+            loaded_ms * entry.slowdown * jitter * (1.0 + FULL_ENGINE_PENALTY * used_share)
+                / f64::from(self.shape.layers.max(1));
+        let slots = f64::from(entry.record.slots) * request.limits.memory_share;
+        let step_ms = layer_ms * f64::from(held);
+        let prefill_wait_ms = self.prefill_ms(entry.prefill_tokens(), step_ms);
+        let reserved_ms = self.prefill_ms(request.limits.reserved_tokens, step_ms);
+        if prefill_wait_ms + reserved_ms > request.limits.queue_ms {
+            return Err(RoomShortage::Prefill {
+                excess_ms: prefill_wait_ms + reserved_ms - request.limits.queue_ms,
             });
         }
-        candidates
+        Ok(ChainCandidate {
+            entry,
+            layers: entry.record.layers,
+            layer_ms,
+            unloaded_ms: self.shape.step_ms * kind.step_factor
+                / f64::from(self.shape.layers.max(1)),
+            prefill_wait_ms,
+            max_layers: max_layers.min(held),
+            has_free_slot: requests < slots,
+        })
     }
 }
 
--- a/crates/core/src/chain/chain_shortage.rs
+++ b/crates/core/src/chain/chain_shortage.rs
@@ -1,5 +1,7 @@
+use super::RoomShortage;
+
 /// Why the engines of an availability zone form no chain for a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ChainShortage {
     /// No listed engine of the zone holds this layer.
     NotHeld(u16),
@@ -7,9 +9,9 @@
     Avoided(u16),
     /// No engine of the zone that holds this layer is usable, and one of them has asked for a pause.
     Paused(u16),
-    /// Each usable engine of the zone that holds this layer lacks free KV memory for the request, or
-    /// would make its prompt wait too long for prefill.
-    Full(u16),
+    /// Each usable engine of the zone that holds this layer lacks room for the request; what the engine
+    /// lacks that is nearest to having room.
+    Full(u16, RoomShortage),
     /// Each layer has an engine with memory, but no chain results, usually because no engine has a
     /// free slot for a request as the first engine of a chain.
     NoFreeSlot,
@@ -22,7 +24,7 @@
             ChainShortage::NotHeld(_) => "layer not held",
             ChainShortage::Avoided(_) => "layer at failed engines",
             ChainShortage::Paused(_) => "layer at paused engines",
-            ChainShortage::Full(_) => "layer at full engines",
+            ChainShortage::Full(_, room) => room.as_str(),
             ChainShortage::NoFreeSlot => "no engine to start at",
         }
     }
@@ -33,7 +35,7 @@
             ChainShortage::NotHeld(layer)
             | ChainShortage::Avoided(layer)
             | ChainShortage::Paused(layer)
-            | ChainShortage::Full(layer) => layer,
+            | ChainShortage::Full(layer, _) => layer,
             ChainShortage::NoFreeSlot => 0,
         }
     }
--- a/crates/core/src/chain/finder_request.rs
+++ b/crates/core/src/chain/finder_request.rs
@@ -1,5 +1,7 @@
 use crate::time::MilliTime;
 
+use super::RoomLimits;
+
 /// The requirements of a request for its chain.
 #[derive(Clone, Copy, Debug)]
 pub struct FinderRequest<'a> {
@@ -15,8 +17,8 @@
     pub excluded: &'a [String],
     /// Whether the chain may cross availability zones.
     pub may_cross: bool,
-    /// The maximum expected time that the prompt waits at an engine for prefill, in milliseconds.
-    pub max_wait_ms: f64,
+    /// How much of each engine it may take.
+    pub limits: RoomLimits,
     /// The seed of the random increases in cost; differs between requests and processes.
     pub seed: u64,
     /// The current time.
--- a/crates/core/src/chain/mod.rs
+++ b/crates/core/src/chain/mod.rs
@@ -27,6 +27,9 @@
 mod range_benefit;
 mod range_finder;
 mod request_profile;
+mod room_forecast;
+mod room_limits;
+mod room_shortage;
 mod throughput_bound;
 mod zone_shortage;
 
@@ -40,5 +43,7 @@
 pub use self::placement_order::PlacementOrder;
 pub use self::placement_planner::PlacementPlanner;
 pub use self::request_profile::RequestProfile;
+pub use self::room_limits::RoomLimits;
+pub use self::room_shortage::RoomShortage;
 pub use self::throughput_bound::ThroughputBound;
 pub use self::zone_shortage::ZoneShortage;
--- a/crates/core/src/chain/zone_shortage.rs
+++ b/crates/core/src/chain/zone_shortage.rs
@@ -1,7 +1,7 @@
 use super::ChainShortage;
 
 /// The reason why an availability zone has no chain for a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ZoneShortage<'a> {
     /// The name of the availability zone.
     pub zone: &'a str,
--- a/crates/core/src/relay/capacity_queue.rs
+++ b/crates/core/src/relay/capacity_queue.rs
@@ -6,6 +6,9 @@
 /// The assumed time between two releases of KV memory before any was observed, in milliseconds.
 const INITIAL_INTERVAL_MS: f64 = 50.0;
 
+/// The assumed time for which a request runs before any was observed, in milliseconds.
+const INITIAL_RUN_MS: f64 = 2_000.0;
+
 /// The minimum time after which a refused caller is asked to retry, in milliseconds.
 const MIN_RETRY_MS: u64 = 500;
 
@@ -29,6 +32,8 @@
     priority: u8,
     /// The fair-queueing round in which it is served; each account has one request in each round.
     round: u64,
+    /// The work by which requests of one priority and round are ordered, the smallest first; 0 if they are not.
+    tokens: f64,
     number: u64,
     /// Whether it waits for a reason of its own, so that others may be served before it.
     is_passable: bool,
@@ -89,6 +94,8 @@
     /// The moving average of the time between two releases, in milliseconds.
     interval_ms: f64,
     last_release: Option<MilliTime>,
+    /// The moving average of the time for which a request runs, in milliseconds.
+    run_ms: f64,
     /// The time at which the next refused caller is asked to retry.
     next_retry: MilliTime,
 }
@@ -103,6 +110,7 @@
             next_number: 0,
             interval_ms: INITIAL_INTERVAL_MS,
             last_release: None,
+            run_ms: INITIAL_RUN_MS,
             next_retry: MilliTime::default(),
         }
     }
@@ -116,13 +124,7 @@
         account: u64,
         max_wait_ms: u64,
     ) -> Option<u64> {
-        let known = self
-            .account_rounds
-            .binary_search_by_key(&account, |entry| entry.account);
-        let newest = known.map_or(self.completed_round, |index| {
-            self.account_rounds[index].round
-        });
-        let round = newest.max(self.completed_round) + 1;
+        let round = self.next_round(account);
         let position = self
             .waiting
             .partition_point(|queued| (queued.priority, queued.round) <= (priority, round));
@@ -133,23 +135,67 @@
         if expected_ms > max_wait_ms as f64 {
             return None;
         }
+        Some(self.add(service, priority, account, 0.0))
+    }
+
+    /// Adds a request whose wait was decided on already; returns its number.
+    ///
+    /// Requests of one priority and fair-queueing round are ordered by `tokens`, the smallest first: each of them then waits
+    /// for the least work of others. A large request is overtaken within its round only.
+    pub fn add(&mut self, service: u64, priority: u8, account: u64, tokens: f64) -> u64 {
+        let round = self.next_round(account);
+        let position = self.waiting.partition_point(|queued| {
+            let order = (queued.priority, queued.round).cmp(&(priority, round));
+            order.then(queued.tokens.total_cmp(&tokens)).is_le()
+        });
         let number = self.next_number;
         self.next_number += 1;
         let queued = QueuedRequest {
             service,
             priority,
             round,
+            tokens,
             number,
             is_passable: false,
         };
         self.waiting.insert(position, queued);
+        let known = self
+            .account_rounds
+            .binary_search_by_key(&account, |entry| entry.account);
         match known {
             Ok(index) => self.account_rounds[index].round = round,
             Err(index) => self
                 .account_rounds
                 .insert(index, AccountRound { account, round }),
         }
-        Some(number)
+        number
+    }
+
+    /// Returns the round of the next request of an account.
+    fn next_round(&self, account: u64) -> u64 {
+        let known = self
+            .account_rounds
+            .binary_search_by_key(&account, |entry| entry.account);
+        let newest = known.map_or(self.completed_round, |index| {
+            self.account_rounds[index].round
+        });
+        newest.max(self.completed_round) + 1
+    }
+
+    /// Returns the work of the waiting requests of a service that are at least as urgent, in tokens.
+    pub fn tokens_ahead(&self, service: u64, priority: u8) -> f64 {
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|queued| queued.holds_up(service) && queued.priority <= priority);
+        ahead.map(|queued| queued.tokens).sum()
+    }
+
+    /// Returns whether a new request of a priority would be held up by those that wait for the engines of
+    /// `service`.
+    pub fn holds_up_priority(&self, service: u64, priority: u8) -> bool {
+        let mut waiting = self.waiting.iter();
+        waiting.any(|queued| queued.holds_up(service) && queued.priority <= priority)
     }
 
     /// Returns the time after which a refused caller should retry, in milliseconds.
@@ -216,6 +262,16 @@
         })
     }
 
+    /// Returns the mean time for which a request runs, in milliseconds.
+    pub fn run_ms(&self) -> f64 {
+        self.run_ms
+    }
+
+    /// Records the time for which a request has run, in milliseconds.
+    pub fn record_run(&mut self, run_ms: u64) {
+        self.run_ms += (run_ms as f64 - self.run_ms) * OBSERVATION_WEIGHT;
+    }
+
     /// Records the end of a request, which releases its KV memory.
     pub fn record_release(&mut self, now: MilliTime) {
         if let Some(last) = self.last_release {
--- a/crates/core/src/relay/model_shape.rs
+++ b/crates/core/src/relay/model_shape.rs
@@ -54,6 +54,17 @@
 }
 
 impl ModelShape {
+    /// Returns whether some kind of accelerator is faster than another one and has less memory.
+    ///
+    /// Engines then differ in two ways, so that an engine with the speed of another one may lack its memory.
+    pub fn has_uneven_kinds(&self) -> bool {
+        self.kinds.iter().any(|fast| {
+            let mut others = self.kinds.iter();
+            others
+                .any(|slow| fast.step_factor < slow.step_factor && fast.memory_mb < slow.memory_mb)
+        })
+    }
+
     /// Returns the kind of accelerator with this name.
     pub fn kind(&self, name: &str) -> Option<&AcceleratorKind> {
         let index = self
--- a/crates/core/tests/capacity_division.rs
+++ b/crates/core/tests/capacity_division.rs
@@ -6,6 +6,7 @@
 use dandelionroad_core::chain::ChainFinder;
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
+use dandelionroad_core::chain::RoomLimits;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::stream::LayerRange;
@@ -110,7 +111,7 @@
             zone: "a",
             excluded: &[],
             may_cross: false,
-            max_wait_ms: f64::MAX,
+            limits: RoomLimits::whole(f64::MAX),
             seed: 0,
             now: MilliTime::from_millis(now),
         };
--- a/crates/core/tests/chain_finder.rs
+++ b/crates/core/tests/chain_finder.rs
@@ -8,6 +8,8 @@
 use dandelionroad_core::chain::CrossingBudget;
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
+use dandelionroad_core::chain::RoomLimits;
+use dandelionroad_core::chain::RoomShortage;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
@@ -32,7 +34,7 @@
         zone: "a",
         excluded,
         may_cross: true,
-        max_wait_ms: f64::MAX,
+        limits: RoomLimits::whole(f64::MAX),
         seed: 0,
         now: NOW,
     }
@@ -247,7 +249,14 @@
     };
     assert_eq!(shortage(&table), ChainShortage::NotHeld(40));
     table.add_request("e001", 1e12);
-    assert_eq!(shortage(&table), ChainShortage::Full(0));
+    let full = shortage(&table);
+    assert!(
+        matches!(
+            full,
+            ChainShortage::Full(0, RoomShortage::Memory { missing_units }) if missing_units > 0.0
+        ),
+        "{full:?}"
+    );
     table.record_failure("e001", NOW);
     assert_eq!(shortage(&table), ChainShortage::Avoided(0));
 }
--- a/crates/core/tests/chain_placement.rs
+++ b/crates/core/tests/chain_placement.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::PlacementEngine;
 use dandelionroad_core::chain::PlacementPlanner;
+use dandelionroad_core::chain::RoomLimits;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::stream::LayerRange;
@@ -42,7 +43,7 @@
         zone,
         excluded: &[],
         may_cross: true,
-        max_wait_ms: f64::MAX,
+        limits: RoomLimits::whole(f64::MAX),
         seed: 0,
         now: NOW,
     }
--- a/crates/core/tests/engine_marks.rs
+++ b/crates/core/tests/engine_marks.rs
@@ -4,6 +4,7 @@
 
 use dandelionroad_core::chain::ChainFinder;
 use dandelionroad_core::chain::FinderRequest;
+use dandelionroad_core::chain::RoomLimits;
 use dandelionroad_core::relay::EngineMarks;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::LifeSign;
@@ -40,7 +41,7 @@
         zone: "a",
         excluded: &[],
         may_cross: true,
-        max_wait_ms: f64::MAX,
+        limits: RoomLimits::whole(f64::MAX),
         seed: 0,
         now,
     };
--- a/crates/relay/src/engine/load_guard.rs
+++ b/crates/relay/src/engine/load_guard.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 
 use dandelionroad_core::chain::ChainStage;
+use dandelionroad_core::time::MilliTime;
 
 use crate::node::NodeState;
 
@@ -11,6 +12,7 @@
     loads: Vec<(String, f64)>,
     /// The prompt tokens that are still in prefill.
     prefill_tokens: f64,
+    started: MilliTime,
 }
 
 impl LoadGuard {
@@ -39,6 +41,10 @@
             for (id, _) in &self.loads {
                 view.engines.remove_prefill(id, prompt);
             }
+            // Prompts may wait for the prefill of this one.
+            if view.has_admissions() {
+                self.state.capacity_freed.notify_waiters();
+            }
         }
     }
 
@@ -53,6 +59,7 @@
             state: Rc::clone(state),
             loads,
             prefill_tokens: prompt,
+            started: state.clock.now(),
         }
     }
 }
@@ -64,10 +71,14 @@
         for (id, units) in &self.loads {
             view.engines.remove_request(id, *units);
         }
-        self.state
-            .queue
-            .borrow_mut()
-            .record_release(self.state.clock.now());
+        drop(view);
+        let now = self.state.clock.now();
+        let mut queue = self.state.queue.borrow_mut();
+        queue.record_release(now);
+        if self.loads.iter().any(|(_, units)| *units > 0.0) {
+            queue.record_run(now.since(self.started));
+        }
+        drop(queue);
         self.state.capacity_freed.notify_waiters();
     }
 }
--- a/crates/relay/src/ingress/capacity_wait.rs
+++ b/crates/relay/src/ingress/capacity_wait.rs
@@ -22,30 +22,28 @@
 
 /// Queues a request for engine capacity until `find` succeeds, which is called when no other request holds it up.
 ///
-/// # Errors
-///
-/// Returns the delay after which the caller should retry, in milliseconds, if no capacity becomes free
-/// in time, or if none is expected to.
+/// Returns `None` if no capacity becomes free in time, or if none is expected to.
 pub(super) async fn wait_for_capacity<T>(
     state: &Rc<NodeState>,
     place: QueuePlace,
     mut find: impl FnMut() -> CapacitySearch<T>,
-) -> Result<T, u64> {
+) -> Option<T> {
     let max_wait_ms = place.until.since(state.clock.now());
-    let queued =
-        state
-            .queue
-            .borrow_mut()
-            .offer(place.service, place.priority, place.account, max_wait_ms);
-    let Some(number) = queued else {
-        return Err(retry_after_ms(state));
+    let queued = {
+        let mut queue = state.queue.borrow_mut();
+        let (service, priority, account) = (place.service, place.priority, place.account);
+        match place.tokens {
+            Some(tokens) => Some(queue.add(service, priority, account, tokens)),
+            None => queue.offer(service, priority, account, max_wait_ms),
+        }
     };
+    let number = queued?;
     let slot = QueueSlot { state, number };
     loop {
         let freed = state.capacity_freed.notified();
         if state.queue.borrow().is_turn(slot.number) {
             let is_passable = match find() {
-                CapacitySearch::Found(found) => return Ok(found),
+                CapacitySearch::Found(found) => return Some(found),
                 CapacitySearch::Short => false,
                 CapacitySearch::Unsuitable => true,
             };
@@ -60,12 +58,7 @@
         let left_ms = place.until.since(state.clock.now());
         let wait_result = tokio::time::timeout(Duration::from_millis(left_ms), freed).await;
         if wait_result.is_err() {
-            return Err(retry_after_ms(state));
+            return None;
         }
     }
 }
-
-fn retry_after_ms(state: &NodeState) -> u64 {
-    let now = state.clock.now();
-    state.queue.borrow_mut().retry_after_ms(now)
-}
--- a/crates/relay/src/ingress/queue_place.rs
+++ b/crates/relay/src/ingress/queue_place.rs
@@ -9,6 +9,8 @@
     pub(super) priority: u8,
     /// Its client account in the fair queue.
     pub(super) account: u64,
+    /// Its work in tokens, if it was decided already that it waits.
+    pub(super) tokens: Option<f64>,
     /// The time until which it waits.
     pub(super) until: MilliTime,
 }
--- a/crates/relay/src/ingress/stream_driver.rs
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -44,7 +44,9 @@
         OpenOutcome::Refused(kind, retry_ms) => {
             let id = stream.request_id().to_owned();
             log.set_outcome(kind.as_str());
-            refuse(&state, &id, kind, retry_ms.or(retry_after_ms(kind)))
+            let retry_ms = retry_ms.or(retry_after_ms(kind));
+            log.set_retry_after(retry_ms);
+            refuse(&state, &id, kind, retry_ms)
         }
     }
 }
--- a/crates/relay/src/ingress/stream_relay/chain_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_choice.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
 use dandelionroad_core::chain::ZoneShortage;
+use dandelionroad_core::relay::AdmissionVerdict;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
@@ -31,17 +32,6 @@
 /// Callers disconnect after two seconds without an event; detection and the new run take the rest.
 const RESUME_WAIT_MS: u64 = 600;
 
-/// The priority at which a request whose run broke off waits for capacity: the highest.
-const RESUME_PRIORITY: u8 = 0;
-
-/// The maximum queueing time of a prompt at one engine is the target time to the first event divided by
-/// this number.
-///
-/// With a higher maximum, all further prompts of the chain are late. With a lower one, requests are refused
-/// that would wait only briefly: a prompt is counted at all stages of its chain until its first event, so
-/// the estimated queueing time is too high.
-const QUEUE_TIME_DIVISOR: f64 = 2.0;
-
 /// The minimum time until the deadline with which another attempt is started, in milliseconds.
 pub(super) const MIN_ATTEMPT_MS: u64 = 200;
 
@@ -59,8 +49,7 @@
         log: &mut RequestLog,
     ) -> Result<FoundChain, Option<u64>> {
         let has_run = self.plan.may_have_run();
-        let service = hash_text(0, &self.relay.service().name);
-        let is_held_up = !has_run && self.state.queue.borrow().holds_up(service);
+        let is_held_up = !has_run && self.is_held_up();
         if !is_held_up && let Some(chain) = self.find_chain() {
             return Ok(chain);
         }
@@ -69,15 +58,20 @@
         }
         let state = Rc::clone(&self.state);
         let start = state.clock.now();
+        let end = match self.admit_to_queue(has_run, log) {
+            AdmissionVerdict::Wait(end) => end,
+            AdmissionVerdict::Refuse => {
+                return Err(Some(self.refuse_for_shortage(is_held_up, log)));
+            }
+        };
+        let is_decided = self.is_shortage_controlled();
         let place = QueuePlace {
-            service,
-            priority: match has_run {
-                true => RESUME_PRIORITY,
-                false => self.relay.priority(),
-            },
+            service: self.service_key(),
+            priority: self.queue_priority(),
             // All requests without an account count as one account in the fair queue.
             account: self.relay.account.map_or(0, |index| index as u64 + 1),
-            until: self.wait_end(has_run, log),
+            tokens: is_decided.then(|| self.reserved_tokens()),
+            until: end,
         };
         let probes = probe_silent_engines(
             Rc::clone(&state),
@@ -90,23 +84,26 @@
             () = probes => return Err(None),
         };
         log.add_wait(state.clock.now().since(start));
-        found.map_err(|retry_ms| {
-            if is_held_up {
-                log.add_cause("others wait");
-            }
-            log.add_cause(&match self.search_chain() {
-                Some(_) => "chain free".to_owned(),
-                None => self.shortage(),
-            });
-            Some(retry_ms)
-        })
+        found.ok_or_else(|| Some(self.refuse_for_shortage(is_held_up, log)))
+    }
+
+    /// Logs why the request is refused; returns the time after which its caller should retry, in milliseconds.
+    fn refuse_for_shortage(&self, is_held_up: bool, log: &mut RequestLog) -> u64 {
+        if is_held_up {
+            log.add_cause("others wait");
+        }
+        log.add_cause(&match self.search_chain() {
+            Some(_) => "chain free".to_owned(),
+            None => self.shortage(),
+        });
+        self.return_time_ms(log)
     }
 
     /// Returns the time until which the request waits for a chain.
     ///
     /// Engines that are silent may be sound. If they all are, the request waits for as long as a sound engine may
     /// be silent, since its caller would come back later than that.
-    fn wait_end(&self, has_run: bool, log: &RequestLog) -> MilliTime {
+    pub(super) fn wait_end(&self, has_run: bool, log: &RequestLog) -> MilliTime {
         let now = self.state.clock.now();
         let end = match has_run {
             true => now.plus(RESUME_WAIT_MS),
@@ -115,6 +112,12 @@
                 log.arrival().plus(wait_ms)
             }
         };
+        self.extend_for_silence(end)
+    }
+
+    /// Returns the later one of `end` and the time until which silent engines may be sound, if all are silent.
+    pub(super) fn extend_for_silence(&self, end: MilliTime) -> MilliTime {
+        let now = self.state.clock.now();
         let view = self.state.view.borrow();
         let model = self.relay.service().model.as_ref();
         let silence_end = model.and_then(|shape| {
@@ -161,8 +164,7 @@
         }
         log.add_cause(&self.shortage());
         // Successive callers come back one after the other.
-        let spacing_ms = self.state.queue.borrow_mut().retry_after_ms(now);
-        Some(end.since(now).saturating_add(spacing_ms))
+        Some(end.since(now).saturating_add(self.return_time_ms(log)))
     }
 
     /// Returns whether the request may be sent, taking a retry from the budget if it was sent before.
@@ -290,7 +292,7 @@
         self.relay.caller.size.reserved_tokens(usual_answer)
     }
 
-    fn finder_request(&self, shape: &ModelShape) -> FinderRequest<'_> {
+    pub(super) fn finder_request(&self, shape: &ModelShape) -> FinderRequest<'_> {
         FinderRequest {
             tokens: self.relay.caller.size.reserved_tokens(shape.usual_answer),
             is_resumed: self.last_id.is_some(),
@@ -298,7 +300,7 @@
             zone: &self.state.settings.zone,
             excluded: &self.excluded,
             may_cross: false,
-            max_wait_ms: self.relay.route().target_ms as f64 / QUEUE_TIME_DIVISOR,
+            limits: self.room_limits(),
             seed: hash_text(self.state.run_id, &self.relay.caller.id),
             now: self.state.clock.now(),
         }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -19,6 +19,7 @@
 mod run_exchange;
 mod run_signal;
 mod run_step;
+mod shortage_choice;
 mod stall_detection;
 mod stall_reason;
 mod stall_timeouts;
@@ -146,6 +147,10 @@
     pub(super) async fn open(&mut self, log: &mut RequestLog) -> OpenOutcome {
         let mut failure = None;
         let mut retry_after_ms = None;
+        if self.plan.sends() == 0 {
+            log.set_priority(self.rank_or_priority());
+            self.record_arrival();
+        }
         loop {
             if self.runs.is_empty() {
                 self.await_crash_reports().await;
@@ -173,6 +178,9 @@
                     }
                     break;
                 }
+                if self.plan.sends() == 0 {
+                    self.record_first_send();
+                }
                 self.start_run(chain, log);
             }
             match self.await_head(log).await {
@@ -293,7 +301,7 @@
             expected_id: &first.id,
             deadline_ms: self.relay.deadline.since(now),
             account: self.relay.account().map(|account| account.name.as_str()),
-            priority: self.relay.priority(),
+            priority: self.rank_or_priority(),
             last_event: last_event.as_deref(),
             chain: stages,
         };
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -9,6 +9,9 @@
 use dandelionroad_core::relay::KeyIndex;
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::relay::RouteIndex;
+use dandelionroad_core::relay::ShortageAdmission;
+use dandelionroad_core::relay::ShortageControl;
+use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
 
 use super::RelayBounds;
@@ -50,6 +53,8 @@
     pub process_count: u32,
     /// Whether the process is shutting down; it then reports that it isn't ready.
     pub is_stopping: bool,
+    /// The admissions of the services for which the configuration calls for it, sorted by the hashes of their names.
+    admissions: Vec<(u64, ShortageAdmission)>,
 }
 
 impl RelayView {
@@ -74,9 +79,57 @@
             crossing_budget: CrossingBudget::new(),
             process_count: INITIAL_PROCESS_COUNT,
             is_stopping: false,
+            admissions: Vec::new(),
         }
     }
 
+    /// Returns the admission under shortage of a service; `None` if the configuration does not call for it.
+    ///
+    /// `service` is the hash of its name.
+    pub fn admission(&self, service: u64) -> Option<&ShortageAdmission> {
+        let index = self.admission_index(service)?;
+        Some(&self.admissions[index].1)
+    }
+
+    /// Returns the admission under shortage of a service for updates; see [`admission`](RelayView::admission).
+    pub fn admission_mut(&mut self, service: u64) -> Option<&mut ShortageAdmission> {
+        let index = self.admission_index(service)?;
+        Some(&mut self.admissions[index].1)
+    }
+
+    fn admission_index(&self, service: u64) -> Option<usize> {
+        let found = self
+            .admissions
+            .binary_search_by_key(&service, |(known, _)| *known);
+        found.ok()
+    }
+
+    /// Returns whether the configuration calls for admission under shortage of some service.
+    pub fn has_admissions(&self) -> bool {
+        !self.admissions.is_empty()
+    }
+
+    /// Creates the admissions that the configuration calls for, and keeps the state of those that there are.
+    fn update_admissions(&mut self, config: &RelayConfig) {
+        let mut held = std::mem::take(&mut self.admissions);
+        for service in &config.services {
+            let Some(control) = ShortageControl::for_service(config, service) else {
+                continue;
+            };
+            let key = hash_text(0, &service.name);
+            let known = held.extract_if(.., |(known, _)| *known == key).next();
+            let admission = match known {
+                Some((_, mut admission)) => {
+                    admission.set_control(control);
+                    admission
+                }
+                None => ShortageAdmission::new(control),
+            };
+            self.admissions.push((key, admission));
+        }
+        self.admissions.sort_by_key(|(key, _)| *key);
+    }
+
     /// Applies reloaded limits to the configuration's maximum age and to the retry budget.
     pub fn set_bounds(&mut self, bounds: RelayBounds) {
         self.config_age.set_limit(bounds.key_age_ms);
@@ -91,6 +144,7 @@
         if present.is_some_and(|version| version >= config.version) {
             return false;
         }
+        self.update_admissions(&config);
         self.routes = RouteIndex::new(&config);
         self.keys = KeyIndex::new(&config);
         self.config = Some(Rc::new(config));
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -31,6 +31,7 @@
     failovers: IntCounterVec,
     avoidances: IntCounterVec,
     ended_buffers: IntCounterVec,
+    shortage_refusals: IntCounterVec,
     first_event: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
@@ -120,6 +121,11 @@
                 "Buffers given up because their source takes the most memory, by kind of source.",
                 "source",
             ),
+            shortage_refusals: counter(
+                "dandelionroad_shortage_refusals_total",
+                "Requests of services with admission under shortage that were refused for lack of room, by rank.",
+                "rank",
+            ),
             first_event: histogram(
                 "dandelionroad_first_event_ms",
                 "Time to the first piece of a response.",
@@ -231,6 +237,13 @@
         self.avoidances.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a request that was refused for lack of room.
+    pub fn count_shortage_refusal(&self, rank: u8) {
+        self.shortage_refusals
+            .with_label_values(&[rank.to_string().as_str()])
+            .inc();
+    }
+
     /// Returns the counter of the buffers that the budget of held bytes gives up.
     pub fn ended_buffers(&self) -> IntCounterVec {
         self.ended_buffers.clone()
--- a/crates/relay/src/telemetry/request_log.rs
+++ b/crates/relay/src/telemetry/request_log.rs
@@ -17,6 +17,12 @@
     last_piece: Option<MilliTime>,
     longest_gap_ms: u64,
     waited_ms: u64,
+    /// The priority; `None` until it is known.
+    priority: Option<u8>,
+    /// The time for which the request was expected to wait for engine capacity, in milliseconds.
+    expected_wait_ms: Option<u64>,
+    /// The time after which the refused caller should retry, in milliseconds.
+    retry_after_ms: Option<u64>,
     route: String,
     parts: String,
     engines: String,
@@ -39,6 +45,9 @@
             last_piece: None,
             longest_gap_ms: 0,
             waited_ms: 0,
+            priority: None,
+            expected_wait_ms: None,
+            retry_after_ms: None,
             route: String::new(),
             parts: String::new(),
             engines: String::new(),
@@ -70,6 +79,21 @@
         self.waited_ms += wait_ms;
     }
 
+    /// Sets the priority.
+    pub fn set_priority(&mut self, priority: u8) {
+        self.priority = Some(priority);
+    }
+
+    /// Sets the time for which the request is expected to wait for engine capacity.
+    pub fn set_expected_wait(&mut self, expected_ms: u64) {
+        self.expected_wait_ms = Some(expected_ms);
+    }
+
+    /// Sets the time after which the refused caller should retry.
+    pub fn set_retry_after(&mut self, retry_ms: Option<u64>) {
+        self.retry_after_ms = retry_ms;
+    }
+
     /// Records an attempt at the engines named by `engines`.
     pub fn record_send(&mut self, engines: &str) {
         self.sends += 1;
@@ -132,6 +156,9 @@
             whole_ms = whole_ms,
             gap_ms = self.longest_gap_ms,
             waited_ms = self.waited_ms,
+            priority = self.priority.map_or(-1, i64::from),
+            expected_wait_ms = logged_age(self.expected_wait_ms),
+            retry_after_ms = logged_age(self.retry_after_ms),
             config = view.config.as_ref().map_or(0, |config| config.version),
             config_age_ms = logged_age(view.config_age.age_ms(now)),
             listing_age_ms = logged_age(self.listing_age_ms),
