--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -9,7 +9,8 @@
 Several processes forward to the same engines without a coordinator. Each one holds the list of
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, the reasons to send them nothing ([`EngineMarks`]) and the load that all
-processes report, and uses only its share of the free KV memory between two reports. [`EngineAvailability`] holds what engines say in
+processes report, and uses only its share of the free KV memory between two reports. [`DemandTable`] holds the demand of all
+processes for services under shortage control. [`EngineAvailability`] holds what engines say in
 their answers: that they leave, or want no requests for a time. Requests that find no free memory
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
@@ -19,6 +20,7 @@
 
 mod accelerator_kind;
 mod answer_progress;
+mod arrival_rate;
 mod attempt_end;
 mod attempt_plan;
 mod byte_ledger;
@@ -28,6 +30,7 @@
 mod config_age;
 mod crash_detector;
 mod delta_mismatch;
+mod demand_table;
 mod engine_availability;
 mod engine_crash;
 mod engine_entry;
@@ -68,6 +71,7 @@
 mod served_parts;
 mod service_picker;
 mod service_share;
+mod shared_demand;
 mod shared_load;
 mod shutdown_plan;
 mod suspect_crash;
@@ -76,6 +80,7 @@
 
 pub use self::accelerator_kind::AcceleratorKind;
 pub use self::answer_progress::AnswerProgress;
+pub use self::arrival_rate::ArrivalRate;
 pub use self::attempt_end::AttemptEnd;
 pub use self::attempt_plan::AttemptPlan;
 pub use self::byte_ledger::ByteLedger;
@@ -85,6 +90,7 @@
 pub use self::config_age::ConfigAge;
 pub use self::crash_detector::CrashDetector;
 pub use self::delta_mismatch::DeltaMismatch;
+pub use self::demand_table::DemandTable;
 pub use self::engine_availability::EngineAvailability;
 pub use self::engine_crash::EngineCrash;
 pub use self::engine_entry::EngineEntry;
@@ -120,6 +126,7 @@
 pub use self::run_phase::RunPhase;
 pub use self::service_picker::ServicePicker;
 pub use self::service_share::ServiceShare;
+pub use self::shared_demand::SharedDemand;
 pub use self::shared_load::SharedLoad;
 pub use self::shutdown_plan::ShutdownPlan;
 pub use self::suspicion_cause::SuspicionCause;
