--- a/crates/bench/src/chain/world_entries.rs
+++ b/crates/bench/src/chain/world_entries.rs
@@ -3,6 +3,7 @@
 use dandelionroad_core::chain::ChainFinder;
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
+use dandelionroad_core::relay::DemandTable;
 use dandelionroad_core::relay::SharedLoad;
 use rand::Rng;
 
@@ -209,9 +210,11 @@
         let zones: Vec<String> = self.entries.iter().map(|own| own.zone.clone()).collect();
         let entries_in_zone = |zone: &str| zones.iter().filter(|own| *own == zone).count() as u32;
         if self.setup.policy == SharingPolicy::DividedReports {
+            // The simulated services aren't under shortage control.
+            let demand = DemandTable::new(&self.entries[entry].zone);
             self.entries[entry]
                 .table
-                .divide_capacity(entries_in_zone, rounding_offset);
+                .divide_capacity(entries_in_zone, &demand, rounding_offset);
         }
         self.serve_waiting(entry);
     }
--- a/crates/core/src/relay/engine_entry.rs
+++ b/crates/core/src/relay/engine_entry.rs
@@ -47,6 +47,8 @@
     pub peer_units: f64,
     /// The number of processes that send requests to it.
     pub sharers: u32,
+    /// This process's share of the free memory by its demand, from 0 to 1; an even share if `None`.
+    pub demand_share: Option<f64>,
     /// The random offset, from 0 to below 1, that is added to this process's share of the free
     /// memory before the share is rounded down to whole requests.
     ///
@@ -85,6 +87,7 @@
             peer_requests: 0,
             peer_units: 0.0,
             sharers: 1,
+            demand_share: None,
             rounding_offset: 0.0,
             base_units: 0.0,
             slowdown: 1.0,
@@ -132,7 +135,8 @@
     /// request, both in tokens times layers.
     ///
     /// Processes learn of each other's requests with a delay and would otherwise all fill the same
-    /// free memory. Where less than one request is free for each process, `rounding_offset` decides
+    /// free memory. The share is even, or follows the demand of the processes; see
+    /// [`DemandTable::own_weight`](super::DemandTable::own_weight). Where less than one request is free for each process, `rounding_offset` decides
     /// at random which of them may send one. The last request may exceed the share, so that large
     /// requests are served as well.
     pub fn remaining_share(&self, capacity: f64, request_units: f64) -> f64 {
@@ -140,7 +144,11 @@
             return f64::MAX;
         }
         let free = capacity - self.base_units - self.peer_units;
-        let share = free / request_units.max(1e-9) / f64::from(self.sharers);
+        let requests = free / request_units.max(1e-9);
+        let share = match self.demand_share {
+            Some(part) => requests * part,
+            None => requests / f64::from(self.sharers),
+        };
         (share + self.rounding_offset).floor() * request_units - (self.own_units - self.base_units)
     }
 }
--- a/crates/core/src/relay/engine_table/shared_loads.rs
+++ b/crates/core/src/relay/engine_table/shared_loads.rs
@@ -1,7 +1,9 @@
 //! The load of requests at the engines, and the division of their free memory among the processes.
 
+use crate::relay::DemandTable;
 use crate::relay::EngineEntry;
 use crate::relay::SharedLoad;
+use crate::route::hash_text;
 
 use super::EngineTable;
 
@@ -70,8 +72,14 @@
 
     /// Divides the free KV memory of each engine among the processes that send to it, until the
     /// next division; see [`EngineEntry::remaining_share`]. `sharers` returns the number of
-    /// processes that send to the engines of an availability zone; it is called once for each zone.
-    pub fn divide_capacity(&mut self, sharers: impl Fn(&str) -> u32, rounding_offset: f64) {
+    /// processes that send to the engines of an availability zone; it is called once for each zone. The shares
+    /// of engines whose service has demand in `demand` follow it.
+    pub fn divide_capacity(
+        &mut self,
+        sharers: impl Fn(&str) -> u32,
+        demand: &DemandTable,
+        rounding_offset: f64,
+    ) {
         let mut zones: Vec<(String, u32)> = Vec::new();
         for entry in &mut self.entries {
             let zone = &entry.record.zone;
@@ -81,6 +89,9 @@
                 index
             });
             entry.sharers = zones[index].1;
+            let service = hash_text(0, &entry.record.service);
+            let zone = &entry.record.zone;
+            entry.demand_share = demand.own_weight(service, zone, entry.sharers);
             entry.rounding_offset = rounding_offset;
             entry.base_units = entry.own_units;
         }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -9,8 +9,8 @@
 Several processes forward to the same engines without a coordinator. Each one holds the list of
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, the reasons to send them nothing ([`EngineMarks`]) and the load that all
-processes report, and uses only its share of the free KV memory between two reports. [`DemandTable`] holds the demand of all
-processes for services under shortage control. [`EngineAvailability`] holds what engines say in
+processes report, and uses only its share of the free KV memory between two reports. For services under
+shortage control, [`DemandTable`] makes the share follow the demand. [`EngineAvailability`] holds what engines say in
 their answers: that they leave, or want no requests for a time. Requests that find no free memory
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
--- a/crates/core/tests/capacity_division.rs
+++ b/crates/core/tests/capacity_division.rs
@@ -6,6 +6,7 @@
 use dandelionroad_core::chain::ChainFinder;
 use dandelionroad_core::chain::FinderRequest;
 use dandelionroad_core::chain::FoundChain;
+use dandelionroad_core::relay::DemandTable;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::stream::LayerRange;
@@ -97,7 +98,8 @@
         let table = &mut self.tables[process];
         table.set_peer_loads(&loads);
         if self.is_divided {
-            table.divide_capacity(|_| PROCESSES as u32, rounding_offset);
+            let demand = DemandTable::new("a");
+            table.divide_capacity(|_| PROCESSES as u32, &demand, rounding_offset);
         }
     }
 
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -4,6 +4,7 @@
 use dandelionroad_core::chain::CrossingBudget;
 use dandelionroad_core::relay::ConfigAge;
 use dandelionroad_core::relay::CrashDetector;
+use dandelionroad_core::relay::DemandTable;
 use dandelionroad_core::relay::EngineListing;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::KeyIndex;
@@ -32,6 +33,8 @@
     pub listing: EngineListing,
     /// The listed engines with their loads.
     pub engines: EngineTable,
+    /// The demand for services under shortage control, of this process and of the others.
+    pub demand: DemandTable,
     /// The requests that may have crashed engines.
     pub crashes: CrashDetector,
     /// The time at which the list of engines was last confirmed as the newest.
@@ -62,6 +65,7 @@
             config_age: ConfigAge::new(settings.bounds.key_age_ms),
             listing: EngineListing::new(),
             engines: EngineTable::new(),
+            demand: DemandTable::new(&settings.zone),
             crashes: CrashDetector::new(),
             listing_time: MilliTime::default(),
             last_store_reply: MilliTime::default(),
--- a/crates/relay/src/peer/load_message.rs
+++ b/crates/relay/src/peer/load_message.rs
@@ -3,9 +3,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::PeerDemand;
 use super::PeerLoad;
 
-/// The loads that one process puts on engines, sent to the other processes.
+/// The loads that one process puts on engines and its demand for them, sent to the other processes.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LoadMessage {
     /// The address at which the sender serves its metrics and the rows that it has read.
@@ -26,4 +27,6 @@
     pub listing_age_ms: u32,
     /// The loads of the sender.
     pub loads: Vec<PeerLoad>,
+    /// The demand of the sender for services under shortage control.
+    pub demands: Vec<PeerDemand>,
 }
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -1,8 +1,8 @@
 /*!
-Datagrams between relay processes: the load that each puts on engines, confirmations of what was read
+Datagrams between relay processes: the load that each puts on engines, its demand, confirmations of what was read
 from the store, and requests that crash engines.
 
-Each process sends its loads to the others at an interval, so a lost datagram is superseded by the
+Each process sends its loads and its demand to the others at an interval, so a lost datagram is superseded by the
 next one.
 
 If every process polled the store, its load would grow with the number of processes. Instead, one
@@ -22,9 +22,11 @@
 mod listing_answer;
 mod load_message;
 mod peer_datagram;
+mod peer_demand;
 mod peer_load;
 mod peer_table;
 mod peer_task;
+mod priority_demand;
 mod shared_rows;
 mod zone_config;
 
@@ -35,9 +37,11 @@
 pub use self::listing_answer::ListingAnswer;
 pub use self::load_message::LoadMessage;
 pub use self::peer_datagram::PeerDatagram;
+pub use self::peer_demand::PeerDemand;
 pub use self::peer_load::PeerLoad;
 pub use self::peer_table::PeerTable;
 pub(crate) use self::peer_task::is_store_reader;
 pub use self::peer_task::run_peers;
+pub use self::priority_demand::PriorityDemand;
 pub(crate) use self::shared_rows::shared_body;
 pub(crate) use self::zone_config::adopt_zone_config;
--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -14,7 +14,7 @@
 /// rejected.
 ///
 /// It differs from the first byte of JSON, the encoding of the first release.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// A datagram between two processes.
 ///
@@ -41,7 +41,7 @@
 /// ```
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum PeerDatagram {
-    /// The loads that the sender puts on engines.
+    /// The loads that the sender puts on engines, and its demand.
     Load(LoadMessage),
     /// A confirmation of the state that the receiver holds.
     Confirm(ConfirmMessage),
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -1,10 +1,13 @@
 use std::cmp::Reverse;
 use std::net::SocketAddr;
 
+use dandelionroad_core::relay::SharedDemand;
 use dandelionroad_core::relay::SharedLoad;
+use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
 
 use super::LoadMessage;
+use super::PeerDemand;
 use super::PeerLoad;
 use super::peer_task::LOAD_INTERVAL_MS;
 
@@ -57,6 +60,7 @@
     /// The timestamp of its newest message that arrived before the last read of the list of engines.
     listing_stamp: u64,
     loads: Vec<PeerLoad>,
+    demands: Vec<PeerDemand>,
     reaches_store: bool,
     capacity: u32,
     /// The age of its list of engines when its last message was sent, in milliseconds.
@@ -126,6 +130,7 @@
         peer.zone = message.zone;
         peer.internal_address = Some(message.internal);
         peer.loads = message.loads;
+        peer.demands = message.demands;
         peer.reaches_store = message.reaches_store;
         peer.capacity = message.capacity;
         peer.listing_age_ms = u64::from(message.listing_age_ms);
@@ -279,6 +284,25 @@
             .collect()
     }
 
+    /// Returns the demand of the live processes for services under shortage control.
+    pub fn demands(&self, now: MilliTime) -> Vec<SharedDemand> {
+        let mut demands = Vec::new();
+        for peer in self.live_peers(now) {
+            let zone = hash_text(0, &peer.zone);
+            for demand in &peer.demands {
+                let parts = demand.priorities.iter();
+                demands.extend(parts.map(|part| SharedDemand {
+                    service: demand.service,
+                    zone,
+                    priority: part.priority,
+                    waiting_tokens: f64::from(part.waiting_tokens),
+                    arriving_tokens: f64::from(part.arriving_tokens),
+                }));
+            }
+        }
+        demands
+    }
+
     fn get_mut(&mut self, address: SocketAddr, run: u64) -> Option<&mut PeerState> {
         let found = self
             .peers
@@ -326,6 +350,7 @@
                     config_stamp: 0,
                     listing_stamp: 0,
                     loads: Vec::new(),
+                    demands: Vec::new(),
                     reaches_store: false,
                     capacity: 0,
                     listing_age_ms: u64::MAX,
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -18,6 +18,7 @@
 use super::ConfirmMessage;
 use super::LoadMessage;
 use super::PeerDatagram;
+use super::PeerDemand;
 use super::PeerLoad;
 use super::crash_exchange::answer_parts;
 use super::crash_exchange::clear_served;
@@ -93,6 +94,7 @@
                 .and_then(|age_ms| age_ms.try_into().ok())
                 .unwrap_or(u32::MAX),
             loads: own_loads(state),
+            demands: PeerDemand::group(&state.view.borrow().demand.own_demands()),
         });
         let targets = state.peers.borrow().round_targets(round, now);
         if let Some(bytes) = encode(&message) {
@@ -288,18 +290,21 @@
     }
 }
 
-/// Updates the view with the loads and the number of the other processes, and removes the engines that are
+/// Updates the view with the loads, the demand and the number of the other processes, and removes the engines that are
 /// still not listed after the grace period that follows an outage of the store.
 fn refresh_view(state: &NodeState, now: MilliTime) {
     let mut peers = state.peers.borrow_mut();
     peers.expire(now);
     let loads = peers.loads(now);
-    let mut view = state.view.borrow_mut();
+    let demands = peers.demands(now);
+    let view = &mut *state.view.borrow_mut();
     view.engines.set_peer_loads(&loads);
     let draw = (mix_seed(state.run_id ^ now.as_millis()) % RANDOM_RESOLUTION) as f64
         / RANDOM_RESOLUTION as f64;
-    view.engines
-        .divide_capacity(|zone| peers.zone_live_count(zone, now) + 1, draw);
+    view.demand.set_peer_demands(&demands);
+    view.demand.refresh(now);
+    let sharers = |zone: &str| peers.zone_live_count(zone, now) + 1;
+    view.engines.divide_capacity(sharers, &view.demand, draw);
     view.engines.expire_latency_ratios(now);
     view.engines.expire_availability(now);
     let confirmed = view.listing_time;
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -1,5 +1,6 @@
 use prometheus::Encoder;
 use prometheus::Gauge;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
@@ -36,6 +37,7 @@
     config_version: Gauge,
     config_age: Gauge,
     listing_age: Gauge,
+    waiting_tokens: GaugeVec,
     running: Gauge,
     engines: Gauge,
     leaving_engines: Gauge,
@@ -140,6 +142,17 @@
                 "dandelionroad_listing_age_ms",
                 "Time since the list of engines was last confirmed as the newest.",
             ),
+            waiting_tokens: register(
+                &registry,
+                GaugeVec::new(
+                    Opts::new(
+                        "dandelionroad_waiting_tokens",
+                        "Prompt and expected answer tokens that wait for capacity, as reported between processes, by priority; origin 'own' is this process.",
+                    ),
+                    &["origin", "priority"],
+                )
+                .expect("names and labels are valid"),
+            ),
             running: gauge("dandelionroad_requests_running", "Requests in progress."),
             engines: gauge(
                 "dandelionroad_engines_usable",
@@ -257,6 +270,9 @@
         let age = view.listing_age_ms(now);
         self.listing_age
             .set(age.map_or(f64::INFINITY, |age| age as f64));
+        self.waiting_tokens.reset();
+        self.set_waiting("own", view.demand.own_waiting());
+        self.set_waiting("peers", view.demand.peer_waiting());
         self.running.set(f64::from(state.running_requests.get()));
         let usable = view
             .engines
@@ -280,6 +296,15 @@
         }
         text
     }
+
+    fn set_waiting(&self, origin: &str, waiting: Vec<(u8, f64)>) {
+        for (priority, tokens) in waiting {
+            let gauge = &self.waiting_tokens;
+            gauge
+                .with_label_values(&[origin, &priority.to_string()])
+                .set(tokens);
+        }
+    }
 }
 
 impl Default for RelayMetrics {
--- a/crates/relay/tests/crashers.rs
+++ b/crates/relay/tests/crashers.rs
@@ -200,6 +200,7 @@
         capacity: 100,
         listing_age_ms: u32::MAX,
         loads: Vec::new(),
+        demands: Vec::new(),
     })
 }
 
--- a/crates/relay/tests/freshness_schedules.rs
+++ b/crates/relay/tests/freshness_schedules.rs
@@ -196,6 +196,7 @@
                 capacity: 100,
                 listing_age_ms: 0,
                 loads: Vec::new(),
+                demands: Vec::new(),
             };
             let datagram = SimDatagram::Load {
                 from: process,
--- a/crates/relay/tests/listing.rs
+++ b/crates/relay/tests/listing.rs
@@ -235,6 +235,7 @@
                     capacity: 1_000,
                     listing_age_ms: 0,
                     loads: Vec::new(),
+                    demands: Vec::new(),
                 });
                 let bytes = message.encode().unwrap();
                 socket.send_to(&bytes, target).await.unwrap();
--- a/crates/relay/tests/peer_table.rs
+++ b/crates/relay/tests/peer_table.rs
@@ -3,9 +3,12 @@
 
 use std::net::SocketAddr;
 
+use dandelionroad_core::relay::DemandTable;
+use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
 use dandelionroad_relay::peer::LoadMessage;
 use dandelionroad_relay::peer::PeerDatagram;
+use dandelionroad_relay::peer::PeerDemand;
 use dandelionroad_relay::peer::PeerLoad;
 use dandelionroad_relay::peer::PeerTable;
 
@@ -24,6 +27,7 @@
         capacity: 100,
         listing_age_ms: 0,
         loads: Vec::new(),
+        demands: Vec::new(),
     }
 }
 
@@ -171,6 +175,32 @@
     );
 }
 
+/// Guards against demand of a silent process that keeps its share of the free memory for good, and against demand
+/// that is lost or changed on its way to another process.
+#[test]
+fn demands_of_silent_process_are_dropped() {
+    let (service, now) = (hash_text(0, "quotes"), MilliTime::from_millis(1_000));
+    let mut sender = DemandTable::new("a");
+    sender.record_arrival(service, 0, 9_000.0, now);
+    sender.set_waiting(service, 2, 640.0);
+    let mut message = load_message(1, 5);
+    message.zone = "a".to_owned();
+    message.demands = PeerDemand::group(&sender.own_demands());
+    let bytes = PeerDatagram::Load(message).encode().unwrap();
+    let Ok(PeerDatagram::Load(message)) = PeerDatagram::decode(&bytes) else {
+        panic!("not a load message");
+    };
+    let mut table = PeerTable::new(own_address(), "a", 100);
+    table.record_message(address(1), message, now);
+    let mut receiver = DemandTable::new("a");
+    receiver.record_arrival(service, 1, 1_000.0, now);
+    receiver.set_peer_demands(&table.demands(now.plus(2_400)));
+    assert_eq!(receiver.peer_waiting(), [(0, 0.0), (2, 640.0)]);
+    assert!(receiver.own_weight(service, "a", 2).unwrap() < 0.2);
+    receiver.set_peer_demands(&table.demands(now.plus(2_600)));
+    assert_eq!(receiver.own_weight(service, "a", 1), Some(1.0));
+}
+
 /// Traffic between availability zones is billed: larger load messages cost more than the better choice of
 /// chains saves.
 #[test]
