--- a/crates/core/src/relay/capacity_queue.rs
+++ b/crates/core/src/relay/capacity_queue.rs
@@ -191,6 +191,15 @@
         ahead.map(|queued| queued.tokens).sum()
     }
 
+    /// Returns the work of the waiting requests of a service at one priority that hold up others, in tokens.
+    pub fn waiting_tokens(&self, service: u64, priority: u8) -> f64 {
+        let waiting = self
+            .waiting
+            .iter()
+            .filter(|queued| queued.holds_up(service) && queued.priority == priority);
+        waiting.map(|queued| queued.tokens).sum()
+    }
+
     /// Returns whether a new request of a priority would be held up by those that wait for the engines of
     /// `service`.
     pub fn holds_up_priority(&self, service: u64, priority: u8) -> bool {
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -9,7 +9,8 @@
 Several processes forward to the same engines without a coordinator. Each one holds the list of
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, the reasons to send them nothing ([`EngineMarks`]) and the load that all
-processes report, and uses only its share of the free KV memory between two reports. [`EngineAvailability`] holds what engines say in
+processes report, and uses only its share of the free KV memory between two reports. For services under
+shortage control, [`DemandTable`] makes the share follow the demand. [`EngineAvailability`] holds what engines say in
 their answers: that they leave, or want no requests for a time. Requests that find no free memory
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
@@ -30,6 +31,7 @@
 mod config_age;
 mod crash_detector;
 mod delta_mismatch;
+mod demand_table;
 mod engine_availability;
 mod engine_crash;
 mod engine_entry;
@@ -71,6 +73,7 @@
 mod served_parts;
 mod service_picker;
 mod service_share;
+mod shared_demand;
 mod shared_load;
 mod shortage_admission;
 mod shortage_control;
@@ -93,6 +96,7 @@
 pub use self::config_age::ConfigAge;
 pub use self::crash_detector::CrashDetector;
 pub use self::delta_mismatch::DeltaMismatch;
+pub use self::demand_table::DemandTable;
 pub use self::engine_availability::EngineAvailability;
 pub use self::engine_crash::EngineCrash;
 pub use self::engine_entry::EngineEntry;
@@ -129,6 +133,7 @@
 pub use self::run_phase::RunPhase;
 pub use self::service_picker::ServicePicker;
 pub use self::service_share::ServiceShare;
+pub use self::shared_demand::SharedDemand;
 pub use self::shared_load::SharedLoad;
 pub use self::shortage_admission::ShortageAdmission;
 pub use self::shortage_control::ShortageControl;
--- a/crates/core/src/relay/shortage_control.rs
+++ b/crates/core/src/relay/shortage_control.rs
@@ -95,6 +95,12 @@
         u8::try_from(rank.min(last)).unwrap_or(u8::MAX)
     }
 
+    /// Returns the ranks of the classes.
+    pub fn ranks(&self) -> impl Iterator<Item = u8> + use<> {
+        let last = u8::try_from(self.classes.len() - 1).unwrap_or(u8::MAX);
+        0..=last
+    }
+
     /// Returns the shortest target time of the requests of a rank and of the more urgent ones, in milliseconds.
     pub fn target_ms(&self, rank: u8) -> u64 {
         let last = self.classes.len() - 1;
--- a/crates/relay/src/ingress/stream_relay/shortage_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/shortage_choice.rs
@@ -34,6 +34,7 @@
         let mut view = self.state.view.borrow_mut();
         if let Some(admission) = view.admission_mut(service) {
             admission.record_arrival(rank, tokens, now);
+            view.demand.record_arrival(service, rank, tokens, now);
         }
     }
 
@@ -93,8 +94,9 @@
         let view = self.state.view.borrow();
         match view.admission(self.service_key()) {
             Some(admission) => {
-                let now = self.state.clock.now();
-                admission.limits(self.queue_priority(), 0.0, now)
+                let (rank, now) = (self.queue_priority(), self.state.clock.now());
+                let reserved_tokens = view.demand.waiting_before(self.service_key(), rank);
+                admission.limits(rank, reserved_tokens, now)
             }
             None => RoomLimits::whole(self.relay.route().target_ms as f64 / QUEUE_TIME_DIVISOR),
         }
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -2,8 +2,10 @@
 
 use dandelionroad_core::admit::RetryBudget;
 use dandelionroad_core::chain::CrossingBudget;
+use dandelionroad_core::relay::CapacityQueue;
 use dandelionroad_core::relay::ConfigAge;
 use dandelionroad_core::relay::CrashDetector;
+use dandelionroad_core::relay::DemandTable;
 use dandelionroad_core::relay::EngineListing;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::KeyIndex;
@@ -35,6 +37,8 @@
     pub listing: EngineListing,
     /// The listed engines with their loads.
     pub engines: EngineTable,
+    /// The demand for services under shortage control, of this process and of the others.
+    pub demand: DemandTable,
     /// The requests that may have crashed engines.
     pub crashes: CrashDetector,
     /// The time at which the list of engines was last confirmed as the newest.
@@ -67,6 +71,7 @@
             config_age: ConfigAge::new(settings.bounds.key_age_ms),
             listing: EngineListing::new(),
             engines: EngineTable::new(),
+            demand: DemandTable::new(&settings.zone),
             crashes: CrashDetector::new(),
             listing_time: MilliTime::default(),
             last_store_reply: MilliTime::default(),
@@ -104,6 +109,16 @@
         found.ok()
     }
 
+    /// Sets the work that waits at this process, which it reports to the others.
+    pub fn set_waiting(&mut self, queue: &CapacityQueue) {
+        for (service, admission) in &self.admissions {
+            for rank in admission.control().ranks() {
+                let tokens = queue.waiting_tokens(*service, rank);
+                self.demand.set_waiting(*service, rank, tokens);
+            }
+        }
+    }
+
     /// Returns whether the configuration calls for admission under shortage of some service.
     pub fn has_admissions(&self) -> bool {
         !self.admissions.is_empty()
