--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -9,7 +9,8 @@
 Several processes forward to the same engines without a coordinator. Each one holds the list of
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, the reasons to send them nothing ([`EngineMarks`]) and the load that all
-processes report, and uses only its share of the free KV memory between two reports. [`EngineAvailability`] holds what engines say in
+processes report, and uses only its share of the free KV memory between two reports. For services under
+shortage control, [`DemandTable`] makes the share follow the demand. [`EngineAvailability`] holds what engines say in
 their answers: that they leave, or want no requests for a time. Requests that find no free memory
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
@@ -18,7 +19,9 @@
 */
 
 mod accelerator_kind;
+mod admission_verdict;
 mod answer_progress;
+mod arrival_rate;
 mod attempt_end;
 mod attempt_plan;
 mod byte_ledger;
@@ -29,6 +32,7 @@
 mod config_check;
 mod crash_detector;
 mod delta_mismatch;
+mod demand_table;
 mod engine_availability;
 mod engine_crash;
 mod engine_entry;
@@ -63,20 +67,27 @@
 mod repeat_rule;
 mod request_fingerprint;
 mod request_size;
+mod return_schedule;
 mod route_index;
 mod run_phase;
 mod served_part;
 mod served_parts;
 mod service_picker;
 mod service_share;
+mod shared_demand;
 mod shared_load;
+mod shortage_admission;
+mod shortage_control;
+mod shortage_request;
 mod shutdown_plan;
 mod suspect_crash;
 mod suspect_part;
 mod suspicion_cause;
 
 pub use self::accelerator_kind::AcceleratorKind;
+pub use self::admission_verdict::AdmissionVerdict;
 pub use self::answer_progress::AnswerProgress;
+pub use self::arrival_rate::ArrivalRate;
 pub use self::attempt_end::AttemptEnd;
 pub use self::attempt_plan::AttemptPlan;
 pub use self::byte_ledger::ByteLedger;
@@ -92,6 +103,7 @@
 pub use self::config_check::FindingLevel;
 pub use self::crash_detector::CrashDetector;
 pub use self::delta_mismatch::DeltaMismatch;
+pub use self::demand_table::DemandTable;
 pub use self::engine_availability::EngineAvailability;
 pub use self::engine_crash::EngineCrash;
 pub use self::engine_entry::EngineEntry;
@@ -123,10 +135,15 @@
 pub use self::repeat_rule::RepeatRule;
 pub use self::request_fingerprint::request_fingerprint;
 pub use self::request_size::RequestSize;
+pub use self::return_schedule::ReturnSchedule;
 pub use self::route_index::RouteIndex;
 pub use self::run_phase::RunPhase;
 pub use self::service_picker::ServicePicker;
 pub use self::service_share::ServiceShare;
+pub use self::shared_demand::SharedDemand;
 pub use self::shared_load::SharedLoad;
+pub use self::shortage_admission::ShortageAdmission;
+pub use self::shortage_control::ShortageControl;
+pub use self::shortage_request::ShortageRequest;
 pub use self::shutdown_plan::ShutdownPlan;
 pub use self::suspicion_cause::SuspicionCause;
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -1,5 +1,6 @@
 use prometheus::Encoder;
 use prometheus::Gauge;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
@@ -31,11 +32,13 @@
     failovers: IntCounterVec,
     avoidances: IntCounterVec,
     ended_buffers: IntCounterVec,
+    shortage_refusals: IntCounterVec,
     first_event: Histogram,
     whole_answer: Histogram,
     config_version: Gauge,
     config_age: Gauge,
     listing_age: Gauge,
+    waiting_tokens: GaugeVec,
     running: Gauge,
     engines: Gauge,
     leaving_engines: Gauge,
@@ -120,6 +123,11 @@
                 "Buffers given up because their source takes the most memory, by kind of source.",
                 "source",
             ),
+            shortage_refusals: counter(
+                "dandelionroad_shortage_refusals_total",
+                "Requests of services with admission under shortage that were refused for lack of room, by rank.",
+                "rank",
+            ),
             first_event: histogram(
                 "dandelionroad_first_event_ms",
                 "Time to the first piece of a response.",
@@ -140,6 +148,17 @@
                 "dandelionroad_listing_age_ms",
                 "Time since the list of engines was last confirmed as the newest.",
             ),
+            waiting_tokens: register(
+                &registry,
+                GaugeVec::new(
+                    Opts::new(
+                        "dandelionroad_waiting_tokens",
+                        "Prompt and expected answer tokens that wait for capacity, as reported between processes, by priority; origin 'own' is this process.",
+                    ),
+                    &["origin", "priority"],
+                )
+                .expect("names and labels are valid"),
+            ),
             running: gauge("dandelionroad_requests_running", "Requests in progress."),
             engines: gauge(
                 "dandelionroad_engines_usable",
@@ -231,6 +250,13 @@
         self.avoidances.with_label_values(&[cause]).inc();
     }
 
+    /// Counts a request that was refused for lack of room.
+    pub fn count_shortage_refusal(&self, rank: u8) {
+        self.shortage_refusals
+            .with_label_values(&[rank.to_string().as_str()])
+            .inc();
+    }
+
     /// Returns the counter of the buffers that the budget of held bytes gives up.
     pub fn ended_buffers(&self) -> IntCounterVec {
         self.ended_buffers.clone()
@@ -257,6 +283,9 @@
         let age = view.listing_age_ms(now);
         self.listing_age
             .set(age.map_or(f64::INFINITY, |age| age as f64));
+        self.waiting_tokens.reset();
+        self.set_waiting("own", view.demand.own_waiting());
+        self.set_waiting("peers", view.demand.peer_waiting());
         self.running.set(f64::from(state.running_requests.get()));
         let usable = view
             .engines
@@ -280,6 +309,15 @@
         }
         text
     }
+
+    fn set_waiting(&self, origin: &str, waiting: Vec<(u8, f64)>) {
+        for (priority, tokens) in waiting {
+            let gauge = &self.waiting_tokens;
+            gauge
+                .with_label_values(&[origin, &priority.to_string()])
+                .set(tokens);
+        }
+    }
 }
 
 impl Default for RelayMetrics {
