--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -151,7 +151,9 @@
             if !candidates.iter().any(|candidate| {
                 zone_of(candidate.entry) == zone && covers(candidate.layers, layer)
             }) {
-                let reasons = holders.filter_map(|entry| self.candidate(entry, request).err());
+                let reserved_tokens = self.reserved_per_engine(request);
+                let reasons = holders
+                    .filter_map(|entry| self.candidate(entry, request, reserved_tokens).err());
                 let nearest = reasons.max_by_key(|reason| reason.nearness());
                 return ChainShortage::Full(layer, nearest.unwrap_or(RoomShortage::Refused));
             }
@@ -192,13 +194,26 @@
 
     /// Returns the engines that have room for the request.
     fn candidates(&self, request: &FinderRequest<'_>) -> Vec<ChainCandidate<'a>> {
+        let reserved_tokens = self.reserved_per_engine(request);
         let engines = self.engines();
         engines
-            .filter_map(|entry| self.candidate(entry, request).ok())
+            .filter_map(|entry| self.candidate(entry, request, reserved_tokens).ok())
             .collect()
     }
 
-    /// Returns an engine as a candidate for a stage.
+    /// Returns the tokens for which each engine keeps room: the reserved ones, divided among the chains that there
+    /// can be, as many as usable engines hold the first layer.
+    pub(super) fn reserved_per_engine(&self, request: &FinderRequest<'_>) -> f64 {
+        if request.limits.reserved_tokens <= 0.0 {
+            return 0.0;
+        }
+        let first = self
+            .engines()
+            .filter(|entry| entry.record.layers.first == 0 && self.is_eligible(entry, request));
+        request.limits.reserved_tokens / first.count().max(1) as f64
+    }
+
+    /// Returns an engine as a candidate for a stage; it keeps room for `reserved_tokens` tokens.
     ///
     /// # Errors
     ///
@@ -207,6 +222,7 @@
         &self,
         entry: &'a EngineEntry,
         request: &FinderRequest<'_>,
+        reserved_tokens: f64,
     ) -> Result<ChainCandidate<'a>, RoomShortage> {
         let is_full = entry
             .marks
@@ -221,7 +237,7 @@
         let capacity = self.shape.kv_capacity_units(kind.memory_mb, held)
             * MEMORY_SHARE
             * request.limits.memory_share;
-        let reserved = request.limits.reserved_tokens * f64::from(held);
+        let reserved = reserved_tokens * f64::from(held);
         let free = (capacity - entry.units() - reserved).max(0.0);
         let max_layers = (free / request.tokens.max(1.0)).min(f64::from(u16::MAX)) as u16;
         if max_layers == 0 {
@@ -245,7 +261,7 @@
         let slots = f64::from(entry.record.slots) * request.limits.memory_share;
         let step_ms = layer_ms * f64::from(held);
         let prefill_wait_ms = self.prefill_ms(entry.prefill_tokens(), step_ms);
-        let reserved_ms = self.prefill_ms(request.limits.reserved_tokens, step_ms);
+        let reserved_ms = self.prefill_ms(reserved_tokens, step_ms);
         if prefill_wait_ms + reserved_ms > request.limits.queue_ms {
             return Err(RoomShortage::Prefill {
                 excess_ms: prefill_wait_ms + reserved_ms - request.limits.queue_ms,
--- a/crates/core/src/chain/room_forecast.rs
+++ b/crates/core/src/chain/room_forecast.rs
@@ -19,29 +19,29 @@
     /// Load: engines that are full for the moment. The queue of prompts at an engine shrinks as time passes, and
     /// memory is released at the rate of its running requests, each of which takes `run_ms` milliseconds.
     pub fn room_wait_ms(&self, request: &FinderRequest<'_>, run_ms: f64) -> Option<f64> {
+        let reserved_tokens = self.reserved_per_engine(request);
+        let usable = self
+            .engines()
+            .filter(|entry| self.is_eligible(entry, request));
+        let waits: Vec<(&EngineEntry, f64)> = usable
+            .map(|entry| {
+                let shortage = self.candidate(entry, request, reserved_tokens).err();
+                (entry, room_wait_ms(entry, shortage, run_ms))
+            })
+            .collect();
         let zones = self.zones().into_iter();
-        let waits = zones.filter_map(|zone| self.zone_room_wait_ms(zone, request, run_ms));
+        let waits = zones.filter_map(|zone| self.zone_room_wait_ms(zone, &waits));
         waits.min_by(f64::total_cmp)
     }
 
-    /// Returns the longest of the waits for the layers, each at the engine that has room first.
-    fn zone_room_wait_ms(
-        &self,
-        zone: &str,
-        request: &FinderRequest<'_>,
-        run_ms: f64,
-    ) -> Option<f64> {
-        let engines = self.engines().filter(|entry| entry.record.zone == zone);
-        let waits: Vec<(&EngineEntry, f64)> = engines
-            .filter(|entry| self.is_eligible(entry, request))
-            .map(|entry| (entry, self.engine_room_wait_ms(entry, request, run_ms)))
-            .collect();
+    /// Returns the longest of the waits for the layers of a zone, each at the engine that has room first.
+    fn zone_room_wait_ms(&self, zone: &str, waits: &[(&EngineEntry, f64)]) -> Option<f64> {
         let mut longest_ms = 0.0_f64;
         let mut layer = 0;
         while layer < self.shape().layers {
             let holders = waits.iter().filter(|(entry, _)| {
                 let layers = entry.record.layers;
-                layers.first <= layer && layer < layers.end
+                entry.record.zone == zone && layers.first <= layer && layer < layers.end
             });
             let first = holders.min_by(|left, right| left.1.total_cmp(&right.1))?;
             longest_ms = longest_ms.max(first.1);
@@ -50,22 +50,18 @@
         }
         Some(longest_ms)
     }
+}
 
-    fn engine_room_wait_ms(
-        &self,
-        entry: &EngineEntry,
-        request: &FinderRequest<'_>,
-        run_ms: f64,
-    ) -> f64 {
-        match self.candidate(entry, request) {
-            Ok(_) => 0.0,
-            Err(RoomShortage::Prefill { excess_ms }) => excess_ms,
-            Err(RoomShortage::Memory { missing_units }) => {
-                let released_per_ms = entry.units() / run_ms.max(1.0);
-                missing_units / released_per_ms.max(f64::MIN_POSITIVE)
-            }
-            Err(RoomShortage::Share) => DIVISION_MS,
-            Err(RoomShortage::Refused) => REFUSAL_MS,
+/// Returns the time until an engine is expected to have what it lacks, in milliseconds.
+fn room_wait_ms(entry: &EngineEntry, shortage: Option<RoomShortage>, run_ms: f64) -> f64 {
+    match shortage {
+        None => 0.0,
+        Some(RoomShortage::Prefill { excess_ms }) => excess_ms,
+        Some(RoomShortage::Memory { missing_units }) => {
+            let released_per_ms = entry.units() / run_ms.max(1.0);
+            missing_units / released_per_ms.max(f64::MIN_POSITIVE)
         }
+        Some(RoomShortage::Share) => DIVISION_MS,
+        Some(RoomShortage::Refused) => REFUSAL_MS,
     }
 }
--- a/crates/core/src/chain/room_limits.rs
+++ b/crates/core/src/chain/room_limits.rs
@@ -14,7 +14,7 @@
     pub memory_share: f64,
     /// The maximum expected time that the prompt waits at an engine for prefill, in milliseconds.
     pub queue_ms: f64,
-    /// The tokens of other requests for which each engine keeps room.
+    /// The tokens of other requests for which the engines keep room.
     pub reserved_tokens: f64,
 }
 
--- a/crates/core/src/relay/shortage_admission.rs
+++ b/crates/core/src/relay/shortage_admission.rs
@@ -33,10 +33,13 @@
 /// More would bring the next shortage about.
 const RETURN_SHARE: f64 = 0.5;
 
+/// The part of the mean run time after which enough of the running requests have ended to make a difference.
+const ENDED_RUN_SHARE: f64 = 0.5;
+
 /// The time without refusals after which a shortage is over, in milliseconds.
 const SHORTAGE_GAP_MS: u64 = 1_000;
 
-/// The minimum share of the sent work that counts as left to a rank, so that waits stay finite.
+/// The minimum share of the arriving work that counts as left to a rank, so that waits stay finite.
 const MIN_SHARE_LEFT: f64 = 0.05;
 
 /// The part of the KV memory and of the slots that requests leave to more urgent ones, if all others are more urgent.
@@ -94,15 +97,13 @@
 /// let in_time = admission.decide(&request, Some(80.0), 0.0, now);
 /// assert_eq!(in_time, AdmissionVerdict::Wait(now.plus(250)));
 /// assert_eq!(admission.decide(&request, Some(400.0), 0.0, now), AdmissionVerdict::Refuse);
-/// assert!(admission.book_return(&request, Some(400.0), now) >= 400);
+/// assert!(admission.book_return(&request, Some(400.0), 2_000.0, now) >= 1_000);
 /// ```
 #[derive(Clone, Debug)]
 pub struct ShortageAdmission {
     control: ShortageControl,
     /// The arrivals of each rank.
     arrivals: Vec<ArrivalRate>,
-    /// The requests that were sent, of all ranks.
-    sent: ArrivalRate,
     returns: ReturnSchedule,
     /// The present or last shortage of each rank.
     shortages: Vec<RankShortage>,
@@ -121,7 +122,6 @@
         ShortageAdmission {
             control,
             arrivals: Vec::new(),
-            sent: ArrivalRate::default(),
             returns: ReturnSchedule::default(),
             shortages: Vec::new(),
         }
@@ -146,11 +146,6 @@
         self.arrivals[index].record(tokens, now);
     }
 
-    /// Records a request that was sent for the first time.
-    pub fn record_sent(&mut self, tokens: f64, now: MilliTime) {
-        self.sent.record(tokens, now);
-    }
-
     /// Returns what a request of a rank may take of the engines.
     ///
     /// Load: requests of several ranks that together exceed the room of the engines. Without limits, those that arrive
@@ -191,16 +186,16 @@
         wait_ms / self.share_left(request.rank, now)
     }
 
-    /// Returns the share of the sent work that more urgent arrivals leave to a rank.
+    /// Returns the share of the arriving work that is not more urgent than a rank.
     ///
-    /// While engines lack room, the work that is sent is what they can take. More urgent requests that arrive while one
-    /// waits go before it, which prolongs its wait as in any queue with priorities.
+    /// More urgent requests that arrive while one waits go before it, which prolongs its wait as in any queue with
+    /// priorities.
     fn share_left(&self, rank: u8, now: MilliTime) -> f64 {
         let rates = self.arrivals.iter().take(usize::from(rank));
         let urgent: f64 = rates.map(|rate| rate.per_ms(now)).sum();
-        let sent = self.sent.per_ms(now);
-        match sent > 0.0 {
-            true => (1.0 - urgent / sent).clamp(MIN_SHARE_LEFT, 1.0),
+        let all = self.arrival_rate(now);
+        match all > 0.0 {
+            true => (1.0 - urgent / all).clamp(MIN_SHARE_LEFT, 1.0),
             false => 1.0,
         }
     }
@@ -236,11 +231,13 @@
     /// Books the return of a refused caller; returns the time until then, in milliseconds.
     ///
     /// Room is expected after the wait of the request, and not before the shortage of its rank has lasted twice as long as
-    /// until now: that a shortage just began says that it may be over soon, as at a start of all callers at once.
+    /// until now: that a shortage just began says that it may be over soon, as at a start of all callers at once. It is
+    /// not over before a part of the running requests has ended, each of which takes `run_ms` milliseconds.
     pub fn book_return(
         &mut self,
         request: &ShortageRequest,
         room_wait_ms: Option<f64>,
+        run_ms: f64,
         now: MilliTime,
     ) -> u64 {
         let rate = self.arrival_rate(now).max(request.tokens / 1_000.0);
@@ -248,7 +245,8 @@
         let room_wait_ms = room_wait_ms.or(Some(UNKNOWN_ROOM_MS));
         let expected_ms = self.expected_wait_ms(request, room_wait_ms, 0.0, now);
         let age_ms = self.record_refusal(request.rank, now);
-        let room_at = now.plus((expected_ms as u64).max(age_ms));
+        let end_ms = (run_ms * ENDED_RUN_SHARE) as u64;
+        let room_at = now.plus((expected_ms as u64).max(age_ms).max(end_ms));
         let left_ms = request.deadline.since(now);
         self.returns
             .book(request.rank, room_at, spacing_ms as u64, left_ms, now)
--- a/crates/core/tests/shortage_admission.rs
+++ b/crates/core/tests/shortage_admission.rs
@@ -153,9 +153,12 @@
 
     fn refuse(&mut self, mut replay: ReplayRequest) {
         let room_wait_ms = self.room_wait_ms(&replay.request);
-        let return_ms = self
-            .admission
-            .book_return(&replay.request, room_wait_ms, self.now);
+        let return_ms = self.admission.book_return(
+            &replay.request,
+            room_wait_ms,
+            self.queue.run_ms(),
+            self.now,
+        );
         self.return_times.push((replay.request.rank, return_ms));
         if replay.has_returned {
             self.tallies[usize::from(replay.request.rank)].lost += 1;
@@ -168,7 +171,6 @@
 
     fn start(&mut self, replay: &ReplayRequest, chain: FoundChain) {
         self.tallies[usize::from(replay.request.rank)].served += 1;
-        self.admission.record_sent(replay.request.tokens, self.now);
         let prefill_ms = (replay.prompt / PREFILL_PER_MS) as u64;
         let prefill_end = self.prefill_free_at.max(self.now).plus(prefill_ms);
         self.prefill_free_at = prefill_end;
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -178,9 +178,6 @@
                     }
                     break;
                 }
-                if self.plan.sends() == 0 {
-                    self.record_first_send();
-                }
                 self.start_run(chain, log);
             }
             match self.await_head(log).await {
--- a/crates/relay/src/ingress/stream_relay/shortage_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/shortage_choice.rs
@@ -38,16 +38,6 @@
         }
     }
 
-    /// Records that engines have room for the request, which is sent for the first time.
-    pub(super) fn record_first_send(&self) {
-        let (service, tokens) = (self.service_key(), self.reserved_tokens());
-        let now = self.state.clock.now();
-        let mut view = self.state.view.borrow_mut();
-        if let Some(admission) = view.admission_mut(service) {
-            admission.record_sent(tokens, now);
-        }
-    }
-
     /// Returns the hash of the service's name, by which its requests and their admission are found.
     pub(super) fn service_key(&self) -> u64 {
         hash_text(0, &self.relay.service().name)
@@ -140,11 +130,12 @@
             return self.state.queue.borrow_mut().retry_after_ms(now);
         }
         let (request, room_wait_ms) = (self.shortage_request(log), self.room_wait_ms());
+        let run_ms = self.state.queue.borrow().run_ms();
         self.state.metrics.count_shortage_refusal(request.rank);
         let mut view = self.state.view.borrow_mut();
         let admission = view.admission_mut(self.service_key());
         admission.map_or(0, |admission| {
-            admission.book_return(&request, room_wait_ms, now)
+            admission.book_return(&request, room_wait_ms, run_ms, now)
         })
     }
 
