--- a/crates/clients/src/http_link.rs
+++ b/crates/clients/src/http_link.rs
@@ -154,10 +154,12 @@
             .and_then(|value| value.to_str().ok())
             .unwrap_or_default()
             .to_owned();
-        let body = read_whole(response.into_body()).await;
+        let (parts, body) = response.into_parts();
+        let body = read_whole(body).await;
         Ok(HttpAnswer {
             status,
             content_type,
+            headers: parts.headers,
             body: body.map_err(|detail| self.indeterminate_error(&detail))?,
         })
     }
--- a/crates/core/src/relay/engine_listing.rs
+++ b/crates/core/src/relay/engine_listing.rs
@@ -3,6 +3,7 @@
 use super::DeltaMismatch;
 use super::EngineRecord;
 use super::ListingDelta;
+use super::StoreVersion;
 
 /// The number of removals that a list remembers to answer with a delta.
 ///
@@ -14,7 +15,7 @@
 struct ListedEngine {
     record: EngineRecord,
     hash: u64,
-    changed: u64,
+    changed: StoreVersion,
 }
 
 /// The list of engines as of one version of the store, with the versions at which it changed.
@@ -28,33 +29,35 @@
 ///
 /// ```
 /// use dandelionroad_core::relay::EngineListing;
+/// use dandelionroad_core::relay::StoreVersion;
 ///
 /// let mut reader = EngineListing::new();
-/// reader.record_read(Vec::new(), 7);
+/// let version = StoreVersion::new(0, 7);
+/// reader.record_read(Vec::new(), version);
 /// let mut follower = EngineListing::new();
 /// follower.apply(reader.changes_since(follower.version())).unwrap();
-/// assert_eq!((follower.version(), follower.digest()), (7, reader.digest()));
+/// assert_eq!((follower.version(), follower.digest()), (version, reader.digest()));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct EngineListing {
-    version: u64,
+    version: StoreVersion,
     /// The version since which all changes are known.
-    known_since: u64,
+    known_since: StoreVersion,
     /// Sorted by identifier.
     engines: Vec<ListedEngine>,
     /// The version at which each removed engine was found missing, in ascending order.
-    removals: Vec<(u64, String)>,
+    removals: Vec<(StoreVersion, String)>,
     digest: u64,
 }
 
 impl EngineListing {
-    /// Creates the list of a process that has read nothing, with version 0.
+    /// Creates the list of a process that has read nothing, with version [`StoreVersion::UNREAD`].
     pub fn new() -> EngineListing {
         EngineListing::default()
     }
 
-    /// Returns the version of the store that the list reflects; 0 before the first read.
-    pub fn version(&self) -> u64 {
+    /// Returns the version of the store that the list reflects; [`StoreVersion::UNREAD`] before the first read.
+    pub fn version(&self) -> StoreVersion {
         self.version
     }
 
@@ -70,11 +73,12 @@
 
     /// Records a read of the whole list at a version of the store.
     ///
-    /// Returns what has changed, or `None` if the read is older than the held list.
+    /// Returns what has changed, or `None` if the read is older than the held list. The first read in a new era of
+    /// the store replaces a list of any version of an earlier era.
     pub fn record_read(
         &mut self,
         mut records: Vec<EngineRecord>,
-        version: u64,
+        version: StoreVersion,
     ) -> Option<ListingDelta> {
         if version < self.version {
             return None;
@@ -103,7 +107,7 @@
         delta
             .removed
             .extend(held.map(|engine| engine.record.id.clone()));
-        if base == 0 {
+        if base == StoreVersion::UNREAD {
             self.known_since = version;
         }
         self.merge(&delta);
@@ -112,8 +116,8 @@
     }
 
     /// Returns the changes since a version, or the whole list if not all changes since then are known.
-    pub fn changes_since(&self, version: u64) -> ListingDelta {
-        let is_whole = version == 0 || version < self.known_since;
+    pub fn changes_since(&self, version: StoreVersion) -> ListingDelta {
+        let is_whole = version == StoreVersion::UNREAD || version < self.known_since;
         let changed = self.engines.iter();
         let changed = changed.filter(|engine| is_whole || engine.changed > version);
         let first_removal = match is_whole {
@@ -129,7 +133,10 @@
         removed.sort_unstable();
         removed.dedup();
         ListingDelta {
-            base: if is_whole { 0 } else { version },
+            base: match is_whole {
+                true => StoreVersion::UNREAD,
+                false => version,
+            },
             version: self.version,
             digest: self.digest,
             changed: changed.map(|engine| engine.record.clone()).collect(),
@@ -143,8 +150,8 @@
     /// # Errors
     ///
     /// Returns [`DeltaMismatch`] if the changes apply to a newer list than the held one or don't lead to the
-    /// other process's list. The held list stays as it is, in the second case with version 0, so that the
-    /// whole list is fetched next.
+    /// other process's list. The held list stays as it is, in the second case with version
+    /// [`StoreVersion::UNREAD`], so that the whole list is fetched next.
     pub fn apply(&mut self, delta: ListingDelta) -> Result<Option<ListingDelta>, DeltaMismatch> {
         if delta.version < self.version {
             return Ok(None);
@@ -152,13 +159,13 @@
         if delta.base > self.version {
             return Err(DeltaMismatch);
         }
-        if delta.base == 0 && delta.version > self.version {
+        if delta.base == StoreVersion::UNREAD && delta.version > self.version {
             return Ok(self.record_read(delta.changed, delta.version));
         }
         // A registration that changed and changed back between two reads of the other process is not among
         // its changes, so the result is checked before it is adopted.
         if self.digest_after(&delta) != delta.digest {
-            self.version = 0;
+            self.version = StoreVersion::UNREAD;
             return Err(DeltaMismatch);
         }
         if delta.version == self.version {
--- a/crates/core/src/relay/engine_table/listing_update.rs
+++ b/crates/core/src/relay/engine_table/listing_update.rs
@@ -30,11 +30,14 @@
     /// Applies the changes of the list.
     ///
     /// Engines that the list lacks after an outage are kept for a grace period, unless they were
-    /// draining.
+    /// draining. So are those that the first list of a new era of the store lacks.
     pub fn update(&mut self, delta: &ListingDelta, now: MilliTime) -> ListingChange {
         let mut change = ListingChange::default();
         let mut added = Vec::new();
-        for record in &delta.changed {
+        for listed in &delta.changed {
+            let Some(record) = self.admit_record(listed, delta.version, now) else {
+                continue;
+            };
             let known = self.position(&record.id);
             if let Ok(index) = known {
                 let entry = &mut self.entries[index];
@@ -42,19 +45,20 @@
                     if record.is_draining && !entry.record.is_draining {
                         change.draining.push(record.id.clone());
                     }
-                    entry.record = record.clone();
+                    entry.record = record;
                     entry.is_missing = false;
                     continue;
                 }
                 // A new incarnation starts without the recorded state of the previous one.
                 change.lost.push(entry.record.incarnation());
-                *entry = EngineEntry::new(record.clone(), now);
+                let replaced = std::mem::replace(entry, EngineEntry::new(record, now));
+                self.record_removed(&replaced.record, now);
             } else {
-                let mut entry = EngineEntry::new(record.clone(), now);
+                let mut entry = EngineEntry::new(record, now);
                 self.restore_availability(&mut entry);
                 added.push(entry);
             }
-            change.added.push(record.id.clone());
+            change.added.push(listed.id.clone());
         }
         self.remove_listed(delta, &mut change, now);
         self.entries.extend(added);
@@ -70,7 +74,11 @@
     fn remove_listed(&mut self, delta: &ListingDelta, change: &mut ListingChange, now: MilliTime) {
         let mut gone: Vec<&str> = delta.removed.iter().map(String::as_str).collect();
         gone.sort_unstable();
-        let is_kept = self.grace.is_active(now);
+        self.held_back
+            .retain(|record| gone.binary_search(&record.id.as_str()).is_err());
+        // An engine that the store listed in this era and lists no more has gone since.
+        let is_first_of_era = delta.version.is_of_later_era(delta.base);
+        let is_kept = self.grace.is_active(now) || is_first_of_era && self.grace.is_settling(now);
         let removed = self.entries.extract_if(.., |entry| {
             if gone.binary_search(&entry.record.id.as_str()).is_err() {
                 return false;
@@ -78,7 +86,9 @@
             entry.is_missing = is_kept && !entry.record.is_draining;
             !entry.is_missing
         });
+        let removed: Vec<EngineEntry> = removed.collect();
         for entry in removed {
+            self.record_removed(&entry.record, now);
             // Without the time of its start, the next engine of this name can't be told from this one.
             if entry.record.started_ms == 0 {
                 self.availability.remove(&entry.record.incarnation());
@@ -100,10 +110,14 @@
             return Vec::new();
         }
         let missing = self.entries.extract_if(.., |entry| entry.is_missing);
-        let removed: Vec<String> = missing.map(|entry| entry.record.id).collect();
-        if !removed.is_empty() {
+        let missing: Vec<EngineEntry> = missing.collect();
+        if !missing.is_empty() {
             self.index_tags();
         }
-        removed
+        let removed = missing.into_iter().map(|entry| {
+            self.record_removed(&entry.record, now);
+            entry.record.id
+        });
+        removed.collect()
     }
 }
--- a/crates/core/src/relay/engine_table/mod.rs
+++ b/crates/core/src/relay/engine_table/mod.rs
@@ -1,4 +1,5 @@
 mod availability;
+mod era_change;
 mod listing_update;
 mod shared_loads;
 
@@ -6,8 +7,10 @@
 
 use super::EngineAvailability;
 use super::EngineEntry;
+use super::EngineRecord;
 use super::LifeSign;
 use super::SuspicionCause;
+use super::ended_incarnations::EndedIncarnations;
 use super::listing_grace::ListingGrace;
 
 /// The number of consecutive broken answers after which an engine is avoided.
@@ -59,6 +62,12 @@
     mean_ratio: f64,
     /// The grace period after an outage, in which missing entries are kept.
     grace: ListingGrace,
+    /// The incarnations that left or were removed, which a restored copy of the store may list again.
+    ended: EndedIncarnations,
+    /// The time until which incarnations that were removed are not used although the list has them.
+    held_back_until: MilliTime,
+    /// The registrations of these incarnations.
+    held_back: Vec<EngineRecord>,
     /// What engines say in their answers, copied into the entries.
     availability: EngineAvailability,
     /// The time until which signs of life may end a suspicion.
--- a/crates/core/src/relay/listing_grace.rs
+++ b/crates/core/src/relay/listing_grace.rs
@@ -20,13 +20,17 @@
 /// interval.
 const CONFIRM_SLACK_MS: u64 = 500;
 
-/// The grace period after an outage of the store, in which lists may lack live engines.
+/// The grace period after an outage of the store, or after its return from an older copy, in which lists may lack live
+/// engines.
 ///
 /// Engines' entries expire during an outage, so the first lists after it are incomplete. Without a
 /// grace period, all processes would drop engines that still serve.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ListingGrace {
+    /// The end of the grace period after an outage.
     until: MilliTime,
+    /// The end of the grace period after the first sight of a new era.
+    settled_at: MilliTime,
 }
 
 impl ListingGrace {
@@ -38,7 +42,17 @@
         }
     }
 
-    /// Returns how long missing engines are still kept, in milliseconds.
+    /// Records the first sight of a new era of the store, which has come back from an older copy.
+    pub(super) fn begin_era(&mut self, now: MilliTime) {
+        self.settled_at = now.plus(GRACE_MS);
+    }
+
+    /// Returns whether an engine that the first list of a new era lacks may be live.
+    pub(super) fn is_settling(&self, now: MilliTime) -> bool {
+        now < self.settled_at
+    }
+
+    /// Returns how long missing engines are still kept after an outage, in milliseconds.
     pub(super) fn left_ms(&self, now: MilliTime) -> u64 {
         self.until.since(now)
     }
@@ -50,7 +64,7 @@
         }
     }
 
-    /// Returns whether an engine that a list lacks may be live.
+    /// Returns whether an engine that a list lacks after an outage may be live.
     pub(super) fn is_active(&self, now: MilliTime) -> bool {
         now < self.until
     }
@@ -61,6 +75,7 @@
     /// A list that was confirmed long before the end of the grace period is not: the store may have
     /// become unavailable again before all engines had registered.
     pub(super) fn is_list_complete(&self, confirmed: MilliTime, now: MilliTime) -> bool {
-        !self.is_active(now) && confirmed.plus(CONFIRM_SLACK_MS) >= self.until
+        let until = self.until.max(self.settled_at);
+        now >= until && confirmed.plus(CONFIRM_SLACK_MS) >= until
     }
 }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,7 +10,8 @@
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, the reasons to send them nothing ([`EngineMarks`]) and the load that all
 processes report, and uses only its share of the free KV memory between two reports. [`EngineAvailability`] holds what engines say in
-their answers: that they leave, or want no requests for a time. Requests that find no free memory
+their answers: that they leave, or want no requests for a time. States of the store are ordered by [`StoreVersion`], and
+[`EraClock`] tells when it has come back from an older copy. Requests that find no free memory
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
 makes interrupted streams resumable, and [`ServicePicker`] balances load over the endpoints of a plain
@@ -26,8 +27,10 @@
 mod caller_limits;
 mod capacity_queue;
 mod config_age;
+mod config_source;
 mod crash_detector;
 mod delta_mismatch;
+mod ended_incarnations;
 mod engine_availability;
 mod engine_crash;
 mod engine_entry;
@@ -35,8 +38,10 @@
 mod engine_marks;
 mod engine_record;
 mod engine_table;
+mod era_clock;
 mod event_fault;
 mod event_splitter;
+mod incarnation_end;
 mod key_index;
 mod late_losses;
 mod life_sign;
@@ -70,6 +75,8 @@
 mod service_share;
 mod shared_load;
 mod shutdown_plan;
+mod start_gate;
+mod store_version;
 mod suspect_crash;
 mod suspect_part;
 mod suspicion_cause;
@@ -83,6 +90,7 @@
 pub use self::caller_limits::CallerLimits;
 pub use self::capacity_queue::CapacityQueue;
 pub use self::config_age::ConfigAge;
+pub use self::config_source::ConfigSource;
 pub use self::crash_detector::CrashDetector;
 pub use self::delta_mismatch::DeltaMismatch;
 pub use self::engine_availability::EngineAvailability;
@@ -92,6 +100,7 @@
 pub use self::engine_marks::EngineMarks;
 pub use self::engine_record::EngineRecord;
 pub use self::engine_table::EngineTable;
+pub use self::era_clock::EraClock;
 pub use self::event_fault::EventFault;
 pub use self::event_splitter::EventSplitter;
 pub use self::key_index::KeyIndex;
@@ -122,4 +131,6 @@
 pub use self::service_share::ServiceShare;
 pub use self::shared_load::SharedLoad;
 pub use self::shutdown_plan::ShutdownPlan;
+pub use self::start_gate::StartGate;
+pub use self::store_version::StoreVersion;
 pub use self::suspicion_cause::SuspicionCause;
--- a/crates/core/tests/engine_availability.rs
+++ b/crates/core/tests/engine_availability.rs
@@ -6,6 +6,7 @@
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::ListingDelta;
 use dandelionroad_core::relay::ServicePicker;
+use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
 use rand::Rng;
@@ -33,8 +34,8 @@
 
 fn delta(changed: Vec<EngineRecord>, removed: &[&str]) -> ListingDelta {
     ListingDelta {
-        base: 0,
-        version: 1,
+        base: StoreVersion::UNREAD,
+        version: StoreVersion::new(0, 1),
         digest: 0,
         changed,
         removed: removed.iter().map(|id| (*id).to_owned()).collect(),
--- a/crates/core/tests/engine_listing.rs
+++ b/crates/core/tests/engine_listing.rs
@@ -11,6 +11,7 @@
 use dandelionroad_core::relay::ListingPlan;
 use dandelionroad_core::relay::ListingStatus;
 use dandelionroad_core::relay::ListingStep;
+use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
 use rand::Rng;
@@ -25,6 +26,11 @@
     record(number, "a", "small", LayerRange::new(0, end))
 }
 
+/// A version of a store that names no era.
+fn at(version: u64) -> StoreVersion {
+    StoreVersion::new(0, version)
+}
+
 fn ids(listing: &EngineListing) -> Vec<&str> {
     listing.records().map(|record| record.id.as_str()).collect()
 }
@@ -34,14 +40,14 @@
 #[test]
 fn changes_since_version_of_read() {
     let mut reader = EngineListing::new();
-    reader.record_read((0..100).map(|number| engine(number, 10)).collect(), 5);
+    reader.record_read((0..100).map(|number| engine(number, 10)).collect(), at(5));
     let mut follower = EngineListing::new();
     let whole = reader.changes_since(follower.version());
-    assert_eq!((whole.base, whole.changed.len()), (0, 100));
+    assert_eq!((whole.base, whole.changed.len()), (at(0), 100));
     follower.apply(whole).unwrap();
     let mut records: Vec<EngineRecord> = (1..100).map(|number| engine(number, 10)).collect();
     records[3] = engine(4, 20);
-    reader.record_read(records, 9);
+    reader.record_read(records, at(9));
     let changes = reader.changes_since(follower.version());
     assert_eq!((changes.changed.len(), changes.removed.len()), (1, 1));
     let applied = follower.apply(changes).unwrap().unwrap();
@@ -53,9 +59,9 @@
 #[test]
 fn record_read_older_is_ignored() {
     let mut listing = EngineListing::new();
-    listing.record_read(vec![engine(1, 10)], 9);
+    listing.record_read(vec![engine(1, 10)], at(9));
     assert_eq!(
-        listing.record_read(vec![engine(1, 10), engine(2, 10)], 8),
+        listing.record_read(vec![engine(1, 10), engine(2, 10)], at(8)),
         None
     );
     assert_eq!(ids(&listing), ["e001"]);
@@ -65,22 +71,22 @@
 #[test]
 fn apply_unfitting_changes_is_refused() {
     let mut listing = EngineListing::new();
-    listing.record_read(vec![engine(1, 10)], 5);
+    listing.record_read(vec![engine(1, 10)], at(5));
     let later = ListingDelta {
-        base: 7,
-        version: 9,
+        base: at(7),
+        version: at(9),
         ..ListingDelta::default()
     };
     assert_eq!(listing.apply(later), Err(DeltaMismatch));
-    assert_eq!(listing.version(), 5);
+    assert_eq!(listing.version(), at(5));
     let other_list = ListingDelta {
-        base: 5,
-        version: 9,
+        base: at(5),
+        version: at(9),
         digest: 77,
         ..ListingDelta::default()
     };
     assert_eq!(listing.apply(other_list), Err(DeltaMismatch));
-    assert_eq!(listing.version(), 0, "the whole list is fetched next");
+    assert_eq!(listing.version(), at(0), "the whole list is fetched next");
 }
 
 /// Applies what a list returns to the engine table, as a process does.
@@ -97,17 +103,17 @@
 fn whole_list_after_refused_changes_updates_table() {
     let (mut listing, mut table) = (EngineListing::new(), EngineTable::new());
     let listed = vec![engine(1, 10), engine(2, 10)];
-    update_table(&mut table, listing.record_read(listed, 5));
+    update_table(&mut table, listing.record_read(listed, at(5)));
     let refused = ListingDelta {
-        base: 5,
-        version: 9,
+        base: at(5),
+        version: at(9),
         digest: 77,
         changed: Vec::new(),
         removed: vec!["e002".to_owned()],
     };
     assert_eq!(listing.apply(refused), Err(DeltaMismatch));
     let mut reader = EngineListing::new();
-    reader.record_read(vec![engine(1, 10)], 9);
+    reader.record_read(vec![engine(1, 10)], at(9));
     let whole = reader.changes_since(listing.version());
     update_table(&mut table, listing.apply(whole).unwrap());
     assert_eq!(ids(&listing), ["e001"]);
@@ -120,18 +126,18 @@
 fn changes_since_forgotten_removals_are_whole() {
     let mut reader = EngineListing::new();
     let count = 5_000;
-    reader.record_read((0..count).map(|number| engine(number, 10)).collect(), 5);
+    reader.record_read((0..count).map(|number| engine(number, 10)).collect(), at(5));
     let mut follower = EngineListing::new();
-    follower.apply(reader.changes_since(0)).unwrap();
+    follower.apply(reader.changes_since(at(0))).unwrap();
     reader.record_read(
         (count - 1_000..count)
             .map(|number| engine(number, 10))
             .collect(),
-        6,
+        at(6),
     );
-    reader.record_read(vec![engine(1, 10)], 7);
+    reader.record_read(vec![engine(1, 10)], at(7));
     let changes = reader.changes_since(follower.version());
-    assert_eq!(changes.base, 0);
+    assert_eq!(changes.base, at(0));
     follower.apply(changes).unwrap();
     assert_eq!(ids(&follower), ["e001"]);
 }
@@ -168,7 +174,7 @@
                     history.push(stored.clone());
                 }
                 1 => {
-                    let delta = listings[process].record_read(stored.clone(), version);
+                    let delta = listings[process].record_read(stored.clone(), at(version));
                     update_table(&mut tables[process], delta);
                 }
                 _ => {
@@ -181,7 +187,7 @@
                         Err(DeltaMismatch) => {
                             mismatches += 1;
                             let whole = listings[other].changes_since(listings[process].version());
-                            assert_eq!(whole.base, 0);
+                            assert_eq!(whole.base, at(0));
                             listings[process].apply(whole).unwrap()
                         }
                     };
@@ -190,7 +196,7 @@
             }
         }
         for (listing, table) in listings.iter().zip(&tables) {
-            let mut expected = history[listing.version() as usize].clone();
+            let mut expected = history[listing.version().version() as usize].clone();
             expected.sort_by(|left, right| left.id.cmp(&right.id));
             let held: Vec<EngineRecord> = listing.records().cloned().collect();
             assert_eq!(held, expected, "seed {seed}, version {}", listing.version());
--- a/crates/core/tests/listing_schedules.rs
+++ b/crates/core/tests/listing_schedules.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::relay::EngineListing;
 use dandelionroad_core::relay::EngineRecord;
 use dandelionroad_core::relay::EngineTable;
+use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
 use rand::Rng;
@@ -84,7 +85,10 @@
         self.reaches_store = true;
         self.confirmed_at = now;
         // Heartbeats raise the store's version between any two reads.
-        let delta = self.listing.record_read(records, now).unwrap();
+        let delta = self
+            .listing
+            .record_read(records, StoreVersion::new(0, now))
+            .unwrap();
         self.table.update(&delta, time);
     }
 
--- a/crates/relay/src/node/node_state.rs
+++ b/crates/relay/src/node/node_state.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::relay::CapacityQueue;
 use dandelionroad_core::relay::PartTrials;
 use dandelionroad_core::relay::ShutdownPlan;
+use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_core::route::hash_text;
 use tokio::sync::Notify;
 
@@ -57,7 +58,9 @@
     /// Wakes the task that reads the list of engines, when another process reports a different one.
     pub listing_changed: Notify,
     /// The store's version of the newest list of engines that another process has reported.
-    pub newest_listing_version: Cell<u64>,
+    pub newest_listing_version: Cell<StoreVersion>,
+    /// Wakes the task that lists this process in the store, when the store has come back from an older copy.
+    pub era_changed: Notify,
     /// Wakes the task that sends this process's state to the others.
     pub announcement_due: Notify,
     /// Wakes the task that sends engine crashes to the other processes.
@@ -105,7 +108,8 @@
             confirm_due: Notify::new(),
             config_changed: Notify::new(),
             listing_changed: Notify::new(),
-            newest_listing_version: Cell::new(0),
+            newest_listing_version: Cell::default(),
+            era_changed: Notify::new(),
             announcement_due: Notify::new(),
             crashes_changed: Notify::new(),
             cleared_fingerprints: RefCell::default(),
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -6,9 +6,11 @@
 use dandelionroad_core::relay::CrashDetector;
 use dandelionroad_core::relay::EngineListing;
 use dandelionroad_core::relay::EngineTable;
+use dandelionroad_core::relay::EraClock;
 use dandelionroad_core::relay::KeyIndex;
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::relay::RouteIndex;
+use dandelionroad_core::relay::StartGate;
 use dandelionroad_core::time::MilliTime;
 
 use super::RelayBounds;
@@ -28,6 +30,10 @@
     pub keys: KeyIndex,
     /// The time at which the configuration was last confirmed as the newest.
     pub config_age: ConfigAge,
+    /// The newest era of the store.
+    pub era: EraClock,
+    /// The condition on which the process may take callers after its start.
+    pub start_gate: StartGate,
     /// The list of engines as it was last read.
     pub listing: EngineListing,
     /// The listed engines with their loads.
@@ -60,6 +66,8 @@
             routes: RouteIndex::default(),
             keys: KeyIndex::default(),
             config_age: ConfigAge::new(settings.bounds.key_age_ms),
+            era: EraClock::new(),
+            start_gate: StartGate::new(),
             listing: EngineListing::new(),
             engines: EngineTable::new(),
             crashes: CrashDetector::new(),
--- a/crates/relay/src/peer/confirm_message.rs
+++ b/crates/relay/src/peer/confirm_message.rs
@@ -1,3 +1,4 @@
+use dandelionroad_core::relay::StoreVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -17,8 +18,8 @@
     pub config_stamp: u64,
     /// The digest of the newest list of engines.
     pub listing: u64,
-    /// The store's version of that list.
-    pub listing_version: u64,
+    /// The store's version of that list, with its era.
+    pub listing_version: StoreVersion,
     /// The time on the receiver's clock at which that list was the newest, in milliseconds.
     pub listing_stamp: u64,
 }
--- a/crates/relay/src/peer/fetch_rows.rs
+++ b/crates/relay/src/peer/fetch_rows.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use dandelionroad_core::relay::StoreVersion;
 use hyper::HeaderMap;
 use serde::de::DeserializeOwned;
 
@@ -48,10 +49,10 @@
 pub(crate) async fn fetch_listing(
     state: &NodeState,
     address: SocketAddr,
-    version: u64,
+    version: StoreVersion,
 ) -> Option<ListingAnswer> {
     let timeout_ms = match version {
-        0 => WHOLE_LISTING_TIMEOUT_MS,
+        StoreVersion::UNREAD => WHOLE_LISTING_TIMEOUT_MS,
         _ => LISTING_TIMEOUT_MS,
     };
     fetch(state, address, listing_path(version), timeout_ms).await
--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -14,7 +14,7 @@
 /// rejected.
 ///
 /// It differs from the first byte of JSON, the encoding of the first release.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// A datagram between two processes.
 ///
@@ -24,6 +24,7 @@
 /// # Example
 ///
 /// ```
+/// use dandelionroad_core::relay::StoreVersion;
 /// use dandelionroad_relay::peer::ConfirmMessage;
 /// use dandelionroad_relay::peer::PeerDatagram;
 ///
@@ -32,7 +33,7 @@
 ///     config: 7,
 ///     config_stamp: 1_000,
 ///     listing: 3,
-///     listing_version: 9,
+///     listing_version: StoreVersion::new(0, 9),
 ///     listing_stamp: 900,
 /// });
 /// let bytes = datagram.encode().unwrap();
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -12,6 +12,7 @@
 
 use crate::node::NodeState;
 use crate::store::StoreClient;
+use crate::store::observe_version;
 use crate::wire::StoreTable;
 use crate::wire::StoreWrite;
 
@@ -204,6 +205,7 @@
         );
         return;
     }
+    observe_version(state, message.listing_version);
     let mut view = state.view.borrow_mut();
     let config = view.config.as_ref().map_or(0, |config| config.version);
     if config == message.config && config > 0 {
--- a/crates/relay/src/peer/shared_rows.rs
+++ b/crates/relay/src/peer/shared_rows.rs
@@ -1,6 +1,7 @@
 //! The configuration and the list of engines that a process serves to the others over HTTP.
 
 use bytes::Bytes;
+use dandelionroad_core::relay::StoreVersion;
 
 use crate::node::NodeState;
 
@@ -9,11 +10,12 @@
 /// The path of the rows of the configuration.
 pub(crate) const CONFIG_PATH: &str = "/shared/config";
 
-/// The path of the changes of the list of engines; the query is the version since which they are asked for.
+/// The path of the changes of the list of engines; the query is the version since which they are asked
+/// for, as ERA.VERSION.
 const LISTING_PATH: &str = "/shared/engines";
 
 /// Returns the path and query of the changes of the list of engines since `version`.
-pub(crate) fn listing_path(version: u64) -> String {
+pub(crate) fn listing_path(version: StoreVersion) -> String {
     format!("{LISTING_PATH}?{version}")
 }
 
@@ -27,7 +29,7 @@
             if !view.has_listing {
                 return None;
             }
-            let version = query.and_then(|text| text.parse().ok()).unwrap_or(0);
+            let version = query.and_then(|text| text.parse().ok()).unwrap_or_default();
             postcard::to_stdvec(&ListingAnswer {
                 age_ms: now.since(view.listing_time),
                 grace_ms: view.engines.grace_left_ms(now),
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_core::time::MilliTime;
 
 use crate::node::NodeState;
@@ -39,7 +40,7 @@
 /// reader. Otherwise it long-polls the store. While the store can't be reached, it fetches the rows from
 /// the store reader, if there is one.
 pub async fn run_config(state: Rc<NodeState>, store: Rc<StoreClient>) {
-    let mut version: Option<u64> = None;
+    let mut version: Option<StoreVersion> = None;
     let mut is_reachable = true;
     let mut next_poll = MilliTime::default();
     loop {
@@ -115,26 +116,28 @@
     state: &NodeState,
     store: &StoreClient,
     start: MilliTime,
-) -> Result<Option<u64>, String> {
+) -> Result<Option<StoreVersion>, String> {
     let (rows, version, _) = store.read(StoreTable::Config).await?;
     confirm_rows(state, &rows, start)?;
     Ok(Some(version))
 }
 
 /// Long-polls the store for a change of the configuration; returns the store's version, or `None` if it no
-/// longer holds the changes since `version`.
+/// longer holds the changes since `known` or has come back from an older copy.
 async fn poll_config(
     state: &NodeState,
     store: &StoreClient,
-    version: u64,
+    known: StoreVersion,
     start: MilliTime,
-) -> Result<Option<u64>, String> {
+) -> Result<Option<StoreVersion>, String> {
     let call = StoreCall::Watch {
         table: StoreTable::Config,
-        version,
+        version: known.version(),
         wait_ms: LONG_POLL_MS,
     };
     match store.call(&call).await? {
+        // The changes since a version of an earlier era are not those since the last read.
+        StoreReply::Rows { version, .. } if !version.is_of_same_era(known) => Ok(None),
         StoreReply::Rows { rows, version, .. } => {
             confirm_rows(state, &rows, start)?;
             Ok(Some(version))
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -7,6 +7,7 @@
 use dandelionroad_core::relay::ListingPlan;
 use dandelionroad_core::relay::ListingStatus;
 use dandelionroad_core::relay::ListingStep;
+use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_core::time::MilliTime;
 
 use crate::crash_report::record_engine_loss;
@@ -20,6 +21,7 @@
 
 use super::StoreClient;
 use super::ignored_rows::IgnoredRows;
+use super::observe_version;
 use super::retry_pause::retry_pause_ms;
 
 /// The interval at which the age of the list is checked, in milliseconds.
@@ -76,6 +78,7 @@
         ignored: IgnoredRows::default(),
     };
     loop {
+        release_held_back(&task.state);
         match task.next_step() {
             ListingStep::Wait(wait_ms) => {
                 let pause = Duration::from_millis(wait_ms.min(AGE_CHECK_INTERVAL_MS));
@@ -206,7 +209,7 @@
                 })
         };
         let Some(address) = zone_source.or_else(freshest) else {
-            state.newest_listing_version.set(0);
+            state.newest_listing_version.set(StoreVersion::UNREAD);
             return;
         };
         let start = state.clock.now();
@@ -226,11 +229,11 @@
         } else {
             // Nobody who answers has the change; the next confirmation reports it again.
             self.zone_fetches = 0;
-            state.newest_listing_version.set(0);
+            state.newest_listing_version.set(StoreVersion::UNREAD);
         }
     }
 
-    fn adopt_rows(&mut self, rows: &[StoreRow], version: u64) {
+    fn adopt_rows(&mut self, rows: &[StoreRow], version: StoreVersion) {
         let state = Rc::clone(&self.state);
         let records = self.decode_records(rows);
         let delta = {
@@ -286,6 +289,7 @@
 /// being passed on. A list that differs from the answer's, since it is newer, is not renewed by it.
 fn adopt_answer(state: &NodeState, answer: ListingAnswer, start: MilliTime) -> bool {
     let digest = answer.delta.digest;
+    observe_version(state, answer.delta.version);
     let mut view = state.view.borrow_mut();
     let delta = match view.listing.apply(answer.delta) {
         Ok(delta) => delta,
@@ -307,6 +311,19 @@
     is_renewed
 }
 
+/// Uses the engines that were removed before the store came back from an older copy and are still listed.
+fn release_held_back(state: &NodeState) {
+    let now = state.clock.now();
+    let delta = {
+        let mut view = state.view.borrow_mut();
+        let version = view.listing.version();
+        view.engines.release_held_back(version, now)
+    };
+    if let Some(delta) = delta {
+        update_engines(state, &delta);
+    }
+}
+
 /// Applies the changes of the list, logs them and records the loss of removed or restarted engines.
 fn update_engines(state: &NodeState, delta: &ListingDelta) {
     if delta.changed.is_empty() && delta.removed.is_empty() {
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -13,7 +13,9 @@
 mod listing_task;
 mod retry_pause;
 mod store_client;
+mod store_era;
 
 pub use self::config_task::run_config;
 pub use self::listing_task::run_listing;
 pub use self::store_client::StoreClient;
+pub(crate) use self::store_era::observe_version;
--- a/crates/relay/src/store/store_client.rs
+++ b/crates/relay/src/store/store_client.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use dandelionroad_clients::HttpLink;
+use dandelionroad_core::relay::StoreVersion;
 
 use crate::node::NodeState;
 use crate::wire::StoreCall;
@@ -10,6 +11,8 @@
 use crate::wire::StoreTable;
 use crate::wire::StoreWrite;
 
+use super::observe_version;
+
 /// The time-out of a call other than a long poll, in milliseconds.
 ///
 /// The store responds within a few milliseconds, or within some hundred when it is slow.
@@ -42,7 +45,7 @@
         }
     }
 
-    /// Sends one call and decodes the reply.
+    /// Sends one call and decodes the reply; a new era that the reply names is recorded first.
     ///
     /// # Errors
     ///
@@ -63,10 +66,12 @@
         let result = response
             .map_err(|error| error.to_string())
             .and_then(|response| {
-                let reply =
-                    self.state
-                        .format
-                        .decode_store_reply(call, response.status, &response.body);
+                let reply = self.state.format.decode_store_reply(
+                    call,
+                    response.status,
+                    &response.headers,
+                    &response.body,
+                );
                 reply.map_err(|error| error.to_string())
             });
         let is_done = matches!(
@@ -77,20 +82,29 @@
         if is_done {
             self.state.view.borrow_mut().last_store_reply = self.state.clock.now();
         }
+        if let Ok(StoreReply::Rows { version, .. } | StoreReply::Written { version, .. }) = &result
+        {
+            observe_version(&self.state, *version);
+        }
         result
     }
 
     /// Reads all pages of a table.
     ///
     /// Returns the rows, the version of the store, and the time on the store's clock in milliseconds; version
-    /// and time are those of the last page.
+    /// and time are those of the last page. The read starts again if the store comes back from an older copy
+    /// between two pages.
     ///
     /// # Errors
     ///
     /// Returns a message if the store doesn't reply with rows.
-    pub async fn read(&self, table: StoreTable) -> Result<(Vec<StoreRow>, u64, u64), String> {
+    pub async fn read(
+        &self,
+        table: StoreTable,
+    ) -> Result<(Vec<StoreRow>, StoreVersion, u64), String> {
         let mut all = Vec::new();
         let mut after = None;
+        let mut previous: Option<StoreVersion> = None;
         loop {
             match self.call(&StoreCall::Read { table, after }).await? {
                 StoreReply::Rows {
@@ -99,6 +113,11 @@
                     version,
                     store_ms,
                 } => {
+                    let last = previous.replace(version);
+                    if last.is_some_and(|last| !last.is_of_same_era(version)) {
+                        (all, after, previous) = (Vec::new(), None, None);
+                        continue;
+                    }
                     after = rows.last().map(|row| row.key.clone());
                     all.extend(rows);
                     if !has_more || after.is_none() {
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -1,3 +1,4 @@
+use dandelionroad_core::relay::StoreVersion;
 use prometheus::Encoder;
 use prometheus::Gauge;
 use prometheus::Histogram;
@@ -35,6 +36,7 @@
     whole_answer: Histogram,
     config_version: Gauge,
     config_age: Gauge,
+    store_era: Gauge,
     listing_age: Gauge,
     running: Gauge,
     engines: Gauge,
@@ -132,6 +134,10 @@
                 "dandelionroad_config_version",
                 "Version of the configuration in force.",
             ),
+            store_era: gauge(
+                "dandelionroad_store_era",
+                "Times that the store has come back from an older copy, as it counts them.",
+            ),
             config_age: gauge(
                 "dandelionroad_config_age_ms",
                 "Time since the configuration was last confirmed as the newest.",
@@ -254,6 +260,8 @@
         let age = view.config_age.age_ms(now);
         self.config_age
             .set(age.map_or(f64::INFINITY, |age| age as f64));
+        let era = view.era.newest().map_or(0, StoreVersion::era);
+        self.store_era.set(era as f64);
         let age = view.listing_age_ms(now);
         self.listing_age
             .set(age.map_or(f64::INFINITY, |age| age as f64));
--- a/crates/relay/src/wire/store_reply.rs
+++ b/crates/relay/src/wire/store_reply.rs
@@ -1,3 +1,5 @@
+use dandelionroad_core::relay::StoreVersion;
+
 use super::StoreRow;
 
 /// A response of the store.
@@ -9,13 +11,15 @@
         rows: Vec<StoreRow>,
         /// Whether the table has further pages.
         has_more: bool,
-        /// The store's version at the time of the response.
-        version: u64,
+        /// The store's version at the time of the response, with its era.
+        version: StoreVersion,
         /// The store's monotonic clock, in milliseconds.
         store_ms: u64,
     },
     /// The row was written.
     Written {
+        /// The store's version after the write, with its era.
+        version: StoreVersion,
         /// The store's monotonic clock, in milliseconds.
         store_ms: u64,
     },
--- a/crates/relay/src/wire/wire_format.rs
+++ b/crates/relay/src/wire/wire_format.rs
@@ -57,15 +57,16 @@
     /// Encodes a request to the store.
     fn encode_store_call(&self, call: &StoreCall) -> EncodedCall;
 
-    /// Decodes a response of the store to `call`.
+    /// Decodes a response of the store to `call`; the headers name the era.
     ///
     /// # Errors
     ///
-    /// Returns an error if the body is not a response to `call`.
+    /// Returns an error if the body is not a response to `call`, or the era is malformed.
     fn decode_store_reply(
         &self,
         call: &StoreCall,
         status: u16,
+        headers: &HeaderMap,
         body: &[u8],
     ) -> Result<StoreReply, DecodeError>;
 
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_relay::peer::ConfirmMessage;
 use dandelionroad_relay::peer::PeerDatagram;
 use tokio::net::UdpSocket;
@@ -265,7 +266,7 @@
             config: 1,
             config_stamp: u64::MAX / 2,
             listing: 0,
-            listing_version: 0,
+            listing_version: StoreVersion::UNREAD,
             listing_stamp: u64::MAX / 2,
         });
         let bytes = message.encode().unwrap();
--- a/crates/relay/tests/relay_support/fake_store.rs
+++ b/crates/relay/tests/relay_support/fake_store.rs
@@ -17,6 +17,10 @@
 pub(crate) struct FakeStore {
     rows: RefCell<Vec<FakeRow>>,
     version: Cell<u64>,
+    /// The number of returns from a copy.
+    era: Cell<u64>,
+    /// The rows and the version of the last copy.
+    copy: RefCell<(Vec<FakeRow>, u64)>,
     started: Instant,
     changed: Notify,
     /// Whether calls hang until the switch is reset.
@@ -32,6 +36,8 @@
         Rc::new(FakeStore {
             rows: RefCell::default(),
             version: Cell::new(0),
+            era: Cell::new(0),
+            copy: RefCell::default(),
             started: Instant::now(),
             changed: Notify::new(),
             is_hanging: Cell::new(false),
@@ -54,7 +60,30 @@
         self.changed.notify_waiters();
     }
 
+    /// Copies the rows.
+    pub(crate) fn take_copy(&self) {
+        *self.copy.borrow_mut() = (self.rows.borrow().clone(), self.version.get());
+    }
+
+    /// Comes back from the last copy, in the next era.
+    pub(crate) fn return_from_copy(&self) {
+        let (rows, version) = self.copy.borrow().clone();
+        *self.rows.borrow_mut() = rows;
+        self.version.set(version);
+        self.era.set(self.era.get() + 1);
+        self.changed.notify_waiters();
+    }
+
+    /// Answers a call; the header names the era unless it is 0.
     pub(crate) async fn answer(&self, method: &str, path: &str, body: &[u8]) -> FakeResponse {
+        let response = self.answer_without_era(method, path, body).await;
+        match self.era.get() {
+            0 => response,
+            era => response.header("era", &era.to_string()),
+        }
+    }
+
+    async fn answer_without_era(&self, method: &str, path: &str, body: &[u8]) -> FakeResponse {
         while self.is_hanging.get() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -70,7 +99,10 @@
                 return FakeResponse::new(409, "{}");
             }
             self.write(segments[0], key, doc["value"].as_str().unwrap());
-            return FakeResponse::new(200, &json!({ "now": self.now() }).to_string());
+            return FakeResponse::new(
+                200,
+                &json!({ "version": self.version.get(), "now": self.now() }).to_string(),
+            );
         }
         if segments[0] == "engines" {
             self.listing_reads.set(self.listing_reads.get() + 1);
@@ -79,6 +111,9 @@
             self.config_reads.set(self.config_reads.get() + 1);
         }
         let after: u64 = segments.get(1).map_or(0, |text| text.parse().unwrap());
+        if after > self.version.get() {
+            return FakeResponse::new(410, "{}");
+        }
         if let Some(wait) = segments.get(2) {
             let wait = Duration::from_millis(wait.parse().unwrap());
             if self.newest_version(segments[0]) <= after {
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod fake_engine;
 pub(crate) mod fake_store;
 pub(crate) mod http_fake;
+pub(crate) mod panic_point;
 pub(crate) mod raw_engine;
 pub(crate) mod scripted_engine;
 pub(crate) mod test_wire;
@@ -203,10 +204,8 @@
 
     /// Returns whether the metrics of a process contain a line.
     pub(crate) async fn has_metric_line(&self, node: &RunningNode, line: &str) -> bool {
-        let answer = self
-            .get(node.settings().metrics_address, "/metrics", &[])
-            .await;
-        let text = String::from_utf8(answer.body).unwrap();
+        let address = node.settings().metrics_address;
+        let text = String::from_utf8(self.get(address, "/metrics", &[]).await.body).unwrap();
         text.lines().any(|found| found == line)
     }
 
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -1,5 +1,3 @@
-use std::cell::Cell;
-
 use bytes::Bytes;
 use dandelionroad_core::relay::AcceleratorKind;
 use dandelionroad_core::relay::CallerLimits;
@@ -12,6 +10,7 @@
 use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::relay::RequestSize;
 use dandelionroad_core::relay::ServiceShare;
+use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_relay::wire::CallerRequest;
 use dandelionroad_relay::wire::DecodeError;
@@ -34,6 +33,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::panic_point::PanicPoint;
+use super::panic_point::check_panic;
+
 /// The target time to the first event on each route, in milliseconds.
 pub(crate) const TARGET_MS: u64 = 300;
 
@@ -43,29 +45,6 @@
 /// The service of the plain endpoints.
 pub(crate) const PLAIN_SERVICE: &str = "orders";
 
-thread_local! {
-    /// The place at which the encoding panics, if any.
-    static PANIC_POINT: Cell<Option<PanicPoint>> = const { Cell::new(None) };
-}
-
-/// A place at which the encoding can be made to panic, in the background task that is named after it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum PanicPoint {
-    Config,
-    Listing,
-    Orders,
-    Peers,
-}
-
-/// Makes the encoding panic at a place from now on, on this thread; `None` ends that.
-pub(crate) fn set_panic_point(point: Option<PanicPoint>) {
-    PANIC_POINT.set(point);
-}
-
-fn check_panic(point: PanicPoint) {
-    assert_ne!(PANIC_POINT.get(), Some(point), "requested by the test");
-}
-
 /// A simple encoding for tests: each header and JSON field is named for the field that it carries.
 pub(crate) struct TestWire;
 
@@ -211,18 +190,25 @@
         &self,
         store_call: &StoreCall,
         status: u16,
+        headers: &HeaderMap,
         body: &[u8],
     ) -> Result<StoreReply, DecodeError> {
         if status == 409 {
             return Ok(StoreReply::Conflict);
         }
+        if status == 410 {
+            return Ok(StoreReply::HistoryLost);
+        }
         if status != 200 {
             return Ok(StoreReply::Unavailable { status });
         }
         let doc = parse(body)?;
         let store_ms = doc["now"].as_u64().unwrap_or(0);
+        let era = headers.get("era").map_or("0", |era| era.to_str().unwrap());
+        let version = doc["version"].as_u64().unwrap_or(0);
+        let version = StoreVersion::new(era.parse().unwrap(), version);
         if matches!(store_call, StoreCall::Write(_)) {
-            return Ok(StoreReply::Written { store_ms });
+            return Ok(StoreReply::Written { version, store_ms });
         }
         let rows = doc["rows"].as_array().cloned().unwrap_or_default();
         let row = |row: &Value| StoreRow {
@@ -233,7 +219,7 @@
         Ok(StoreReply::Rows {
             rows: rows.iter().map(row).collect(),
             has_more: false,
-            version: doc["version"].as_u64().unwrap_or(0),
+            version,
             store_ms,
         })
     }
--- /dev/null
+++ b/crates/relay/tests/restored_store.rs
@@ -0,0 +1,69 @@
+//! Guards against what a store breaks that comes back from an older copy: requests to engines that left, revoked keys
+//! in use, two processes that send placement orders, and calls of all processes in one moment.
+
+mod relay_support;
+
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use dandelionroad_relay::node::RunningNode;
+
+use crate::relay_support::World;
+use crate::relay_support::fake_engine::FakeEngine;
+use crate::relay_support::run;
+
+/// The interval at which the list of engines is read, in milliseconds.
+const LIST_MS: u64 = 660;
+
+/// The time after which an engine that leaves must get no requests.
+const BOUND: Duration = Duration::from_millis(3 * LIST_MS);
+
+/// Starts three processes that know each other.
+async fn start_nodes(world: &World) -> Vec<RunningNode> {
+    let mut nodes = Vec::new();
+    for name in ["n1", "n2", "n3"] {
+        nodes.push(world.node_at_interval(name, LIST_MS).await);
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    nodes
+}
+
+/// Raises the version of the store as heartbeats do.
+async fn beat(engines: &[&Rc<FakeEngine>], count: usize) {
+    for _ in 0..count {
+        engines.iter().for_each(|engine| engine.list(false));
+    }
+    // A read of the list gets to the raised version.
+    tokio::time::sleep(Duration::from_millis(2 * LIST_MS)).await;
+}
+
+/// Versions that were given out again were taken for older ones: an engine that began to leave 0.7 s after the return
+/// got requests for 4.7 s, as each read of the list was dropped.
+#[test]
+fn engine_leaving_after_return_gets_no_requests() {
+    run(async {
+        let world = World::start().await;
+        let leaver = world.start_endpoint("p1").await;
+        let stayer = world.start_endpoint("p2").await;
+        let nodes = start_nodes(&world).await;
+        world.store.take_copy();
+        beat(&[&leaver, &stayer], 60).await;
+        world.store.return_from_copy();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        leaver.list(true);
+        let left = Instant::now();
+        let mut late = None;
+        while left.elapsed() < BOUND + Duration::from_millis(2_500) {
+            let before = leaver.runs.borrow().len();
+            for node in &nodes {
+                assert_eq!(world.send(node, "/any/stock", "r1").await.status, 200);
+            }
+            if left.elapsed() > BOUND && leaver.runs.borrow().len() > before {
+                late = Some(left.elapsed());
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert_eq!(late, None, "the last request came too late");
+    });
+}
--- a/crates/relay/tests/task_failures.rs
+++ b/crates/relay/tests/task_failures.rs
@@ -6,9 +6,9 @@
 use dandelionroad_relay::node::RunningNode;
 
 use crate::relay_support::World;
+use crate::relay_support::panic_point::PanicPoint;
+use crate::relay_support::panic_point::set_panic_point;
 use crate::relay_support::run;
-use crate::relay_support::test_wire::PanicPoint;
-use crate::relay_support::test_wire::set_panic_point;
 use crate::relay_support::wait_for;
 
 async fn has_failed(world: &World, node: &RunningNode, task: &str) -> bool {
