--- a/crates/core/src/relay/config_source.rs
+++ b/crates/core/src/relay/config_source.rs
@@ -44,7 +44,8 @@
 
     /// Records the changes up to a version of the store, which contain a version of the configuration or none.
     ///
-    /// Returns false if the store has come back from an older copy, so that the whole table must be read.
+    /// Returns false, without recording them, if the store has come back from an older copy, so that the whole table must
+    /// be read.
     pub fn advance(&mut self, version: StoreVersion, found: Option<u64>) -> bool {
         if !version.is_of_same_era(self.version) {
             return false;
--- a/crates/core/src/relay/era_clock.rs
+++ b/crates/core/src/relay/era_clock.rs
@@ -67,4 +67,9 @@
     pub fn is_settling(&self, now: MilliTime) -> bool {
         now < self.settled_at
     }
+
+    /// Returns for how long rows may still be missing, in milliseconds.
+    pub fn settle_left_ms(&self, now: MilliTime) -> u64 {
+        self.settled_at.since(now)
+    }
 }
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -105,6 +105,12 @@
         true
     }
 
+    /// Lets the process take callers if the condition after its start holds; returns whether it does.
+    pub fn update_gate(&mut self, now: MilliTime) -> bool {
+        let held = self.config.as_ref().map(|config| config.version);
+        self.start_gate.update(held, now)
+    }
+
     /// Returns the time since the list of engines was last confirmed to be the newest, in milliseconds, or
     /// `None` before the first read.
     pub fn listing_age_ms(&self, now: MilliTime) -> Option<u64> {
@@ -113,6 +119,6 @@
 
     /// Returns whether the process accepts callers.
     pub fn is_ready(&self) -> bool {
-        self.config.is_some() && self.has_listing && !self.is_stopping
+        self.config.is_some() && self.has_listing && self.start_gate.is_open() && !self.is_stopping
     }
 }
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -207,6 +207,8 @@
     }
     observe_version(state, message.listing_version);
     let mut view = state.view.borrow_mut();
+    view.start_gate.record_confirmation(message.config);
+    view.update_gate(state.clock.now());
     let config = view.config.as_ref().map_or(0, |config| config.version);
     if config == message.config && config > 0 {
         let stamp = MilliTime::from_millis(message.config_stamp);
@@ -233,7 +235,9 @@
 
 fn reaches_store(state: &NodeState, now: MilliTime) -> bool {
     let view = state.view.borrow();
-    !view.is_stopping
+    // A process that starts may hold an older configuration than the others and must not confirm it to them.
+    view.start_gate.is_open()
+        && !view.is_stopping
         && !view.is_store_lost
         && now.since(view.last_store_reply) < STORE_REACHABLE_MS
 }
@@ -297,6 +301,7 @@
     peers.expire(now);
     let loads = peers.loads(now);
     let mut view = state.view.borrow_mut();
+    view.update_gate(now);
     view.engines.set_peer_loads(&loads);
     let draw = (mix_seed(state.run_id ^ now.as_millis()) % RANDOM_RESOLUTION) as f64
         / RANDOM_RESOLUTION as f64;
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use dandelionroad_core::relay::StoreVersion;
+use dandelionroad_core::relay::ConfigSource;
 use dandelionroad_core::time::MilliTime;
 
 use crate::node::NodeState;
@@ -40,8 +40,9 @@
 /// reader. Otherwise it long-polls the store. While the store can't be reached, it fetches the rows from
 /// the store reader, if there is one.
 pub async fn run_config(state: Rc<NodeState>, store: Rc<StoreClient>) {
-    let mut version: Option<StoreVersion> = None;
+    let mut source: Option<ConfigSource> = None;
     let mut is_reachable = true;
+    let mut was_settling = false;
     let mut next_poll = MilliTime::default();
     loop {
         let is_awaited = next_poll > state.clock.now() && awaits_first_config(&state);
@@ -52,28 +53,32 @@
                 continue;
             }
             // The version of the last read from the store is outdated.
-            version = None;
+            source = None;
             if adopt_config_from_zone_reader(&state).await {
                 continue;
             }
         }
         let start = state.clock.now();
+        let is_settling = state.view.borrow().era.is_settling(start);
+        if std::mem::replace(&mut was_settling, is_settling) && !is_settling {
+            // A whole read renews the freshness at once, a long poll only at its end.
+            source = None;
+        }
         next_poll = start.plus(FIRST_CONFIG_POLL_MS);
         let timestamps = state.peers.borrow().newest_timestamps();
-        let result = match version {
+        let result = match source {
             None => read_config(&state, &store, start).await,
             Some(known) => poll_config(&state, &store, known, start).await,
         };
         match result {
-            Ok(next) => {
+            Ok((next, is_confirmed)) => {
                 if !is_reachable {
                     spdlog::info!("store: reachable again for the configuration");
                 }
                 is_reachable = true;
                 state.view.borrow_mut().is_store_lost = false;
-                version = next;
-                // Without a version, the store no longer holds the changes, so this read confirms nothing.
-                if next.is_some() {
+                source = next;
+                if is_confirmed {
                     state.peers.borrow_mut().record_config_read(&timestamps);
                 }
             }
@@ -107,42 +112,59 @@
     if is_store_reader(state) {
         return false;
     }
-    let age = state.view.borrow().config_age.age_ms(state.clock.now());
+    let now = state.clock.now();
+    let view = state.view.borrow();
+    if view.era.is_settling(now) && state.peers.borrow().store_reader(now).is_some() {
+        // No read renews the freshness yet, so those of all processes would be in vain.
+        return true;
+    }
+    let age = view.config_age.age_ms(now);
     age.is_some_and(|age| age < MAX_CONFIRMED_AGE_MS)
 }
 
-/// Reads the configuration from the store; returns the store's version.
+/// Reads the configuration from the store.
+///
+/// Returns what was read, and whether the read has shown that the held configuration is the newest.
 async fn read_config(
     state: &NodeState,
     store: &StoreClient,
     start: MilliTime,
-) -> Result<Option<StoreVersion>, String> {
+) -> Result<(Option<ConfigSource>, bool), String> {
     let (rows, version, _) = store.read(StoreTable::Config).await?;
-    confirm_rows(state, &rows, start)?;
-    Ok(Some(version))
+    let found = adopt_rows(state, &rows)?;
+    let source = ConfigSource::new(version, found);
+    Ok((Some(source), confirm_source(state, &source, start)))
 }
 
-/// Long-polls the store for a change of the configuration; returns the store's version, or `None` if it no
-/// longer holds the changes since `known` or has come back from an older copy.
+/// Long-polls the store for a change of the configuration since `source` was read.
+///
+/// Returns what was read, or `None` if the store no longer holds the changes or has come back from an older copy, and
+/// whether the read has shown that the held configuration is the newest.
 async fn poll_config(
     state: &NodeState,
     store: &StoreClient,
-    known: StoreVersion,
+    mut source: ConfigSource,
     start: MilliTime,
-) -> Result<Option<StoreVersion>, String> {
+) -> Result<(Option<ConfigSource>, bool), String> {
+    // A poll that starts while rows may be missing renews nothing, so it ends with that time.
+    let wait_ms = match state.view.borrow().era.settle_left_ms(start) {
+        0 => LONG_POLL_MS,
+        left_ms => left_ms.min(LONG_POLL_MS),
+    };
     let call = StoreCall::Watch {
         table: StoreTable::Config,
-        version: known.version(),
-        wait_ms: LONG_POLL_MS,
+        version: source.version().version(),
+        wait_ms,
     };
     match store.call(&call).await? {
-        // The changes since a version of an earlier era are not those since the last read.
-        StoreReply::Rows { version, .. } if !version.is_of_same_era(known) => Ok(None),
         StoreReply::Rows { rows, version, .. } => {
-            confirm_rows(state, &rows, start)?;
-            Ok(Some(version))
+            let found = adopt_rows(state, &rows)?;
+            if !source.advance(version, found) {
+                return Ok((None, false));
+            }
+            Ok((Some(source), confirm_source(state, &source, start)))
         }
-        StoreReply::HistoryLost => Ok(None),
+        StoreReply::HistoryLost => Ok((None, false)),
         other => Err(format!("unexpected reply of the store: {other:?}")),
     }
 }
@@ -174,29 +196,35 @@
     }
 }
 
-/// Adopts the configuration of rows that were read from the store, and renews its freshness: it was the
-/// newest when the read started, at `start`.
-fn confirm_rows(state: &NodeState, rows: &[StoreRow], start: MilliTime) -> Result<(), String> {
-    adopt_rows(state, rows)?;
+/// Renews the freshness of the held configuration if a read of the store that started at `start` has shown that it is the
+/// newest; returns whether it has.
+fn confirm_source(state: &NodeState, source: &ConfigSource, start: MilliTime) -> bool {
     let mut view = state.view.borrow_mut();
-    if view.config.is_some() {
+    let held = view.config.as_ref().map(|config| config.version);
+    let is_newest = source.renews(held, start, &view.era);
+    if is_newest {
         view.config_age.confirm(start);
     }
-    Ok(())
+    // Without an era, a store without a configuration is confirmed as well.
+    is_newest || held.is_none() && !source.version().names_era()
 }
 
-/// Adopts the configuration of the rows if it is newer than the present one.
-fn adopt_rows(state: &NodeState, rows: &[StoreRow]) -> Result<(), String> {
+/// Adopts the configuration of the rows if it is newer than the present one; returns its version, if there is one.
+fn adopt_rows(state: &NodeState, rows: &[StoreRow]) -> Result<Option<u64>, String> {
     let decoded = state.format.decode_config(rows);
     let Some(config) = decoded.map_err(|error| error.to_string())? else {
-        return Ok(());
+        return Ok(None);
     };
     let version = config.version;
-    if state.view.borrow_mut().adopt(config) {
+    let mut view = state.view.borrow_mut();
+    let is_adopted = view.adopt(config);
+    view.update_gate(state.clock.now());
+    drop(view);
+    if is_adopted {
         spdlog::info!("config: adopted", kv: { version = version });
         *state.config_rows.borrow_mut() = rows.to_vec();
         state.confirm_due.notify_one();
         state.metrics.set_config_version(version);
     }
-    Ok(())
+    Ok(Some(version))
 }
--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -12,6 +12,7 @@
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::FakeEngine;
 use crate::relay_support::run;
+use crate::relay_support::wait_for;
 
 /// The interval at which the list of engines is read, in milliseconds.
 const LIST_MS: u64 = 660;
@@ -19,11 +20,23 @@
 /// The time after which an engine that leaves must get no requests.
 const BOUND: Duration = Duration::from_millis(3 * LIST_MS);
 
+/// The maximum age of the configuration with which keys are accepted, in milliseconds; both customers use it.
+const KEY_AGE_MS: u64 = 4_700;
+
+/// Starts a process.
+async fn start_node(world: &World, name: &str) -> RunningNode {
+    let node = world.node_at_interval(name, LIST_MS).await;
+    let mut settings = node.settings().clone();
+    settings.bounds.key_age_ms = KEY_AGE_MS;
+    node.reload(&settings);
+    node
+}
+
 /// Starts three processes that know each other.
 async fn start_nodes(world: &World) -> Vec<RunningNode> {
     let mut nodes = Vec::new();
     for name in ["n1", "n2", "n3"] {
-        nodes.push(world.node_at_interval(name, LIST_MS).await);
+        nodes.push(start_node(world, name).await);
     }
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     nodes
@@ -67,3 +80,43 @@
         assert_eq!(late, None, "the last request came too late");
     });
 }
+
+/// The copy holds an older configuration, in which a key is valid that was revoked since. No process may use it, a
+/// process that starts then must take the newest from the others, and reads of the copy must not renew the freshness.
+#[test]
+fn key_revoked_after_copy_stays_refused() {
+    run(async {
+        let world = World::start().await;
+        let _engine = world.start_endpoint("p1").await;
+        let nodes = start_nodes(&world).await;
+        world.store.take_copy();
+        world.configure(2, &["k2"]);
+        for node in &nodes {
+            wait_for("the key is refused", async || {
+                world.send(node, "/any/stock", "r1").await.status == 401
+            })
+            .await;
+        }
+        world.store.return_from_copy();
+        let returned = Instant::now();
+        // The start ends when the process is ready.
+        let started = start_node(&world, "n4").await;
+        assert_eq!(world.send(&started, "/any/stock", "r2").await.status, 401);
+        wait_for(
+            "keys are refused as the configuration is too old",
+            async || {
+                let status = world.send(&nodes[0], "/any/stock", "r3").await.status;
+                assert_ne!(status, 200);
+                status == 503
+            },
+        )
+        .await;
+        let age = Duration::from_millis(KEY_AGE_MS);
+        assert!(returned.elapsed() <= age + Duration::from_millis(500));
+        world.configure(2, &["k2"]);
+        wait_for("the configuration is confirmed", async || {
+            world.send(&nodes[0], "/any/stock", "r4").await.status == 401
+        })
+        .await;
+    });
+}
