--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -21,6 +21,7 @@
 mod fetch_rows;
 mod listing_answer;
 mod load_message;
+mod member_task;
 mod peer_datagram;
 mod peer_load;
 mod peer_table;
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -6,15 +6,11 @@
 use dandelionroad_core::relay::SharedLoad;
 use dandelionroad_core::route::mix_seed;
 use dandelionroad_core::time::MilliTime;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::net::UdpSocket;
 
 use crate::node::NodeState;
 use crate::store::StoreClient;
 use crate::store::observe_version;
-use crate::wire::StoreTable;
-use crate::wire::StoreWrite;
 
 use super::ConfirmMessage;
 use super::LoadMessage;
@@ -24,6 +20,7 @@
 use super::crash_exchange::clear_served;
 use super::crash_exchange::merge_crashes;
 use super::crash_exchange::send_crashes;
+use super::member_task::track_members;
 
 /// The interval of load messages, in milliseconds.
 ///
@@ -32,19 +29,13 @@
 /// of 200 ms, and 138 ms with 100 ms.
 pub(super) const LOAD_INTERVAL_MS: u64 = 100;
 
-/// The interval at which the list of processes is read from the store, in milliseconds.
-///
-/// A starting process announces itself to the listed ones with its load messages; the read finds
-/// processes whose announcement was lost.
-const MEMBER_READ_INTERVAL_MS: u64 = 60_000;
-
 /// The interval of confirmations to each process, in milliseconds.
 ///
 /// Three may be lost before a process reads the store itself.
 const CONFIRM_INTERVAL_MS: u64 = 300;
 
 /// The pause after an error of the socket or of the store, in milliseconds.
-const RETRY_PAUSE_MS: u64 = 1_000;
+pub(super) const RETRY_PAUSE_MS: u64 = 1_000;
 
 /// The time after the last reply of the store for which a process counts as reaching it, in
 /// milliseconds.
@@ -57,13 +48,6 @@
 /// The size of the receive buffer, and so of the largest accepted datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16_384;
 
-/// The stored row of a relay process.
-#[derive(Debug, Deserialize, Serialize)]
-struct MemberRow {
-    /// The address at which it receives datagrams.
-    address: SocketAddr,
-}
-
 /// Exchanges datagrams with the other processes until the process ends.
 pub async fn run_peers(state: Rc<NodeState>, store: Rc<StoreClient>, socket: Rc<UdpSocket>) {
     tokio::join!(
@@ -242,58 +226,6 @@
         && now.since(view.last_store_reply) < STORE_REACHABLE_MS
 }
 
-/// Lists this process in the store and reads the addresses of the others.
-async fn track_members(state: &NodeState, store: &StoreClient) {
-    let row = MemberRow {
-        address: state.settings.peer_address,
-    };
-    let value = serde_json::to_vec(&row).unwrap_or_default();
-    let mut is_listed = false;
-    loop {
-        if !is_listed {
-            let write = StoreWrite {
-                table: StoreTable::Members,
-                key: state.settings.name.clone(),
-                value: value.clone(),
-                expected_version: None,
-            };
-            match store.write(write).await {
-                Ok(crate::wire::StoreReply::Written { .. }) => is_listed = true,
-                Ok(other) => spdlog::warn!(
-                    "peers: can't list this process in the store, retrying: unexpected reply {other:?}"
-                ),
-                Err(error) => {
-                    spdlog::warn!("peers: can't list this process in the store, retrying: {error}")
-                }
-            }
-        }
-        match store.read(StoreTable::Members).await {
-            Ok((rows, _, _)) => {
-                let now = state.clock.now();
-                for row in rows {
-                    let Some(value) = row.value else { continue };
-                    match serde_json::from_slice::<MemberRow>(&value) {
-                        Ok(member) if member.address == state.settings.peer_address => {}
-                        Ok(member) => state.peers.borrow_mut().add_listed(member.address, now),
-                        Err(error) => {
-                            spdlog::warn!("peers: member row {} ignored: {error}", row.key)
-                        }
-                    }
-                }
-            }
-            Err(error) => {
-                spdlog::warn!("peers: can't read the list of processes, retrying: {error}");
-                is_listed = false;
-            }
-        }
-        let pause_ms = match is_listed {
-            true => MEMBER_READ_INTERVAL_MS,
-            false => RETRY_PAUSE_MS,
-        };
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-    }
-}
-
 /// Updates the view with the loads and the number of the other processes, and removes the engines that are
 /// still not listed after the grace period that follows an outage of the store.
 fn refresh_view(state: &NodeState, now: MilliTime) {
--- a/crates/relay/tests/relay_support/fake_store.rs
+++ b/crates/relay/tests/relay_support/fake_store.rs
@@ -74,6 +74,13 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns the keys of the rows of a table.
+    pub(crate) fn keys(&self, table: &str) -> Vec<String> {
+        let rows = self.rows.borrow();
+        let rows = rows.iter().filter(|row| row.0 == table);
+        rows.map(|row| row.1.clone()).collect()
+    }
+
     /// Answers a call; the header names the era unless it is 0.
     pub(crate) async fn answer(&self, method: &str, path: &str, body: &[u8]) -> FakeResponse {
         let response = self.answer_without_era(method, path, body).await;
--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -120,3 +120,32 @@
         .await;
     });
 }
+
+/// The rows of processes that the copy lacks must be written again, or a process that starts finds nobody; not all in
+/// one moment, as 300 processes would.
+#[test]
+fn members_are_listed_again_one_after_the_other() {
+    run(async {
+        let world = World::start().await;
+        world.store.take_copy();
+        let nodes = start_nodes(&world).await;
+        world.store.return_from_copy();
+        let returned = Instant::now();
+        let mut listed = Vec::new();
+        while listed.len() < nodes.len() {
+            assert!(returned.elapsed() <= Duration::from_millis(3_000));
+            let count = world.store.keys("members").len();
+            listed.resize(count, returned.elapsed());
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let spread = listed[listed.len() - 1] - listed[0];
+        assert!(spread >= Duration::from_millis(100), "within {spread:?}");
+        for node in &nodes {
+            assert!(
+                world
+                    .has_metric_line(node, "dandelionroad_store_era 1")
+                    .await
+            );
+        }
+    });
+}
