--- a/crates/relay/tests/restored_store.rs
+++ b/crates/relay/tests/restored_store.rs
@@ -9,6 +9,7 @@
 
 use dandelionroad_relay::node::RunningNode;
 
+use crate::relay_support::NodePlace;
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::FakeEngine;
 use crate::relay_support::run;
@@ -149,3 +150,32 @@
         }
     });
 }
+
+/// A process that the store turns away must hear of the new era from the others: it kept the list of the era before, as
+/// the versions of the changes were lower.
+#[test]
+fn era_reaches_process_without_store() {
+    run(async {
+        let world = World::start().await;
+        let leaver = world.start_endpoint("p1").await;
+        let stayer = world.start_endpoint("p2").await;
+        let _nodes = start_nodes(&world).await;
+        let (far, is_rejected) = world
+            .node_with_switch_at("n4", NodePlace::ZoneB, LIST_MS)
+            .await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        world.store.take_copy();
+        beat(&[&leaver, &stayer], 60).await;
+        is_rejected.set(true);
+        world.store.return_from_copy();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        leaver.list(true);
+        tokio::time::sleep(BOUND).await;
+        assert!(
+            world
+                .has_metric_line(&far, "dandelionroad_store_era 1")
+                .await
+        );
+        assert!(world.knows_engines(&far, 1).await);
+    });
+}
