--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -10,8 +10,10 @@
 engines as an [`EngineListing`], and [`ListingPlan`] decides from where it is renewed. Each one keeps an
 [`EngineTable`] with the listed engines, the reasons to send them nothing ([`EngineMarks`]) and the load that all
 processes report, and uses only its share of the free KV memory between two reports. For services under
-shortage control, [`DemandTable`] makes the share follow the demand. [`EngineAvailability`] holds what engines say in
-their answers: that they leave, or want no requests for a time. Requests that find no free memory
+shortage control, [`DemandTable`] makes the share follow the demand, and [`ShortageAdmission`] decides who waits and who
+is refused. [`EngineAvailability`] holds what engines say in their answers: that they leave, or want no requests for a
+time. States of the store are ordered by [`StoreVersion`], and [`EraClock`] tells when it has come back from an older
+copy. Requests that find no free memory
 wait in a [`CapacityQueue`]. [`CrashDetector`] finds requests that crash engines, with a [`PartLedger`]
 for those that share only a part of their prompt. [`AttemptPlan`] decides on retries, [`EventSplitter`]
 makes interrupted streams resumable, and [`ServicePicker`] balances load over the endpoints of a plain
@@ -30,9 +32,11 @@
 mod capacity_queue;
 mod config_age;
 mod config_check;
+mod config_source;
 mod crash_detector;
 mod delta_mismatch;
 mod demand_table;
+mod ended_incarnations;
 mod engine_availability;
 mod engine_crash;
 mod engine_entry;
@@ -40,8 +44,10 @@
 mod engine_marks;
 mod engine_record;
 mod engine_table;
+mod era_clock;
 mod event_fault;
 mod event_splitter;
+mod incarnation_end;
 mod key_index;
 mod late_losses;
 mod life_sign;
@@ -80,6 +86,8 @@
 mod shortage_control;
 mod shortage_request;
 mod shutdown_plan;
+mod start_gate;
+mod store_version;
 mod suspect_crash;
 mod suspect_part;
 mod suspicion_cause;
@@ -101,6 +109,7 @@
 pub use self::config_check::ConfigFinding;
 pub use self::config_check::ConfigPlace;
 pub use self::config_check::FindingLevel;
+pub use self::config_source::ConfigSource;
 pub use self::crash_detector::CrashDetector;
 pub use self::delta_mismatch::DeltaMismatch;
 pub use self::demand_table::DemandTable;
@@ -111,6 +120,7 @@
 pub use self::engine_marks::EngineMarks;
 pub use self::engine_record::EngineRecord;
 pub use self::engine_table::EngineTable;
+pub use self::era_clock::EraClock;
 pub use self::event_fault::EventFault;
 pub use self::event_splitter::EventSplitter;
 pub use self::key_index::KeyIndex;
@@ -146,4 +156,6 @@
 pub use self::shortage_control::ShortageControl;
 pub use self::shortage_request::ShortageRequest;
 pub use self::shutdown_plan::ShutdownPlan;
+pub use self::start_gate::StartGate;
+pub use self::store_version::StoreVersion;
 pub use self::suspicion_cause::SuspicionCause;
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -8,11 +8,13 @@
 use dandelionroad_core::relay::DemandTable;
 use dandelionroad_core::relay::EngineListing;
 use dandelionroad_core::relay::EngineTable;
+use dandelionroad_core::relay::EraClock;
 use dandelionroad_core::relay::KeyIndex;
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::relay::RouteIndex;
 use dandelionroad_core::relay::ShortageAdmission;
 use dandelionroad_core::relay::ShortageControl;
+use dandelionroad_core::relay::StartGate;
 use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
 
@@ -33,6 +35,10 @@
     pub keys: KeyIndex,
     /// The time at which the configuration was last confirmed as the newest.
     pub config_age: ConfigAge,
+    /// The newest era of the store.
+    pub era: EraClock,
+    /// The condition on which the process may take callers after its start.
+    pub start_gate: StartGate,
     /// The list of engines as it was last read.
     pub listing: EngineListing,
     /// The listed engines with their loads.
@@ -69,6 +75,8 @@
             routes: RouteIndex::default(),
             keys: KeyIndex::default(),
             config_age: ConfigAge::new(settings.bounds.key_age_ms),
+            era: EraClock::new(),
+            start_gate: StartGate::new(),
             listing: EngineListing::new(),
             engines: EngineTable::new(),
             demand: DemandTable::new(&settings.zone),
@@ -166,6 +174,12 @@
         true
     }
 
+    /// Lets the process take callers if the condition after its start holds; returns whether it does.
+    pub fn update_gate(&mut self, now: MilliTime) -> bool {
+        let held = self.config.as_ref().map(|config| config.version);
+        self.start_gate.update(held, now)
+    }
+
     /// Returns the time since the list of engines was last confirmed to be the newest, in milliseconds, or
     /// `None` before the first read.
     pub fn listing_age_ms(&self, now: MilliTime) -> Option<u64> {
@@ -174,6 +188,6 @@
 
     /// Returns whether the process accepts callers.
     pub fn is_ready(&self) -> bool {
-        self.config.is_some() && self.has_listing && !self.is_stopping
+        self.config.is_some() && self.has_listing && self.start_gate.is_open() && !self.is_stopping
     }
 }
--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -24,6 +24,7 @@
 /// # Example
 ///
 /// ```
+/// use dandelionroad_core::relay::StoreVersion;
 /// use dandelionroad_relay::peer::ConfirmMessage;
 /// use dandelionroad_relay::peer::PeerDatagram;
 ///
@@ -32,7 +33,7 @@
 ///     config: 7,
 ///     config_stamp: 1_000,
 ///     listing: 3,
-///     listing_version: 9,
+///     listing_version: StoreVersion::new(0, 9),
 ///     listing_stamp: 900,
 /// });
 /// let bytes = datagram.encode().unwrap();
--- a/crates/relay/src/telemetry/relay_metrics.rs
+++ b/crates/relay/src/telemetry/relay_metrics.rs
@@ -1,3 +1,4 @@
+use dandelionroad_core::relay::StoreVersion;
 use prometheus::Encoder;
 use prometheus::Gauge;
 use prometheus::GaugeVec;
@@ -37,6 +38,7 @@
     whole_answer: Histogram,
     config_version: Gauge,
     config_age: Gauge,
+    store_era: Gauge,
     listing_age: Gauge,
     waiting_tokens: GaugeVec,
     running: Gauge,
@@ -140,6 +142,10 @@
                 "dandelionroad_config_version",
                 "Version of the configuration in force.",
             ),
+            store_era: gauge(
+                "dandelionroad_store_era",
+                "Times that the store has come back from an older copy, as it counts them.",
+            ),
             config_age: gauge(
                 "dandelionroad_config_age_ms",
                 "Time since the configuration was last confirmed as the newest.",
@@ -280,6 +286,8 @@
         let age = view.config_age.age_ms(now);
         self.config_age
             .set(age.map_or(f64::INFINITY, |age| age as f64));
+        let era = view.era.newest().map_or(0, StoreVersion::era);
+        self.store_era.set(era as f64);
         let age = view.listing_age_ms(now);
         self.listing_age
             .set(age.map_or(f64::INFINITY, |age| age as f64));
