--- a/crates/core/src/relay/shortage_admission.rs
+++ b/crates/core/src/relay/shortage_admission.rs
@@ -272,7 +272,7 @@
 /// Returns the time since its arrival for which a request waits that can only be late.
 fn late_wait_ms(request: &ShortageRequest) -> u64 {
     let patience_ms = MIN_PATIENCE_MS
-        .max(request.target_ms * TARGET_PATIENCE_FACTOR)
-        .max(request.gap_target_ms * GAP_PATIENCE_FACTOR);
-    patience_ms * LATE_WAIT_PERCENT / 100
+        .max(request.target_ms.saturating_mul(TARGET_PATIENCE_FACTOR))
+        .max(request.gap_target_ms.saturating_mul(GAP_PATIENCE_FACTOR));
+    patience_ms.saturating_mul(LATE_WAIT_PERCENT) / 100
 }
