--- a/crates/core/src/relay/demand_table.rs
+++ b/crates/core/src/relay/demand_table.rs
@@ -82,6 +82,13 @@
         self.get_or_insert(service, priority).waiting_tokens = tokens;
     }
 
+    /// Sets the waiting tokens of this process to 0 at all services and priorities.
+    pub fn clear_waiting(&mut self) {
+        for own in &mut self.own {
+            own.waiting_tokens = 0.0;
+        }
+    }
+
     /// Replaces the demand of the other processes.
     pub fn set_peer_demands(&mut self, demands: &[SharedDemand]) {
         self.peers.clear();
--- a/crates/relay/src/ingress/stream_relay/shortage_choice.rs
+++ b/crates/relay/src/ingress/stream_relay/shortage_choice.rs
@@ -140,7 +140,10 @@
             return self.state.queue.borrow_mut().retry_after_ms(now);
         }
         let (request, room_wait_ms) = (self.shortage_request(log), self.room_wait_ms());
-        self.state.metrics.count_shortage_refusal(request.rank);
+        // A request that may have run is not refused: its stream is cut, or its outcome is unknown.
+        if !self.plan.may_have_run() {
+            self.state.metrics.count_shortage_refusal(request.rank);
+        }
         let mut view = self.state.view.borrow_mut();
         let admission = view.admission_mut(self.service_key());
         admission.map_or(0, |admission| {
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -111,6 +111,8 @@
 
     /// Sets the work that waits at this process, which it reports to the others.
     pub fn set_waiting(&mut self, queue: &CapacityQueue) {
+        // Ranks and services that a change of the configuration has removed are not set again below.
+        self.demand.clear_waiting();
         for (service, admission) in &self.admissions {
             for rank in admission.control().ranks() {
                 let tokens = queue.waiting_tokens(*service, rank);
--- a/crates/relay/tests/relay_support/mod.rs
+++ b/crates/relay/tests/relay_support/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod http_fake;
 pub(crate) mod raw_engine;
 pub(crate) mod scripted_engine;
+pub(crate) mod test_routes;
 pub(crate) mod test_wire;
 
 use std::cell::Cell;
@@ -287,8 +288,7 @@
         self.store_address
     }
 
-    /// Returns a future that sends a request with the key `k1`, reads the response and returns its status; 0 if there
-    /// is none.
+    /// Returns a future that sends a request with the key `k1` and reads the response; returns its status, or 0.
     pub(crate) fn send_to(
         &self,
         address: SocketAddr,
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -7,11 +7,8 @@
 use dandelionroad_core::relay::ModelShape;
 use dandelionroad_core::relay::RelayAccount;
 use dandelionroad_core::relay::RelayConfig;
-use dandelionroad_core::relay::RelayRoute;
 use dandelionroad_core::relay::RelayService;
-use dandelionroad_core::relay::RepeatRule;
 use dandelionroad_core::relay::RequestSize;
-use dandelionroad_core::relay::ServiceShare;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_relay::wire::CallerRequest;
 use dandelionroad_relay::wire::DecodeError;
@@ -34,6 +31,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::test_routes::test_routes;
+
 /// The target time to the first event on each route, in milliseconds.
 pub(crate) const TARGET_MS: u64 = 300;
 
@@ -250,12 +249,7 @@
             .filter_map(|key| key.as_str().map(str::to_owned));
         Ok(Some(RelayConfig {
             version: doc["version"].as_u64().unwrap_or(0),
-            routes: vec![
-                route("/model/", MODEL_SERVICE, RepeatRule::Resumable),
-                route("/model-once/", MODEL_SERVICE, RepeatRule::AtMostOnce),
-                route("/once/", PLAIN_SERVICE, RepeatRule::AtMostOnce),
-                route("/any/", PLAIN_SERVICE, RepeatRule::Idempotent),
-            ],
+            routes: test_routes(&doc),
             services: vec![
                 service(MODEL_SERVICE, Some(shape())),
                 service(PLAIN_SERVICE, None),
@@ -344,25 +338,6 @@
     }
 }
 
-fn route(prefix: &str, service: &str, repeat: RepeatRule) -> RelayRoute {
-    RelayRoute {
-        host: "shop.example".to_owned(),
-        prefix: prefix.to_owned(),
-        is_stream: service == MODEL_SERVICE,
-        repeat,
-        timeout_ms: 8_000,
-        target_ms: TARGET_MS,
-        gap_target_ms: 100,
-        priority: 1,
-        max_attempts: 2,
-        is_public: false,
-        shares: vec![ServiceShare {
-            service: service.to_owned(),
-            weight: 1,
-        }],
-    }
-}
-
 fn service(name: &str, model: Option<ModelShape>) -> RelayService {
     RelayService {
         name: name.to_owned(),
