--- a/crates/bench/src/cost/shortage_inputs.rs
+++ b/crates/bench/src/cost/shortage_inputs.rs
@@ -82,7 +82,6 @@
         let mut admission = ShortageAdmission::new(control);
         for rank in 0..RANKS {
             admission.record_arrival(rank, 1_000.0, NOW);
-            admission.record_sent(500.0, NOW);
         }
         ShortageInputs {
             shape,
--- a/crates/core/src/chain/chain_finder.rs
+++ b/crates/core/src/chain/chain_finder.rs
@@ -26,6 +26,10 @@
 /// enough.
 const FULL_ENGINE_PENALTY: f64 = 1.0;
 
+/// The maximum share of an engine's memory, and of the time in which prompts may wait there, that is kept free for the
+/// reserved work of other requests.
+const MAX_RESERVED_SHARE: f64 = 0.5;
+
 /// The maximum of the relative increase in the cost of an engine, which is drawn at random for each
 /// request.
 ///
@@ -237,12 +241,15 @@
         let capacity = self.shape.kv_capacity_units(kind.memory_mb, held)
             * MEMORY_SHARE
             * request.limits.memory_share;
-        let reserved = reserved_tokens * f64::from(held);
-        let free = (capacity - entry.units() - reserved).max(0.0);
+        // Other processes report the reserved work, so that a wrong report must not block the engine.
+        let reserved = (reserved_tokens * f64::from(held)).min(capacity * MAX_RESERVED_SHARE);
+        let room = capacity - entry.units() - reserved;
+        let free = room.max(0.0);
         let max_layers = (free / request.tokens.max(1.0)).min(f64::from(u16::MAX)) as u16;
         if max_layers == 0 {
-            let missing_units = request.tokens - free;
-            return Err(RoomShortage::Memory { missing_units });
+            return Err(RoomShortage::Memory {
+                missing_units: request.tokens - room,
+            });
         }
         let mean_units = self.shape.mean_tokens() * f64::from(held);
         if entry.remaining_share(capacity, mean_units) <= 0.0 {
@@ -261,7 +268,10 @@
         let slots = f64::from(entry.record.slots) * request.limits.memory_share;
         let step_ms = layer_ms * f64::from(held);
         let prefill_wait_ms = self.prefill_ms(entry.prefill_tokens(), step_ms);
-        let reserved_ms = self.prefill_ms(reserved_tokens, step_ms);
+        let max_reserved_ms = request.limits.queue_ms * MAX_RESERVED_SHARE;
+        let reserved_ms = self
+            .prefill_ms(reserved_tokens, step_ms)
+            .min(max_reserved_ms);
         if prefill_wait_ms + reserved_ms > request.limits.queue_ms {
             return Err(RoomShortage::Prefill {
                 excess_ms: prefill_wait_ms + reserved_ms - request.limits.queue_ms,
--- a/crates/core/src/chain/room_forecast.rs
+++ b/crates/core/src/chain/room_forecast.rs
@@ -17,7 +17,7 @@
     /// `None` if no zone has a usable engine for each layer.
     ///
     /// Load: engines that are full for the moment. The queue of prompts at an engine shrinks as time passes, and
-    /// memory is released at the rate of its running requests, each of which takes `run_ms` milliseconds.
+    /// memory and slots are released at the rate of its running requests, each of which takes `run_ms` milliseconds.
     pub fn room_wait_ms(&self, request: &FinderRequest<'_>, run_ms: f64) -> Option<f64> {
         let reserved_tokens = self.reserved_per_engine(request);
         let usable = self
@@ -25,8 +25,15 @@
             .filter(|entry| self.is_eligible(entry, request));
         let waits: Vec<(&EngineEntry, f64)> = usable
             .map(|entry| {
-                let shortage = self.candidate(entry, request, reserved_tokens).err();
-                (entry, room_wait_ms(entry, shortage, run_ms))
+                let wait_ms = match self.candidate(entry, request, reserved_tokens) {
+                    // Only the first engine of a chain needs a slot.
+                    Ok(candidate) if candidate.has_free_slot || entry.record.layers.first > 0 => {
+                        0.0
+                    }
+                    Ok(_) => slot_wait_ms(entry, run_ms),
+                    Err(shortage) => room_wait_ms(entry, shortage, run_ms),
+                };
+                (entry, wait_ms)
             })
             .collect();
         let zones = self.zones().into_iter();
@@ -53,15 +60,21 @@
 }
 
 /// Returns the time until an engine is expected to have what it lacks, in milliseconds.
-fn room_wait_ms(entry: &EngineEntry, shortage: Option<RoomShortage>, run_ms: f64) -> f64 {
+fn room_wait_ms(entry: &EngineEntry, shortage: RoomShortage, run_ms: f64) -> f64 {
     match shortage {
-        None => 0.0,
-        Some(RoomShortage::Prefill { excess_ms }) => excess_ms,
-        Some(RoomShortage::Memory { missing_units }) => {
+        RoomShortage::Prefill { excess_ms } => excess_ms,
+        RoomShortage::Memory { missing_units } => {
             let released_per_ms = entry.units() / run_ms.max(1.0);
             missing_units / released_per_ms.max(f64::MIN_POSITIVE)
         }
-        Some(RoomShortage::Share) => DIVISION_MS,
-        Some(RoomShortage::Refused) => REFUSAL_MS,
+        RoomShortage::Share => DIVISION_MS,
+        RoomShortage::Refused => REFUSAL_MS,
     }
 }
+
+/// Returns the time until the first of an engine's requests is expected to end, in milliseconds.
+///
+/// The remaining times of the requests are spread evenly over a run.
+fn slot_wait_ms(entry: &EngineEntry, run_ms: f64) -> f64 {
+    run_ms / (f64::from(entry.requests()) + 1.0)
+}
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -269,7 +269,7 @@
             timeouts: StallTimeouts::new(
                 now,
                 target_ms / FIRST_EVENT_PROBE_DIVISOR,
-                target_ms * FIRST_EVENT_FAILOVER_FACTOR,
+                target_ms.saturating_mul(FIRST_EVENT_FAILOVER_FACTOR),
             ),
             stall: None,
             is_recorded: false,
