--- a/crates/core/src/relay/capacity_queue.rs
+++ b/crates/core/src/relay/capacity_queue.rs
@@ -140,8 +140,8 @@
 
     /// Adds a request whose wait was decided on already; returns its number.
     ///
-    /// Requests of one priority and fair-queueing round are ordered by `tokens`, the smallest first: each of them then waits
-    /// for the least work of others. A large request is overtaken within its round only.
+    /// Requests of one priority and fair-queueing round are ordered by `tokens`, the smallest first, so that each of them
+    /// waits for the least work of others. A large request is overtaken within its round only.
     pub fn add(&mut self, service: u64, priority: u8, account: u64, tokens: f64) -> u64 {
         let round = self.next_round(account);
         let position = self.waiting.partition_point(|queued| {
--- a/crates/core/src/relay/return_schedule.rs
+++ b/crates/core/src/relay/return_schedule.rs
@@ -13,10 +13,10 @@
 
 /// The times at which refused callers are asked to return.
 ///
-/// Load: a burst, or a start of all processes at once, after which many callers are refused within a second. If they all
-/// returned together, most of them would be refused again. The first one returns when room is expected, the others one after
-/// the other. A more urgent caller takes the place before the less urgent ones, which are moved back if they
-/// are refused later.
+/// Load: a burst, or a start of all processes at once, after which many callers are refused within a second. If they
+/// all returned together, most of them would be refused again. The first one returns when room is expected, the others
+/// one after the other. Times that were booked for less urgent callers don't delay more urgent ones, and less urgent
+/// callers that are refused later return after the more urgent ones.
 ///
 /// # Example
 ///
--- a/crates/core/src/relay/shortage_admission.rs
+++ b/crates/core/src/relay/shortage_admission.rs
@@ -65,10 +65,10 @@
 /// lack room.
 ///
 /// Load: more work than the engines can take, for some seconds (a burst, lost engines, all callers at once after a
-/// start) or for good. Requests are ordered by rank first. Within a rank, what costs callers least goes first:
-/// a request that can still be in time waits, one that can't is refused at once and returns when room is expected, and one whose caller could not return in
-/// time waits although it will be late, since late is better than never. Fair queueing by account and the order by work
-/// are those of [`CapacityQueue`](super::CapacityQueue).
+/// start) or for good. Requests are ordered by rank first. Within a rank, what costs callers least goes first: a
+/// request that can still be in time waits, and one that can't is refused at once and returns when room is expected.
+/// One whose caller could not return in time waits although it will be late, since late is better than never. Fair
+/// queueing by account and the order by work are those of [`CapacityQueue`](super::CapacityQueue).
 ///
 /// All processes decide by the same rule. What a process can't see, the more urgent work that waits at others, enters
 /// through [`limits`](ShortageAdmission::limits).
@@ -230,9 +230,9 @@
 
     /// Books the return of a refused caller; returns the time until then, in milliseconds.
     ///
-    /// Room is expected after the wait of the request, and not before the shortage of its rank has lasted twice as long as
-    /// until now: that a shortage just began says that it may be over soon, as at a start of all callers at once. It is
-    /// not over before a part of the running requests has ended, each of which takes `run_ms` milliseconds.
+    /// Room is expected after the wait of the request, but not before a part of the running requests has ended, each of
+    /// which takes `run_ms` milliseconds, and not before the shortage of its rank has lasted twice as long as until
+    /// now. A shortage that has just begun may be over soon, as at a start of all callers at once.
     pub fn book_return(
         &mut self,
         request: &ShortageRequest,
