Add case 6: a revoked key serves at an entry that starts after the store's return

The store comes back from an older copy and the entry that last wrote under a condition is killed right after.

--- /dev/null
+++ b/review/6/play.py
@@ -0,0 +1,87 @@
+#!/usr/bin/env python3
+"""The entry that last wrote to the store under a condition is killed and started while the store, back from an older copy, still holds a configuration with a key
+that was revoked six seconds ago. Shows requests with that key that run at the started entry.
+
+TROUBLE=0: the store is not away, and no entry is killed.
+"""
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent / "standins-2"))
+sys.dont_write_bytecode = True
+
+from standins import REVOKE_S, Client, Deployment, config, expect, run_case  # noqa: E402
+
+AWAY_S = 0.5
+COPY_AGE_S = 6.4
+REWRITE_S = 2.0  # the operator writes again within this time of the store's return
+KILL_S = 0.3  # from the return to the kill
+RESTART_S = 0.3
+
+
+async def play(record, folder, has_trouble):
+    deployment = Deployment(record, folder)
+    try:
+        return await play_deployment(deployment, record, has_trouble)
+    finally:
+        await deployment.stop()
+
+
+async def play_deployment(deployment, record, has_trouble):
+    store, operator, entries = deployment.store, deployment.operator, deployment.entries
+    await deployment.start(config(7, {"coop": ["k-revoked", "k-kept"]}))
+    revoked, kept = Client(record, "revoked", "k-revoked"), Client(record, "kept", "k-kept")
+    await asyncio.sleep(5.0)
+    for entry in entries:
+        expect(await revoked.call(entry.front) == 200, "the key is not served before it is revoked")
+    acknowledged = operator.write(config(8, {"coop": ["k-kept"]}))
+    await asyncio.sleep(REVOKE_S + 0.2)
+    for entry in entries:
+        expect(await revoked.call(entry.front) == 401, "the revoked key is not refused before the disruption")
+    target = deployment.last_writer()
+    record.line(f"{target.name} last wrote to the store under a condition")
+    if has_trouble:
+        store.leave()
+        await asyncio.sleep(AWAY_S)
+        await store.come_back(COPY_AGE_S)
+        deployment.spawn(write_again(operator))
+        deployment.spawn(restart(target))
+    calls = []
+    end = time.monotonic() + 6.0
+    while time.monotonic() < end:
+        if deployment.balancer.sends_to(target):
+            calls.append(asyncio.ensure_future(revoked.call(target.front)))
+        calls.append(asyncio.ensure_future(kept.call(target.front)))
+        await asyncio.sleep(0.01)
+    await asyncio.gather(*calls)
+    late = [
+        revoked.sent[request] - acknowledged
+        for endpoint in deployment.endpoints
+        for _, request in endpoint.runs
+        if request in revoked.sent and revoked.sent[request] > acknowledged + REVOKE_S
+    ]
+    if not late:
+        return []
+    return [
+        f"CONFIG: {len(late)} requests ran with a key whose revocation was acknowledged "
+        f"{min(late):.2f} to {max(late):.2f} s before they were sent"
+    ]
+
+
+async def write_again(operator):
+    await asyncio.sleep(REWRITE_S)
+    operator.write_again()
+
+
+async def restart(entry):
+    await asyncio.sleep(KILL_S)
+    await entry.kill()
+    await asyncio.sleep(RESTART_S)
+    await entry.start()
+
+
+run_case(FOLDER, play)
