--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,12 +1,12 @@
 #!/usr/bin/env python3
-"""One of three engines of the booking service runs two fifths of its bookings and then fails them with 503, without
-X-Not-Executed. Shows bookings that ran and whose clients were told by 503 that they did not and never will.
+"""The settings files of two of six entries change: a bound is a fraction. Both entries are stopped and started in turn
+afterwards, as planned work. Shows entries that end by themselves at each start.
 
-TROUBLE=0: the engine answers all bookings with success.
+TROUBLE=0: the settings files stay as they are; the entries are stopped and started all the same.
 """
 
 import asyncio
-import random
+import signal
 import sys
 import time
 from pathlib import Path
@@ -15,27 +15,13 @@
 sys.path.insert(0, str(FOLDER.parent / "standins-2"))
 sys.dont_write_bytecode = True
 
-from standins import Client, Deployment, Endpoint, config, encode, expect, run_case  # noqa: E402
+from standins import Client, Deployment, config, expect, run_case  # noqa: E402
 
-GREY_SHARE = 0.4  # of the bookings at the grey engine
-GREY_S = 5.0
-PROMISES = (408, 421, 429, 503)
-
-
-class GreyEndpoint(Endpoint):
-    """An engine that fails part of the requests that it has run, while its health check is good."""
-
-    is_grey = False
-    draws = random.Random(1)
-
-    async def respond(self, message, writer):
-        answer = await super().respond(message, writer)
-        request = message.headers.get("x-request-id")
-        has_run = any(run == request for _, run in self.runs)
-        if not (self.is_grey and has_run and self.draws.random() < GREY_SHARE):
-            return answer
-        self.record.line(f"{self.id}: answers {request} with 503 after it has run")
-        return encode(503, [("X-Request-Id", request), ("X-Response-Signature", f"s.{self.id}.{request}")], b"failed")
+CHANGED = ("bounds.budgetSlack", "202.5")  # 202 before
+CHANGED_ENTRIES = 2
+STARTS = 3
+RESTART_S = 0.5
+START_TIMEOUT_S = 5.0
 
 
 async def play(record, folder, has_trouble):
@@ -47,26 +33,48 @@
 
 
 async def play_deployment(deployment, record, has_trouble):
-    grey = GreyEndpoint(deployment.store, record, "talca-1", "orders", "talca")
-    deployment.endpoints[0] = grey
     await deployment.start(config(7, {"coop": ["k-1"]}))
-    await asyncio.sleep(4.0)
-    clients = [Client(record, f"client{number}", "k-1") for number in range(len(deployment.entries))]
-    for client, entry in zip(clients, deployment.entries):
+    await asyncio.sleep(3.0)
+    client = Client(record, "client", "k-1")
+    changed = deployment.entries[:CHANGED_ENTRIES]
+    for entry in changed:
         expect(await client.call(entry.front) == 200, "a booking is not served before the disruption")
-    grey.is_grey = has_trouble
-    end = time.monotonic() + GREY_S
-    while time.monotonic() < end:
-        await asyncio.gather(*(client.call(entry.front) for client, entry in zip(clients, deployment.entries)))
-        await asyncio.sleep(0.5)
-    grey.is_grey = False
+        if has_trouble:
+            entry.change_setting(*CHANGED)
+        entry.signal(signal.SIGHUP)
     await asyncio.sleep(2.0)
-    ran = {request for endpoint in deployment.endpoints for _, request in endpoint.runs}
-    false = [
-        request for client in clients for request, status in client.statuses.items()
-        if status in PROMISES and request in ran
-    ]
-    return [f"REFUSED: {len(false)} bookings have run and were answered with 503: {', '.join(false)}"] if false else []
+    for entry in changed:
+        expect(await client.call(entry.front) == 200, "a booking is not served after the settings have changed")
+    faults = []
+    for entry in changed:
+        entry.signal(signal.SIGTERM)
+        await asyncio.wait_for(entry.process.wait(), 9.0)
+        ends = []
+        for _ in range(STARTS):
+            await asyncio.sleep(RESTART_S)
+            await entry.start()
+            code = await wait_until_up(entry)
+            if code is None:
+                break
+            ends.append(code)
+            record.line(f"{entry.name}: ended by itself with exit code {code}")
+        if len(ends) == STARTS:
+            faults.append(f"{entry.name} ended by itself at each of {STARTS} starts, with exit codes {ends}")
+        else:
+            expect(await client.call(entry.front) == 200, f"{entry.name} has started and doesn't serve")
+    return [f"Fault: {fault}" for fault in faults] if len(faults) == CHANGED_ENTRIES else []
+
+
+async def wait_until_up(entry):
+    """Waits until an entry is ready; returns its exit code if it ends before."""
+    end = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < end:
+        if entry.process.returncode is not None:
+            return entry.process.returncode
+        if await entry.is_ready():
+            return None
+        await asyncio.sleep(0.05)
+    raise RuntimeError(f"{entry.name} is neither ready nor ended")
 
 
 run_case(FOLDER, play)
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -370,6 +370,13 @@
         self.process = None
         self.starts = 0
 
+    def change_setting(self, name, value):
+        """Sets a value in the settings file, as the platform does when the settings change."""
+        lines = self.path.read_text().splitlines()
+        others = [line for line in lines if not line.startswith(f"{name}=")]
+        self.path.write_text("\n".join(others + [f"{name}={value}", ""]))
+        self.record.line(f"{self.name}: settings file: {name}={value}")
+
     async def start(self):
         self.starts += 1
         log = open(self.path.with_suffix(f".{self.starts}.log"), "w")
