--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10. They are Python 3.11 sources without further packages, so that building
+# Builds the stand-ins of the cases 6 to 9. They are Python 3.11 sources without further packages, so that building
 # them is a check of their syntax.
 set -e
 cd "$(dirname "$0")"
