Prove the configuration's freshness after a start beside a restored store

Causes: a process took the first era that it saw for a settled one, so its first read of the copy renewed the freshness; and the gate for started processes was asked by the readiness check only.

Change: rows count as possibly missing for 2.5 s after the first sight of any era. The store reader passes on how old its own knowledge is, answers the first message of a started process at once, and notes in the store which era has settled, so that a start is not held up by an era that began long ago. All requests are refused until the gate opens. The origin of a clock no longer counts as a time of confirmation.

The log of the started entry had config=7 with an age of some ms while the others confirmed 8.

--- a/crates/core/src/relay/config_age.rs
+++ b/crates/core/src/relay/config_age.rs
@@ -41,9 +41,17 @@
     /// Records that a read which started at `read_start` found the held configuration to be the
     /// newest.
     ///
-    /// The answer of an earlier read than the recorded one is ignored.
+    /// The answer of an earlier read than the recorded one is ignored. The origin of the clock stands for an unknown time
+    /// and confirms nothing: shortly after the start of a host, it would look recent.
     pub fn confirm(&mut self, read_start: MilliTime) {
-        self.confirmed = self.confirmed.max(Some(read_start));
+        if read_start > MilliTime::default() {
+            self.confirmed = self.confirmed.max(Some(read_start));
+        }
+    }
+
+    /// Returns the time of the newest confirmation, if any.
+    pub fn confirmed_at(&self) -> Option<MilliTime> {
+        self.confirmed
     }
 
     /// Returns the age in milliseconds, or `None` before the first confirmation.
--- a/crates/core/src/relay/era_clock.rs
+++ b/crates/core/src/relay/era_clock.rs
@@ -7,8 +7,17 @@
 /// Live engines and the operator write again within about two seconds what the copy lacks.
 const SETTLE_MS: u64 = 2_000;
 
+/// The same time for a process that has seen no era before, in milliseconds.
+///
+/// It may start in the moment of the return and holds nothing with which to compare what it reads, so it allows for a
+/// late operator.
+const FIRST_SETTLE_MS: u64 = 2_500;
+
 /// The newest era of the store that a process has seen, and the time at which it saw it first.
 ///
+/// The first era that a process sees may have begun right before its start, so rows may be missing then as well, unless
+/// [`settle`](EraClock::settle) tells that the era has lasted.
+///
 /// # Example
 ///
 /// ```
@@ -18,6 +27,10 @@
 ///
 /// let mut clock = EraClock::new();
 /// assert!(!clock.observe(StoreVersion::new(1, 530), MilliTime::from_millis(100)));
+/// assert!(clock.is_settling(MilliTime::from_millis(100)));
+/// // The store holds the note of a process that has seen this era for a while.
+/// clock.settle(1);
+/// assert!(!clock.is_settling(MilliTime::from_millis(100)));
 /// assert!(clock.observe(StoreVersion::new(2, 412), MilliTime::from_millis(900)));
 /// assert!(clock.is_settling(MilliTime::from_millis(2_800)));
 /// assert!(!clock.is_settling(MilliTime::from_millis(2_900)));
@@ -28,6 +41,8 @@
     newest: Option<StoreVersion>,
     seen_at: MilliTime,
     settled_at: MilliTime,
+    /// Whether the store has come back from an older copy since the first answer.
+    has_returned: bool,
 }
 
 impl EraClock {
@@ -47,12 +62,32 @@
         };
         self.newest = Some(version);
         self.seen_at = now;
+        self.has_returned |= is_return;
         if is_return {
             self.settled_at = now.plus(SETTLE_MS);
+        } else if version.names_era() {
+            self.settled_at = now.plus(FIRST_SETTLE_MS);
         }
         is_return
     }
 
+    /// Records that no rows of an era are missing, as a process has noted in the store in that era.
+    pub fn settle(&mut self, era: u64) {
+        if self.newest.is_some_and(|newest| newest.era() == era) {
+            self.settled_at = MilliTime::default();
+        }
+    }
+
+    /// Returns for how long no rows have been missing, in milliseconds.
+    pub fn settled_ms(&self, now: MilliTime) -> u64 {
+        now.since(self.settled_at)
+    }
+
+    /// Returns whether the newest era is the first one that was seen.
+    pub fn is_first(&self) -> bool {
+        !self.has_returned
+    }
+
     /// Returns the first version that was seen of the newest era, if any.
     pub fn newest(&self) -> Option<StoreVersion> {
         self.newest
--- a/crates/core/src/relay/start_gate.rs
+++ b/crates/core/src/relay/start_gate.rs
@@ -11,7 +11,8 @@
 ///
 /// The store may have come back from a copy right before the start, and may hold an older configuration than the other
 /// processes. A started process therefore waits until it holds the newest version that they confirm, or until none has
-/// answered for a while.
+/// answered for a while and rows may no longer be missing. It doesn't wait if a read has shown that its configuration is the
+/// newest.
 ///
 /// # Example
 ///
@@ -24,8 +25,8 @@
 /// let mut gate = StartGate::new();
 /// gate.begin(StoreVersion::new(1, 412), time(0));
 /// gate.record_confirmation(8);
-/// assert!(!gate.update(Some(7), time(5_000)), "another process holds a newer one");
-/// assert!(gate.update(Some(8), time(5_100)));
+/// assert!(!gate.update(Some(7), false, false, time(5_000)), "another process holds a newer one");
+/// assert!(gate.update(Some(8), false, false, time(5_100)));
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StartGate {
@@ -56,14 +57,21 @@
 
     /// Opens the gate if the condition holds with the held version of the configuration; returns whether it is open.
     ///
-    /// It stays open.
-    pub fn update(&mut self, held: Option<u64>, now: MilliTime) -> bool {
+    /// `is_proven` tells whether a read has shown since the start that the held version is the newest, `is_settling`
+    /// whether rows of the store may be missing. The gate stays open.
+    pub fn update(
+        &mut self,
+        held: Option<u64>,
+        is_proven: bool,
+        is_settling: bool,
+        now: MilliTime,
+    ) -> bool {
         let Some(begun_at) = self.begun_at else {
             return false;
         };
         self.is_open |= match self.confirmed {
             Some(confirmed) => held.is_some_and(|held| held >= confirmed),
-            None => now.since(begun_at) >= CONFIRM_WAIT_MS,
+            None => is_proven || !is_settling && now.since(begun_at) >= CONFIRM_WAIT_MS,
         };
         self.is_open
     }
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -53,7 +53,8 @@
     };
     caller.shared_parts.truncate(MAX_SHARED_PARTS);
     let mut log = RequestLog::new(&state, &caller.id, arrival);
-    let Some(config) = state.view.borrow().config.clone() else {
+    let serving = state.view.borrow().serving_config().cloned();
+    let Some(config) = serving else {
         return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::StaleConfig);
     };
     let host = request_host(&parts);
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -35,6 +35,8 @@
     pub keys: KeyIndex,
     /// The time at which the configuration was last confirmed as the newest.
     pub config_age: ConfigAge,
+    /// A newer configuration than the held one that was confirmed, by its version, and the time of the confirmation.
+    confirmed_config: Option<(u64, MilliTime)>,
     /// The newest era of the store.
     pub era: EraClock,
     /// The condition on which the process may take callers after its start.
@@ -75,6 +77,7 @@
             routes: RouteIndex::default(),
             keys: KeyIndex::default(),
             config_age: ConfigAge::new(settings.bounds.key_age_ms),
+            confirmed_config: None,
             era: EraClock::new(),
             start_gate: StartGate::new(),
             listing: EngineListing::new(),
@@ -163,12 +166,28 @@
             .set_burst(bounds.retry_slack / self.process_count);
     }
 
+    /// Records that a version of the configuration was confirmed to be the newest at `time`.
+    ///
+    /// If it is newer than the held one, the confirmation takes effect once it is adopted.
+    pub fn confirm_config(&mut self, version: u64, time: MilliTime) {
+        match self.config.as_ref().map(|config| config.version) {
+            Some(held) if held == version => self.config_age.confirm(time),
+            Some(held) if held > version => {}
+            _ => self.confirmed_config = Some((version, time)),
+        }
+    }
+
     /// Adopts a configuration if it is newer than the present one, and returns whether it was adopted.
     pub fn adopt(&mut self, config: RelayConfig) -> bool {
         let present = self.config.as_ref().map(|config| config.version);
         if present.is_some_and(|version| version >= config.version) {
             return false;
         }
+        if let Some((version, time)) = self.confirmed_config
+            && version <= config.version
+        {
+            self.config_age.confirm(time);
+        }
         self.update_admissions(&config);
         self.routes = RouteIndex::new(&config);
         self.keys = KeyIndex::new(&config);
@@ -178,8 +197,25 @@
 
     /// Lets the process take callers if the condition after its start holds; returns whether it does.
     pub fn update_gate(&mut self, now: MilliTime) -> bool {
+        let was_open = self.start_gate.is_open();
         let held = self.config.as_ref().map(|config| config.version);
-        self.start_gate.update(held, now)
+        let is_proven = self.config_age.age_ms(now).is_some();
+        let is_settling = self.era.is_settling(now);
+        let is_open = self.start_gate.update(held, is_proven, is_settling, now);
+        if is_open && !was_open {
+            spdlog::info!("node: the state of the store is known", kv: {
+                config = held.unwrap_or_default(),
+                proven = is_proven,
+            });
+        }
+        is_open
+    }
+
+    /// Returns the configuration by which callers' requests are handled; `None` until the process may take callers.
+    ///
+    /// A balancer may send callers to a process that has just started and isn't ready.
+    pub fn serving_config(&self) -> Option<&Rc<RelayConfig>> {
+        self.config.as_ref().filter(|_| self.start_gate.is_open())
     }
 
     /// Returns the time since the list of engines was last confirmed to be the newest, in milliseconds, or
@@ -190,6 +226,6 @@
 
     /// Returns whether the process accepts callers.
     pub fn is_ready(&self) -> bool {
-        self.config.is_some() && self.has_listing && self.start_gate.is_open() && !self.is_stopping
+        self.serving_config().is_some() && self.has_listing && !self.is_stopping
     }
 }
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -25,6 +25,7 @@
 mod peer_datagram;
 mod peer_demand;
 mod peer_load;
+mod peer_state;
 mod peer_table;
 mod peer_task;
 mod priority_demand;
--- a/crates/relay/src/peer/peer_table.rs
+++ b/crates/relay/src/peer/peer_table.rs
@@ -7,8 +7,8 @@
 use dandelionroad_core::time::MilliTime;
 
 use super::LoadMessage;
-use super::PeerDemand;
-use super::PeerLoad;
+use super::peer_state::ElectionKey;
+use super::peer_state::PeerState;
 use super::peer_task::LOAD_INTERVAL_MS;
 
 /// The minimum time without a message after which a process no longer counts as live, in milliseconds.
@@ -41,40 +41,6 @@
 /// milliseconds.
 const REMOVAL_TIMEOUT_MS: u64 = 15_000;
 
-/// The state of one other process.
-#[derive(Clone, Debug)]
-struct PeerState {
-    address: SocketAddr,
-    zone: String,
-    /// The address at which it serves its metrics and the rows that it has read.
-    internal_address: Option<SocketAddr>,
-    /// When its last message arrived, or when it was added.
-    last_heard: MilliTime,
-    /// The identifier of the process's run, from its start to its end; timestamps of different runs are not
-    /// comparable.
-    run: u64,
-    /// The timestamp of its newest message, on its own clock in milliseconds.
-    stamp: u64,
-    /// The timestamp of its newest message that arrived before the last read of the configuration.
-    config_stamp: u64,
-    /// The timestamp of its newest message that arrived before the last read of the list of engines.
-    listing_stamp: u64,
-    loads: Vec<PeerLoad>,
-    demands: Vec<PeerDemand>,
-    reaches_store: bool,
-    capacity: u32,
-    /// The age of its list of engines when its last message was sent, in milliseconds.
-    listing_age_ms: u64,
-    /// Whether a message has arrived; until then the zone is unknown.
-    has_message: bool,
-}
-
-/// The place of a process in the order of election: the one with the most processor capacity comes first,
-/// and among equals the one with the lowest address.
-///
-/// Reading and forwarding for others takes a small host the capacity that its callers need.
-type ElectionKey = (Reverse<u32>, SocketAddr);
-
 /// The other relay processes with their last known state.
 ///
 /// All processes apply the same rule to their tables to elect the process that reads the store, so a
@@ -137,6 +103,14 @@
         true
     }
 
+    /// Returns whether a message of this run of a process has arrived.
+    pub fn knows_run(&self, address: SocketAddr, run: u64) -> bool {
+        let found = self
+            .peers
+            .binary_search_by_key(&address, |peer| peer.address);
+        found.is_ok_and(|index| self.peers[index].has_message && self.peers[index].run == run)
+    }
+
     /// Removes the processes that have sent no message for the removal time-out.
     pub fn expire(&mut self, now: MilliTime) {
         self.peers
@@ -255,10 +229,21 @@
 
     /// Returns, for each process, its address, its run, and the timestamps up to which the configuration and
     /// the list of engines are confirmed to it.
-    pub fn confirmations(&self) -> Vec<(SocketAddr, u64, u64, u64)> {
+    ///
+    /// `config_confirmed` is the time, on this process's clock, at which its own configuration was last known to be the
+    /// newest. A process that started later is told that time too, as far before its newest message as it lies before the
+    /// arrival of that message: while no read renews the freshness, it would know none otherwise.
+    pub fn confirmations(
+        &self,
+        config_confirmed: Option<MilliTime>,
+    ) -> Vec<(SocketAddr, u64, u64, u64)> {
         let confirmed = |peer: &PeerState| {
-            let (config, listing) = (peer.config_stamp, peer.listing_stamp);
-            (peer.address, peer.run, config, listing)
+            let known = config_confirmed.map_or(0, |confirmed| {
+                let before_ms = peer.last_heard.since(confirmed);
+                peer.stamp.saturating_sub(before_ms)
+            });
+            let config = peer.config_stamp.max(known);
+            (peer.address, peer.run, config, peer.listing_stamp)
         };
         self.peers.iter().map(confirmed).collect()
     }
@@ -340,22 +325,7 @@
         {
             Ok(index) => index,
             Err(index) => {
-                let peer = PeerState {
-                    address,
-                    zone: String::new(),
-                    internal_address: None,
-                    last_heard: now,
-                    run: 0,
-                    stamp: 0,
-                    config_stamp: 0,
-                    listing_stamp: 0,
-                    loads: Vec::new(),
-                    demands: Vec::new(),
-                    reaches_store: false,
-                    capacity: 0,
-                    listing_age_ms: u64::MAX,
-                    has_message: false,
-                };
+                let peer = PeerState::new(address, now);
                 self.peers.insert(index, peer);
                 index
             }
@@ -364,12 +334,6 @@
     }
 }
 
-impl PeerState {
-    fn key(&self) -> ElectionKey {
-        (Reverse(self.capacity), self.address)
-    }
-}
-
 /// Returns the time-out for the liveness of processes that get a message in one of `rounds` rounds.
 fn liveness_ms(rounds: usize) -> u64 {
     (rounds as u64 * LOAD_INTERVAL_MS * LIVENESS_ROUNDS).max(MIN_LIVENESS_MS)
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -96,27 +96,42 @@
         let pause = Duration::from_millis(CONFIRM_INTERVAL_MS);
         // Confirmations are sent at the interval, and at once after a change.
         let _ = tokio::time::timeout(pause, state.confirm_due.notified()).await;
-        if !is_store_reader(state) {
-            continue;
-        }
-        let (config, listing, listing_version) = {
-            let view = state.view.borrow();
-            let version = view.config.as_ref().map_or(0, |config| config.version);
-            (version, view.listing.digest(), view.listing.version())
-        };
-        let confirmations = state.peers.borrow().confirmations();
-        for (address, run, config_stamp, listing_stamp) in confirmations {
-            let message = PeerDatagram::Confirm(ConfirmMessage {
-                run,
-                config,
-                config_stamp,
-                listing,
-                listing_version,
-                listing_stamp,
-            });
-            if let Some(bytes) = encode(&message) {
-                send(socket, address, &bytes).await;
-            }
+        confirm_to(state, socket, None).await;
+    }
+}
+
+/// Sends a confirmation to one of the other processes, or to all for `None`, if this process is the store reader.
+async fn confirm_to(state: &NodeState, socket: &UdpSocket, target: Option<SocketAddr>) {
+    if !is_store_reader(state) {
+        return;
+    }
+    let (config, config_confirmed, listing, listing_version) = {
+        let view = state.view.borrow();
+        let version = view.config.as_ref().map_or(0, |config| config.version);
+        let confirmed = view.config_age.confirmed_at();
+        (
+            version,
+            confirmed,
+            view.listing.digest(),
+            view.listing.version(),
+        )
+    };
+    let confirmations = state.peers.borrow().confirmations(config_confirmed);
+    let is_target = |address: SocketAddr| target.is_none_or(|target| target == address);
+    let confirmations = confirmations.into_iter();
+    for (address, run, config_stamp, listing_stamp) in
+        confirmations.filter(|(address, ..)| is_target(*address))
+    {
+        let message = PeerDatagram::Confirm(ConfirmMessage {
+            run,
+            config,
+            config_stamp,
+            listing,
+            listing_version,
+            listing_stamp,
+        });
+        if let Some(bytes) = encode(&message) {
+            send(socket, address, &bytes).await;
         }
     }
 }
@@ -153,10 +168,15 @@
             Ok((length, address)) => match PeerDatagram::decode(&buffer[..length]) {
                 Ok(PeerDatagram::Load(message)) => {
                     let now = state.clock.now();
+                    let is_start = !state.peers.borrow().knows_run(address, message.run);
                     state
                         .peers
                         .borrow_mut()
                         .record_message(address, message, now);
+                    if is_start {
+                        // A started process refuses callers until it hears what the others know.
+                        confirm_to(state, socket, Some(address)).await;
+                    }
                 }
                 Ok(PeerDatagram::Confirm(message)) => apply_confirmation(state, &message),
                 Ok(PeerDatagram::Crashes(crashes)) => {
@@ -194,15 +214,16 @@
     observe_version(state, message.listing_version);
     let mut view = state.view.borrow_mut();
     view.start_gate.record_confirmation(message.config);
-    view.update_gate(state.clock.now());
     let config = view.config.as_ref().map_or(0, |config| config.version);
-    if config == message.config && config > 0 {
+    if message.config > 0 {
         let stamp = MilliTime::from_millis(message.config_stamp);
-        view.config_age.confirm(stamp);
-    } else if config < message.config {
+        view.confirm_config(message.config, stamp);
+    }
+    if config < message.config {
         state.newest_config_version.set(message.config);
         state.config_changed.notify_one();
     }
+    view.update_gate(state.clock.now());
     if view.has_listing && view.listing.digest() == message.listing {
         let stamp = MilliTime::from_millis(message.listing_stamp);
         view.listing_time = view.listing_time.max(stamp);
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -16,6 +16,7 @@
 
 use super::StoreClient;
 use super::retry_pause::pause_after_failure;
+use super::settled_era::SettledEra;
 use super::store_client::LONG_POLL_MS;
 
 /// The age of the configuration up to which a process relies on the store reader's confirmations, in
@@ -44,6 +45,7 @@
     let mut is_reachable = true;
     let mut was_settling = false;
     let mut next_poll = MilliTime::default();
+    let mut settled_era = SettledEra::default();
     loop {
         let is_awaited = next_poll > state.clock.now() && awaits_first_config(&state);
         if is_awaited || is_confirmed(&state) {
@@ -67,8 +69,19 @@
         next_poll = start.plus(FIRST_CONFIG_POLL_MS);
         let timestamps = state.peers.borrow().newest_timestamps();
         let result = match source {
-            None => read_config(&state, &store, start).await,
-            Some(known) => poll_config(&state, &store, known, start).await,
+            None => read_config(&state, &store, &mut settled_era, start).await,
+            Some(known) => {
+                tokio::select! {
+                    biased;
+                    result = poll_config(&state, &store, known, start) => result,
+                    // Another process knows a newer configuration, which a restored store doesn't hold.
+                    () = state.config_changed.notified() => {
+                        source = None;
+                        adopt_config_from_zone_reader(&state).await;
+                        continue;
+                    }
+                }
+            }
         };
         match result {
             Ok((next, is_confirmed)) => {
@@ -80,6 +93,9 @@
                 source = next;
                 if is_confirmed {
                     state.peers.borrow_mut().record_config_read(&timestamps);
+                    if let Some(known) = source {
+                        settled_era.note(&state, &store, known.version()).await;
+                    }
                 }
             }
             Err(error) => {
@@ -114,7 +130,10 @@
     }
     let now = state.clock.now();
     let view = state.view.borrow();
-    if view.era.is_settling(now) && state.peers.borrow().store_reader(now).is_some() {
+    if view.config.is_some()
+        && view.era.is_settling(now)
+        && state.peers.borrow().store_reader(now).is_some()
+    {
         // No read renews the freshness yet, so those of all processes would be in vain.
         return true;
     }
@@ -128,9 +147,11 @@
 async fn read_config(
     state: &NodeState,
     store: &StoreClient,
+    settled_era: &mut SettledEra,
     start: MilliTime,
 ) -> Result<(Option<ConfigSource>, bool), String> {
     let (rows, version, _) = store.read(StoreTable::Config).await?;
+    settled_era.learn(state, store).await;
     let found = adopt_rows(state, &rows)?;
     let source = ConfigSource::new(version, found);
     Ok((Some(source), confirm_source(state, &source, start)))
@@ -204,6 +225,7 @@
     let is_newest = source.renews(held, start, &view.era);
     if is_newest {
         view.config_age.confirm(start);
+        view.update_gate(state.clock.now());
     }
     // Without an era, a store without a configuration is confirmed as well.
     is_newest || held.is_none() && !source.version().names_era()
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -12,6 +12,7 @@
 mod ignored_rows;
 mod listing_task;
 mod retry_pause;
+mod settled_era;
 mod store_client;
 mod store_era;
 
--- a/crates/relay/src/wire/store_table.rs
+++ b/crates/relay/src/wire/store_table.rs
@@ -9,4 +9,6 @@
     Members,
     /// The leases of tasks that run in one process at a time.
     Leases,
+    /// The era of the store in which no rows are missing any more.
+    Eras,
 }
--- a/crates/relay/tests/freshness_schedules.rs
+++ b/crates/relay/tests/freshness_schedules.rs
@@ -205,15 +205,19 @@
             send(rng, target, datagram);
         }
     }
-    if !processes[process].reaches_store || !rng.random_bool(0.25) {
+    if processes[process].reaches_store && rng.random_bool(0.25) {
+        // The read takes no time here, so the timestamps are captured right before it.
+        let timestamps = processes[process].peers.newest_timestamps();
+        processes[process].version = version;
+        processes[process].age.confirm(time);
+        processes[process].peers.record_config_read(&timestamps);
+    } else if !rng.random_bool(0.1) {
+        // While the store settles, no read renews the freshness, and the known age is passed on.
         return;
     }
-    // The read takes no time here, so the timestamps are captured right before it.
-    let timestamps = processes[process].peers.newest_timestamps();
-    processes[process].version = version;
-    processes[process].age.confirm(time);
-    processes[process].peers.record_config_read(&timestamps);
-    for (target, run, stamp, _) in processes[process].peers.confirmations() {
+    let version = processes[process].version;
+    let confirmed = processes[process].age.confirmed_at();
+    for (target, run, stamp, _) in processes[process].peers.confirmations(confirmed) {
         let target = usize::from(target.port() - 9_000);
         let datagram = SimDatagram::Confirm {
             run,
--- a/crates/relay/tests/peer_table.rs
+++ b/crates/relay/tests/peer_table.rs
@@ -42,14 +42,41 @@
     let timestamps = table.newest_timestamps();
     table.record_config_read(&timestamps);
     table.record_listing_read(&timestamps);
-    assert_eq!(table.confirmations(), [(address, 1, 900_000, 900_000)]);
+    assert_eq!(table.confirmations(None), [(address, 1, 900_000, 900_000)]);
     // The host restarts: its clock starts from zero, and the process has a new run.
     let before = table.newest_timestamps();
     assert!(table.record_message(address, load_message(2, 40), time(1_100)));
-    assert_eq!(table.confirmations(), [(address, 2, 0, 0)]);
+    assert_eq!(table.confirmations(None), [(address, 2, 0, 0)]);
     // A read that started before the restart confirms nothing to the new run.
     table.record_config_read(&before);
-    assert_eq!(table.confirmations(), [(address, 2, 0, 0)]);
+    assert_eq!(table.confirmations(None), [(address, 2, 0, 0)]);
+}
+
+/// A process that starts while no read of the store renews the freshness is told how old the configuration of the others
+/// is. Told a time that is too late, it would use a key for longer than allowed.
+#[test]
+fn confirmations_before_message_of_started_process() {
+    let (started, listed) = (address(9_000), address(9_001));
+    let time = MilliTime::from_millis;
+    let mut table = PeerTable::new(own_address(), "a", 100);
+    table.record_message(started, load_message(1, 500_200), time(4_000));
+    table.add_listed(listed, time(4_000));
+    let config_stamp = |confirmed| {
+        let confirmations = table.confirmations(Some(time(confirmed)));
+        assert_eq!(
+            confirmations[1],
+            (listed, 0, 0, 0),
+            "it has sent no message"
+        );
+        confirmations[0].2
+    };
+    assert_eq!(config_stamp(1_500), 497_700);
+    // Later confirmations count as those of the message, which was sent before it arrived.
+    assert_eq!(config_stamp(4_000), 500_200);
+    assert_eq!(config_stamp(4_900), 500_200);
+    // The start of the other host's clock lies after the confirmation.
+    table.record_message(started, load_message(2, 300), time(4_100));
+    assert_eq!(table.confirmations(Some(time(1_500)))[0].2, 0);
 }
 
 /// Datagrams may arrive out of order: an older one must not replace newer loads.
--- a/crates/relay/tests/relay_support/test_wire.rs
+++ b/crates/relay/tests/relay_support/test_wire.rs
@@ -320,6 +320,7 @@
         StoreTable::Engines => "engines",
         StoreTable::Members => "members",
         StoreTable::Leases => "leases",
+        StoreTable::Eras => "eras",
     }
 }
 
