Read the stored crashes at the start of an entry of the daemon

After a loss of all processes, a request that had crashed two endpoints ran again and crashed a third one.

Cause: the row of a request in the table service was read before a retry only, and the counts that gossip spreads end with the last process.

Change: an entry reads all rows with crashed runs at its start and publishes them by gossip. Until the first read has ended, each request looks for its own row. Without an answer of the table service, requests run as before.

Evidence: crasher_refused_after_loss_of_all_processes in stream_recovery failed before with "the request runs again"; it also starts an entry whose table service is down and expects it to serve. The table of these tests now answers scans.

--- a/crates/daemon/src/entry/crash/crash_tracker.rs
+++ b/crates/daemon/src/entry/crash/crash_tracker.rs
@@ -1,6 +1,9 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
+use dandelionroad_clients::PlatformError;
 use dandelionroad_clients::table::TableClient;
 use dandelionroad_core::admit::CrashLedger;
 use dandelionroad_core::admit::CrashVerdict;
@@ -13,6 +16,9 @@
 use dandelionroad_core::stream::StreamOrder;
 use dandelionroad_core::time::MilliTime;
 
+use super::crash_row::CrashRow;
+use super::crash_row::read_runs;
+use super::crash_row::scan_rows;
 use super::crash_row::write_runs;
 
 /// The crashes of requests known to an entry.
@@ -23,6 +29,8 @@
 pub struct CrashTracker {
     ledger: Mutex<CrashLedger>,
     parts: Mutex<PartLedger>,
+    /// Whether the rows that earlier processes wrote were read after the start, or could not be read.
+    is_load_tried: AtomicBool,
 }
 
 impl CrashTracker {
@@ -47,6 +55,48 @@
         verdict
     }
 
+    /// Returns whether the rows that earlier processes wrote were read after the start, or could not be read.
+    pub fn is_load_tried(&self) -> bool {
+        self.is_load_tried.load(Ordering::Acquire)
+    }
+
+    /// Reads the crashed runs of all requests from the table service; returns the records to publish.
+    ///
+    /// After the loss of all processes, no gossip has them.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the rows can't be read.
+    pub async fn load(&self, table: &dyn TableClient) -> Result<Vec<CrashRecord>, PlatformError> {
+        let rows = scan_rows(table).await;
+        // While the table service is away, requests run without what it holds.
+        self.is_load_tried.store(true, Ordering::Release);
+        let mut ledger = self.ledger();
+        let record = |(fingerprint, row): (String, CrashRow)| {
+            let stored: Vec<&str> = row.runs.iter().map(String::as_str).collect();
+            ledger.merge(&fingerprint, &stored, true);
+            record_of(&fingerprint, &row)
+        };
+        Ok(rows?.into_iter().map(record).collect())
+    }
+
+    /// Reads the crashed runs of one request, while those of all requests are not read yet; returns the record to publish.
+    ///
+    /// Returns `None` if there are none or the table service doesn't answer.
+    pub async fn load_request(
+        &self,
+        table: &dyn TableClient,
+        fingerprint: &str,
+    ) -> Option<CrashRecord> {
+        let row = read_runs(table, fingerprint).await.ok()?;
+        let stored: Vec<&str> = row.runs.iter().map(String::as_str).collect();
+        if stored.is_empty() {
+            return None;
+        }
+        self.ledger().merge(fingerprint, &stored, true);
+        Some(record_of(fingerprint, &row))
+    }
+
     /// Returns whether a request with these shared parts of its prompt may run.
     pub fn admits_parts(&self, parts: &[PromptPart], now: MilliTime) -> bool {
         let mut ledger = self.parts();
@@ -107,11 +157,7 @@
         self.ledger().merge(fingerprint, &stored, true);
         runs.iter()
             .all(|run| row.runs.contains(run))
-            .then(|| CrashRecord {
-                fingerprint: fingerprint.to_owned(),
-                version: row.version,
-                count: row.runs.len() as u32,
-            })
+            .then(|| record_of(fingerprint, &row))
     }
 
     /// Records the end of a run with a complete answer, which clears the crashes of the request.
@@ -128,11 +174,7 @@
             return None;
         }
         let row = write_runs(table, fingerprint, None).await.ok()?;
-        Some(CrashRecord {
-            fingerprint: fingerprint.to_owned(),
-            version: row.version,
-            count: row.runs.len() as u32,
-        })
+        Some(record_of(fingerprint, &row))
     }
 
     fn parts(&self) -> MutexGuard<'_, PartLedger> {
@@ -148,6 +190,15 @@
     }
 }
 
+/// Returns the record of a row that gossip spreads.
+fn record_of(fingerprint: &str, row: &CrashRow) -> CrashRecord {
+    CrashRecord {
+        fingerprint: fingerprint.to_owned(),
+        version: row.version,
+        count: row.runs.len() as u32,
+    }
+}
+
 fn log_part_changes(changes: &[PartChange]) {
     for change in changes {
         match change {
--- a/crates/daemon/src/entry/mod.rs
+++ b/crates/daemon/src/entry/mod.rs
@@ -38,6 +38,7 @@
 
 /// Starts the servers of the public and the administration listener.
 pub fn start(context: &Arc<NodeContext>, public: TcpListener, admin: TcpListener) -> EntryServers {
+    tokio::spawn(model::load_crashes(context.clone()));
     let instrumentation = axum::middleware::from_fn_with_state(
         context.clone(),
         instrument_request::instrument_request,
--- a/crates/daemon/src/entry/model/crash_handling.rs
+++ b/crates/daemon/src/entry/model/crash_handling.rs
@@ -26,6 +26,9 @@
 /// ended, in milliseconds.
 const SUSPECT_POLL_INTERVAL_MS: u64 = 50;
 
+/// The pause before the stored crashes are read again, in milliseconds.
+const LOAD_RETRY_MS: u64 = 1_000;
+
 /// Decides whether a request may run, and marks it as a suspect if a run of it crashed before.
 ///
 /// Waits while the same request is running as a suspect at this entry, until the deadline of
@@ -47,9 +50,20 @@
     }
     let deadline = context.clock.now().plus(order.deadline_in_ms);
     let fingerprint = order.fingerprint.clone();
+    let tracker = &context.crash_tracker;
+    let mut is_row_read = tracker.is_load_tried();
     loop {
         let known = context.crashes.borrow().clone();
-        match context.crash_tracker.start_run(&fingerprint, &known) {
+        match tracker.start_run(&fingerprint, &known) {
+            CrashVerdict::Clear if !is_row_read => {
+                // The process has just started, and gossip may not have what the row holds.
+                is_row_read = true;
+                tracker.end_run(&fingerprint);
+                let table = context.clients.table.as_ref();
+                if let Some(record) = tracker.load_request(table, &fingerprint).await {
+                    context.control.publish_crash(record).await;
+                }
+            }
             CrashVerdict::Clear => return Ok(()),
             CrashVerdict::Suspect => {
                 order.suspect = true;
@@ -134,3 +148,24 @@
         }
     });
 }
+
+/// Reads the crashes that earlier processes stored, and publishes them by gossip.
+///
+/// Until the table service has answered once, each request looks for its own row.
+pub(in crate::entry) async fn load_crashes(context: Arc<NodeContext>) {
+    let table = context.clients.table.as_ref();
+    loop {
+        match context.crash_tracker.load(table).await {
+            Ok(records) => {
+                for record in records {
+                    context.control.publish_crash(record).await;
+                }
+                return;
+            }
+            Err(error) => {
+                spdlog::debug!("entry: can't read the crashes of requests, retrying: {error}");
+                tokio::time::sleep(Duration::from_millis(LOAD_RETRY_MS)).await;
+            }
+        }
+    }
+}
--- a/crates/daemon/src/entry/model/mod.rs
+++ b/crates/daemon/src/entry/model/mod.rs
@@ -26,6 +26,8 @@
 
 use crate::node::NodeContext;
 
+pub(super) use self::crash_handling::load_crashes;
+
 /// The maximum size of a request body in bytes; half of the maximum size of an internal message.
 const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
--- a/crates/daemon/tests/stream_recovery.rs
+++ b/crates/daemon/tests/stream_recovery.rs
@@ -153,6 +153,37 @@
     .await;
 }
 
+/// Guards against a request that crashes further endpoints after the loss of all processes, which held its crashes in
+/// their memory.
+#[tokio::test]
+async fn crasher_refused_after_loss_of_all_processes() {
+    let cluster = TestCluster::start(&RANGES, STEP_TIME, Duration::ZERO, NO_END).await;
+    let response = cluster.complete("fatal", 30_000, true).await;
+    let mut reader = EventReader::new(response);
+    assert!(reader.next_token().await.is_some());
+    for _ in 0..2 {
+        let victim = cluster.route()[1];
+        cluster.stages[victim].crash_engine();
+        wait_until(|| cluster.route().get(1) != Some(&victim)).await;
+    }
+    while reader.next().await.is_some() {}
+    let table = cluster.table.clone();
+    drop(cluster);
+    let delay = Duration::ZERO;
+    let started =
+        TestCluster::start_with_table(&RANGES, STEP_TIME, delay, NO_END, table.clone()).await;
+    let response = started.complete("fatal", 30_000, true).await;
+    assert_ne!(response.status(), 200, "the request runs again");
+    assert!(started.route().is_empty());
+    let other = started.complete("other", TOKENS, true).await;
+    assert!(EventReader::new(other).next_token().await.is_some());
+    // An entry that can't read the rows serves requests all the same.
+    table.take_down();
+    let blind = TestCluster::start_with_table(&RANGES, STEP_TIME, delay, NO_END, table).await;
+    let other = blind.complete("other", TOKENS, true).await;
+    assert!(EventReader::new(other).next_token().await.is_some());
+}
+
 /// Guards against sessions that go on generating after the caller has closed the connection.
 #[tokio::test]
 async fn cancel_after_caller_disconnects() {
--- a/crates/daemon/tests/stream_support/cluster.rs
+++ b/crates/daemon/tests/stream_support/cluster.rs
@@ -107,6 +107,17 @@
         step_time: Duration,
         delay: Duration,
         end_at: u32,
+    ) -> TestCluster {
+        TestCluster::start_with_table(ranges, step_time, delay, end_at, Arc::default()).await
+    }
+
+    /// Starts a cluster whose entry uses a table service that may hold rows of an earlier one.
+    pub(crate) async fn start_with_table(
+        ranges: &[(u16, u16)],
+        step_time: Duration,
+        delay: Duration,
+        end_at: u32,
+        table: Arc<MemoryTable>,
     ) -> TestCluster {
         // Unlike the names of other tests, which may get a port of this one.
         let cluster_name = format!("test-{:016x}", rand::random::<u64>());
@@ -137,7 +148,6 @@
             NodeRole::Entry,
             EngineKind::LayerRange,
         );
-        let table = Arc::new(MemoryTable::default());
         let mut clients = clients(None);
         clients.table = table.clone();
         let entry = NodeHandle::start(settings, clients).await.unwrap();
--- a/crates/daemon/tests/stream_support/memory_table.rs
+++ b/crates/daemon/tests/stream_support/memory_table.rs
@@ -79,10 +79,25 @@
 
     fn scan<'a>(
         &'a self,
-        _prefix: &'a str,
-        _after: &'a str,
-        _limit: u32,
+        prefix: &'a str,
+        after: &'a str,
+        limit: u32,
     ) -> ClientFuture<'a, Vec<TableRow>> {
-        Box::pin(async move { self.check_up().map(|()| Vec::new()) })
+        Box::pin(async move {
+            self.check_up()?;
+            let rows = self.rows.lock().unwrap();
+            let found = rows.iter();
+            let found = found.filter(|(key, _)| key.starts_with(prefix) && key.as_str() > after);
+            let mut found: Vec<TableRow> = found
+                .map(|(key, (version, value))| TableRow {
+                    key: key.clone(),
+                    version: *version,
+                    value: value.clone(),
+                })
+                .collect();
+            found.sort_by(|left, right| left.key.cmp(&right.key));
+            found.truncate(limit as usize);
+            Ok(found)
+        })
     }
 }
