--- a/review/standins-3/model_engine.rs
+++ b/review/standins-3/model_engine.rs
@@ -6,6 +6,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread::sleep;
 use std::time::Duration;
 use std::time::Instant;
@@ -84,7 +86,13 @@
     }
 
     /// Starts an engine without layers and registers it.
-    pub fn start_engine(self: &Arc<Fleet>, id: &str, host: Ipv4Addr, port: u16) -> Arc<ModelEngine> {
+    pub fn start_engine(
+        self: &Arc<Fleet>,
+        id: &str,
+        zone: &str,
+        host: Ipv4Addr,
+        port: u16,
+    ) -> Arc<ModelEngine> {
         let (fleet, slot) = (Arc::clone(self), Arc::new(Mutex::new(None::<Arc<ModelEngine>>)));
         let own = Arc::clone(&slot);
         let handler = move |request: &Request, stream: &mut TcpStream| {
@@ -98,8 +106,10 @@
         let server = server.expect("a free port for an engine");
         let engine = Arc::new(ModelEngine {
             id: id.to_owned(),
+            zone: zone.to_owned(),
             address: server.address(),
             born: unix_ms(),
+            is_dark: AtomicBool::new(false),
             state: Mutex::default(),
             server,
         });
@@ -131,11 +141,30 @@
             sleep(fleet.restart);
             let SocketAddr::V4(address) = engine.address else { return };
             let name = format!("{}x", engine.id);
-            fleet.start_engine(&name, *address.ip(), address.port());
+            fleet.start_engine(&name, &engine.zone, *address.ip(), address.port());
             sleep(LAPSE.saturating_sub(crashed_at.elapsed()));
             fleet.store.remove("servers", &engine.id);
         });
     }
+
+    /// Takes the power from an engine for a time, after which it is back under another name at the same address.
+    pub fn go_dark(self: &Arc<Fleet>, engine: &Arc<ModelEngine>, length: Duration) {
+        engine.is_dark.store(true, Ordering::SeqCst);
+        let mut engines = self.engines.lock().unwrap();
+        engines.retain(|known| known.id != engine.id);
+        drop(engines);
+        let (fleet, engine) = (Arc::clone(self), Arc::clone(engine));
+        std::thread::spawn(move || {
+            let dark_at = Instant::now();
+            sleep(LAPSE.min(length));
+            fleet.store.remove("servers", &engine.id);
+            sleep(length.saturating_sub(dark_at.elapsed()));
+            engine.server.stop();
+            let SocketAddr::V4(address) = engine.address else { return };
+            let name = format!("{}x", engine.id);
+            fleet.start_engine(&name, &engine.zone, *address.ip(), address.port());
+        });
+    }
 }
 
 #[derive(Default)]
@@ -151,8 +180,11 @@
 /// One engine.
 pub struct ModelEngine {
     pub id: String,
+    pub zone: String,
     pub address: SocketAddr,
     born: u64,
+    /// Whether its host has lost power, so that nothing is answered.
+    is_dark: AtomicBool,
     state: Mutex<EngineState>,
     server: Server,
 }
@@ -172,11 +204,11 @@
     fn row(&self, service: &str) -> String {
         let state = self.state.lock().unwrap();
         format!(
-            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"talca\",\"version\":\"v1\",\
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":192,\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"unified\",\
              \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"kind\":\"{KIND}\",\
              \"layers\":{{\"from\":{},\"target\":{},\"version\":1}},\"seq\":{},\"born\":{}}}",
-            self.address, state.layers.0, state.layers.1, state.orders, self.born
+            self.address, self.zone, state.layers.0, state.layers.1, state.orders, self.born
         )
     }
 
@@ -207,6 +239,11 @@
         request: &Request,
         stream: &mut TcpStream,
     ) -> std::io::Result<bool> {
+        if self.is_dark.load(Ordering::SeqCst) {
+            // The connection hangs until the host is back.
+            sleep(Duration::from_secs(60));
+            return Ok(false);
+        }
         let id = request.header("x-request-id");
         let expected = request.header("x-expect-instance");
         if !expected.is_empty() && expected != self.id {
@@ -372,15 +409,17 @@
 }
 
 /// Returns the part of a configuration that describes the service of these engines.
-pub fn service_text(name: &str) -> String {
+///
+/// `layer_mb` is the memory of a layer and `token_bytes` that of a token of context; an engine has 43,200 MB.
+pub fn service_text(name: &str, layer_mb: f64, token_bytes: u64) -> String {
     format!(
         "{{\"name\":\"{name}\",\"healthPath\":\"/health\",\"maxConns\":978,\"protocol\":\"h1\",\
-         \"tls\":false,\"engine\":{{\"slots\":192,\"kvTokens\":100000,\"kvTokenBytes\":100000,\
+         \"tls\":false,\"engine\":{{\"slots\":192,\"kvTokens\":100000,\"kvTokenBytes\":{token_bytes},\
          \"linkMbps\":400000.0,\"stride\":3,\"models\":[{{\"name\":\"m\",\"pace\":1.0,\"loadS\":1.6,\
          \"warmS\":1.0}}],\"step_ms\":1.02,\"per_seq_ms\":0.00714,\"context_per_k\":0.00956,\
          \"read_per_s\":105000.0,\"pairs_per_m\":0.309,\"chunk\":512,\"report_lag_ms\":200.0,\
          \"loadsPerS\":0.0,\"loads_at_once\":5,\"delays\":[],\"usual\":{{\"prompt\":774,\"answer\":203}},\
-         \"layers\":{LAYERS},\"layerMb\":1000.0,\"actBytes\":45900,\"pipeMbps\":18000.0,\
+         \"layers\":{LAYERS},\"layerMb\":{layer_mb},\"actBytes\":45900,\"pipeMbps\":18000.0,\
          \"kinds\":[{{\"name\":\"{KIND}\",\"mb\":43200.0,\"pace\":5.6,\"readX\":2.7}}]}}}}"
     )
 }
