--- a/review/standins-3/model_engine.rs
+++ b/review/standins-3/model_engine.rs
@@ -72,6 +72,8 @@
     pub crashes: Mutex<Vec<(Instant, String)>>,
     /// The text in the body of a request that crashes the last engine of its path; empty for none.
     pub fatal_text: String,
+    /// The prefix of the paths whose answers are sent whole and not as events; empty for none.
+    pub whole_prefix: String,
     /// The time after which a crashed engine is back.
     pub restart: Duration,
     /// The number of events of an answer, and the pause between two of them.
@@ -325,6 +327,9 @@
             }
         }
         sleep(PREFILL);
+        if !fleet.whole_prefix.is_empty() && request.path.starts_with(&fleet.whole_prefix) {
+            return self.write_whole(fleet, &id, stream);
+        }
         if is_fatal {
             let last = path.last().cloned().unwrap_or_else(|| Arc::clone(self));
             fleet.crash(&last);
@@ -351,6 +356,27 @@
         is_kept
     }
 
+    /// Answers with the whole text at once.
+    fn write_whole(&self, fleet: &Fleet, id: &str, stream: &mut TcpStream) -> std::io::Result<bool> {
+        let begun = Instant::now();
+        let signature = format!("{}.{id}", self.id);
+        let headers = [
+            ("content-type", "application/json"),
+            ("X-Request-Id", id),
+            ("X-Response-Signature", signature.as_str()),
+            ("X-Weight-Versions", "1"),
+        ];
+        let written = write_answer(stream, 200, &headers, b"{\"text\":\"the letter\"}");
+        fleet.runs.lock().unwrap().push(PathRun {
+            request: id.to_owned(),
+            engine: self.id.clone(),
+            begun,
+            ended: Instant::now(),
+            end: if written.is_ok() { "whole" } else { "its connection was closed" }.to_owned(),
+        });
+        written.map(|()| true)
+    }
+
     /// Waits for a dead engine, and then rejects the request, which has not begun.
     fn stall(&self, stream: &mut TcpStream, id: &str, address: &str) -> std::io::Result<bool> {
         let entry = (id.to_owned(), address.to_owned());
