--- a/review/standins-3/site.rs
+++ b/review/standins-3/site.rs
@@ -6,6 +6,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -22,6 +23,14 @@
 /// The time within which a process must be ready after its start.
 const READY_TIME: Duration = Duration::from_secs(20);
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+/// The option of `prctl` that sets the signal a process gets when its parent ends, and the number of SIGKILL.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// The ports of all machines, which are free on each loopback address of the case.
 #[derive(Clone, Copy, Debug)]
 pub struct Ports {
@@ -183,12 +192,22 @@
         std::fs::write(self.file("conf"), self.settings.text()).expect("a settings file");
         let log = File::options().create(true).append(true).open(self.file("log")).expect("a log file");
         let errors = log.try_clone().expect("a log file");
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        command
             .env_clear()
             .env("DANDELIONROAD_BOOT", self.file("conf"))
             .stdin(Stdio::null())
             .stdout(log)
-            .stderr(errors)
+            .stderr(errors);
+        // SAFETY: prctl is async-signal-safe and touches no memory of this process. The main thread starts all processes, so
+        // that they end with the case, also if that is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .spawn()
             .expect("the program of the deploy file is built");
         *self.child.lock().unwrap() = Some(child);
