Let failed calls to the store age in the election of the store reader

Cause: a failed read of the list or the configuration set a flag, and only the next good read of this process's own cleared it. A process that has followed the store reader since then has had no such read, so that it was passed over in the election although its other calls, such as renewals of the lease for orders, were answered. The logs "reachable again" came at its next read, hours after the outage, and named an end that was none.

Change: StoreContact holds the times of the last answer and of the last failed read. A process reaches the store if the answer is the later of the two and recent. A configuration that can't be decoded counts for 4 s, and is renewed by each further attempt. The logs are written where a read has failed since the last confirmation (StoreGap, the list's ListingGap before).

--- a/crates/core/src/relay/engine_table/listing_update.rs
+++ b/crates/core/src/relay/engine_table/listing_update.rs
@@ -3,8 +3,8 @@
 use crate::relay::EngineEntry;
 use crate::relay::ListingChange;
 use crate::relay::ListingDelta;
-use crate::relay::ListingGap;
 use crate::relay::PeerListing;
+use crate::relay::StoreGap;
 use crate::time::MilliTime;
 
 use super::EngineTable;
@@ -14,12 +14,12 @@
     /// applied.
     ///
     /// Missing engines are kept for a while if entries of live ones may have lapsed before the read.
-    pub fn record_read(&mut self, gap: &ListingGap, start: MilliTime, now: MilliTime) {
+    pub fn record_read(&mut self, gap: &StoreGap, start: MilliTime, now: MilliTime) {
         self.grace.record_read(gap, start, now);
     }
 
     /// Records what another process said at `now` or later of the newest list, before its changes are applied.
-    pub fn record_peer(&mut self, gap: &ListingGap, peer: &PeerListing, now: MilliTime) {
+    pub fn record_peer(&mut self, gap: &StoreGap, peer: &PeerListing, now: MilliTime) {
         self.grace.record_peer(gap, peer, now);
     }
 
--- a/crates/core/src/relay/listing_grace.rs
+++ b/crates/core/src/relay/listing_grace.rs
@@ -1,7 +1,7 @@
 use crate::time::MilliTime;
 
-use super::ListingGap;
 use super::PeerListing;
+use super::StoreGap;
 
 /// The time for which no entry of a live engine can lapse after the list was last known to be whole, in
 /// milliseconds.
@@ -43,7 +43,7 @@
 impl ListingGrace {
     /// Records a read of the list from the store, after a gap since the held list was confirmed, that started at `start`
     /// and ended at `now`.
-    pub(super) fn record_read(&mut self, gap: &ListingGap, start: MilliTime, now: MilliTime) {
+    pub(super) fn record_read(&mut self, gap: &StoreGap, start: MilliTime, now: MilliTime) {
         match gap.has_failure() {
             true => self.record_outage(now),
             false => self.record_whole(start),
@@ -55,7 +55,7 @@
     ///
     /// The other process may have missed an outage that this one has seen, and the other way round. Its grace period is
     /// only taken over if this process has not known the list to be whole in the meantime.
-    pub(super) fn record_peer(&mut self, gap: &ListingGap, peer: &PeerListing, now: MilliTime) {
+    pub(super) fn record_peer(&mut self, gap: &StoreGap, peer: &PeerListing, now: MilliTime) {
         if gap.has_failure() {
             self.record_outage(now);
         } else if peer.is_whole {
--- a/crates/core/tests/listing_grace.rs
+++ b/crates/core/tests/listing_grace.rs
@@ -5,11 +5,11 @@
 
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::ListingDelta;
-use dandelionroad_core::relay::ListingGap;
 use dandelionroad_core::relay::ListingPlan;
 use dandelionroad_core::relay::ListingStatus;
 use dandelionroad_core::relay::ListingStep;
 use dandelionroad_core::relay::PeerListing;
+use dandelionroad_core::relay::StoreGap;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
 
@@ -26,7 +26,7 @@
 /// Returns a table with an engine, the list of which was whole at [`WHOLE_MS`].
 fn whole_table() -> EngineTable {
     let mut table = table(vec![record(1, "a", "large", LayerRange::new(0, 40))]);
-    table.record_read(&ListingGap::default(), at(WHOLE_MS), at(WHOLE_MS));
+    table.record_read(&StoreGap::default(), at(WHOLE_MS), at(WHOLE_MS));
     assert!(table.is_whole(at(WHOLE_MS)));
     table
 }
@@ -38,18 +38,18 @@
         is_whole,
         grace_ms,
     };
-    table.record_peer(&ListingGap::default(), &peer, at(now));
+    table.record_peer(&StoreGap::default(), &peer, at(now));
 }
 
-fn gap(confirmed: u64, failed: u64) -> ListingGap {
-    ListingGap {
+fn gap(confirmed: u64, failed: u64) -> StoreGap {
+    StoreGap {
         confirmed: Some(at(confirmed)),
         failed: Some(at(failed)),
     }
 }
 
 /// Records a read that ended at once.
-fn read(table: &mut EngineTable, now: u64, gap: ListingGap) {
+fn read(table: &mut EngineTable, now: u64, gap: StoreGap) {
     table.record_read(&gap, at(now), at(now));
 }
 
--- a/crates/core/tests/listing_schedules.rs
+++ b/crates/core/tests/listing_schedules.rs
@@ -7,11 +7,11 @@
 use dandelionroad_core::relay::EngineListing;
 use dandelionroad_core::relay::EngineRecord;
 use dandelionroad_core::relay::EngineTable;
-use dandelionroad_core::relay::ListingGap;
 use dandelionroad_core::relay::ListingPlan;
 use dandelionroad_core::relay::ListingStatus;
 use dandelionroad_core::relay::ListingStep;
 use dandelionroad_core::relay::PeerListing;
+use dandelionroad_core::relay::StoreGap;
 use dandelionroad_core::relay::StoreVersion;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
@@ -88,8 +88,8 @@
         }
     }
 
-    fn gap(&self) -> ListingGap {
-        ListingGap {
+    fn gap(&self) -> StoreGap {
+        StoreGap {
             confirmed: self.confirmed_at.map(MilliTime::from_millis),
             failed: self.failed_at.map(MilliTime::from_millis),
         }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -9,7 +9,6 @@
 use dandelionroad_core::relay::ConfigAge;
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::KeyIndex;
-use dandelionroad_core::relay::ListingGap;
 use dandelionroad_core::relay::RelayAccount;
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::relay::RelayRoute;
@@ -18,6 +17,7 @@
 use dandelionroad_core::relay::RouteIndex;
 use dandelionroad_core::relay::ServicePicker;
 use dandelionroad_core::relay::ServiceShare;
+use dandelionroad_core::relay::StoreGap;
 use dandelionroad_core::relay::SuspicionCause;
 use dandelionroad_core::stream::LayerRange;
 use dandelionroad_core::time::MilliTime;
@@ -36,7 +36,7 @@
 
 /// Reads the list at the end of an outage.
 fn end_outage(table: &mut EngineTable, now: MilliTime) {
-    let gap = ListingGap {
+    let gap = StoreGap {
         confirmed: Some(MilliTime::from_millis(now.as_millis() - OUTAGE_MS)),
         failed: Some(MilliTime::from_millis(now.as_millis() - OUTAGE_MS / 2)),
     };
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -10,13 +10,13 @@
 use dandelionroad_core::relay::EngineTable;
 use dandelionroad_core::relay::EraClock;
 use dandelionroad_core::relay::KeyIndex;
-use dandelionroad_core::relay::ListingGap;
 use dandelionroad_core::relay::RelayConfig;
 use dandelionroad_core::relay::RouteIndex;
 use dandelionroad_core::relay::ShortageAdmission;
 use dandelionroad_core::relay::ShortageControl;
 use dandelionroad_core::relay::StartGate;
 use dandelionroad_core::relay::StoreContact;
+use dandelionroad_core::relay::StoreGap;
 use dandelionroad_core::route::hash_text;
 use dandelionroad_core::time::MilliTime;
 
@@ -55,12 +55,8 @@
     pub is_crash_record_read: bool,
     /// The time at which the list of engines was last confirmed as the newest.
     pub listing_time: MilliTime,
-    /// When the store did not answer this process.
+    /// When the store answered this process, and when it did not.
     pub store_contact: StoreContact,
-    /// The time of the store's last reply to this process.
-    pub last_store_reply: MilliTime,
-    /// Whether the last read of the configuration from the store failed.
-    pub is_store_lost: bool,
     /// Whether the list of engines was read at least once.
     pub has_listing: bool,
     /// This process's share of the retry budget.
@@ -93,8 +89,6 @@
             is_crash_record_read: false,
             listing_time: MilliTime::default(),
             store_contact: StoreContact::new(),
-            last_store_reply: MilliTime::default(),
-            is_store_lost: false,
             has_listing: false,
             retry_budget: RetryBudget::empty(
                 settings.bounds.retry_percent,
@@ -234,9 +228,17 @@
         self.has_listing.then_some(self.listing_time)
     }
 
+    /// Returns what is known of the store since the configuration was last confirmed to be the newest.
+    pub fn config_gap(&self) -> StoreGap {
+        StoreGap {
+            confirmed: self.config_age.confirmed_at(),
+            failed: self.store_contact.failed_start(),
+        }
+    }
+
     /// Returns what is known of the store since the list of engines was last confirmed to be the newest.
-    pub fn listing_gap(&self) -> ListingGap {
-        ListingGap {
+    pub fn listing_gap(&self) -> StoreGap {
+        StoreGap {
             confirmed: self.listing_confirmed(),
             failed: self.store_contact.failed_start(),
         }
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -39,10 +39,6 @@
 /// The pause after an error of the socket or of the store, in milliseconds.
 pub(super) const RETRY_PAUSE_MS: u64 = 1_000;
 
-/// The time after the last reply of the store for which a process counts as reaching it, in
-/// milliseconds.
-const STORE_REACHABLE_MS: u64 = 4_000;
-
 /// The number of distinct values of the random number, from 0 to below 1, that decides which process may
 /// use capacity that is too small for one request per process.
 const RANDOM_RESOLUTION: u64 = 1_024;
@@ -252,10 +248,7 @@
 fn reaches_store(state: &NodeState, now: MilliTime) -> bool {
     let view = state.view.borrow();
     // A process that starts may hold an older configuration than the others and must not confirm it to them.
-    view.start_gate.is_open()
-        && !view.is_stopping
-        && !view.is_store_lost
-        && now.since(view.last_store_reply) < STORE_REACHABLE_MS
+    view.start_gate.is_open() && !view.is_stopping && view.store_contact.is_reached(now)
 }
 
 /// Updates the view with the loads, the demand and the number of the other processes, and removes the engines that are
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -42,7 +42,6 @@
 /// the store reader, if there is one.
 pub async fn run_config(state: Rc<NodeState>, store: Rc<StoreClient>) {
     let mut source: Option<ConfigSource> = None;
-    let mut is_reachable = true;
     let mut was_settling = false;
     let mut next_poll = MilliTime::default();
     let mut settled_era = SettledEra::default();
@@ -68,6 +67,7 @@
         }
         next_poll = start.plus(FIRST_CONFIG_POLL_MS);
         let timestamps = state.peers.borrow().newest_timestamps();
+        let had_failed = has_failed(&state, start);
         let result = match source {
             None => read_config(&state, &store, &mut settled_era, start).await,
             Some(known) => {
@@ -85,11 +85,9 @@
         };
         match result {
             Ok((next, is_confirmed)) => {
-                if !is_reachable {
+                if had_failed {
                     spdlog::info!("store: reachable again for the configuration");
                 }
-                is_reachable = true;
-                state.view.borrow_mut().is_store_lost = false;
                 source = next;
                 if is_confirmed {
                     state.peers.borrow_mut().record_config_read(&timestamps);
@@ -99,16 +97,12 @@
                 }
             }
             Err(error) => {
-                if is_reachable {
+                if !had_failed {
                     let age = state.view.borrow().config_age.age_ms(state.clock.now());
                     spdlog::warn!("store: can't read the configuration, retrying: {error}", kv: {
                         config_age_ms = logged_age(age),
                     });
                 }
-                is_reachable = false;
-                // This process no longer counts as one that reaches the store, so another one becomes
-                // the store reader.
-                state.view.borrow_mut().is_store_lost = true;
                 adopt_config_from_store_reader(&state).await;
                 pause_after_failure(&state, &state.config_changed).await;
             }
@@ -152,7 +146,7 @@
 ) -> Result<(Option<ConfigSource>, bool), String> {
     let (rows, version, _) = store.read(StoreTable::Config).await?;
     settled_era.learn(state, store).await;
-    let found = adopt_rows(state, &rows)?;
+    let found = adopt_read_rows(state, &rows)?;
     let source = ConfigSource::new(version, found);
     Ok((Some(source), confirm_source(state, &source, start)))
 }
@@ -179,7 +173,7 @@
     };
     match store.call(&call).await? {
         StoreReply::Rows { rows, version, .. } => {
-            let found = adopt_rows(state, &rows)?;
+            let found = adopt_read_rows(state, &rows)?;
             if !source.advance(version, found) {
                 return Ok((None, false));
             }
@@ -231,6 +225,24 @@
     is_newest || held.is_none() && !source.version().names_era()
 }
 
+/// Returns whether a read has failed, or its rows could not be decoded, since the configuration was last confirmed.
+fn has_failed(state: &NodeState, now: MilliTime) -> bool {
+    let view = state.view.borrow();
+    view.config_gap().has_failure() || view.store_contact.is_unreadable(now)
+}
+
+/// Adopts rows that this process has read from the store; see [`adopt_rows`].
+///
+/// A process that can't decode them leaves it to another one to read the store.
+fn adopt_read_rows(state: &NodeState, rows: &[StoreRow]) -> Result<Option<u64>, String> {
+    let found = adopt_rows(state, rows);
+    if found.is_err() {
+        let now = state.clock.now();
+        state.view.borrow_mut().store_contact.record_unreadable(now);
+    }
+    found
+}
+
 /// Adopts the configuration of the rows if it is newer than the present one; returns its version, if there is one.
 fn adopt_rows(state: &NodeState, rows: &[StoreRow]) -> Result<Option<u64>, String> {
     let decoded = state.format.decode_config(rows);
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -142,7 +142,6 @@
                 self.adopt_rows(&rows, version);
                 let mut view = state.view.borrow_mut();
                 view.listing_time = view.listing_time.max(start);
-                view.is_store_lost = false;
                 drop(view);
                 state.peers.borrow_mut().record_listing_read(&timestamps);
                 state.confirm_due.notify_one();
@@ -156,9 +155,6 @@
                         listing_age_ms = logged_age(self.list_age_ms()),
                     });
                 }
-                // This process no longer counts as one that reaches the store, so another one becomes
-                // the store reader.
-                state.view.borrow_mut().is_store_lost = true;
                 self.store_retry = now.plus(retry_pause_ms(&state));
             }
         }
--- a/crates/relay/src/store/store_client.rs
+++ b/crates/relay/src/store/store_client.rs
@@ -80,13 +80,18 @@
             Ok(StoreReply::Rows { .. } | StoreReply::Written { .. } | StoreReply::Conflict)
         );
         self.state.metrics.count_store_call(is_done);
-        let has_history = !matches!(result, Ok(StoreReply::HistoryLost));
+        let is_failed_read = match &result {
+            Ok(StoreReply::HistoryLost) => false,
+            _ => !is_done && !matches!(call, StoreCall::Write(_)),
+        };
+        let now = self.state.clock.now();
+        let mut view = self.state.view.borrow_mut();
         if is_done {
-            self.state.view.borrow_mut().last_store_reply = self.state.clock.now();
-        } else if has_history && !matches!(call, StoreCall::Write(_)) {
-            let mut view = self.state.view.borrow_mut();
-            view.store_contact.record_failure(start);
+            view.store_contact.record_answer(now);
+        } else if is_failed_read {
+            view.store_contact.record_failure(start, now);
         }
+        drop(view);
         if let Ok(StoreReply::Rows { version, .. } | StoreReply::Written { version, .. }) = &result
         {
             observe_version(&self.state, *version);
