Read the whole configuration after a failed poll

After an outage that outlasted the freshness of the configuration, callers with keys were refused for up to 0.65 s more than the retry pause: 654 ms after the store answered again in the new test.

Cause: a failed long poll left the version behind from which the process polled, so its next call waited 600 ms for changes since then, and a long poll renews the freshness only at its end. A process that followed another one for long kept that version as well, and was told first that the store's history is gone.

Change: the call after a failed one reads the whole configuration, which renews the freshness at once. It costs the bytes of one configuration at each process that reads the store after an outage, mostly the store reader.

--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -97,6 +97,8 @@
                 }
             }
             Err(error) => {
+                // Keys may be refused already, so the next call must not be a long poll.
+                source = None;
                 if !had_failed {
                     let age = state.view.borrow().config_age.age_ms(state.clock.now());
                     spdlog::warn!("store: can't read the configuration, retrying: {error}", kv: {
--- a/crates/relay/tests/freshness.rs
+++ b/crates/relay/tests/freshness.rs
@@ -71,6 +71,36 @@
     });
 }
 
+/// The store rejects the only process for so long that it refuses keys. Once the store answers again, the process must
+/// accept them after its retry pause, and not only at the end of a long poll of 600 ms for changes since the read before
+/// the outage.
+#[test]
+fn key_is_accepted_at_once_after_outage() {
+    run(async {
+        let world = World::start().await;
+        let _endpoint = world.start_endpoint("p1").await;
+        let (node, is_rejected) = world.node_with_switch("n1").await;
+        let mut slowest = Duration::ZERO;
+        for round in 0..3 {
+            is_rejected.set(true);
+            wait_for("keys are refused", async || {
+                world.send(&node, "/any/stock", "r1").await.status == 503
+            })
+            .await;
+            // The retries of the process are in another phase in each round.
+            tokio::time::sleep(Duration::from_millis(60 * round)).await;
+            is_rejected.set(false);
+            let end = Instant::now();
+            wait_for("keys are accepted again", async || {
+                world.send(&node, "/any/stock", "r2").await.status == 200
+            })
+            .await;
+            slowest = slowest.max(end.elapsed());
+        }
+        assert!(slowest < Duration::from_millis(500), "after {slowest:?}");
+    });
+}
+
 /// The store rejects one host while keys and endpoints change. The process on that host must follow the
 /// changes through another process, and accept valid keys all the while.
 #[test]
