Raise the version of the datagrams between processes

Confirmations carry whether the list of engines is whole since, so processes of the release before must not decode them. With the version, such datagrams are counted as of an unknown version, as at the last change of their form, and each side reads the store itself.

--- a/crates/relay/src/peer/peer_datagram.rs
+++ b/crates/relay/src/peer/peer_datagram.rs
@@ -14,7 +14,7 @@
 /// rejected.
 ///
 /// It differs from the first byte of JSON, the encoding of the first release.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// A datagram between two processes.
 ///
