Keep streams in progress when the settings grant less memory

Cause: bodies of running requests can't be given up but count against the limit. While they exceeded it, all other buffers were given up one after the other, although that could not help, among them the read buffers of all connections to engines.

Change: buffers that may be given up keep an eighth of the limit beside protected bodies. A lowered limit takes effect as buffers are released; beyond twice the limit, at once. A body is only protected if all protected ones fit, or it is small and they exceed the limit by an eighth at most; otherwise the request is refused as not run.

--- a/crates/core/src/relay/byte_ledger.rs
+++ b/crates/core/src/relay/byte_ledger.rs
@@ -1,5 +1,18 @@
 use super::ByteSource;
 
+/// The part of the limit that holders that may be ended keep beside those that may not, as a divisor.
+///
+/// Without it, large bodies of running requests have all other buffers ended, which doesn't free their memory.
+const ENDABLE_DIVISOR: usize = 8;
+
+/// The part of the limit up to which the body of a request is small, as a divisor.
+///
+/// Small requests go on beside protected bodies that take up the limit.
+const SMALL_DIVISOR: usize = 64;
+
+/// The multiple of a lowered limit up to which what was held before is kept.
+const LOWERED_FACTOR: usize = 2;
+
 /// A buffer that is charged to a source.
 #[derive(Clone, Debug)]
 struct ByteHolder {
@@ -14,7 +27,8 @@
 ///
 /// The decision which buffers to give up answers a load that passes each limit of a single buffer: many answers,
 /// bodies or streams of one source that are large at the same time. It picks the source with the largest sum, so
-/// that the buffers of the others are kept.
+/// that the buffers of the others are kept. Bodies of running requests are protected: they are refused before they run,
+/// or kept to the end. A lowered limit ends no holder that was within the one before; it takes effect as they shrink.
 ///
 /// # Example
 ///
@@ -37,7 +51,11 @@
 #[derive(Clone, Debug)]
 pub struct ByteLedger {
     limit: usize,
+    /// What was held when the limit was lowered, as far as it is still held.
+    lowered_from: usize,
     held: usize,
+    /// The part of the held bytes that belongs to protected holders.
+    protected: usize,
     next_number: u64,
     /// Sorted by number.
     holders: Vec<ByteHolder>,
@@ -48,15 +66,20 @@
     pub fn new(limit: usize) -> ByteLedger {
         ByteLedger {
             limit,
+            lowered_from: 0,
             held: 0,
+            protected: 0,
             next_number: 0,
             holders: Vec::new(),
         }
     }
 
     /// Changes the limit, in bytes.
+    ///
+    /// What is held beyond a lower limit is kept, up to twice that limit.
     pub fn set_limit(&mut self, limit: usize) {
         self.limit = limit;
+        self.lowered_from = self.held.min(limit.saturating_mul(LOWERED_FACTOR));
     }
 
     /// Returns the number of bytes held.
@@ -83,8 +106,12 @@
         let Ok(index) = self.position(number) else {
             return false;
         };
-        let known = std::mem::replace(&mut self.holders[index].bytes, bytes);
-        self.held = self.held - known + bytes;
+        let holder = &mut self.holders[index];
+        let known = std::mem::replace(&mut holder.bytes, bytes);
+        if !holder.is_endable {
+            self.protected = self.protected - known + bytes;
+        }
+        self.set_held(self.held - known + bytes);
         true
     }
 
@@ -97,39 +124,78 @@
         position.is_ok()
     }
 
-    /// Keeps a holder from being ended; returns false if it has been ended.
+    /// Keeps a holder from being ended; returns false if it has been ended, or if the protected holders would exceed the
+    /// limit, in which case it is ended.
+    #[must_use]
     pub fn protect(&mut self, number: u64) -> bool {
-        let position = self.position(number);
-        if let Ok(index) = position {
-            self.holders[index].is_endable = false;
+        let Ok(index) = self.position(number) else {
+            return false;
+        };
+        let bytes = self.holders[index].bytes;
+        if !self.holders[index].is_endable {
+            return true;
         }
-        position.is_ok()
+        if bytes > 0 && self.protected + bytes > self.protected_limit(bytes) {
+            self.close(number);
+            return false;
+        }
+        self.holders[index].is_endable = false;
+        self.protected += bytes;
+        true
     }
 
     /// Removes a holder, if it has not been ended.
     pub fn close(&mut self, number: u64) {
         if let Ok(index) = self.position(number) {
-            self.held -= self.holders.remove(index).bytes;
+            let holder = self.holders.remove(index);
+            if !holder.is_endable {
+                self.protected -= holder.bytes;
+            }
+            self.set_held(self.held - holder.bytes);
         }
     }
 
     /// Removes holders until the rest is within the limit, and returns their numbers and sources.
     ///
     /// Each one is the largest holder of the source that has the largest sum at that point. Sources without a holder
-    /// that may be ended are passed over; if only such sources are left, the rest may exceed the limit.
+    /// that may be ended are passed over. Beside protected holders that take up the limit, the others keep a part of it.
     pub fn end_excess(&mut self) -> Vec<(u64, ByteSource)> {
         let mut ended = Vec::new();
-        while self.held > self.limit {
+        while self.held - self.protected > self.endable_limit() {
             let Some(index) = self.largest_holder() else {
                 break;
             };
             let holder = self.holders.remove(index);
-            self.held -= holder.bytes;
+            self.set_held(self.held - holder.bytes);
             ended.push((holder.number, holder.source));
         }
         ended
     }
 
+    /// Returns the limit in force: what was held when the limit was lowered is kept for as long as it is held.
+    fn present_limit(&self) -> usize {
+        self.limit.max(self.lowered_from)
+    }
+
+    /// Returns the bytes that the holders which may be ended may take together.
+    fn endable_limit(&self) -> usize {
+        let left = self.present_limit().saturating_sub(self.protected);
+        left.max(self.limit / ENDABLE_DIVISOR)
+    }
+
+    /// Returns the bytes that protected holders may take together, with a further one of a size.
+    fn protected_limit(&self, bytes: usize) -> usize {
+        match bytes <= self.limit / SMALL_DIVISOR {
+            true => self.present_limit() + self.limit / ENDABLE_DIVISOR,
+            false => self.present_limit(),
+        }
+    }
+
+    fn set_held(&mut self, held: usize) {
+        self.held = held;
+        self.lowered_from = self.lowered_from.min(held);
+    }
+
     /// Returns the index of the largest holder of the largest source.
     fn largest_holder(&self) -> Option<usize> {
         let mut sums: Vec<(&ByteSource, usize)> = Vec::new();
--- a/crates/core/tests/byte_ledger.rs
+++ b/crates/core/tests/byte_ledger.rs
@@ -139,3 +139,65 @@
     assert!(!ledger.reassign(answer, account(2)));
     assert!(ledger.resize(other, 1_000));
 }
+
+/// Bodies of running requests take up a lowered limit. Guards against the end of all other buffers, which would free
+/// nothing of it.
+#[test]
+fn end_excess_beside_protected_holders() {
+    let mut ledger = ByteLedger::new(LIMIT);
+    for _ in 0..4 {
+        let running = opened(&mut ledger, account(1), 2_000);
+        assert!(ledger.protect(running));
+    }
+    let streams: Vec<u64> = (0..14)
+        .map(|port| opened(&mut ledger, server(8_000 + port), 60))
+        .collect();
+    ledger.set_limit(6_700);
+    assert!(ended(&mut ledger).is_empty());
+    assert!(streams.iter().all(|stream| ledger.resize(*stream, 60)));
+    // One that grows beyond the part of the others is given up, and nothing else.
+    let flood = opened(&mut ledger, server(9_000), 500);
+    assert_eq!(ended(&mut ledger), [flood]);
+}
+
+/// A lowered limit ends nothing that was within the one before. Guards against answers that are cut by a change of the
+/// settings, and against a limit that stays as it was.
+#[test]
+fn end_excess_after_lowered_limit() {
+    let mut ledger = ByteLedger::new(LIMIT);
+    let answers: Vec<u64> = (0..9)
+        .map(|number| opened(&mut ledger, account(number), 1_000))
+        .collect();
+    ledger.set_limit(5_000);
+    assert!(ended(&mut ledger).is_empty());
+    ledger.close(answers[0]);
+    ledger.close(answers[1]);
+    opened(&mut ledger, account(4), 100);
+    assert_eq!(ended(&mut ledger).len(), 1, "7,000 bytes were left");
+    // What is held beyond twice a lowered limit is given up at once: 6,100 bytes, in buffers of 1,000.
+    ledger.set_limit(1_000);
+    ended(&mut ledger);
+    assert_eq!(ledger.held_bytes(), 1_100);
+}
+
+/// Bodies that may not be ended must not exceed the limit together, as nothing else could be given up for them. Small
+/// ones still find room beside them.
+#[test]
+fn protect_beyond_limit() {
+    let mut ledger = ByteLedger::new(LIMIT);
+    for _ in 0..5 {
+        let running = opened(&mut ledger, account(1), 2_000);
+        assert!(ledger.protect(running));
+    }
+    let large = opened(&mut ledger, account(2), 1_000);
+    assert!(!ledger.protect(large));
+    assert!(!ledger.resize(large, 1_000), "it has been ended");
+    let mut protected = 0;
+    for _ in 0..40 {
+        let small = opened(&mut ledger, account(2), 100);
+        protected += usize::from(ledger.protect(small));
+    }
+    assert_eq!(protected, 12, "an eighth of the limit");
+    let empty = ledger.open(account(2));
+    assert!(ledger.protect(empty));
+}
--- a/crates/relay/src/engine/engine_client.rs
+++ b/crates/relay/src/engine/engine_client.rs
@@ -178,7 +178,8 @@
             let held = self.memory.hold(ByteSource::Server(address));
             let read = read_whole(response.into_body(), held).await;
             let (body, held) = read.map_err(|error| error.to_string())?;
-            Ok((status, held.into_bytes(body.into_bytes())))
+            let body = held.into_bytes(body.into_bytes());
+            Ok((status, body.ok_or("no memory is left for the answer")?))
         };
         match tokio::time::timeout(Duration::from_millis(wait_ms), exchange).await {
             Ok(result) => result,
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -166,7 +166,9 @@
     let read = read_bounded(body, max_bytes, &held);
     let read = tokio::time::timeout(Duration::from_millis(timeout_ms), read).await;
     match read.map_err(|_| RefusalKind::SlowBody)? {
-        Ok(body) => Ok(held.into_bytes(body.into_bytes())),
+        Ok(body) => held
+            .into_bytes(body.into_bytes())
+            .ok_or(RefusalKind::Overloaded),
         Err(ReadFault::TooLong { .. }) => Err(RefusalKind::TooLarge),
         Err(ReadFault::Ended) => Err(RefusalKind::Overloaded),
         Err(ReadFault::Broken { detail: error }) => {
--- a/crates/relay/src/memory/byte_budget.rs
+++ b/crates/relay/src/memory/byte_budget.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Changes the limit, in bytes; ends what exceeds it.
+    /// Changes the limit, in bytes; see [`ByteLedger::set_limit`].
     pub fn set_limit(&self, limit: usize) {
         let mut state = self.lock();
         state.ledger.set_limit(limit);
@@ -91,8 +91,9 @@
         self.lock().ledger.reassign(number, source);
     }
 
-    pub(super) fn protect(&self, number: u64) {
-        self.lock().ledger.protect(number);
+    /// Keeps a holder from being ended; returns false if it has been ended, or is ended as there is no room for it.
+    pub(super) fn protect(&self, number: u64) -> bool {
+        self.lock().ledger.protect(number)
     }
 
     pub(super) fn close(&self, number: u64) {
--- a/crates/relay/src/memory/held_bytes.rs
+++ b/crates/relay/src/memory/held_bytes.rs
@@ -61,10 +61,11 @@
         self.signal.poll_ended(context)
     }
 
-    /// Returns bytes that stay charged until their last clone is dropped, and are not ended before.
-    pub fn into_bytes(self, bytes: Bytes) -> Bytes {
-        self.budget.protect(self.number);
-        Bytes::from_owner(GuardedBytes { bytes, _held: self })
+    /// Returns bytes that stay charged until their last clone is dropped, and are not ended before; `None` if the holder
+    /// has been ended, or if there is no room for further bytes that may not be ended.
+    pub fn into_bytes(self, bytes: Bytes) -> Option<Bytes> {
+        let is_protected = self.budget.protect(self.number);
+        is_protected.then(|| Bytes::from_owner(GuardedBytes { bytes, _held: self }))
     }
 }
 
