Read the stored crashes before a process writes them again

Cause: the store reader writes the known crashes if they differ from what it read or wrote last. A process whose calls failed lets another one write the row, and took the digest of its own last call for that of the row when it took over again. If its crashes were the same as then, the row stayed as the other one had left it. No caller was seen to suffer from it.

Change: a process that has not compared its crashes with the row within a second reads it first. A row may be older than the answer to a request, so the detector remembers served requests for as long as their crashes count, and does not restore those.

cleared_request_is_cleared_in_row_of_another failed before: it waited 20 s in vain for an empty row. It fails in the same way without the second part. Costs one read of the row when the store reader changes.

--- a/crates/core/src/relay/crash_detector.rs
+++ b/crates/core/src/relay/crash_detector.rs
@@ -6,6 +6,7 @@
 use super::PromptPart;
 use super::RunPhase;
 use super::StoredCrash;
+use super::cleared_requests::ClearedRequests;
 use super::known_crash::KnownCrash;
 use super::known_crashes::KnownCrashes;
 use super::late_losses::LateLosses;
@@ -81,6 +82,7 @@
     lost: Vec<(String, MilliTime)>,
     known: KnownCrashes,
     late: LateLosses,
+    cleared: ClearedRequests,
     parts: PartLedger,
     /// The engines that answered after they had counted as lost, in the order of their answers.
     ///
@@ -218,10 +220,12 @@
     }
 
     /// Clears a request that was answered; returns whether a crash was known for it.
-    pub fn clear_request(&mut self, fingerprint: &str) -> bool {
-        self.broken.retain(|run| run.fingerprint != fingerprint);
-        self.late.clear_request(fingerprint);
-        self.known.clear_request(fingerprint)
+    pub fn clear_request(&mut self, fingerprint: &str, now: MilliTime) -> bool {
+        let was_known = self.forget_request(fingerprint);
+        if was_known {
+            self.cleared.record(fingerprint, now);
+        }
+        was_known
     }
 
     /// Returns at most `limit` crashes to send to the other processes now: of those to announce, the ones that
@@ -242,6 +246,7 @@
     pub fn expire(&mut self, now: MilliTime) {
         self.parts.expire(now);
         self.late.expire(now);
+        self.cleared.expire(now);
         self.broken
             .retain(|run| now.since(run.ended_at) <= CRASH_WINDOW_MS);
         self.lost
@@ -276,11 +281,16 @@
         }
     }
 
-    /// Adds a snapshot of another process or of an earlier one, taken now.
-    pub fn restore(&mut self, snapshot: &CrashSnapshot, now: MilliTime) {
+    /// Adds a snapshot of another process or of an earlier one that was taken at `taken_at` and has been
+    /// [`aged`](CrashSnapshot::aged) to `now`.
+    ///
+    /// Requests that were served since it was taken stay cleared.
+    pub fn restore(&mut self, snapshot: &CrashSnapshot, taken_at: MilliTime, now: MilliTime) {
         for stored in &snapshot.crashes {
             let seen_at = earlier(now, stored.seen_age_ms);
-            if !self.answering.contains(&stored.crash.engine) {
+            let is_answering = self.answering.contains(&stored.crash.engine);
+            let fingerprint = &stored.crash.fingerprint;
+            if !is_answering && !self.cleared.was_served_since(fingerprint, taken_at) {
                 self.insert(&stored.crash, stored.phase, seen_at);
             }
         }
@@ -356,10 +366,17 @@
             .collect()
     }
 
+    /// Drops what is known of a request; returns whether a crash was.
+    fn forget_request(&mut self, fingerprint: &str) -> bool {
+        self.broken.retain(|run| run.fingerprint != fingerprint);
+        self.late.clear_request(fingerprint);
+        self.known.clear_request(fingerprint)
+    }
+
     /// Adds the loss of an engine to a request; returns whether it is new or in an earlier phase than known.
     fn insert(&mut self, crash: &EngineCrash, phase: RunPhase, now: MilliTime) -> bool {
         if let Some(oldest) = self.known.oldest_if_full() {
-            self.clear_request(&oldest);
+            self.forget_request(&oldest);
         }
         self.known.insert(crash, phase, now)
     }
--- a/crates/core/src/relay/mod.rs
+++ b/crates/core/src/relay/mod.rs
@@ -30,6 +30,7 @@
 mod byte_source;
 mod caller_limits;
 mod capacity_queue;
+mod cleared_requests;
 mod config_age;
 mod config_check;
 mod config_source;
--- a/crates/core/tests/crash_detector.rs
+++ b/crates/core/tests/crash_detector.rs
@@ -119,9 +119,9 @@
 fn crash_detector_clears_served_request() {
     let mut detector = CrashDetector::new();
     detector.merge(&crash("aa", "e1"), START);
-    assert!(detector.clear_request("aa"));
+    assert!(detector.clear_request("aa", START));
     assert!(
-        !detector.clear_request("aa"),
+        !detector.clear_request("aa", START),
         "the request was cleared before"
     );
     detector.merge(&crash("aa", "e3"), START);
@@ -288,8 +288,8 @@
     };
     let later = START.plus(61_000);
     let forget: [fn(&mut CrashDetector, MilliTime); 3] = [
-        |detector, _| {
-            detector.clear_request("aa");
+        |detector, now| {
+            detector.clear_request("aa", now);
         },
         |detector, now| detector.expire(now),
         |detector, now| detector.record_engine_answer("e1", now, now),
--- a/crates/core/tests/crash_snapshot.rs
+++ b/crates/core/tests/crash_snapshot.rs
@@ -39,7 +39,7 @@
     let now = MilliTime::from_millis(70_000);
     let restored = || {
         let mut started = CrashDetector::new();
-        started.restore(&snapshot, now);
+        started.restore(&snapshot, START, now);
         started
     };
     assert!(restored().should_refuse("aa", now));
@@ -47,7 +47,7 @@
     started.expire(now.plus(10_100));
     assert!(!started.should_refuse("aa", now.plus(10_100)));
     let mut late = CrashDetector::new();
-    late.restore(&snapshot.clone().aged(10_100), now);
+    late.restore(&snapshot.clone().aged(10_100), START, now);
     assert!(late.is_empty());
 }
 
@@ -56,12 +56,28 @@
 fn restore_ignores_answering_engine() {
     let snapshot = stored(&detector_of_crasher(), START);
     let mut started = CrashDetector::new();
-    started.restore(&snapshot, START);
+    started.restore(&snapshot, START, START);
     started.record_engine_answer("e1", START.plus(100), START.plus(150));
-    started.restore(&snapshot, START.plus(200));
+    started.restore(&snapshot, START, START.plus(200));
     assert_eq!(started.len(), 1);
 }
 
+/// A process that takes over reads a row of before a request was served. Guards against a request that is refused again,
+/// and against crashes that are ignored since it was served.
+#[test]
+fn restore_ignores_request_served_since() {
+    let snapshot = stored(&detector_of_crasher(), START);
+    let served_at = START.plus(500);
+    let restored = |taken_at| {
+        let mut detector = detector_of_crasher();
+        assert!(detector.clear_request("aa", served_at));
+        detector.restore(&snapshot, taken_at, served_at.plus(500));
+        detector.len()
+    };
+    assert_eq!(restored(START), 0);
+    assert_eq!(restored(served_at.plus(100)), 2);
+}
+
 /// The requests that are refused must be in a snapshot, however many others ran on the engines that they crashed.
 #[test]
 fn snapshot_holds_refused_requests_first() {
@@ -76,7 +92,7 @@
     let snapshot = detector.snapshot(START.plus(1_000));
     assert!(snapshot.crashes.len() <= 128);
     let mut started = CrashDetector::new();
-    started.restore(&snapshot, START.plus(1_000));
+    started.restore(&snapshot, START, START.plus(1_000));
     assert!(started.should_refuse("aa", START.plus(1_000)));
 }
 
@@ -120,7 +136,7 @@
     let now = START.plus(3_000);
     let snapshot = stored(&detector, now);
     let mut started = CrashDetector::new();
-    started.restore(&snapshot, now);
+    started.restore(&snapshot, START, now);
     assert_eq!(started.parts().verdict(&[fatal]), PartVerdict::Refused);
     assert_eq!(started.parts().verdict(&[sound]), PartVerdict::Clear);
 }
--- a/crates/relay/src/ingress/crash_check.rs
+++ b/crates/relay/src/ingress/crash_check.rs
@@ -148,7 +148,12 @@
         return;
     }
     let fingerprint = relay.fingerprint();
-    let was_suspected = state.view.borrow_mut().crashes.clear_request(&fingerprint);
+    let now = state.clock.now();
+    let was_suspected = state
+        .view
+        .borrow_mut()
+        .crashes
+        .clear_request(&fingerprint, now);
     if was_suspected {
         spdlog::info!("request: served, no longer suspected of crashing engines", kv: {
             request = relay.caller.id.as_str(),
--- a/crates/relay/src/peer/crash_exchange.rs
+++ b/crates/relay/src/peer/crash_exchange.rs
@@ -99,9 +99,10 @@
 }
 
 pub(super) fn clear_served(state: &NodeState, fingerprints: &[String]) {
+    let now = state.clock.now();
     let mut view = state.view.borrow_mut();
     for fingerprint in fingerprints {
-        if view.crashes.clear_request(fingerprint) {
+        if view.crashes.clear_request(fingerprint, now) {
             spdlog::info!("request: served by another process, no longer suspected of crashing engines", kv: {
                 fingerprint = fingerprint.as_str(),
             });
--- a/crates/relay/src/store/crash_task.rs
+++ b/crates/relay/src/store/crash_task.rs
@@ -26,6 +26,10 @@
 /// What the last interval brought is lost if all processes are killed.
 const WRITE_INTERVAL_MS: u64 = 500;
 
+/// The time between two checks of the store reader after which another process may have been the store reader and have
+/// written the row, in milliseconds.
+const MAX_CHECK_GAP_MS: u64 = 2 * WRITE_INTERVAL_MS;
+
 /// The time after which the crashes of a request that still comes are written again, in milliseconds.
 ///
 /// They count for a minute after the request came last, also for a process that reads them.
@@ -51,6 +55,8 @@
     digest: u64,
     /// A time on the store's clock, and on the one of this process.
     store_time: (u64, MilliTime),
+    /// The time at which this process last compared its crashes with the row, as the store reader.
+    compared_at: Option<MilliTime>,
 }
 
 /// Reads the crashes that earlier processes knew, and then writes those that the processes know while this one is the
@@ -63,6 +69,7 @@
         era: StoreVersion::UNREAD,
         digest: digest_of(&CrashSnapshot::default(), MilliTime::default()),
         store_time: (0, MilliTime::default()),
+        compared_at: None,
     };
     let mut is_reachable = true;
     loop {
@@ -108,14 +115,16 @@
                 return Ok(());
             }
         };
-        let snapshot = row.snapshot.aged(store_ms.saturating_sub(row.store_ms));
+        let age_ms = store_ms.saturating_sub(row.store_ms);
+        let taken_at = MilliTime::from_millis(now.as_millis().saturating_sub(age_ms));
+        let snapshot = row.snapshot.aged(age_ms);
         self.digest = digest_of(&snapshot, now);
         if snapshot.is_empty() {
             return Ok(());
         }
         let known = {
             let mut view = state.view.borrow_mut();
-            view.crashes.restore(&snapshot, now);
+            view.crashes.restore(&snapshot, taken_at, now);
             view.crashes.len()
         };
         publish_part_changes(state);
@@ -128,10 +137,23 @@
     }
 
     /// Writes the known crashes if they differ from those in the row and this process reads the store for the others.
+    ///
+    /// The row is read first if another process may have written it since this one has compared it.
     async fn write_if_changed(&mut self) -> Result<(), String> {
         if !is_store_reader(&self.state) {
             return Ok(());
         }
+        let now = self.state.clock.now();
+        let is_recent = |compared_at| now.since(compared_at) <= MAX_CHECK_GAP_MS;
+        if !self.compared_at.is_some_and(is_recent) {
+            self.read().await?;
+        }
+        self.write_difference().await?;
+        self.compared_at = Some(self.state.clock.now());
+        Ok(())
+    }
+
+    async fn write_difference(&mut self) -> Result<(), String> {
         let now = self.state.clock.now();
         let (snapshot, newest) = {
             let view = self.state.view.borrow();
--- a/crates/relay/tests/crashes_after_loss.rs
+++ b/crates/relay/tests/crashes_after_loss.rs
@@ -9,6 +9,7 @@
 
 use dandelionroad_relay::node::RunningNode;
 
+use crate::relay_support::NodePlace;
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::CRASH_PATH;
 use crate::relay_support::fake_engine::EngineFault;
@@ -114,6 +115,47 @@
     });
 }
 
+/// The store turns the store reader away, and the process that follows it stores a crash. It is turned away as well, and
+/// the request is served. The first process must correct the row once it reaches the store again, although its crashes are
+/// those that it knew when it last read the row: none.
+#[test]
+fn cleared_request_is_cleared_in_row_of_another() {
+    run(async {
+        let world = World::start().await;
+        let engine = world.start_engine("e1", (0, 40)).await;
+        engine.fault.set(EngineFault::Crashing);
+        let (first, first_switch) = world.node_with_switch_at("n1", NodePlace::ZoneA, 660).await;
+        let (second, second_switch) = world.node_with_switch_at("n2", NodePlace::ZoneB, 660).await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        first_switch.set(true);
+        world.send(&second, CRASH_PATH, "r1").await;
+        wait_for_stored(&world, 1).await;
+        wait_for("the first process knows the crash", async || {
+            is_crashes_known(&world, &first, 1).await
+        })
+        .await;
+        let sound = world.start_engine("e2", (0, 40)).await;
+        sound.fault.set(EngineFault::None);
+        wait_for("the sound engine is known", async || {
+            world.knows_engines(&second, 1).await
+        })
+        .await;
+        second_switch.set(true);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        wait_for("the request is served", async || {
+            world.send(&second, CRASH_PATH, "r2").await.status == 200
+        })
+        .await;
+        wait_for("the first process knows that", async || {
+            is_crashes_known(&world, &first, 0).await
+        })
+        .await;
+        first_switch.set(false);
+        wait_for_stored(&world, 0).await;
+        assert!(is_crashes_known(&world, &first, 0).await);
+    });
+}
+
 /// A store that comes back from an older copy has lost the row, and a process that starts after that must know the crashes
 /// all the same.
 #[test]
