Limit the grace period that another process hands on

It comes in a datagram or an answer, and kept missing engines for as long as it said. It counts for the length of a grace period at most; before, a figure of u64::MAX kept them for good (record_peer_with_long_grace).

--- a/crates/core/src/relay/listing_grace.rs
+++ b/crates/core/src/relay/listing_grace.rs
@@ -62,7 +62,7 @@
             self.record_whole(peer.confirmed);
         }
         if peer.grace_ms > 0 && self.may_lack_entries(now) {
-            self.until = self.until.max(now.plus(peer.grace_ms));
+            self.until = self.until.max(now.plus(peer.grace_ms.min(GRACE_MS)));
         }
     }
 
--- a/crates/core/tests/listing_grace.rs
+++ b/crates/core/tests/listing_grace.rs
@@ -146,6 +146,15 @@
     assert!(table.get("e001").is_none());
 }
 
+/// A figure of another process must not keep engines for longer than a grace period lasts.
+#[test]
+fn record_peer_with_long_grace() {
+    let mut table = whole_table();
+    let back = WHOLE_MS + 8_000;
+    confirm(&mut table, false, u64::MAX, back);
+    assert_eq!(table.grace_left_ms(at(back)), 2_000);
+}
+
 /// A process that has started after the outage knows nothing of it and confirms its list as whole. This must not end
 /// the grace period of the others.
 #[test]
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -104,6 +104,7 @@
     }
     let (confirmed, template) = {
         let view = state.view.borrow();
+        // Each receiver has its own run and stamps.
         let template = ConfirmMessage {
             run: 0,
             config: view.config.as_ref().map_or(0, |config| config.version),
