Keep live engines when the store is away again within a grace period

The store had come back for about a second and was away again, for 916 and 316 ms, when the engines were about to register.

Cause: the reads that met the second outage hung, and count as failed with their time-outs only, 1.2 s or 1.8 s later. Another process had confirmed the list by then, so the failures looked older than it, and the grace period ended with the first one.

Change: a read that is overdue by 300 ms counts as failed from then on. While the list has not been whole again after an outage, a read that failed since the return begins the grace period anew, also if the list was confirmed since. It does so once.

record_read_after_outage_within_grace_period fails without the second part, failed_start_of_overdue_read without the first.

--- a/crates/core/src/relay/listing_grace.rs
+++ b/crates/core/src/relay/listing_grace.rs
@@ -34,6 +34,8 @@
     /// The time at which the list was last known to be whole: to be the newest, with no outage before it in
     /// which entries of live engines may have lapsed.
     whole_at: Option<MilliTime>,
+    /// The time at which the store was known to be back after the last outage.
+    returned_at: MilliTime,
     /// The end of the grace period after an outage.
     until: MilliTime,
     /// The end of the grace period after the first sight of a new era.
@@ -44,7 +46,7 @@
     /// Records a read of the list from the store, after a gap since the held list was confirmed, that started at `start`
     /// and ended at `now`.
     pub(super) fn record_read(&mut self, gap: &StoreGap, start: MilliTime, now: MilliTime) {
-        match gap.has_failure() {
+        match self.follows_outage(gap) {
             true => self.record_outage(now),
             false => self.record_whole(start),
         }
@@ -56,7 +58,7 @@
     /// The other process may have missed an outage that this one has seen, and the other way round. Its grace period is
     /// only taken over if this process has not known the list to be whole in the meantime.
     pub(super) fn record_peer(&mut self, gap: &StoreGap, peer: &PeerListing, now: MilliTime) {
-        if gap.has_failure() {
+        if self.follows_outage(gap) {
             self.record_outage(now);
         } else if peer.is_whole {
             self.record_whole(peer.confirmed);
@@ -104,10 +106,19 @@
     /// Begins the grace period at the end of an outage in which entries of live engines may have lapsed.
     fn record_outage(&mut self, now: MilliTime) {
         if self.may_lack_entries(now) {
+            self.returned_at = now;
             self.until = now.plus(GRACE_MS);
         }
     }
 
+    /// Returns whether the store may have been away since the list was confirmed, or since its return after an outage
+    /// while the list has not been whole again: engines that were about to register may have missed their time.
+    fn follows_outage(&self, gap: &StoreGap) -> bool {
+        let is_whole = self.whole_at >= Some(self.until);
+        let has_failed_again = gap.failed > Some(self.returned_at);
+        gap.has_failure() || !is_whole && has_failed_again
+    }
+
     /// Records that the list was whole at `time`, unless entries of live engines may have been missing then.
     fn record_whole(&mut self, time: MilliTime) {
         if time >= self.until.max(self.settled_at) {
--- a/crates/core/src/relay/store_contact.rs
+++ b/crates/core/src/relay/store_contact.rs
@@ -12,7 +12,8 @@
 /// When the store answered the calls of a process, and when it did not.
 ///
 /// All of it ages: a process that lets another one read the store calls it seldom, so what its last call met says
-/// nothing later on.
+/// nothing later on. A read that is overdue counts as failed from then on, long before its time-out: what other processes
+/// read meanwhile must not hide that the store was away.
 ///
 /// # Example
 ///
@@ -30,7 +31,7 @@
 /// assert!(contact.is_reached(time(1_400)));
 /// assert!(!contact.is_reached(time(5_400)));
 /// ```
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct StoreContact {
     answered_at: Option<MilliTime>,
     /// The time at which the newest failed read was found to have failed.
@@ -38,6 +39,8 @@
     /// The start of the newest failed read.
     failed_start: Option<MilliTime>,
     unreadable_at: Option<MilliTime>,
+    /// The start of each read in progress, and the time from which it is overdue.
+    pending: Vec<(MilliTime, MilliTime)>,
 }
 
 impl StoreContact {
@@ -46,6 +49,19 @@
         StoreContact::default()
     }
 
+    /// Records the start of a read that is overdue from `due` on.
+    pub fn begin_read(&mut self, start: MilliTime, due: MilliTime) {
+        self.pending.push((start, due));
+    }
+
+    /// Records that a read which started at `start` is no longer in progress, whether it was answered or not.
+    pub fn end_read(&mut self, start: MilliTime) {
+        let mut starts = self.pending.iter();
+        if let Some(index) = starts.position(|(known, _)| *known == start) {
+            self.pending.swap_remove(index);
+        }
+    }
+
     /// Records an answer to any call.
     pub fn record_answer(&mut self, now: MilliTime) {
         self.answered_at = self.answered_at.max(Some(now));
@@ -62,9 +78,11 @@
         self.unreadable_at = self.unreadable_at.max(Some(now));
     }
 
-    /// Returns the start of the newest failed read, if any.
-    pub fn failed_start(&self) -> Option<MilliTime> {
-        self.failed_start
+    /// Returns the start of the newest read that has failed or is overdue at `now`, if any.
+    pub fn failed_start(&self, now: MilliTime) -> Option<MilliTime> {
+        let overdue = self.pending.iter().filter(|(_, due)| *due <= now);
+        let newest = overdue.map(|(start, _)| *start).max();
+        self.failed_start.max(newest)
     }
 
     /// Returns whether this process can read the store for the others.
--- a/crates/core/src/relay/store_gap.rs
+++ b/crates/core/src/relay/store_gap.rs
@@ -20,7 +20,7 @@
 pub struct StoreGap {
     /// The time at which what is held was last confirmed to be the newest, by any process; `None` if nothing is held.
     pub confirmed: Option<MilliTime>,
-    /// The start of the newest read of this process that the store did not answer, if any.
+    /// The start of the newest read of this process that the store did not answer, or not in time, if any.
     pub failed: Option<MilliTime>,
 }
 
--- a/crates/core/tests/listing_grace.rs
+++ b/crates/core/tests/listing_grace.rs
@@ -132,6 +132,27 @@
     assert!(!keeps_missing(&mut table, now));
 }
 
+/// The store is away once more within the grace period, and another process confirms the list before the read of this one
+/// has failed. The engines that missed their time to register are kept.
+#[test]
+fn record_read_after_outage_within_grace_period() {
+    let mut table = whole_table();
+    let back = WHOLE_MS + 8_000;
+    read(&mut table, back, gap(WHOLE_MS, back - 200));
+    assert!(keeps_missing(&mut table, back));
+    let failed = back + 800;
+    read(&mut table, back + 1_600, gap(back + 1_400, failed));
+    assert_eq!(table.grace_left_ms(at(back + 1_600)), 2_000);
+    // The same failure prolongs it once.
+    read(&mut table, back + 2_300, gap(back + 2_200, failed));
+    assert_eq!(table.grace_left_ms(at(back + 2_300)), 1_300);
+    // Once the list has been whole again, an old failure tells nothing.
+    read(&mut table, back + 3_600, gap(back + 3_500, failed));
+    assert!(table.is_whole(at(back + 3_600)));
+    read(&mut table, back + 9_000, gap(back + 8_900, failed));
+    assert_eq!(table.grace_left_ms(at(back + 9_000)), 0);
+}
+
 /// A process that has missed the outage's length takes the grace period over, also if its own list was confirmed
 /// meanwhile by one that is in its grace period.
 #[test]
--- a/crates/core/tests/store_contact.rs
+++ b/crates/core/tests/store_contact.rs
@@ -61,5 +61,19 @@
     let mut contact = answered();
     contact.record_failure(at(61_000), at(61_050));
     contact.record_failure(at(60_100), at(61_300));
-    assert_eq!(contact.failed_start(), Some(at(61_000)));
+    assert_eq!(contact.failed_start(at(61_300)), Some(at(61_000)));
+}
+
+/// A read that hangs fails with its time-out only, after the store was back for others.
+#[test]
+fn failed_start_of_overdue_read() {
+    let mut contact = answered();
+    contact.begin_read(at(61_000), at(61_300));
+    contact.begin_read(at(61_200), at(62_100));
+    assert_eq!(contact.failed_start(at(61_299)), None);
+    assert_eq!(contact.failed_start(at(61_300)), Some(at(61_000)));
+    assert_eq!(contact.failed_start(at(62_100)), Some(at(61_200)));
+    contact.end_read(at(61_200));
+    contact.end_read(at(61_000));
+    assert_eq!(contact.failed_start(at(62_100)), None);
 }
--- a/crates/relay/src/node/relay_view.rs
+++ b/crates/relay/src/node/relay_view.rs
@@ -229,18 +229,18 @@
     }
 
     /// Returns what is known of the store since the configuration was last confirmed to be the newest.
-    pub fn config_gap(&self) -> StoreGap {
+    pub fn config_gap(&self, now: MilliTime) -> StoreGap {
         StoreGap {
             confirmed: self.config_age.confirmed_at(),
-            failed: self.store_contact.failed_start(),
+            failed: self.store_contact.failed_start(now),
         }
     }
 
     /// Returns what is known of the store since the list of engines was last confirmed to be the newest.
-    pub fn listing_gap(&self) -> StoreGap {
+    pub fn listing_gap(&self, now: MilliTime) -> StoreGap {
         StoreGap {
             confirmed: self.listing_confirmed(),
-            failed: self.store_contact.failed_start(),
+            failed: self.store_contact.failed_start(now),
         }
     }
 
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -230,7 +230,7 @@
             is_whole: message.is_listing_whole,
             grace_ms: message.listing_grace_ms,
         };
-        let gap = view.listing_gap();
+        let gap = view.listing_gap(now);
         view.engines.record_peer(&gap, &peer, now);
         view.listing_time = view.listing_time.max(stamp);
     } else if message.listing_version > view.listing.version() {
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -230,7 +230,7 @@
 /// Returns whether a read has failed, or its rows could not be decoded, since the configuration was last confirmed.
 fn has_failed(state: &NodeState, now: MilliTime) -> bool {
     let view = state.view.borrow();
-    view.config_gap().has_failure() || view.store_contact.is_unreadable(now)
+    view.config_gap(now).has_failure() || view.store_contact.is_unreadable(now)
 }
 
 /// Adopts rows that this process has read from the store; see [`adopt_rows`].
--- a/crates/relay/src/store/listing_task.rs
+++ b/crates/relay/src/store/listing_task.rs
@@ -126,7 +126,7 @@
         let store = Rc::clone(&self.store);
         let start = state.clock.now();
         let timestamps = state.peers.borrow().newest_timestamps();
-        let had_failed = state.view.borrow().listing_gap().has_failure();
+        let had_failed = state.view.borrow().listing_gap(start).has_failure();
         let mut read = std::pin::pin!(store.read(StoreTable::Engines));
         let result = loop {
             tokio::select! {
@@ -163,7 +163,7 @@
     /// Records a read of the store that ended at `now`, from which follows what missing engines mean.
     fn record_read(&self, start: MilliTime, now: MilliTime) {
         let mut view = self.state.view.borrow_mut();
-        let gap = view.listing_gap();
+        let gap = view.listing_gap(now);
         view.engines.record_read(&gap, start, now);
         if gap.has_failure() {
             spdlog::info!("store: reachable again for the list of engines", kv: {
@@ -304,7 +304,7 @@
             is_whole: answer.is_whole,
             grace_ms: answer.grace_ms,
         };
-        let gap = view.listing_gap();
+        let gap = view.listing_gap(state.clock.now());
         view.engines.record_peer(&gap, &peer, start);
         view.listing_time = view.listing_time.max(confirmed);
     }
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -13,6 +13,7 @@
 mod crash_task;
 mod ignored_rows;
 mod listing_task;
+mod pending_read;
 mod retry_pause;
 mod settled_era;
 mod store_client;
--- a/crates/relay/src/store/store_client.rs
+++ b/crates/relay/src/store/store_client.rs
@@ -12,12 +12,18 @@
 use crate::wire::StoreWrite;
 
 use super::observe_version;
+use super::pending_read::PendingRead;
 
 /// The time-out of a call other than a long poll, in milliseconds.
 ///
 /// The store responds within a few milliseconds, or within some hundred when it is slow.
 const CALL_TIMEOUT_MS: u64 = 1_200;
 
+/// The time after which a read counts as failed although its time-out has not passed, in milliseconds.
+///
+/// A slow store responds within some hundred milliseconds.
+const OVERDUE_MS: u64 = 300;
+
 /// The time after which the store ends a long poll without a change, in milliseconds.
 ///
 /// Each reply confirms that the configuration is the newest. The other processes rely on a confirmation
@@ -52,6 +58,13 @@
     /// Returns a message if there is no valid reply. A write may nevertheless have been done.
     pub async fn call(&self, call: &StoreCall) -> Result<StoreReply, String> {
         let start = self.state.clock.now();
+        let wait_ms = match call {
+            StoreCall::Watch { wait_ms, .. } => Some(*wait_ms),
+            StoreCall::Read { .. } => Some(0),
+            StoreCall::Write(_) => None,
+        };
+        let pending =
+            wait_ms.map(|wait_ms| PendingRead::begin(&self.state, start, wait_ms + OVERDUE_MS));
         let encoded = self.state.format.encode_store_call(call);
         let link = match call {
             StoreCall::Watch { .. } => &self.watch_link,
@@ -75,6 +88,7 @@
                 );
                 reply.map_err(|error| error.to_string())
             });
+        drop(pending);
         let is_done = matches!(
             result,
             Ok(StoreReply::Rows { .. } | StoreReply::Written { .. } | StoreReply::Conflict)
@@ -82,7 +96,7 @@
         self.state.metrics.count_store_call(is_done);
         let is_failed_read = match &result {
             Ok(StoreReply::HistoryLost) => false,
-            _ => !is_done && !matches!(call, StoreCall::Write(_)),
+            _ => !is_done && wait_ms.is_some(),
         };
         let now = self.state.clock.now();
         let mut view = self.state.view.borrow_mut();
