--- a/crates/core/src/relay/listing_grace.rs
+++ b/crates/core/src/relay/listing_grace.rs
@@ -115,7 +115,7 @@
     /// while the list has not been whole again: engines that were about to register may have missed their time.
     fn follows_outage(&self, gap: &StoreGap) -> bool {
         let is_whole = self.whole_at >= Some(self.until);
-        let has_failed_again = gap.failed > Some(self.returned_at);
+        let has_failed_again = gap.failed > self.whole_at.max(Some(self.returned_at));
         gap.has_failure() || !is_whole && has_failed_again
     }
 
--- a/crates/core/tests/listing_grace.rs
+++ b/crates/core/tests/listing_grace.rs
@@ -153,6 +153,23 @@
     assert_eq!(table.grace_left_ms(at(back + 9_000)), 0);
 }
 
+/// A process takes a grace period over and has itself seen no failure since its list was whole. A failure of long before
+/// must not prolong it.
+#[test]
+fn record_peer_with_grace_after_old_failure() {
+    let mut table = whole_table();
+    let back = WHOLE_MS + 8_000;
+    for (now, grace_ms) in [(back, 900), (back + 300, 600)] {
+        let peer = PeerListing {
+            confirmed: at(now),
+            is_whole: false,
+            grace_ms,
+        };
+        table.record_peer(&gap(now - 300, WHOLE_MS - 30_000), &peer, at(now));
+    }
+    assert_eq!(table.grace_left_ms(at(back + 300)), 600);
+}
+
 /// A process that has missed the outage's length takes the grace period over, also if its own list was confirmed
 /// meanwhile by one that is in its grace period.
 #[test]
