Give no request up before its deadline

The clock truncates to whole milliseconds. The deadline was the truncated arrival plus the time-out, and the time left was measured from a later truncated reading, so that it could be almost a millisecond short. MilliTime::deadline rounds up. Engines are still told the time without the added millisecond.

--- a/crates/core/src/time/milli_time.rs
+++ b/crates/core/src/time/milli_time.rs
@@ -40,6 +40,15 @@
         MilliTime(self.0.saturating_add(millis))
     }
 
+    /// Returns the deadline of what begins at this reading and may take `timeout_ms` milliseconds, for a clock that
+    /// truncates to whole milliseconds.
+    ///
+    /// It is a millisecond later than [`MilliTime::plus`] says: the reading may be almost a millisecond older than
+    /// the beginning, and a time-out that starts from a later reading would end early by as much.
+    pub const fn deadline(self, timeout_ms: u64) -> MilliTime {
+        self.plus(timeout_ms).plus(1)
+    }
+
     /// Returns the milliseconds from `earlier` to this time, or zero if `earlier` is later.
     pub const fn since(self, earlier: MilliTime) -> u64 {
         self.0.saturating_sub(earlier.0)
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -277,11 +277,12 @@
     address: SocketAddr,
 ) -> (String, PlainOutcome) {
     let _load = LoadGuard::for_endpoint(state, &id);
-    let left_ms = relay.deadline.since(state.clock.now());
+    let now = state.clock.now();
+    let left_ms = relay.deadline.since(now);
     let is_once = relay.route().repeat == RepeatRule::AtMostOnce;
     let call = EngineCall {
         expected_id: &id,
-        deadline_ms: left_ms,
+        deadline_ms: relay.engine_timeout_ms(now),
         account: relay.account().map(|account| account.name.as_str()),
         priority: relay.priority(),
         last_event: None,
--- a/crates/relay/src/ingress/relay_request.rs
+++ b/crates/relay/src/ingress/relay_request.rs
@@ -36,7 +36,8 @@
     /// The index of its client account in the configuration; `None` for a public route, or if no
     /// accounts are configured.
     pub(super) account: Option<usize>,
-    /// The deadline: the earlier one of the caller's time-out and that of the route.
+    /// The time at which the request is given up: after the caller's time-out or that of the route, whichever is
+    /// shorter.
     pub(super) deadline: MilliTime,
 }
 
@@ -67,6 +68,13 @@
         of_account.unwrap_or(self.route().priority)
     }
 
+    /// Returns the time that an engine has for its answer if the request is sent to it now, in milliseconds.
+    ///
+    /// The millisecond by which the deadline is rounded up is not the caller's.
+    pub(super) fn engine_timeout_ms(&self, now: MilliTime) -> u64 {
+        self.deadline.since(now).saturating_sub(1).max(1)
+    }
+
     /// Returns why the request may no longer be sent: its key was revoked, or the configuration may be out of
     /// date by now.
     ///
--- a/crates/relay/src/ingress/request_handler.rs
+++ b/crates/relay/src/ingress/request_handler.rs
@@ -72,7 +72,7 @@
     let timeout_ms = caller.deadline_ms.map_or(route_timeout_ms, |timeout_ms| {
         timeout_ms.min(route_timeout_ms)
     });
-    let deadline = arrival.plus(timeout_ms);
+    let deadline = arrival.deadline(timeout_ms);
     let is_stream = config.services[service].model.is_some();
     if is_past_stop(&state, is_stream, deadline) {
         return log_and_refuse(&state, &mut log, &caller.id, RefusalKind::Leaving);
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -296,7 +296,7 @@
         let last_event = self.last_id.map(|id| id.to_string());
         let call = EngineCall {
             expected_id: &first.id,
-            deadline_ms: self.relay.deadline.since(now),
+            deadline_ms: self.relay.engine_timeout_ms(now),
             account: self.relay.account().map(|account| account.name.as_str()),
             priority: self.rank_or_priority(),
             last_event: last_event.as_deref(),
