Tell other processes how long missing engines are kept after an outage

When the store was away twice in a row, only processes whose reads met the second outage went on keeping live engines that had not registered again.

Load messages now carry the time for which the sender still keeps missing engines after an outage that it has seen itself: the whole grace period as long as its reads fail. A receiver that is in a grace period prolongs it by that, up to 4 s after its begin; outside one the report means nothing, as its list was whole. Time taken over from others is not reported, so processes can't prolong each other's.

record_peer_grace_within_grace_period and record_peer_grace_without_end guard both directions.

--- a/crates/core/src/relay/engine_table/listing_update.rs
+++ b/crates/core/src/relay/engine_table/listing_update.rs
@@ -23,6 +23,12 @@
         self.grace.record_peer(gap, peer, now);
     }
 
+    /// Records for how long another process still keeps missing engines after an outage that it has seen itself, in
+    /// milliseconds.
+    pub fn record_peer_grace(&mut self, grace_ms: u64, now: MilliTime) {
+        self.grace.record_peer_grace(grace_ms, now);
+    }
+
     /// Returns whether the list that was last confirmed to be the newest at `confirmed` was known to be whole then.
     pub fn is_whole(&self, confirmed: MilliTime) -> bool {
         self.grace.is_whole(confirmed)
@@ -33,6 +39,12 @@
         self.grace.left_ms(now)
     }
 
+    /// Returns how long missing engines are still kept after an outage that this process has seen itself, given what is
+    /// known of the store since the held list was confirmed, in milliseconds.
+    pub fn own_grace_left_ms(&self, gap: &StoreGap, now: MilliTime) -> u64 {
+        self.grace.own_left_ms(gap, now)
+    }
+
     /// Applies the changes of the list.
     ///
     /// Engines that the list lacks after an outage are kept for a grace period, unless they were
--- a/crates/core/src/relay/listing_grace.rs
+++ b/crates/core/src/relay/listing_grace.rs
@@ -14,6 +14,13 @@
 /// Entries expire while the store is unavailable; live engines register again within two seconds.
 const GRACE_MS: u64 = 2_000;
 
+/// The time after the begin of a grace period up to which the reports of other processes may prolong it, in
+/// milliseconds.
+///
+/// The store may be away once more before all engines have registered. The bound keeps a process that can't reach the
+/// store for long from prolonging the grace periods of the others without end.
+const MAX_PROLONGED_MS: u64 = 2 * GRACE_MS;
+
 /// The maximum time by which the last confirmation of a list may precede the end of the grace
 /// period for the list to count as complete, in milliseconds.
 ///
@@ -36,8 +43,12 @@
     whole_at: Option<MilliTime>,
     /// The time at which the store was known to be back after the last outage.
     returned_at: MilliTime,
-    /// The end of the grace period after an outage.
+    /// The end of the grace period after the last outage that this process has seen itself.
+    own_until: MilliTime,
+    /// The end of the grace period after an outage, which other processes may have reported.
     until: MilliTime,
+    /// The latest time to which the reports of other processes prolong the grace period.
+    limit: MilliTime,
     /// The end of the grace period after the first sight of a new era.
     settled_at: MilliTime,
 }
@@ -64,7 +75,31 @@
             self.record_whole(peer.confirmed);
         }
         if peer.grace_ms > 0 && self.may_lack_entries(now) {
-            self.until = self.until.max(now.plus(peer.grace_ms.min(GRACE_MS)));
+            self.prolong(now.plus(peer.grace_ms.min(GRACE_MS)), now);
+        }
+    }
+
+    /// Records that another process keeps missing engines for another `grace_ms` milliseconds, after an outage that it
+    /// has seen itself.
+    ///
+    /// This process may have met the end of an outage, but not a second one soon after. Outside a grace period, the
+    /// report means nothing: the list was whole, or the other process alone does not reach the store.
+    pub(super) fn record_peer_grace(&mut self, grace_ms: u64, now: MilliTime) {
+        if self.is_active(now) {
+            let until = now.plus(grace_ms.min(GRACE_MS));
+            self.prolong(until.min(self.limit), now);
+        }
+    }
+
+    /// Returns how long missing engines are still kept after an outage that this process has seen itself, in
+    /// milliseconds: for the whole grace period as long as the outage lasts, given what is known of the store since
+    /// the held list was confirmed.
+    ///
+    /// A grace period that others have reported is not among it: two processes would prolong each other's.
+    pub(super) fn own_left_ms(&self, gap: &StoreGap, now: MilliTime) -> u64 {
+        match self.follows_outage(gap) && self.may_lack_entries(now) {
+            true => GRACE_MS,
+            false => self.own_until.since(now),
         }
     }
 
@@ -107,8 +142,18 @@
     fn record_outage(&mut self, now: MilliTime) {
         if self.may_lack_entries(now) {
             self.returned_at = now;
-            self.until = now.plus(GRACE_MS);
+            self.own_until = now.plus(GRACE_MS);
+            self.limit = now.plus(MAX_PROLONGED_MS);
+            self.until = self.until.max(self.own_until);
+        }
+    }
+
+    /// Lets the grace period last until `until` at least.
+    fn prolong(&mut self, until: MilliTime, now: MilliTime) {
+        if !self.is_active(now) {
+            self.limit = now.plus(MAX_PROLONGED_MS);
         }
+        self.until = self.until.max(until);
     }
 
     /// Returns whether the store may have been away since the list was confirmed, or since its return after an outage
--- a/crates/core/tests/listing_grace.rs
+++ b/crates/core/tests/listing_grace.rs
@@ -122,6 +122,45 @@
     assert!(keeps_missing(&mut table, again + 1_000));
 }
 
+/// The store is away once more within the grace period, which only another process meets. The engines that missed their
+/// time to register are kept as long as the other process keeps them.
+#[test]
+fn record_peer_grace_within_grace_period() {
+    let mut table = whole_table();
+    let mut other = whole_table();
+    let back = WHOLE_MS + 8_000;
+    for table in [&mut table, &mut other] {
+        read(table, back, gap(WHOLE_MS, back - 200));
+        assert!(keeps_missing(table, back));
+    }
+    // The store is away from 1.0 s to 1.9 s, and the other process reads it again after 2.3 s.
+    let away = gap(back, back + 1_000);
+    let grace_ms = other.own_grace_left_ms(&away, at(back + 1_400));
+    table.record_peer_grace(grace_ms, at(back + 1_400));
+    assert!(keeps_missing(&mut table, back + 2_000));
+    read(&mut other, back + 2_300, away);
+    let grace_ms = other.own_grace_left_ms(&away, at(back + 2_400));
+    table.record_peer_grace(grace_ms, at(back + 2_400));
+    assert!(keeps_missing(&mut table, back + 3_800));
+}
+
+/// A process that doesn't reach the store reports this all the time. The others must not keep engines that have left
+/// without end, and not at all if their lists were whole.
+#[test]
+fn record_peer_grace_without_end() {
+    let mut table = whole_table();
+    let back = WHOLE_MS + 8_000;
+    table.record_peer_grace(2_000, at(back - 100));
+    assert_eq!(table.grace_left_ms(at(back - 100)), 0);
+    read(&mut table, back, gap(WHOLE_MS, back - 200));
+    for elapsed in (0..4_000).step_by(100) {
+        table.record_peer_grace(2_000, at(back + elapsed));
+        assert!(keeps_missing(&mut table, back + elapsed));
+    }
+    table.record_peer_grace(2_000, at(back + 4_000));
+    assert!(!keeps_missing(&mut table, back + 4_000));
+}
+
 /// A process that has failed to read the store hands its grace period on with the list. One that knew the list to be
 /// whole just before must not take it over: it would use an engine that left for two seconds more.
 #[test]
--- a/crates/relay/examples/load_message_bytes.rs
+++ b/crates/relay/examples/load_message_bytes.rs
@@ -52,6 +52,7 @@
         reaches_store: true,
         capacity: 90,
         listing_age_ms: 600,
+        listing_grace_ms: 0,
         loads: (0..engines).map(load).collect(),
         demands,
     });
--- a/crates/relay/src/peer/load_message.rs
+++ b/crates/relay/src/peer/load_message.rs
@@ -25,6 +25,9 @@
     pub capacity: u32,
     /// The time since the sender's list of engines was last confirmed to be the newest, in milliseconds.
     pub listing_age_ms: u32,
+    /// The time for which the sender still keeps engines that its list lacks, after an outage of the store that it has
+    /// seen itself, in milliseconds.
+    pub listing_grace_ms: u64,
     /// The loads of the sender.
     pub loads: Vec<PeerLoad>,
     /// The demand of the sender for services under shortage control.
--- a/crates/relay/src/peer/peer_task.rs
+++ b/crates/relay/src/peer/peer_task.rs
@@ -64,7 +64,11 @@
         let _ = tokio::time::timeout(pause, state.announcement_due.notified()).await;
         let now = state.clock.now();
         refresh_view(state, now);
-        let listing_age_ms = state.view.borrow().listing_age_ms(now);
+        let (listing_age_ms, listing_grace_ms) = {
+            let view = state.view.borrow();
+            let grace_ms = view.engines.own_grace_left_ms(&view.listing_gap(now), now);
+            (view.listing_age_ms(now), grace_ms)
+        };
         let message = PeerDatagram::Load(LoadMessage {
             internal: state.settings.metrics_address,
             zone: state.settings.zone.clone(),
@@ -75,6 +79,7 @@
             listing_age_ms: listing_age_ms
                 .and_then(|age_ms| age_ms.try_into().ok())
                 .unwrap_or(u32::MAX),
+            listing_grace_ms,
             loads: own_loads(state),
             demands: PeerDemand::group(&state.view.borrow().demand.own_demands()),
         });
@@ -168,10 +173,15 @@
                 Ok(PeerDatagram::Load(message)) => {
                     let now = state.clock.now();
                     let is_start = !state.peers.borrow().knows_run(address, message.run);
-                    state
+                    let grace_ms = message.listing_grace_ms;
+                    let is_newest = state
                         .peers
                         .borrow_mut()
                         .record_message(address, message, now);
+                    if is_newest {
+                        let mut view = state.view.borrow_mut();
+                        view.engines.record_peer_grace(grace_ms, now);
+                    }
                     if is_start {
                         // A started process refuses callers until it hears what the others know.
                         confirm_to(state, socket, Some(address)).await;
--- a/crates/relay/tests/crashers.rs
+++ b/crates/relay/tests/crashers.rs
@@ -199,6 +199,7 @@
         reaches_store: false,
         capacity: 100,
         listing_age_ms: u32::MAX,
+        listing_grace_ms: 0,
         loads: Vec::new(),
         demands: Vec::new(),
     })
--- a/crates/relay/tests/freshness_schedules.rs
+++ b/crates/relay/tests/freshness_schedules.rs
@@ -195,6 +195,7 @@
                 reaches_store: processes[process].reaches_store,
                 capacity: 100,
                 listing_age_ms: 0,
+                listing_grace_ms: 0,
                 loads: Vec::new(),
                 demands: Vec::new(),
             };
--- a/crates/relay/tests/listing.rs
+++ b/crates/relay/tests/listing.rs
@@ -334,6 +334,7 @@
                     reaches_store: true,
                     capacity: 1_000,
                     listing_age_ms: 0,
+                    listing_grace_ms: 0,
                     loads: Vec::new(),
                     demands: Vec::new(),
                 });
--- a/crates/relay/tests/peer_table.rs
+++ b/crates/relay/tests/peer_table.rs
@@ -26,6 +26,7 @@
         reaches_store: true,
         capacity: 100,
         listing_age_ms: 0,
+        listing_grace_ms: 0,
         loads: Vec::new(),
         demands: Vec::new(),
     }
