Tell reads of the store apart that start in the same millisecond

They are told apart by their time-outs too; failed_start_of_equal_starts fails with the start alone.

The log says that the store is reachable again for the configuration only if there is a configuration to confirm. Without one, each poll logged it. Both were found by reading.

--- a/crates/core/src/relay/store_contact.rs
+++ b/crates/core/src/relay/store_contact.rs
@@ -54,10 +54,13 @@
         self.pending.push((start, due));
     }
 
-    /// Records that a read which started at `start` is no longer in progress, whether it was answered or not.
-    pub fn end_read(&mut self, start: MilliTime) {
-        let mut starts = self.pending.iter();
-        if let Some(index) = starts.position(|(known, _)| *known == start) {
+    /// Records that the read that [`begin_read`](StoreContact::begin_read) recorded with these times is no longer in
+    /// progress, whether it was answered or not.
+    ///
+    /// Reads that start in the same millisecond are told apart by when they are overdue.
+    pub fn end_read(&mut self, start: MilliTime, due: MilliTime) {
+        let mut pending = self.pending.iter();
+        if let Some(index) = pending.position(|read| *read == (start, due)) {
             self.pending.swap_remove(index);
         }
     }
--- a/crates/core/tests/store_contact.rs
+++ b/crates/core/tests/store_contact.rs
@@ -73,7 +73,18 @@
     assert_eq!(contact.failed_start(at(61_299)), None);
     assert_eq!(contact.failed_start(at(61_300)), Some(at(61_000)));
     assert_eq!(contact.failed_start(at(62_100)), Some(at(61_200)));
-    contact.end_read(at(61_200));
-    contact.end_read(at(61_000));
+    contact.end_read(at(61_200), at(62_100));
+    contact.end_read(at(61_000), at(61_300));
     assert_eq!(contact.failed_start(at(62_100)), None);
 }
+
+/// A long poll and a read start in the same millisecond. The end of the read must not leave its earlier time to the poll.
+#[test]
+fn failed_start_of_equal_starts() {
+    let mut contact = answered();
+    contact.begin_read(at(61_000), at(62_100));
+    contact.begin_read(at(61_000), at(61_300));
+    contact.end_read(at(61_000), at(61_300));
+    assert_eq!(contact.failed_start(at(62_099)), None);
+    assert_eq!(contact.failed_start(at(62_100)), Some(at(61_000)));
+}
--- a/crates/relay/src/store/config_task.rs
+++ b/crates/relay/src/store/config_task.rs
@@ -85,7 +85,8 @@
         };
         match result {
             Ok((next, is_confirmed)) => {
-                if had_failed {
+                // Without a configuration to confirm, each poll would log this.
+                if had_failed && !has_failed(&state, state.clock.now()) {
                     spdlog::info!("store: reachable again for the configuration");
                 }
                 source = next;
--- a/crates/relay/src/store/pending_read.rs
+++ b/crates/relay/src/store/pending_read.rs
@@ -8,16 +8,19 @@
 pub(super) struct PendingRead {
     state: Rc<NodeState>,
     start: MilliTime,
+    due: MilliTime,
 }
 
 impl PendingRead {
     /// Records a read that started at `start` and is overdue after `wait_ms`, in milliseconds.
     pub(super) fn begin(state: &Rc<NodeState>, start: MilliTime, wait_ms: u64) -> PendingRead {
         let mut view = state.view.borrow_mut();
-        view.store_contact.begin_read(start, start.plus(wait_ms));
+        let due = start.plus(wait_ms);
+        view.store_contact.begin_read(start, due);
         PendingRead {
             state: Rc::clone(state),
             start,
+            due,
         }
     }
 }
@@ -25,6 +28,6 @@
 impl Drop for PendingRead {
     fn drop(&mut self) {
         let mut view = self.state.view.borrow_mut();
-        view.store_contact.end_read(self.start);
+        view.store_contact.end_read(self.start, self.due);
     }
 }
