Pass answers on by the kind of their route

How an answer is passed on followed from the service, and a body that is no stream of events counted as malformed.

A request to a model whose route has no streams still goes to a chain, and its answer is read whole and passed on. If it breaks off, the attempt may have run. The other way round, a stream of a plain service was read whole before its first event was passed on; its events are forwarded as they arrive now.

answer_in_one_piece_is_passed_on fails before (status 200, not complete), and stream_of_plain_service_is_passed_on_as_it_arrives has no event after 500 ms before.

--- a/crates/relay/src/ingress/answer_head.rs
+++ b/crates/relay/src/ingress/answer_head.rs
@@ -1,6 +1,8 @@
 use hyper::HeaderMap;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
 
 use crate::wire::RefusalKind;
@@ -81,6 +83,11 @@
     }
 }
 
+/// Returns whether the end of a response's body can be told from the end of its connection.
+pub(super) fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 fn remove_fields(headers: &mut HeaderMap, names: &[&str]) {
     for name in names {
         headers.remove(*name);
--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -20,6 +20,7 @@
 mod open_outcome;
 mod part_trial;
 mod plain_driver;
+mod plain_stream;
 mod queue_place;
 mod readiness_server;
 mod refusal;
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -34,6 +34,7 @@
 use super::crash_check::is_crasher;
 use super::crash_check::record_broken_run;
 use super::crash_check::record_served;
+use super::plain_stream::PlainStream;
 use super::refusal::refuse;
 use super::relay_request::RelayRequest;
 use super::request_handler::retry_after_ms;
@@ -49,6 +50,8 @@
 enum PlainOutcome {
     /// A response to forward.
     Answered(Response<CallerBody>),
+    /// A stream to forward as it arrives.
+    Streaming(PlainStream),
     /// An error response, to forward if no other attempt succeeds.
     Failed(Response<CallerBody>),
     /// No response to forward.
@@ -73,7 +76,7 @@
     failure: Option<Response<CallerBody>>,
 }
 
-/// Forwards a request to an endpoint of a plain service, and returns its whole response.
+/// Forwards a request to an endpoint of a plain service, and returns its whole response or its stream.
 ///
 /// Tries further endpoints as far as the route's retry rule, the retry budget and the deadline allow. An attempt
 /// that is silent stays in progress beside the next one, since a sound endpoint may be silent for a while. The first
@@ -83,6 +86,7 @@
     relay: RelayRequest,
     log: RequestLog,
 ) -> Response<CallerBody> {
+    let relay = Rc::new(relay);
     let mut call = PlainCall::new(&state, &relay, log);
     let mut attempts = FuturesUnordered::new();
     loop {
@@ -94,16 +98,16 @@
         match tokio::time::timeout(wait, attempts.next()).await {
             Ok(Some((id, PlainOutcome::Answered(response)))) => {
                 record_served(&state, &relay);
-                state
-                    .view
-                    .borrow_mut()
-                    .engines
-                    .record_success(&id, 0.0, false);
-                record_life_sign(&state, &id, LifeSign::Answer, &relay.caller.id);
+                call.record_answer(&id);
                 call.log.record_piece();
                 call.log.set_outcome("served");
                 return response;
             }
+            Ok(Some((id, PlainOutcome::Streaming(stream)))) => {
+                call.record_answer(&id);
+                let log = call.log;
+                return stream.forward(Rc::clone(&state), Rc::clone(&relay), log);
+            }
             Ok(Some((id, PlainOutcome::Failed(response)))) => {
                 call.record_end(&id, AttemptEnd::Failed);
                 call.failure = Some(response);
@@ -204,6 +208,14 @@
         }
     }
 
+    /// Records that an endpoint serves the call.
+    fn record_answer(&self, id: &str) {
+        let mut view = self.state.view.borrow_mut();
+        view.engines.record_success(id, 0.0, false);
+        drop(view);
+        record_life_sign(self.state, id, LifeSign::Answer, &self.relay.caller.id);
+    }
+
     /// Records how an attempt ended without an answer that is forwarded at once.
     fn record_end(&mut self, id: &str, end: AttemptEnd) {
         let was_awaited = self.awaited.iter().any(|(awaited, _)| awaited == id);
@@ -276,16 +288,17 @@
     id: String,
     address: SocketAddr,
 ) -> (String, PlainOutcome) {
-    let _load = LoadGuard::for_endpoint(state, &id);
+    let load = LoadGuard::for_endpoint(state, &id);
     let now = state.clock.now();
     let left_ms = relay.deadline.since(now);
+    let last_event = relay.caller.last_event.as_deref();
     let is_once = relay.route().repeat == RepeatRule::AtMostOnce;
     let call = EngineCall {
         expected_id: &id,
         deadline_ms: relay.engine_timeout_ms(now),
         account: relay.account().map(|account| account.name.as_str()),
         priority: relay.priority(),
-        last_event: None,
+        last_event: last_event.filter(|_| relay.route().is_stream),
         chain: &[],
     };
     let headers = state
@@ -303,7 +316,7 @@
     let exchange = async {
         let response = sent.await?;
         let held = state.memory.hold(ByteSource::Server(address));
-        Ok::<PlainOutcome, SendError>(read_response(state, relay, &id, response, held).await)
+        Ok::<PlainOutcome, SendError>(read_response(state, relay, &id, response, held, load).await)
     };
     let outcome = match tokio::time::timeout(Duration::from_millis(left_ms), exchange).await {
         Ok(Ok(outcome)) => outcome,
@@ -324,6 +337,7 @@
     id: &str,
     response: Response<Incoming>,
     held: HeldBytes,
+    load: LoadGuard,
 ) -> PlainOutcome {
     let class = ResponseClass::classify(state, id, &relay.caller.id, &response);
     if matches!(
@@ -333,6 +347,14 @@
         return PlainOutcome::Lost(class.attempt_end());
     }
     let (parts, body) = response.into_parts();
+    if class == ResponseClass::Served && relay.route().is_stream {
+        return PlainOutcome::Streaming(PlainStream {
+            parts,
+            body,
+            held,
+            load,
+        });
+    }
     let Ok((body, held)) = read_whole(body, held).await else {
         return PlainOutcome::Lost(AttemptEnd::Broken);
     };
--- a/crates/relay/src/ingress/stream_driver.rs
+++ b/crates/relay/src/ingress/stream_driver.rs
@@ -16,7 +16,7 @@
 use super::request_handler::retry_after_ms;
 use super::stream_relay::StreamRelay;
 
-/// Runs a model request on a chain of engines and forwards its events as they arrive.
+/// Runs a model request on a chain of engines, and forwards its events as they arrive or its whole answer.
 pub(super) async fn drive_stream(
     state: Rc<NodeState>,
     relay: RelayRequest,
@@ -37,6 +37,10 @@
             });
             response
         }
+        OpenOutcome::Answered(parts, body, held) => {
+            log.set_outcome("served");
+            AnswerHead::of_whole(&*state.format, &parts).into_response(held_body(body, held))
+        }
         OpenOutcome::ErrorResponse(parts, body, held) => {
             log.set_outcome("failed");
             AnswerHead::of_whole(&*state.format, &parts).into_response(held_body(body, held))
--- a/crates/relay/src/ingress/stream_relay/chain_run.rs
+++ b/crates/relay/src/ingress/stream_relay/chain_run.rs
@@ -7,16 +7,14 @@
 use dandelionroad_core::relay::AnswerProgress;
 use dandelionroad_core::relay::EventSplitter;
 use dandelionroad_core::time::MilliTime;
-use hyper::HeaderMap;
 use hyper::body::Body;
 use hyper::body::Incoming;
-use hyper::header::CONTENT_LENGTH;
-use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response::Parts;
 
 use crate::engine::LoadGuard;
 use crate::memory::HeldBytes;
 
+use super::super::answer_head::is_framed;
 use super::run_exchange::RunExchange;
 use super::run_step::RunStep;
 use super::stall_reason::StallReason;
@@ -124,8 +122,3 @@
     })
     .await
 }
-
-/// Returns whether the end of a response's body can be told from the end of its connection.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
--- a/crates/relay/src/ingress/stream_relay/failover.rs
+++ b/crates/relay/src/ingress/stream_relay/failover.rs
@@ -113,7 +113,7 @@
     }
 
     /// Makes a run the first one, and ends the others.
-    fn take_over(&mut self, index: usize, log: &mut RequestLog) {
+    pub(super) fn take_over(&mut self, index: usize, log: &mut RequestLog) {
         let winner = self.runs.swap_remove(index);
         for _ in self.runs.drain(..) {
             self.plan.record_end(AttemptEnd::Broken);
--- a/crates/relay/src/ingress/stream_relay/head_outcome.rs
+++ b/crates/relay/src/ingress/stream_relay/head_outcome.rs
@@ -14,10 +14,12 @@
 use super::super::relay_request::RelayRequest;
 use super::super::response_class::ResponseClass;
 
-/// The outcome of an attempt once the head of a response has arrived.
+/// The outcome of an attempt once the head of a response has arrived, or all of one that is no stream.
 pub(super) enum HeadOutcome {
-    /// The chain serves the request.
+    /// The chain serves the request with a stream, which begins.
     Served(Parts, Incoming),
+    /// The chain has served the request, on a route whose answers are no streams.
+    Answered(Parts, BodyPieces, HeldBytes),
     /// The chain has not run the request and never will.
     Rejected {
         /// The address of the engine that caused the rejection, if it is not the first one.
@@ -34,7 +36,7 @@
         /// Whether nothing listens at the address.
         is_refused: bool,
     },
-    /// The connection broke before the head had arrived.
+    /// The connection broke before the head had arrived, or all of an answer that is no stream.
     Broken,
 }
 
@@ -57,7 +59,17 @@
         let class = ResponseClass::classify(state, engine, &relay.caller.id, &response);
         let (parts, body) = response.into_parts();
         match class {
-            ResponseClass::Served => HeadOutcome::Served(parts, body),
+            ResponseClass::Served if relay.route().is_stream => HeadOutcome::Served(parts, body),
+            ResponseClass::Served => {
+                let held = state.memory.hold(ByteSource::Server(address));
+                match read_whole(body, held).await {
+                    Ok((body, held)) => {
+                        held.reassign(relay.byte_source());
+                        HeadOutcome::Answered(parts, body, held)
+                    }
+                    Err(_) => HeadOutcome::Broken,
+                }
+            }
             ResponseClass::Rejected {
                 fault_address,
                 is_paused,
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -1,13 +1,18 @@
 //! The wait for a chain that serves the request, and the ends of attempts without an answer.
 
 use dandelionroad_core::relay::AttemptEnd;
+use dandelionroad_core::relay::LifeSign;
 use hyper::http::response::Parts;
 
 use crate::crash_report::record_refused_connection;
+use crate::engine::record_life_sign;
 use crate::memory::BodyPieces;
 use crate::memory::HeldBytes;
 use crate::telemetry::RequestLog;
 
+use super::super::crash_check::record_answer_begun;
+use super::super::crash_check::record_parts_served;
+use super::super::crash_check::record_served;
 use super::StreamRelay;
 use super::failover::OUT_OF_BUDGET;
 use super::head_outcome::HeadOutcome;
@@ -16,8 +21,10 @@
 
 /// The outcome of waiting for a chain that serves the request.
 pub(super) enum HeadWait {
-    /// The first run serves the request; the head of its response.
+    /// The first run serves the request with a stream; the head of its response.
     Served(Parts),
+    /// A run has served the request with a whole answer.
+    Answered(Parts, BodyPieces, HeldBytes),
     /// A chain responded with an error. Other runs may be in progress.
     Failed(Parts, BodyPieces, HeldBytes),
     /// No run is in progress any more.
@@ -37,8 +44,8 @@
             }
             match self.next_signal(log).await {
                 RunSignal::Step(index, RunStep::Head(outcome)) => {
-                    if let Some((parts, body, held)) = self.handle_head(index, *outcome, log) {
-                        return HeadWait::Failed(parts, body, held);
+                    if let Some(end) = self.handle_head(index, *outcome, log) {
+                        return end;
                     }
                 }
                 RunSignal::Step(index, RunStep::Frame(frame)) => {
@@ -56,13 +63,14 @@
         }
     }
 
-    /// Handles the head of a run's response: begins the answer, or ends the attempt. Returns an error response.
+    /// Handles the head of a run's response: begins the answer, or ends the attempt. Returns a whole answer or an
+    /// error response.
     pub(super) fn handle_head(
         &mut self,
         index: usize,
         outcome: HeadOutcome,
         log: &mut RequestLog,
-    ) -> Option<(Parts, BodyPieces, HeldBytes)> {
+    ) -> Option<HeadWait> {
         if let HeadOutcome::Served(parts, body) = outcome {
             let timeouts = self.event_timeouts();
             let (tokens, is_resumed) = (self.reserved_tokens(), self.last_id.is_some());
@@ -79,10 +87,14 @@
             }
             return None;
         }
+        if let HeadOutcome::Answered(parts, body, held) = outcome {
+            self.end_answered_run(index, log);
+            return Some(HeadWait::Answered(parts, body, held));
+        }
         let run = self.remove_run(index);
         let first = &run.stages[0];
         let end = match outcome {
-            HeadOutcome::Served(..) => return None,
+            HeadOutcome::Served(..) | HeadOutcome::Answered(..) => return None,
             HeadOutcome::Rejected {
                 fault_address,
                 is_paused,
@@ -96,7 +108,7 @@
                 if !self.runs.is_empty() {
                     self.excluded.push(first.id.clone());
                 }
-                return Some((parts, body, held));
+                return Some(HeadWait::Failed(parts, body, held));
             }
             HeadOutcome::Foreign => {
                 self.excluded.push(first.id.clone());
@@ -122,4 +134,28 @@
         self.record_end(end, end.as_str(), log);
         None
     }
+
+    /// Records that a run has served the request with a whole answer, and ends all runs.
+    fn end_answered_run(&mut self, index: usize, log: &mut RequestLog) {
+        if index > 0 {
+            self.take_over(index, log);
+        }
+        self.end_other_runs(log);
+        let run = self.remove_run(0);
+        let (tokens, is_resumed) = (self.reserved_tokens(), self.last_id.is_some());
+        {
+            let mut view = self.state.view.borrow_mut();
+            for stage in &run.stages {
+                view.engines.record_success(&stage.id, tokens, is_resumed);
+            }
+        }
+        for stage in &run.stages {
+            let id = &self.relay.caller.id;
+            record_life_sign(&self.state, &stage.id, LifeSign::Answer, id);
+        }
+        record_answer_begun(&self.state, &run.stages, run.sent_at);
+        record_parts_served(&self.state, &self.relay);
+        record_served(&self.state, &self.relay);
+        log.record_piece();
+    }
 }
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -6,6 +6,8 @@
 //! chain continues, so the caller sees one uninterrupted stream. A stream whose events have no identifiers is
 //! not resumed.
 //!
+//! On a route whose answers are no streams, the answer is read whole before it is passed on, and counts as one event.
+//!
 //! A run that stalls may still go on: a sound engine can be silent for a second or so. Another run is started
 //! beside it, and the first of them that sends a new event ends the others.
 
@@ -182,6 +184,9 @@
             }
             match self.await_head(log).await {
                 HeadWait::Served(parts) => return OpenOutcome::Streaming(parts),
+                HeadWait::Answered(parts, body, held) => {
+                    return OpenOutcome::Answered(parts, body, held);
+                }
                 HeadWait::Failed(parts, body, held) => {
                     failure = Some(OpenOutcome::ErrorResponse(parts, body, held));
                 }
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -15,6 +15,8 @@
 use super::fake_store::FakeStore;
 use super::http_fake::FakeResponse;
 use super::http_fake::serve_fake;
+use super::test_routes::FEED_PREFIX;
+use super::test_routes::LETTER_PREFIX;
 
 /// The number of events of each stream.
 pub(crate) const EVENTS: u64 = 12;
@@ -266,6 +268,11 @@
             EngineFault::Crashing if parts.uri.path() != CRASH_PATH => EngineFault::None,
             fault => fault,
         };
+        let path = parts.uri.path();
+        let is_stream = match self.service {
+            super::test_wire::PLAIN_SERVICE => path.starts_with(FEED_PREFIX),
+            _ => !path.starts_with(LETTER_PREFIX),
+        };
         self.last_head.replace(Some(parts));
         self.wait_while_mute().await;
         if fault == EngineFault::Full {
@@ -293,7 +300,7 @@
                 .header("pause", &pause_ms.to_string());
         }
         self.runs.borrow_mut().push(id.clone());
-        if self.service == super::test_wire::PLAIN_SERVICE {
+        if !is_stream {
             tokio::time::sleep(work).await;
         }
         self.fall_silent_after(0).await;
@@ -326,7 +333,7 @@
             EngineFault::Foreign => "another",
             _ => &id,
         };
-        if self.service == super::test_wire::PLAIN_SERVICE {
+        if !is_stream {
             return FakeResponse::new(200, "done")
                 .header("request", id)
                 .header("signature", &self.id);
--- a/crates/relay/tests/relay_support/test_routes.rs
+++ b/crates/relay/tests/relay_support/test_routes.rs
@@ -7,6 +7,12 @@
 use super::test_wire::PLAIN_SERVICE;
 use super::test_wire::TARGET_MS;
 
+/// The path prefix of the route on which the model answers in one piece, and may run a request once.
+pub(crate) const LETTER_PREFIX: &str = "/letter/";
+
+/// The path prefix of the route on which endpoints of the plain service answer with streams.
+pub(crate) const FEED_PREFIX: &str = "/feed/";
+
 /// Returns the routes of a configuration.
 ///
 /// If the document has the field `urgent_target_ms`, the model service has two priorities: 0 below `/urgent/` and 1 on
@@ -15,6 +21,14 @@
     let mut routes = vec![
         route("/model/", MODEL_SERVICE, RepeatRule::Resumable),
         route("/model-once/", MODEL_SERVICE, RepeatRule::AtMostOnce),
+        RelayRoute {
+            is_stream: false,
+            ..route(LETTER_PREFIX, MODEL_SERVICE, RepeatRule::AtMostOnce)
+        },
+        RelayRoute {
+            is_stream: true,
+            ..route(FEED_PREFIX, PLAIN_SERVICE, RepeatRule::Resumable)
+        },
         route("/once/", PLAIN_SERVICE, RepeatRule::AtMostOnce),
         route("/any/", PLAIN_SERVICE, RepeatRule::Idempotent),
     ];
