Count the loss of a later engine after a late rejection as a crash

The first engine gives such a request up as not run after its stall time-out and names the lost engine. A rejection counted as no broken run, so the loss was attributed to no request.

A rejection that names an engine behind the first one, and that comes 500 ms after the request was sent or later, is recorded as a run that broke off on that engine.

crasher_of_last_engine_is_refused fails before (no crash becomes known).

--- a/crates/relay/src/ingress/stream_relay/crash_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/crash_wait.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use dandelionroad_core::chain::ChainStage;
 use dandelionroad_core::relay::PartVerdict;
 use dandelionroad_core::relay::RunPhase;
 use tokio::task::spawn_local;
@@ -29,6 +30,13 @@
 /// once brings down a second engine, often the first one of another availability zone.
 const SETTLE_MS: u64 = 100;
 
+/// The time after which a rejection that names another engine of the chain may come from the loss of that engine, in
+/// milliseconds.
+///
+/// An engine that is short of memory turns a request away within a round trip. One that is lost holds up the first
+/// engine until its stall time-out, which is seconds.
+const LATE_REJECTION_MS: u64 = 500;
+
 /// The maximum time for which a request with a suspected prompt part waits for other requests with it, in
 /// milliseconds.
 ///
@@ -38,14 +46,24 @@
 /// The interval at which such a request looks whether another process has cleared the part, in milliseconds.
 const TRIAL_CHECK_MS: u64 = 50;
 
-/// The first engine of a run that broke off.
+/// An engine on which a run broke off: the first one of the chain, or the one that the first one names.
 #[derive(Debug)]
-pub(super) struct BrokenHead {
+pub(super) struct BrokenEngine {
     id: String,
     address: SocketAddr,
     phase: RunPhase,
 }
 
+impl BrokenEngine {
+    fn new(stage: &ChainStage, phase: RunPhase) -> BrokenEngine {
+        BrokenEngine {
+            id: stage.id.clone(),
+            address: stage.address,
+            phase,
+        }
+    }
+}
+
 impl StreamRelay {
     /// Returns whether the request is refused by now because a part of its prompt crashes engines.
     pub(super) fn is_refused(&self) -> bool {
@@ -60,19 +78,41 @@
             let ids: Vec<&str> = run.stages.iter().map(|stage| stage.id.as_str()).collect();
             record_broken_run(&self.state, &self.relay, &ids, phase);
         }
-        let first = run.stages.first().map(|stage| BrokenHead {
-            id: stage.id.clone(),
-            address: stage.address,
-            phase,
-        });
+        if let Some(first) = run.stages.first() {
+            self.check_broken_engine(BrokenEngine::new(first, phase));
+        }
+    }
+
+    /// Records that a chain turned the request away after a while because of an engine behind the first one, which may
+    /// have been lost when it began to run the request.
+    ///
+    /// Nothing was answered, so the chain says that the request has not run. The loss of the engine decides whether
+    /// this counts as a crash.
+    pub(super) fn record_late_rejection(&mut self, run: &ChainRun, fault_address: Option<&str>) {
+        let waited_ms = self.state.clock.now().since(run.sent_at);
+        let mut later = run.stages.iter().skip(1);
+        let named = later.find(|stage| fault_address == Some(&stage.address.to_string()));
+        let Some(named) = named.filter(|_| waited_ms >= LATE_REJECTION_MS) else {
+            return;
+        };
+        let phase = run.progress.phase();
+        if !run.is_recorded {
+            record_broken_run(&self.state, &self.relay, &[&named.id], phase);
+        }
+        self.check_broken_engine(BrokenEngine::new(named, phase));
+    }
+
+    /// Has an engine checked on which a run broke off: at once if other runs are in progress, else before the next
+    /// attempt.
+    fn check_broken_engine(&mut self, engine: BrokenEngine) {
         if self.runs.is_empty() {
-            self.broken_heads.extend(first);
+            self.broken_engines.push(engine);
             return;
         }
         // The other runs may go on for long, and other requests must know of the loss.
         let (state, relay) = (Rc::clone(&self.state), Rc::clone(&self.relay));
         spawn_local(async move {
-            check_losses(&state, &relay, first.as_slice()).await;
+            check_losses(&state, &relay, &[engine]).await;
         });
     }
 
@@ -80,8 +120,8 @@
     ///
     /// The trial of the request ends once the losses of its engines are known.
     pub(super) async fn await_crash_reports(&mut self) {
-        let heads = std::mem::take(&mut self.broken_heads);
-        let is_suspect = check_losses(&self.state, &self.relay, &heads).await;
+        let broken = std::mem::take(&mut self.broken_engines);
+        let is_suspect = check_losses(&self.state, &self.relay, &broken).await;
         self.trial = None;
         await_settling(&self.state, &self.relay, is_suspect).await;
     }
@@ -107,23 +147,23 @@
 pub(super) async fn await_crash_reports(
     state: Rc<NodeState>,
     relay: Rc<RelayRequest>,
-    heads: Vec<BrokenHead>,
+    broken: Vec<BrokenEngine>,
 ) {
-    let is_suspect = check_losses(&state, &relay, &heads).await;
+    let is_suspect = check_losses(&state, &relay, &broken).await;
     await_settling(&state, &relay, is_suspect).await;
 }
 
 /// Finds out whether engines of suspected runs are lost; returns whether one of these runs was starting.
-async fn check_losses(state: &NodeState, relay: &RelayRequest, heads: &[BrokenHead]) -> bool {
+async fn check_losses(state: &NodeState, relay: &RelayRequest, broken: &[BrokenEngine]) -> bool {
     let mut has_starting = false;
-    for head in heads {
-        let is_suspect = match head.phase {
+    for engine in broken {
+        let is_suspect = match engine.phase {
             RunPhase::Starting => has_unproven_part(state, relay),
             RunPhase::Established => has_engine_loss(state, relay),
         };
         if is_suspect {
-            check_engine_loss(state, &head.id, head.address).await;
-            has_starting |= head.phase == RunPhase::Starting;
+            check_engine_loss(state, &engine.id, engine.address).await;
+            has_starting |= engine.phase == RunPhase::Starting;
         }
     }
     has_starting
--- a/crates/relay/src/ingress/stream_relay/failover.rs
+++ b/crates/relay/src/ingress/stream_relay/failover.rs
@@ -49,8 +49,8 @@
         }
         self.next_failover = now.plus(FAILOVER_SPACING_MS);
         self.record_stalled_runs(log);
-        let heads = std::mem::take(&mut self.broken_heads);
-        let wait = await_crash_reports(Rc::clone(&self.state), Rc::clone(&self.relay), heads);
+        let broken = std::mem::take(&mut self.broken_engines);
+        let wait = await_crash_reports(Rc::clone(&self.state), Rc::clone(&self.relay), broken);
         self.crash_wait = Some(Box::pin(wait));
     }
 
@@ -104,7 +104,7 @@
     pub(super) fn end_other_runs(&mut self, log: &mut RequestLog) {
         self.crash_wait = None;
         // Until the next attempt, their engines may be back under the same names.
-        self.broken_heads.clear();
+        self.broken_engines.clear();
         for _ in self.runs.drain(1..) {
             self.plan.record_end(AttemptEnd::Broken);
             self.state.metrics.count_failover(WENT_ON);
--- a/crates/relay/src/ingress/stream_relay/head_wait.rs
+++ b/crates/relay/src/ingress/stream_relay/head_wait.rs
@@ -100,6 +100,7 @@
                 is_paused,
             } => {
                 self.record_rejection(fault_address.as_deref(), is_paused, &run.stages);
+                self.record_late_rejection(&run, fault_address.as_deref());
                 AttemptEnd::Rejected
             }
             HeadOutcome::Failed(parts, body, held) => {
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -53,7 +53,7 @@
 use super::relay_request::RelayRequest;
 
 use self::chain_run::ChainRun;
-use self::crash_wait::BrokenHead;
+use self::crash_wait::BrokenEngine;
 use self::head_outcome::HeadOutcome;
 use self::head_wait::HeadWait;
 use self::run_exchange::RunExchange;
@@ -99,8 +99,8 @@
     runs: Vec<ChainRun>,
     /// The pause before another run is started beside stalled ones.
     crash_wait: Option<Pin<Box<dyn Future<Output = ()>>>>,
-    /// The first engines of the runs that broke off, until the next attempt.
-    broken_heads: Vec<BrokenHead>,
+    /// The engines on which runs broke off, until the next attempt.
+    broken_engines: Vec<BrokenEngine>,
     /// The trial of unproven prompt parts, until the answer has outlasted its start.
     trial: Option<PartTrial>,
     /// The earliest time at which another run may be started beside stalled ones.
@@ -130,7 +130,7 @@
             last_id,
             runs: Vec::new(),
             crash_wait: None,
-            broken_heads: Vec::new(),
+            broken_engines: Vec::new(),
             trial: None,
             next_failover: MilliTime::default(),
             is_barred: false,
--- a/crates/relay/tests/crashers.rs
+++ b/crates/relay/tests/crashers.rs
@@ -11,6 +11,7 @@
 use crate::relay_support::World;
 use crate::relay_support::fake_engine::CRASH_PATH;
 use crate::relay_support::fake_engine::EngineFault;
+use crate::relay_support::fake_engine::STALL_TIME;
 use crate::relay_support::run;
 use crate::relay_support::wait_for;
 
@@ -62,6 +63,50 @@
     });
 }
 
+/// A request crashes the last engine of its chain. The first one gives it up as not run, and names the lost engine
+/// (review, case 11). Guards against a request that crashes one engine after the other as it never counts as broken.
+#[test]
+fn crasher_of_last_engine_is_refused() {
+    run(async {
+        let world = World::start().await;
+        let first = world.start_engine("e0", (0, 20)).await;
+        first.fault.set(EngineFault::Stalling);
+        let node = world.start_node("n1").await;
+        for (index, id) in ["e1", "e2"].into_iter().enumerate() {
+            let last = world.start_engine(id, (20, 40)).await;
+            first.waits_for.set(Some(last.address()));
+            wait_for("the chain is known", async || {
+                world
+                    .has_metric_line(&node, "dandelionroad_engines_usable 2")
+                    .await
+            })
+            .await;
+            let crashing = async {
+                wait_for("the request runs", async || {
+                    first.runs.borrow().len() == index + 1
+                })
+                .await;
+                tokio::time::sleep(STALL_TIME).await;
+                world.store.remove("engines", id);
+            };
+            let (answer, ()) = tokio::join!(world.send(&node, CRASH_PATH, id), crashing);
+            assert_eq!(answer.status, 503, "the request has not run");
+            let known = format!("dandelionroad_engine_crashes_known {}", index + 1);
+            wait_for("the crash is known", async || {
+                world.has_metric_line(&node, &known).await
+            })
+            .await;
+        }
+        world.start_engine("e3", (20, 40)).await;
+        let answer = world.send(&node, CRASH_PATH, "r3").await;
+        assert_eq!(answer.body, b"{\"error\":\"crasher\"}");
+        wait_for("other requests are served", async || {
+            world.send(&node, "/model/other", "r4").await.status == 200
+        })
+        .await;
+    });
+}
+
 /// Engines lose their responses but keep running. The request must not count as the cause of a crash, so a
 /// retry by its caller is served.
 #[test]
--- a/crates/relay/tests/relay_support/fake_engine.rs
+++ b/crates/relay/tests/relay_support/fake_engine.rs
@@ -27,6 +27,9 @@
 /// The path of requests that crash a [`EngineFault::Crashing`] engine.
 pub(crate) const CRASH_PATH: &str = "/model/crash";
 
+/// The time for which an engine waits for the next one of its chain, before it gives up.
+pub(crate) const STALL_TIME: Duration = Duration::from_millis(700);
+
 /// The behavior of an engine towards requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum EngineFault {
@@ -57,6 +60,9 @@
     /// Crashes when it starts to run a request at [`CRASH_PATH`]: the connection closes, and the engine is
     /// no longer listed.
     Crashing,
+    /// Waits for the engine that [`FakeEngine::waits_for`] names when it passes on a request at [`CRASH_PATH`], and
+    /// turns the request away as not run after [`STALL_TIME`]. It takes no orders.
+    Stalling,
 }
 
 /// A time in which a sound engine sends nothing to anybody, and then goes on.
@@ -195,6 +201,7 @@
                 FakeResponse::new(200, &doc.to_string())
             }
             "/hold" if !self.is_meant(&parts) => FakeResponse::new(421, ""),
+            "/hold" if self.fault.get() == EngineFault::Stalling => FakeResponse::new(409, ""),
             "/hold" => self.accept_order(&serde_json::from_slice(&body).unwrap()),
             _ => {
                 let is_leaving = self.is_leaving.get();
@@ -265,7 +272,9 @@
         let work = Duration::from_millis(text("work").map_or(0, |text| text.parse().unwrap()));
         let tokens: u64 = text("tokens").map_or(0, |text| text.parse().unwrap());
         let fault = match self.fault.get() {
-            EngineFault::Crashing if parts.uri.path() != CRASH_PATH => EngineFault::None,
+            EngineFault::Crashing | EngineFault::Stalling if parts.uri.path() != CRASH_PATH => {
+                EngineFault::None
+            }
             fault => fault,
         };
         let path = parts.uri.path();
@@ -300,6 +309,14 @@
                 .header("pause", &pause_ms.to_string());
         }
         self.runs.borrow_mut().push(id.clone());
+        if fault == EngineFault::Stalling {
+            let next = self.waits_for.get().unwrap();
+            tokio::time::sleep(STALL_TIME).await;
+            return FakeResponse::new(503, "stalled")
+                .header("request", &id)
+                .header("not-run", "1")
+                .header("fault", &next.to_string());
+        }
         if !is_stream {
             tokio::time::sleep(work).await;
         }
