--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -6,6 +6,8 @@
 //! chain continues, so the caller sees one uninterrupted stream. A stream whose events have no identifiers is
 //! not resumed.
 //!
+//! On a route whose answers are no streams, the answer is read whole before it is passed on, and counts as one event.
+//!
 //! A run that stalls may still go on: a sound engine can be silent for a second or so. Another run is started
 //! beside it, and the first of them that sends a new event ends the others.
 
@@ -51,7 +53,7 @@
 use super::relay_request::RelayRequest;
 
 use self::chain_run::ChainRun;
-use self::crash_wait::BrokenHead;
+use self::crash_wait::BrokenEngine;
 use self::head_outcome::HeadOutcome;
 use self::head_wait::HeadWait;
 use self::run_exchange::RunExchange;
@@ -97,8 +99,8 @@
     runs: Vec<ChainRun>,
     /// The pause before another run is started beside stalled ones.
     crash_wait: Option<Pin<Box<dyn Future<Output = ()>>>>,
-    /// The first engines of the runs that broke off, until the next attempt.
-    broken_heads: Vec<BrokenHead>,
+    /// The engines on which runs broke off, until the next attempt.
+    broken_engines: Vec<BrokenEngine>,
     /// The trial of unproven prompt parts, until the answer has outlasted its start.
     trial: Option<PartTrial>,
     /// The earliest time at which another run may be started beside stalled ones.
@@ -128,7 +130,7 @@
             last_id,
             runs: Vec::new(),
             crash_wait: None,
-            broken_heads: Vec::new(),
+            broken_engines: Vec::new(),
             trial: None,
             next_failover: MilliTime::default(),
             is_barred: false,
@@ -182,6 +184,9 @@
             }
             match self.await_head(log).await {
                 HeadWait::Served(parts) => return OpenOutcome::Streaming(parts),
+                HeadWait::Answered(parts, body, held) => {
+                    return OpenOutcome::Answered(parts, body, held);
+                }
                 HeadWait::Failed(parts, body, held) => {
                     failure = Some(OpenOutcome::ErrorResponse(parts, body, held));
                 }
@@ -296,7 +301,7 @@
         let last_event = self.last_id.map(|id| id.to_string());
         let call = EngineCall {
             expected_id: &first.id,
-            deadline_ms: self.relay.deadline.since(now),
+            deadline_ms: self.relay.engine_timeout_ms(now),
             account: self.relay.account().map(|account| account.name.as_str()),
             priority: self.rank_or_priority(),
             last_event: last_event.as_deref(),
