Retry a stream of a plain service that breaks off before its first event

The head waits for the first complete events now, until which the attempt counts as lost and another endpoint is tried. A stream that breaks off later is recorded as a broken run, in its phase.

stream_of_plain_service_is_retried_before_first_event guards the retry.

--- a/crates/relay/src/ingress/mod.rs
+++ b/crates/relay/src/ingress/mod.rs
@@ -32,6 +32,7 @@
 mod send_fault;
 mod stream_driver;
 mod stream_relay;
+mod stream_step;
 mod watched_stream;
 
 pub use self::caller_server::CallerServer;
--- a/crates/relay/src/ingress/plain_driver.rs
+++ b/crates/relay/src/ingress/plain_driver.rs
@@ -39,6 +39,7 @@
 use super::relay_request::RelayRequest;
 use super::request_handler::retry_after_ms;
 use super::response_class::ResponseClass;
+use super::stream_step::StreamStep;
 
 /// The minimum time until the deadline with which another attempt is started, in milliseconds.
 const MIN_ATTEMPT_MS: u64 = 30;
@@ -50,8 +51,8 @@
 enum PlainOutcome {
     /// A response to forward.
     Answered(Response<CallerBody>),
-    /// A stream to forward as it arrives.
-    Streaming(PlainStream),
+    /// A stream to forward as it arrives, and its beginning.
+    Streaming(Box<PlainStream>, StreamStep),
     /// An error response, to forward if no other attempt succeeds.
     Failed(Response<CallerBody>),
     /// No response to forward.
@@ -103,10 +104,10 @@
                 call.log.set_outcome("served");
                 return response;
             }
-            Ok(Some((id, PlainOutcome::Streaming(stream)))) => {
+            Ok(Some((id, PlainOutcome::Streaming(stream, first)))) => {
                 call.record_answer(&id);
                 let log = call.log;
-                return stream.forward(Rc::clone(&state), Rc::clone(&relay), log);
+                return stream.forward(Rc::clone(&relay), first, log);
             }
             Ok(Some((id, PlainOutcome::Failed(response)))) => {
                 call.record_end(&id, AttemptEnd::Failed);
@@ -332,7 +333,7 @@
 }
 
 async fn read_response(
-    state: &NodeState,
+    state: &Rc<NodeState>,
     relay: &RelayRequest,
     id: &str,
     response: Response<Incoming>,
@@ -346,15 +347,15 @@
     ) {
         return PlainOutcome::Lost(class.attempt_end());
     }
-    let (parts, body) = response.into_parts();
     if class == ResponseClass::Served && relay.route().is_stream {
-        return PlainOutcome::Streaming(PlainStream {
-            parts,
-            body,
-            held,
-            load,
-        });
+        let mut stream = PlainStream::new(state, relay, id, response, held, load);
+        // Until the caller has got something, another endpoint may serve the request.
+        return match stream.next_step().await {
+            StreamStep::Cut(_) => PlainOutcome::Lost(AttemptEnd::Broken),
+            first => PlainOutcome::Streaming(Box::new(stream), first),
+        };
     }
+    let (parts, body) = response.into_parts();
     let Ok((body, held)) = read_whole(body, held).await else {
         return PlainOutcome::Lost(AttemptEnd::Broken);
     };
--- a/crates/relay/src/ingress/stream_relay/event_forwarding.rs
+++ b/crates/relay/src/ingress/stream_relay/event_forwarding.rs
@@ -238,7 +238,7 @@
 }
 
 /// Returns why bytes of a run are not passed on, as it appears in logs and metrics.
-pub(super) fn fault_cause(fault: EventFault) -> &'static str {
+pub(in crate::ingress) fn fault_cause(fault: EventFault) -> &'static str {
     match fault {
         EventFault::OutOfOrder { .. } => "event out of order",
         EventFault::Malformed => "malformed event",
--- a/crates/relay/src/ingress/stream_relay/failover.rs
+++ b/crates/relay/src/ingress/stream_relay/failover.rs
@@ -25,7 +25,7 @@
 const FAILED: &str = "failed";
 
 /// The cause of the end of a run whose buffers were given up, as it appears in logs and metrics.
-pub(super) const OUT_OF_BUDGET: &str = "out of memory budget";
+pub(in crate::ingress) const OUT_OF_BUDGET: &str = "out of memory budget";
 
 /// The minimum time between two runs that are started beside stalled ones, in milliseconds.
 ///
--- a/crates/relay/src/ingress/stream_relay/mod.rs
+++ b/crates/relay/src/ingress/stream_relay/mod.rs
@@ -26,6 +26,9 @@
 mod stall_reason;
 mod stall_timeouts;
 
+pub(super) use self::event_forwarding::fault_cause;
+pub(super) use self::failover::OUT_OF_BUDGET;
+
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
--- a/crates/relay/tests/answers_by_route.rs
+++ b/crates/relay/tests/answers_by_route.rs
@@ -84,3 +84,21 @@
         assert_eq!(cut.body, whole);
     });
 }
+
+/// A stream of a plain service breaks off before its first event. Guards against an answer that is cut although another
+/// endpoint can serve the request.
+#[test]
+fn stream_of_plain_service_is_retried_before_first_event() {
+    run(async {
+        let world = World::start().await;
+        let endpoint = world.start_endpoint("p1").await;
+        endpoint.fault.set(EngineFault::LostAnswer);
+        world.start_endpoint("p2").await;
+        let node = world.start_node("n1").await;
+        for number in 0..6 {
+            let answer = world.send(&node, "/feed/a", &format!("r{number}")).await;
+            assert_eq!((answer.status, answer.is_complete), (200, true));
+        }
+        assert!(!endpoint.runs.borrow().is_empty(), "some began at p1");
+    });
+}
